--- /dev/null
+++ b/libraries/core/event_log.cpp
@@ -0,0 +1,73 @@
+#include "core/event_log.hpp"
+
+#include <array>
+
+namespace cicadahub
+{
+
+namespace
+{
+
+#define CICADAHUB_ROW(event)                                                   \
+    event_row                                                                  \
+    {                                                                          \
+        event_number::event, #event                                            \
+    }
+
+constexpr std::array event_rows{
+    CICADAHUB_ROW(daemon_started),
+    CICADAHUB_ROW(daemon_ready),
+    CICADAHUB_ROW(drain_began),
+    CICADAHUB_ROW(daemon_stopped),
+    CICADAHUB_ROW(settings_refused),
+    CICADAHUB_ROW(listen_failed),
+    CICADAHUB_ROW(configuration_applied),
+    CICADAHUB_ROW(configuration_refused),
+    CICADAHUB_ROW(key_withdrawn),
+    CICADAHUB_ROW(platform_unreachable),
+    CICADAHUB_ROW(platform_reachable),
+    CICADAHUB_ROW(watch_restarted),
+    CICADAHUB_ROW(lease_won),
+    CICADAHUB_ROW(lease_lost),
+    CICADAHUB_ROW(lease_released),
+    CICADAHUB_ROW(replica_decided),
+    CICADAHUB_ROW(load_ordered),
+    CICADAHUB_ROW(replica_loaded),
+    CICADAHUB_ROW(load_failed),
+    CICADAHUB_ROW(unload_ordered),
+    CICADAHUB_ROW(replica_unloaded),
+    CICADAHUB_ROW(server_unreachable),
+    CICADAHUB_ROW(order_refused_by_fence),
+    CICADAHUB_ROW(peer_connected),
+    CICADAHUB_ROW(peer_lost),
+    CICADAHUB_ROW(peer_frame_malformed),
+    CICADAHUB_ROW(backend_exchange_failed),
+    CICADAHUB_ROW(caller_vanished),
+    CICADAHUB_ROW(request_suspected),
+    CICADAHUB_ROW(intent_recorded),
+    CICADAHUB_ROW(audit_segment_failed),
+    CICADAHUB_ROW(malformed_object),
+};
+
+#undef CICADAHUB_ROW
+
+} // namespace
+
+std::span<const event_row> event_catalogue()
+{
+    return event_rows;
+}
+
+std::string_view name_of(event_number number)
+{
+    for (const event_row& it : event_rows)
+    {
+        if (it.number == number)
+        {
+            return it.name;
+        }
+    }
+    return "unknown";
+}
+
+} // namespace cicadahub
--- /dev/null
+++ b/libraries/core/event_log.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <glog/logging.h>
+
+#include <span>
+#include <string_view>
+
+namespace cicadahub
+{
+
+/// Numbers of the events that daemons and utilities log. docs/EVENTS.md is
+/// their catalogue; a test checks that the two agree.
+enum class event_number
+{
+    daemon_started = 100,
+    daemon_ready = 101,
+    drain_began = 102,
+    daemon_stopped = 103,
+    settings_refused = 104,
+    listen_failed = 105,
+    configuration_applied = 200,
+    configuration_refused = 201,
+    key_withdrawn = 202,
+    platform_unreachable = 300,
+    platform_reachable = 301,
+    watch_restarted = 302,
+    lease_won = 400,
+    lease_lost = 401,
+    lease_released = 402,
+    replica_decided = 500,
+    load_ordered = 501,
+    replica_loaded = 502,
+    load_failed = 503,
+    unload_ordered = 504,
+    replica_unloaded = 505,
+    server_unreachable = 506,
+    order_refused_by_fence = 507,
+    peer_connected = 600,
+    peer_lost = 601,
+    peer_frame_malformed = 602,
+    backend_exchange_failed = 700,
+    caller_vanished = 701,
+    request_suspected = 702,
+    intent_recorded = 703,
+    audit_segment_failed = 800,
+    malformed_object = 801,
+};
+
+/// A row of the catalogue.
+struct event_row
+{
+    event_number number;
+    std::string_view name;
+};
+
+/// Every event, in the order of its number.
+std::span<const event_row> event_catalogue();
+
+/// Name of an event.
+std::string_view name_of(event_number number);
+
+} // namespace cicadahub
+
+/// Logs a numbered event: `CICADAHUB_EVENT(INFO, lease_won) << "shard=" << it`.
+#define CICADAHUB_EVENT(level, event)                                          \
+    LOG(level) << "E" << static_cast<int>(::cicadahub::event_number::event)    \
+               << " " #event " "
--- /dev/null
+++ b/libraries/core/ids.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/strong_type.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace cicadahub
+{
+
+using daemon_id = strong_type<struct daemon_id_tag, std::string>;
+using server_id = strong_type<struct server_id_tag, std::string>;
+using data_centre_id = strong_type<struct data_centre_id_tag, std::string>;
+using organisation_id = strong_type<struct organisation_id_tag, std::string>;
+using class_id = strong_type<struct class_id_tag, std::string>;
+using model_id = strong_type<struct model_id_tag, std::string>;
+using route_id = strong_type<struct route_id_tag, std::string>;
+using key_id = strong_type<struct key_id_tag, std::string>;
+using shard_id = strong_type<struct shard_id_tag, std::string>;
+using request_id = strong_type<struct request_id_tag, std::string>;
+
+/// Hex SHA-256 of a caller's key. The key itself is never kept.
+using key_hash = strong_type<struct key_hash_tag, std::string>;
+
+/// Version of one object in the platform's object API.
+using object_version = strong_type<struct object_version_tag, std::uint64_t>;
+
+/// Fencing number: grows by one each time a shard changes its holder.
+using epoch_number = strong_type<struct epoch_number_tag, std::uint64_t>;
+
+/// Number of one decision to hold a replica; never used twice in a shard.
+using generation_number =
+    strong_type<struct generation_number_tag, std::uint64_t>;
+
+} // namespace cicadahub
--- /dev/null
+++ b/libraries/core/json_reader.cpp
@@ -0,0 +1,121 @@
+#include "core/json_reader.hpp"
+
+#include "core/errors.hpp"
+
+namespace cicadahub
+{
+
+namespace
+{
+
+[[noreturn]] void fail(std::string_view member, std::string_view expected)
+{
+    throw malformed_document("member \"" + std::string(member) + "\" must be " +
+                             std::string(expected));
+}
+
+} // namespace
+
+const boost::json::value& json_reader::member_of(std::string_view member) const
+{
+    const boost::json::value* it = m_object.if_contains(member);
+    if (it == nullptr)
+    {
+        throw malformed_document("member \"" + std::string(member) +
+                                 "\" is missing");
+    }
+    return *it;
+}
+
+std::string json_reader::text(std::string_view member) const
+{
+    const boost::json::string* it = member_of(member).if_string();
+    if (it == nullptr)
+    {
+        fail(member, "a string");
+    }
+    return std::string(*it);
+}
+
+std::string json_reader::text_or(std::string_view member,
+                                 std::string_view other) const
+{
+    return m_object.contains(member) ? text(member) : std::string(other);
+}
+
+std::int64_t json_reader::whole(std::string_view member) const
+{
+    const boost::json::value& it = member_of(member);
+    boost::json::error_code ec;
+    const auto n = it.to_number<std::int64_t>(ec);
+    if (ec)
+    {
+        fail(member, "a whole number");
+    }
+    return n;
+}
+
+std::int64_t json_reader::whole_or(std::string_view member,
+                                   std::int64_t other) const
+{
+    return m_object.contains(member) ? whole(member) : other;
+}
+
+double json_reader::number(std::string_view member) const
+{
+    const boost::json::value& it = member_of(member);
+    boost::json::error_code ec;
+    const auto n = it.to_number<double>(ec);
+    if (ec)
+    {
+        fail(member, "a number");
+    }
+    return n;
+}
+
+bool json_reader::flag_or(std::string_view member, bool other) const
+{
+    if (!m_object.contains(member))
+    {
+        return other;
+    }
+    const bool* it = member_of(member).if_bool();
+    if (it == nullptr)
+    {
+        fail(member, "true or false");
+    }
+    return *it;
+}
+
+const boost::json::object& json_reader::object(std::string_view member) const
+{
+    const boost::json::object* it = member_of(member).if_object();
+    if (it == nullptr)
+    {
+        fail(member, "an object");
+    }
+    return *it;
+}
+
+const boost::json::array& json_reader::array(std::string_view member) const
+{
+    const boost::json::array* it = member_of(member).if_array();
+    if (it == nullptr)
+    {
+        fail(member, "an array");
+    }
+    return *it;
+}
+
+boost::json::object parse_json_object(std::string_view text)
+{
+    boost::json::error_code ec;
+    boost::json::value it = boost::json::parse(text, ec);
+    if (ec || !it.is_object())
+    {
+        throw malformed_document("the text is not a JSON object");
+    }
+    return std::move(it.get_object());
+}
+
+} // namespace cicadahub
--- /dev/null
+++ b/libraries/core/units.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/strong_type.hpp"
+
+#include <chrono>
+#include <cstdint>
+
+namespace cicadahub
+{
+
+using token_count = strong_type<struct token_count_tag, std::int64_t>;
+using byte_count = strong_type<struct byte_count_tag, std::int64_t>;
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Time on one process's own monotonic clock; never compared across processes.
+struct monotonic_clock
+{
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<monotonic_clock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now()
+    {
+        const auto it = std::chrono::steady_clock::now().time_since_epoch();
+        return time_point(std::chrono::duration_cast<duration>(it));
+    }
+};
+
+using time_point = monotonic_clock::time_point;
+
+} // namespace cicadahub
