--- /dev/null
+++ b/libraries/http/client.cpp
@@ -0,0 +1,120 @@
+#include "http/client.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace cicadahub::http
+{
+
+namespace
+{
+
+constexpr std::uint64_t response_body_limit_bytes = 64 * 1024 * 1024;
+
+net::awaitable<response> exchange(client_connection& connection,
+                                  const request& message, milliseconds timeout)
+{
+    connection.stream.expires_after(timeout);
+    co_await beast_http::async_write(connection.stream, message,
+                                     net::use_awaitable);
+    beast_http::response_parser<beast_http::string_body> parser;
+    parser.body_limit(response_body_limit_bytes);
+    co_await beast_http::async_read(connection.stream, connection.buf, parser,
+                                    net::use_awaitable);
+    connection.stream.expires_never();
+    co_return parser.release();
+}
+
+} // namespace
+
+client_pool::client_pool(net::io_context& context, milliseconds connect_timeout,
+                         std::size_t idle_limit)
+    : m_context(context), m_connect_timeout(connect_timeout),
+      m_idle_limit(idle_limit)
+{
+}
+
+net::awaitable<client_pool::connection_pointer>
+client_pool::acquire(const endpoint& address)
+{
+    auto it = m_idle.find(address);
+    while (it != m_idle.end() && !it->second.empty())
+    {
+        connection_pointer connection = std::move(it->second.back());
+        it->second.pop_back();
+        auto& socket = connection->stream.socket();
+        boost::system::error_code ec;
+        // Readable while idle means that the server has closed it.
+        socket.non_blocking(true, ec);
+        char byte = 0;
+        socket.receive(net::buffer(&byte, 1), net::socket_base::message_peek,
+                       ec);
+        if (ec == net::error::would_block)
+        {
+            co_return connection;
+        }
+    }
+    co_return co_await connect(address);
+}
+
+net::awaitable<client_pool::connection_pointer>
+client_pool::connect(const endpoint& address)
+{
+    auto connection = std::make_unique<client_connection>(m_context);
+    connection->stream.expires_after(m_connect_timeout);
+    co_await connection->stream.async_connect(address, net::use_awaitable);
+    connection->stream.socket().set_option(net::ip::tcp::no_delay(true));
+    co_return connection;
+}
+
+void client_pool::release(const endpoint& address, connection_pointer it)
+{
+    it->is_proven = true;
+    it->stream.expires_never();
+    auto& idle = m_idle[address];
+    if (idle.size() < m_idle_limit && it->buf.size() == 0)
+    {
+        idle.push_back(std::move(it));
+    }
+}
+
+void client_pool::drop_idle(const endpoint& address)
+{
+    m_idle.erase(address);
+}
+
+net::awaitable<response> fetch(client_pool& pool, const endpoint& address,
+                               const request& message, milliseconds timeout)
+{
+    auto connection = co_await pool.acquire(address);
+    response answer;
+    try
+    {
+        answer = co_await exchange(*connection, message, timeout);
+    }
+    catch (const boost::system::system_error&)
+    {
+        pool.drop_idle(address);
+        throw;
+    }
+    if (answer.keep_alive())
+    {
+        pool.release(address, std::move(connection));
+    }
+    co_return answer;
+}
+
+request make_request(verb method, std::string_view target, std::string body)
+{
+    request message{method, target, 11};
+    message.set(field::host, "cicadahub");
+    if (!body.empty())
+    {
+        message.set(field::content_type, "application/json");
+        message.body() = std::move(body);
+    }
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace cicadahub::http
--- /dev/null
+++ b/libraries/http/reply_writer.cpp
@@ -0,0 +1,125 @@
+#include "http/reply_writer.hpp"
+
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+
+#include <array>
+
+namespace cicadahub::http
+{
+
+struct reply_writer::watch_state
+{
+    std::function<void()> handler;
+};
+
+reply_writer::reply_writer(boost::beast::tcp_stream& stream, bool keep_alive,
+                           milliseconds write_timeout)
+    : m_stream(stream), m_is_keep_alive(keep_alive),
+      m_write_timeout(write_timeout)
+{
+}
+
+net::awaitable<void> reply_writer::send(response it)
+{
+    m_has_started = true;
+    it.keep_alive(m_is_keep_alive);
+    m_stream.expires_after(m_write_timeout);
+    co_await beast_http::async_write(m_stream, it, net::use_awaitable);
+}
+
+net::awaitable<void> reply_writer::send(refusal it)
+{
+    response message{static_cast<status>(status_of(it.kind)), 11};
+    message.set(field::content_type, "application/problem+json");
+    if (it.retry_after.count() > 0)
+    {
+        const auto whole = std::chrono::ceil<seconds>(it.retry_after);
+        message.set(field::retry_after, std::to_string(whole.count()));
+    }
+    if (it.kind == refusal_kind::unauthenticated)
+    {
+        message.set(field::www_authenticate, "Bearer");
+    }
+    message.body() = problem_document(it);
+    message.prepare_payload();
+    co_await send(std::move(message));
+}
+
+net::awaitable<void> reply_writer::begin_stream(status code,
+                                                std::string_view content_type)
+{
+    m_has_started = true;
+    beast_http::response<beast_http::empty_body> head{code, 11};
+    head.set(field::content_type, content_type);
+    head.set(field::cache_control, "no-cache");
+    head.chunked(true);
+    head.keep_alive(m_is_keep_alive);
+    beast_http::response_serializer<beast_http::empty_body> serializer{head};
+    m_stream.expires_after(m_write_timeout);
+    co_await beast_http::async_write_header(m_stream, serializer,
+                                            net::use_awaitable);
+}
+
+net::awaitable<void> reply_writer::write_chunk(std::string_view data)
+{
+    m_stream.expires_after(m_write_timeout);
+    co_await net::async_write(
+        m_stream, beast_http::make_chunk(net::buffer(data.data(), data.size())),
+        net::use_awaitable);
+}
+
+net::awaitable<void> reply_writer::end_stream()
+{
+    m_stream.expires_after(m_write_timeout);
+    co_await net::async_write(m_stream, beast_http::make_chunk_last(),
+                              net::use_awaitable);
+}
+
+void reply_writer::abort_stream()
+{
+    m_is_keep_alive = false;
+    boost::system::error_code ec;
+    m_stream.socket().shutdown(net::ip::tcp::socket::shutdown_both, ec);
+    m_stream.close();
+}
+
+void reply_writer::watch_caller(std::function<void()> handler)
+{
+    m_watch = std::make_shared<watch_state>();
+    m_watch->handler = std::move(handler);
+    auto& socket = m_stream.socket();
+    socket.async_wait(net::ip::tcp::socket::wait_read,
+                      [watch = m_watch, &socket](boost::system::error_code ec)
+                      {
+                          if (ec || !watch->handler)
+                          {
+                              return;
+                          }
+                          std::array<char, 1> buf{};
+                          const std::size_t n = socket.receive(
+                              net::buffer(buf), net::socket_base::message_peek,
+                              ec);
+                          // Bytes that wait are the caller's next request, not
+                          // its end.
+                          if (n == 0 && ec != net::error::would_block)
+                          {
+                              std::exchange(watch->handler, nullptr)();
+                          }
+                      });
+}
+
+void reply_writer::stop_watching_caller()
+{
+    if (!m_watch)
+    {
+        return;
+    }
+    m_watch->handler = nullptr;
+    m_watch.reset();
+    boost::system::error_code ec;
+    m_stream.socket().cancel(ec);
+}
+
+} // namespace cicadahub::http
--- /dev/null
+++ b/libraries/http/reply_writer.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "core/refusal.hpp"
+#include "http/types.hpp"
+
+#include <functional>
+
+namespace cicadahub::http
+{
+
+/// Writes the one reply to one request, whole or as a chunked stream.
+class reply_writer
+{
+public:
+    reply_writer(boost::beast::tcp_stream& stream, bool keep_alive,
+                 milliseconds write_timeout);
+
+    /// Sends a whole response.
+    net::awaitable<void> send(response it);
+
+    /// Sends a refusal as an RFC 9457 problem document.
+    net::awaitable<void> send(refusal it);
+
+    /// Sends the head of a chunked response.
+    net::awaitable<void> begin_stream(status code,
+                                      std::string_view content_type);
+
+    /// Sends one chunk of a stream that was begun.
+    net::awaitable<void> write_chunk(std::string_view data);
+
+    /// Sends the last chunk, without which a stream is not complete.
+    net::awaitable<void> end_stream();
+
+    /// Ends a stream so that the caller sees that it is not complete.
+    void abort_stream();
+
+    /// Calls `handler` once if the caller closes the connection before
+    /// `stop_watching_caller`.
+    void watch_caller(std::function<void()> handler);
+
+    void stop_watching_caller();
+
+    bool has_started() const { return m_has_started; }
+    bool is_keep_alive() const { return m_is_keep_alive; }
+
+private:
+    struct watch_state;
+
+    boost::beast::tcp_stream& m_stream;
+    bool m_is_keep_alive;
+    milliseconds m_write_timeout;
+    bool m_has_started = false;
+    std::shared_ptr<watch_state> m_watch;
+};
+
+} // namespace cicadahub::http
--- /dev/null
+++ b/libraries/http/server.hpp
@@ -0,0 +1,301 @@
+#pragma once
+
+#include "core/errors.hpp"
+#include "http/reply_writer.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <array>
+#include <atomic>
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace cicadahub::http
+{
+
+inline constexpr std::size_t first_read_bytes = 4096;
+
+/// How much of a refused request is read away, and for how long.
+inline constexpr std::size_t unread_limit_bytes = 64 * 1024;
+inline constexpr milliseconds unread_limit_time{500};
+
+/// Limits that one listener holds its clients to.
+struct server_limits
+{
+    std::uint32_t header_bytes = 16 * 1024;
+    std::uint64_t body_bytes = 4 * 1024 * 1024;
+    milliseconds read_timeout{10'000};
+    milliseconds idle_timeout{75'000};
+    milliseconds write_timeout{30'000};
+};
+
+/// Serves one request; throws `refused_error` to refuse it.
+template<class Handler>
+concept request_handler = requires(Handler& handler, request& message,
+                                   reply_writer& reply)
+{
+    {
+        handler.serve(message, reply)
+        } -> std::same_as<net::awaitable<void>>;
+};
+
+/// One thread's part of a server: its io_context and the handler of the
+/// connections that run there.
+template<request_handler Handler>
+struct server_lane
+{
+    net::io_context& context;
+    Handler& handler;
+};
+
+/// Ends a wait for bytes without closing the connection, so that the reason
+/// can still be told.
+class read_deadline
+{
+public:
+    explicit read_deadline(boost::beast::tcp_stream& stream);
+    void arm(milliseconds limit);
+    void disarm();
+    bool has_passed() const { return *m_state == state::passed; }
+
+private:
+    enum class state
+    {
+        disarmed,
+        armed,
+        passed,
+    };
+
+    boost::beast::tcp_stream& m_stream;
+    net::steady_timer m_timer;
+    /// Outlives the object for a handler that is already on its way.
+    std::shared_ptr<state> m_state;
+};
+
+/// HTTP/1.1 server that spreads its connections over several lanes.
+template<request_handler Handler>
+class server
+{
+public:
+    using lane = server_lane<Handler>;
+
+    /// Binds at once; throws `boost::system::system_error` if it cannot.
+    server(const endpoint& address, server_limits limits,
+           std::vector<lane> lanes);
+
+    void start();
+
+    /// Stops keeping connections alive; requests are still served.
+    void begin_drain() { m_is_draining = true; }
+
+    /// Stops taking connections.
+    void stop_accepting();
+
+    endpoint local_endpoint() const { return m_acceptor.local_endpoint(); }
+    std::size_t busy_count() const { return m_busy.load(); }
+
+private:
+    net::awaitable<void> accept_loop();
+    net::awaitable<void> session(net::ip::tcp::socket socket, Handler& handler);
+    net::awaitable<bool> serve_next(boost::beast::tcp_stream& stream,
+                                    boost::beast::flat_buffer& buf,
+                                    read_deadline& deadline, Handler& handler);
+    net::awaitable<void> refuse_unread(boost::beast::tcp_stream& stream,
+                                       refusal it);
+
+    server_limits m_limits;
+    std::vector<lane> m_lanes;
+    net::ip::tcp::acceptor m_acceptor;
+    std::atomic<bool> m_is_draining{false};
+    std::atomic<std::size_t> m_busy{0};
+};
+
+/// Refusal of a request that could not be read; none if nothing was sent.
+std::optional<refusal> refusal_of_read_error(boost::system::error_code ec);
+
+template<request_handler Handler>
+server<Handler>::server(const endpoint& address, server_limits limits,
+                        std::vector<lane> lanes)
+    : m_limits(limits), m_lanes(std::move(lanes)),
+      m_acceptor(m_lanes.front().context)
+{
+    m_acceptor.open(address.protocol());
+    m_acceptor.set_option(net::socket_base::reuse_address(true));
+    m_acceptor.bind(address);
+    m_acceptor.listen();
+}
+
+template<request_handler Handler>
+void server<Handler>::start()
+{
+    net::co_spawn(m_lanes.front().context, accept_loop(), net::detached);
+}
+
+template<request_handler Handler>
+void server<Handler>::stop_accepting()
+{
+    net::post(m_lanes.front().context,
+              [this]
+              {
+                  boost::system::error_code ec;
+                  m_acceptor.close(ec);
+              });
+}
+
+template<request_handler Handler>
+net::awaitable<void> server<Handler>::accept_loop()
+{
+    constexpr auto token = net::as_tuple(net::use_awaitable);
+    std::size_t next = 0;
+    while (m_acceptor.is_open())
+    {
+        lane& to = m_lanes[next];
+        next = (next + 1) % m_lanes.size();
+        net::ip::tcp::socket socket(to.context);
+        auto [ec] = co_await m_acceptor.async_accept(socket, token);
+        if (!ec)
+        {
+            net::co_spawn(to.context, session(std::move(socket), to.handler),
+                          net::detached);
+        }
+    }
+}
+
+template<request_handler Handler>
+net::awaitable<void> server<Handler>::session(net::ip::tcp::socket socket,
+                                              Handler& handler)
+{
+    boost::system::error_code ec;
+    socket.set_option(net::ip::tcp::no_delay(true), ec);
+    boost::beast::tcp_stream stream(std::move(socket));
+    boost::beast::flat_buffer buf;
+    read_deadline deadline(stream);
+    try
+    {
+        while (co_await serve_next(stream, buf, deadline, handler))
+        {
+        }
+    }
+    catch (const boost::system::system_error&)
+    {
+        // The caller has gone; there is nobody to tell.
+    }
+    stream.socket().shutdown(net::ip::tcp::socket::shutdown_send, ec);
+}
+
+/// Counts a request as busy for as long as it is served.
+class busy_guard
+{
+public:
+    explicit busy_guard(std::atomic<std::size_t>& count) : m_count(count)
+    {
+        ++m_count;
+    }
+    ~busy_guard() { --m_count; }
+    busy_guard(const busy_guard&) = delete;
+    busy_guard& operator=(const busy_guard&) = delete;
+
+private:
+    std::atomic<std::size_t>& m_count;
+};
+
+template<request_handler Handler>
+net::awaitable<bool>
+server<Handler>::serve_next(boost::beast::tcp_stream& stream,
+                            boost::beast::flat_buffer& buf,
+                            read_deadline& deadline, Handler& handler)
+{
+    constexpr auto token = net::as_tuple(net::use_awaitable);
+    beast_http::request_parser<beast_http::string_body> parser;
+    parser.header_limit(m_limits.header_bytes);
+    parser.body_limit(m_limits.body_bytes);
+    if (buf.size() == 0)
+    {
+        stream.expires_after(m_limits.idle_timeout);
+        auto [ec, n] = co_await stream.async_read_some(
+            buf.prepare(first_read_bytes), token);
+        if (ec)
+        {
+            co_return false;
+        }
+        buf.commit(n);
+    }
+    busy_guard guard(m_busy);
+    stream.expires_never();
+    deadline.arm(m_limits.read_timeout);
+    auto [ec, n] = co_await beast_http::async_read(stream, buf, parser, token);
+    deadline.disarm();
+    if (ec)
+    {
+        const auto reason =
+            deadline.has_passed()
+                ? std::optional(refusal{refusal_kind::request_timeout})
+                : refusal_of_read_error(ec);
+        if (reason)
+        {
+            co_await refuse_unread(stream, *reason);
+        }
+        co_return false;
+    }
+    request message = parser.release();
+    const bool keep_alive = message.keep_alive() && !m_is_draining;
+    reply_writer reply(stream, keep_alive, m_limits.write_timeout);
+    std::optional<refusal> refused;
+    try
+    {
+        co_await handler.serve(message, reply);
+    }
+    catch (const refused_error& it)
+    {
+        refused = it.reason();
+    }
+    catch (const malformed_document&)
+    {
+        refused = refusal{refusal_kind::malformed_request};
+    }
+    if (refused && reply.has_started())
+    {
+        reply.abort_stream();
+        co_return false;
+    }
+    if (refused)
+    {
+        co_await reply.send(*refused);
+    }
+    co_return reply.is_keep_alive();
+}
+
+template<request_handler Handler>
+net::awaitable<void>
+server<Handler>::refuse_unread(boost::beast::tcp_stream& stream, refusal it)
+{
+    reply_writer reply(stream, false, m_limits.write_timeout);
+    co_await reply.send(it);
+    boost::system::error_code ec;
+    // Unread bytes would turn the close into a reset that discards the reply.
+    stream.socket().shutdown(net::ip::tcp::socket::shutdown_send, ec);
+    std::array<char, first_read_bytes> sink{};
+    std::size_t left = unread_limit_bytes;
+    stream.expires_after(unread_limit_time);
+    while (left > 0)
+    {
+        constexpr auto token = net::as_tuple(net::use_awaitable);
+        auto [read_error, n] =
+            co_await stream.async_read_some(net::buffer(sink), token);
+        if (read_error)
+        {
+            break;
+        }
+        left -= std::min(left, n);
+    }
+}
+
+} // namespace cicadahub::http
--- /dev/null
+++ b/libraries/http/types.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <string>
+
+namespace cicadahub::http
+{
+
+namespace net = boost::asio;
+namespace beast_http = boost::beast::http;
+
+using endpoint = net::ip::tcp::endpoint;
+using request = beast_http::request<beast_http::string_body>;
+using response = beast_http::response<beast_http::string_body>;
+using beast_http::field;
+using beast_http::status;
+using beast_http::verb;
+
+/// Reads "ADDRESS:PORT". Throws `malformed_document` on anything else.
+endpoint parse_endpoint(std::string_view text);
+
+/// Writes an endpoint as "ADDRESS:PORT".
+std::string to_string(const endpoint& it);
+
+/// Path of a request target, without its query.
+std::string_view path_of(std::string_view target);
+
+/// Value of one query parameter; empty if it is missing.
+std::string_view query_value(std::string_view target, std::string_view name);
+
+/// A JSON response with the given status.
+response json_response(status code, std::string body);
+
+} // namespace cicadahub::http
