--- /dev/null
+++ b/libraries/platform/object_client.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "http/client.hpp"
+#include "platform/object_store.hpp"
+
+namespace cicadahub::platform
+{
+
+namespace net = boost::asio;
+
+struct client_timing
+{
+    milliseconds call_timeout{1'000};
+    milliseconds watch_timeout{20'000};
+    /// How long a write whose answer was lost is asked after.
+    milliseconds settle_limit{3'000};
+};
+
+/// Client of an object API that follows the Kubernetes conventions:
+/// `/apis/GROUP/VERSION/COLLECTION/NAME`, `metadata.resourceVersion`,
+/// conditional PUT, `?watch=true` with one JSON event a line.
+class object_client
+{
+public:
+    object_client(http::client_pool& pool, http::endpoint address,
+                  client_timing timing);
+
+    /// Throws `platform_error` if the platform does not answer.
+    net::awaitable<listing> list(collection where);
+
+    net::awaitable<std::optional<stored_object>> read(collection where,
+                                                      std::string name);
+
+    /// Writes `spec` if the object still has the version of `former`; version
+    /// 0 creates it. A lost answer is found out before this returns, or told
+    /// as `unknown`; the same write is never applied twice.
+    net::awaitable<write_result> write(collection where, stored_object former,
+                                       boost::json::object spec);
+
+    /// The objects changed since a version; empty after a while without any.
+    /// Throws `watch_expired` if a list is needed.
+    net::awaitable<listing> watch(collection where, object_version since);
+
+    /// Removes an object whatever its version.
+    net::awaitable<void> remove(collection where, std::string name);
+
+private:
+    enum class attempt
+    {
+        applied,
+        conflict,
+        no_answer,
+    };
+
+    net::awaitable<http::response> call(http::request message,
+                                        milliseconds timeout);
+    net::awaitable<attempt> try_write(const http::request& message,
+                                      object_version& version);
+
+    http::client_pool& m_pool;
+    http::endpoint m_address;
+    client_timing m_timing;
+};
+
+} // namespace cicadahub::platform
--- /dev/null
+++ b/libraries/platform/object_store.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "platform/stored_object.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <concepts>
+#include <optional>
+
+namespace cicadahub::platform
+{
+
+/// The platform's object API, as the system needs it: versions, conditional
+/// updates and watches.
+template<class Store>
+concept object_store = requires(Store& store, collection where,
+                                const std::string& name,
+                                const stored_object& former,
+                                const boost::json::object& spec,
+                                object_version since)
+{
+    {
+        store.list(where)
+        } -> std::same_as<boost::asio::awaitable<listing>>;
+    {
+        store.read(where, name)
+        } -> std::same_as<boost::asio::awaitable<std::optional<stored_object>>>;
+    {
+        store.write(where, former, spec)
+        } -> std::same_as<boost::asio::awaitable<write_result>>;
+    {
+        store.watch(where, since)
+        } -> std::same_as<boost::asio::awaitable<listing>>;
+};
+
+} // namespace cicadahub::platform
