--- /dev/null
+++ b/libraries/decision/placement/placement_machine.cpp
@@ -0,0 +1,779 @@
+#include "decision/placement/placement_machine.hpp"
+
+#include "core/invariant.hpp"
+
+#include <algorithm>
+
+namespace cicadahub::placement
+{
+
+namespace
+{
+
+/// The epoch takes the upper half of a fencing number, the server's step the
+/// lower half.
+constexpr unsigned fence_step_bits = 32;
+
+/// Weight of the newest load in the estimate, as 1 / this.
+constexpr int estimate_weight = 4;
+
+constexpr milliseconds shortest_retry_hint{100};
+
+} // namespace
+
+placement_machine::placement_machine(load_limits limits,
+                                     placement_timing timing)
+    : m_timing(timing), m_budget(limits)
+{
+}
+
+action_list placement_machine::on_adopted(const document& content,
+                                          epoch_number epoch, time_point now)
+{
+    on_lost();
+    m_is_owner = true;
+    m_epoch = epoch;
+    m_next_generation = content.next_generation;
+    m_budget.restart(now);
+    for (const replica& it : content.replicas)
+    {
+        replica_record& record = m_replicas.add(it);
+        record.committed = it.state;
+        record.last_used = now;
+        if (it.state != replica_state::loaded)
+        {
+            // The former owner may have sent an order that is still on its way.
+            record.late_order_until = now + m_timing.order_lifetime;
+        }
+    }
+    // The epoch is written before the first order under it.
+    m_is_dirty = true;
+    return step(now);
+}
+
+void placement_machine::on_lost()
+{
+    m_is_owner = false;
+    m_replicas.clear();
+    m_wakes.clear();
+    m_demand.clear();
+    m_reserved.clear();
+    m_is_dirty = false;
+    m_commit_in_flight.reset();
+    m_commit_states.clear();
+    m_failures.clear();
+}
+
+action_list
+placement_machine::on_servers(const std::vector<server_spec>& servers,
+                              time_point now)
+{
+    std::map<server_id, server_entry> next;
+    for (const server_spec& spec : servers)
+    {
+        const auto at = m_servers.find(spec.id);
+        server_entry entry =
+            at == m_servers.end() ? server_entry{} : at->second;
+        entry.spec = spec;
+        next.emplace(spec.id, std::move(entry));
+    }
+    m_servers = std::move(next);
+    std::vector<generation_number> gone;
+    for (const auto& [generation, record] : m_replicas.records())
+    {
+        if (!m_servers.contains(record.it.server))
+        {
+            gone.push_back(generation);
+        }
+    }
+    for (const generation_number generation : gone)
+    {
+        // The platform says that the host is gone, and its memory with it.
+        m_replicas.remove(generation);
+        m_is_dirty = true;
+    }
+    return step(now);
+}
+
+void placement_machine::on_items(const std::vector<item_spec>& items)
+{
+    m_items.clear();
+    for (const item_spec& it : items)
+    {
+        m_items.emplace(it.id, it);
+    }
+}
+
+action_list placement_machine::on_wake(wake it, time_point now)
+{
+    action_list actions;
+    replica_record* record = serving(it.model);
+    if (record != nullptr && record->it.state == replica_state::loaded)
+    {
+        record->last_used = now;
+        actions.push_back(answer_action{it.ticket, record->it});
+        return actions;
+    }
+    if (!m_items.contains(it.model))
+    {
+        refuse(it, refusal_kind::unknown_model, actions);
+        return actions;
+    }
+    m_wakes.add(std::move(it));
+    return step(now);
+}
+
+void placement_machine::on_wake_cancelled(std::uint64_t ticket)
+{
+    m_wakes.take_ticket(ticket);
+}
+
+void placement_machine::on_used(const model_id& model, std::uint32_t in_use,
+                                time_point now)
+{
+    for (const generation_number generation : m_replicas.of_model(model))
+    {
+        replica_record& record = *m_replicas.find(generation);
+        record.last_used = now;
+        record.in_use = in_use;
+    }
+}
+
+action_list placement_machine::on_committed(std::uint64_t sequence,
+                                            time_point now)
+{
+    if (m_commit_in_flight != sequence)
+    {
+        return {};
+    }
+    m_commit_in_flight.reset();
+    for (const auto& [generation, state] : m_commit_states)
+    {
+        if (replica_record* record = m_replicas.find(generation))
+        {
+            record->committed = state;
+        }
+    }
+    m_commit_states.clear();
+    return step(now);
+}
+
+action_list placement_machine::on_order_result(generation_number generation,
+                                               order_kind kind,
+                                               order_result result,
+                                               time_point now)
+{
+    action_list actions;
+    replica_record* record = m_replicas.find(generation);
+    if (record == nullptr)
+    {
+        return actions;
+    }
+    record->has_order_in_flight = false;
+    record->retry_at = now + m_timing.order_retry;
+    if (result == order_result::unknown && kind == order_kind::load)
+    {
+        record->late_order_until =
+            std::max(record->late_order_until, now + m_timing.order_lifetime);
+    }
+    const auto server = m_servers.find(record->it.server);
+    if (result == order_result::unknown && server != m_servers.end())
+    {
+        ++server->second.fence_step;
+    }
+    if (kind == order_kind::load && result == order_result::done &&
+        record->it.state == replica_state::loading)
+    {
+        on_load_done(*record, now, actions);
+    }
+    if (kind == order_kind::load && result == order_result::failed &&
+        record->it.state == replica_state::loading)
+    {
+        on_load_failed(*record, actions);
+    }
+    if (kind == order_kind::unload && result == order_result::done)
+    {
+        drop_unloaded(*record, now);
+    }
+    action_list more = step(now);
+    actions.insert(actions.end(), more.begin(), more.end());
+    return actions;
+}
+
+action_list placement_machine::on_report(const server_id& server,
+                                         const server_report& report,
+                                         time_point now)
+{
+    const auto at = m_servers.find(server);
+    if (at == m_servers.end() || !m_is_owner)
+    {
+        return {};
+    }
+    at->second.report = report;
+    at->second.is_reachable = true;
+    action_list actions;
+    for (const generation_number generation : m_replicas.on_server(server))
+    {
+        replica_record& record = *m_replicas.find(generation);
+        const bool is_present = report.loaded.contains(record.it.model);
+        const bool is_coming = report.loading.contains(record.it.model);
+        if (record.it.state == replica_state::loading && is_present &&
+            record.committed && !record.has_order_in_flight)
+        {
+            on_load_done(record, now, actions);
+        }
+        else if (record.it.state == replica_state::loaded && !is_present &&
+                 !is_coming && now > record.loaded_at + m_timing.report_lag)
+        {
+            // The server lost it, as after a restart; unload to make sure.
+            mark_unloading(record);
+        }
+    }
+    adopt_strays(server, report);
+    action_list more = step(now);
+    actions.insert(actions.end(), more.begin(), more.end());
+    return actions;
+}
+
+action_list placement_machine::on_server_unreachable(const server_id& server,
+                                                     time_point now)
+{
+    const auto at = m_servers.find(server);
+    if (at == m_servers.end())
+    {
+        return {};
+    }
+    at->second.is_reachable = false;
+    return step(now);
+}
+
+action_list placement_machine::on_tick(time_point now)
+{
+    return step(now);
+}
+
+action_list placement_machine::step(time_point now)
+{
+    action_list actions;
+    if (!m_is_owner)
+    {
+        return actions;
+    }
+    expire_wakes(now, actions);
+    retire_from_leaving(now);
+    place_wakes(now, actions);
+    emit_orders(now, actions);
+    emit_commit(actions);
+    return actions;
+}
+
+void placement_machine::expire_wakes(time_point now, action_list& actions)
+{
+    for (const wake& it : m_wakes.take_expired(now))
+    {
+        refuse(it, refusal_kind::target_unreachable, actions);
+        m_demand[it.model] = now + m_timing.demand_lifetime;
+    }
+    std::erase_if(m_demand, [&](const auto& it) { return it.second <= now; });
+}
+
+void placement_machine::place_wakes(time_point now, action_list& actions)
+{
+    m_reserved.clear();
+    std::vector<model_id> models = m_wakes.models_by_deadline();
+    for (const auto& [model, until] : m_demand)
+    {
+        if (!m_wakes.wants(model))
+        {
+            models.push_back(model);
+        }
+    }
+    for (const model_id& model : models)
+    {
+        if (place(model, now) == placing::impossible)
+        {
+            for (const wake& it : m_wakes.take(model))
+            {
+                refuse(it, refusal_kind::no_capacity, actions);
+            }
+            m_demand.erase(model);
+        }
+    }
+}
+
+bool placement_machine::is_usable(const server_id& server) const
+{
+    const auto at = m_servers.find(server);
+    return at != m_servers.end() && at->second.is_reachable &&
+           !at->second.spec.is_leaving;
+}
+
+replica_record* placement_machine::serving(const model_id& model)
+{
+    replica_record* found = nullptr;
+    for (const generation_number generation : m_replicas.of_model(model))
+    {
+        replica_record& record = *m_replicas.find(generation);
+        if (!is_usable(record.it.server))
+        {
+            continue;
+        }
+        if (record.it.state == replica_state::loaded)
+        {
+            return &record;
+        }
+        if (record.it.state == replica_state::loading)
+        {
+            found = &record;
+        }
+    }
+    return found;
+}
+
+void placement_machine::retire_from_leaving(time_point now)
+{
+    for (const auto& [id, server] : m_servers)
+    {
+        if (!server.spec.is_leaving)
+        {
+            continue;
+        }
+        for (const generation_number generation : m_replicas.on_server(id))
+        {
+            replica_record& record = *m_replicas.find(generation);
+            if (is_evictable(record, now))
+            {
+                mark_unloading(record);
+            }
+        }
+    }
+}
+
+placement_machine::placing placement_machine::place(const model_id& model,
+                                                    time_point now)
+{
+    if (serving(model) != nullptr)
+    {
+        m_demand.erase(model);
+        return placing::done;
+    }
+    const auto at = m_items.find(model);
+    if (at == m_items.end())
+    {
+        return placing::impossible;
+    }
+    const item_spec& item = at->second;
+    if (item.base && serving(*item.base) == nullptr)
+    {
+        return place(*item.base, now);
+    }
+    return place_on_best(item, now);
+}
+
+placement_machine::placing
+placement_machine::place_on_best(const item_spec& item, time_point now)
+{
+    const server_entry* best = nullptr;
+    bool is_possible = false;
+    const auto is_better =
+        [&](const server_entry& left, const server_entry& right)
+    {
+        const int left_tier = cache_tier(left, item.id);
+        const int right_tier = cache_tier(right, item.id);
+        if (left_tier != right_tier)
+        {
+            return left_tier < right_tier;
+        }
+        return m_replicas.count(left.spec.id) < m_replicas.count(right.spec.id);
+    };
+    for (const auto& [id, server] : m_servers)
+    {
+        if (!is_usable(id) || server.spec.memory < item.bytes)
+        {
+            continue;
+        }
+        is_possible = true;
+        const replica_record* base =
+            item.base ? m_replicas.find(*item.base, id) : nullptr;
+        if (item.base && (!base || base->it.state != replica_state::loaded))
+        {
+            continue;
+        }
+        if (m_replicas.find(item.id, id) != nullptr)
+        {
+            // Its former replica is still being unloaded there.
+            continue;
+        }
+        if (free_bytes(server) < item.bytes.value())
+        {
+            continue;
+        }
+        if (best == nullptr || is_better(server, *best))
+        {
+            best = &server;
+        }
+    }
+    if (!is_possible)
+    {
+        return placing::impossible;
+    }
+    if (best == nullptr)
+    {
+        make_room(item, now);
+        return placing::waits_for_memory;
+    }
+    const bool is_adapter = item.base.has_value();
+    const bool is_remote = cache_tier(*best, item.id) == 2;
+    const std::uint32_t in_flight = m_replicas.loads_in_flight(is_adapter);
+    if (is_adapter && !m_budget.can_start_adapter(in_flight))
+    {
+        return placing::waits_for_budget;
+    }
+    if (!is_adapter && is_remote && !m_budget.can_start_model(in_flight, now))
+    {
+        m_reserved[best->spec.id] += item.bytes.value();
+        return placing::waits_for_budget;
+    }
+    decide(item, *best, now);
+    return placing::done;
+}
+
+bool placement_machine::make_room(const item_spec& item, time_point now)
+{
+    // Room that is already being made is waited for, not made twice.
+    for (auto& [id, server] : m_servers)
+    {
+        const std::int64_t coming =
+            free_bytes(server) + m_replicas.unloading(id).value();
+        const replica_record* base =
+            item.base ? m_replicas.find(*item.base, id) : nullptr;
+        const bool is_candidate = is_usable(id) &&
+                                  m_replicas.find(item.id, id) == nullptr &&
+                                  (!item.base || base != nullptr);
+        if (is_candidate && coming >= item.bytes.value())
+        {
+            m_reserved[id] += item.bytes.value();
+            return true;
+        }
+    }
+    std::optional<std::vector<generation_number>> best;
+    time_point best_used{};
+    server_id best_server;
+    for (const auto& [id, server] : m_servers)
+    {
+        const replica_record* base =
+            item.base ? m_replicas.find(*item.base, id) : nullptr;
+        if (!is_usable(id) || (item.base && base == nullptr))
+        {
+            continue;
+        }
+        const std::int64_t missing = item.bytes.value() - free_bytes(server) -
+                                     m_replicas.unloading(id).value();
+        auto chosen = victims(server, missing, item.base, now);
+        if (!chosen)
+        {
+            continue;
+        }
+        time_point last_used{};
+        for (const generation_number it : *chosen)
+        {
+            last_used =
+                std::max(last_used, m_replicas.records().at(it).last_used);
+        }
+        if (!best || last_used < best_used)
+        {
+            best = std::move(chosen);
+            best_used = last_used;
+            best_server = id;
+        }
+    }
+    if (!best)
+    {
+        return false;
+    }
+    for (const generation_number it : *best)
+    {
+        mark_unloading(*m_replicas.find(it));
+    }
+    m_reserved[best_server] += item.bytes.value();
+    return true;
+}
+
+std::optional<std::vector<generation_number>>
+placement_machine::victims(const server_entry& server, std::int64_t missing,
+                           const std::optional<model_id>& keep,
+                           time_point now) const
+{
+    std::vector<const replica_record*> candidates;
+    for (const generation_number it : m_replicas.on_server(server.spec.id))
+    {
+        const replica_record& record = m_replicas.records().at(it);
+        if (record.it.model != keep && is_evictable(record, now))
+        {
+            candidates.push_back(&record);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(),
+              [](const replica_record* left, const replica_record* right)
+              { return left->last_used < right->last_used; });
+    std::vector<generation_number> chosen;
+    for (const replica_record* record : candidates)
+    {
+        if (missing <= 0)
+        {
+            break;
+        }
+        missing -= freed_by(*record);
+        chosen.push_back(record->it.generation);
+    }
+    if (missing > 0)
+    {
+        return std::nullopt;
+    }
+    return chosen;
+}
+
+bool placement_machine::is_evictable(const replica_record& record,
+                                     time_point now) const
+{
+    if (!is_idle(record, now))
+    {
+        return false;
+    }
+    const auto adapters = m_replicas.adapters_of(record.it);
+    return std::all_of(adapters.begin(), adapters.end(),
+                       [&](generation_number it)
+                       { return is_idle(m_replicas.records().at(it), now); });
+}
+
+bool placement_machine::is_idle(const replica_record& record,
+                                time_point now) const
+{
+    return record.it.state == replica_state::loaded && record.in_use == 0 &&
+           !m_wakes.wants(record.it.model) &&
+           now >= record.last_used + m_timing.minimum_residency;
+}
+
+std::int64_t placement_machine::freed_by(const replica_record& record) const
+{
+    std::int64_t bytes = record.it.bytes.value();
+    for (const generation_number it : m_replicas.adapters_of(record.it))
+    {
+        bytes += m_replicas.records().at(it).it.bytes.value();
+    }
+    return bytes;
+}
+
+void placement_machine::decide(const item_spec& item,
+                               const server_entry& server, time_point now)
+{
+    replica it;
+    it.generation = generation_number(m_next_generation++);
+    it.model = item.id;
+    it.server = server.spec.id;
+    it.bytes = item.bytes;
+    it.state = replica_state::loading;
+    it.decided_in = m_epoch;
+    const std::int64_t used = m_replicas.used(server.spec.id).value();
+    CICADAHUB_INVARIANT(used + item.bytes.value() <=
+                        server.spec.memory.value());
+    const bool is_remote = cache_tier(server, item.id) == 2;
+    replica_record& record = m_replicas.add(std::move(it));
+    record.last_used = now;
+    record.is_remote_load = is_remote;
+    if (is_remote && !item.base)
+    {
+        m_budget.spend_model(now);
+    }
+    m_is_dirty = true;
+}
+
+void placement_machine::mark_unloading(replica_record& record)
+{
+    m_replicas.set_state(record, replica_state::unloading);
+    record.retry_at = {};
+    m_is_dirty = true;
+    for (const generation_number it : m_replicas.adapters_of(record.it))
+    {
+        mark_unloading(*m_replicas.find(it));
+    }
+}
+
+void placement_machine::emit_orders(time_point now, action_list& actions)
+{
+    for (const generation_number generation : m_replicas.pending())
+    {
+        replica_record& record = *m_replicas.find(generation);
+        if (is_order_due(record, now))
+        {
+            actions.push_back(make_order(record, now));
+        }
+    }
+}
+
+bool placement_machine::is_order_due(const replica_record& record,
+                                     time_point now) const
+{
+    if (record.has_order_in_flight || now < record.retry_at ||
+        !m_servers.contains(record.it.server) ||
+        record.committed != record.it.state ||
+        record.it.state == replica_state::loaded)
+    {
+        return false;
+    }
+    return record.it.state == replica_state::loading ||
+           m_replicas.adapters_of(record.it).empty();
+}
+
+order_action placement_machine::make_order(replica_record& record,
+                                           time_point now)
+{
+    record.has_order_in_flight = true;
+    record.ordered_at = now;
+    order_action order;
+    order.kind = record.it.state == replica_state::loading ? order_kind::load
+                                                           : order_kind::unload;
+    order.target = record.it;
+    const std::uint64_t step = m_servers.at(record.it.server).fence_step;
+    order.fence = epoch_number((m_epoch.value() << fence_step_bits) | step);
+    return order;
+}
+
+void placement_machine::emit_commit(action_list& actions)
+{
+    if (!m_is_dirty || m_commit_in_flight)
+    {
+        return;
+    }
+    m_is_dirty = false;
+    m_commit_in_flight = ++m_sequence;
+    document content;
+    content.epoch = m_epoch;
+    content.next_generation = m_next_generation;
+    for (const auto& [generation, record] : m_replicas.records())
+    {
+        content.replicas.push_back(record.it);
+        m_commit_states[generation] = record.it.state;
+    }
+    actions.push_back(commit_action{std::move(content), m_sequence});
+}
+
+void placement_machine::answer_wakes(const replica& it, action_list& actions)
+{
+    for (const wake& waiting : m_wakes.take(it.model))
+    {
+        actions.push_back(answer_action{waiting.ticket, it});
+    }
+}
+
+void placement_machine::refuse(const wake& it, refusal_kind kind,
+                               action_list& actions)
+{
+    refusal reason{kind, true, retry_hint()};
+    if (kind == refusal_kind::unknown_model)
+    {
+        reason.retry_after = milliseconds(0);
+    }
+    actions.push_back(answer_action{it.ticket, reason});
+}
+
+void placement_machine::on_load_failed(replica_record& record,
+                                       action_list& actions)
+{
+    const model_id model = record.it.model;
+    mark_unloading(record);
+    if (++m_failures[model] < m_timing.failure_limit)
+    {
+        return;
+    }
+    m_failures.erase(model);
+    m_demand.erase(model);
+    for (const wake& it : m_wakes.take(model))
+    {
+        refuse(it, refusal_kind::load_failed, actions);
+    }
+}
+
+void placement_machine::on_load_done(replica_record& record, time_point now,
+                                     action_list& actions)
+{
+    m_replicas.set_state(record, replica_state::loaded);
+    record.last_used = now;
+    record.loaded_at = now;
+    m_failures.erase(record.it.model);
+    answer_wakes(record.it, actions);
+    m_is_dirty = true;
+    if (record.ordered_at != time_point{})
+    {
+        const auto took =
+            std::chrono::duration_cast<milliseconds>(now - record.ordered_at);
+        m_load_estimate += (took - m_load_estimate) / estimate_weight;
+    }
+}
+
+void placement_machine::drop_unloaded(replica_record& record, time_point now)
+{
+    if (record.it.state != replica_state::unloading)
+    {
+        return;
+    }
+    const auto server = m_servers.find(record.it.server);
+    const bool is_fencing =
+        server != m_servers.end() && server->second.spec.is_fencing;
+    if (!is_fencing && now < record.late_order_until)
+    {
+        // A late load order would load it again: the memory stays counted
+        // until none can arrive, and it is then unloaded once more.
+        record.retry_at = record.late_order_until;
+        return;
+    }
+    m_replicas.remove(record.it.generation);
+    m_is_dirty = true;
+}
+
+void placement_machine::adopt_strays(const server_id& server,
+                                     const server_report& report)
+{
+    for (const model_id& model : report.loaded)
+    {
+        if (m_replicas.find(model, server) != nullptr)
+        {
+            continue;
+        }
+        const auto item = m_items.find(model);
+        replica it;
+        it.generation = generation_number(m_next_generation++);
+        it.model = model;
+        it.server = server;
+        it.bytes = item == m_items.end() ? byte_count(0) : item->second.bytes;
+        it.state = replica_state::unloading;
+        it.decided_in = m_epoch;
+        m_replicas.add(std::move(it));
+        m_is_dirty = true;
+    }
+}
+
+int placement_machine::cache_tier(const server_entry& server,
+                                  const model_id& model) const
+{
+    if (server.report.loaded.contains(model))
+    {
+        return 0;
+    }
+    return server.report.on_disk.contains(model) ? 1 : 2;
+}
+
+std::int64_t placement_machine::free_bytes(const server_entry& server) const
+{
+    const auto reserved = m_reserved.find(server.spec.id);
+    return server.spec.memory.value() -
+           m_replicas.used(server.spec.id).value() -
+           (reserved == m_reserved.end() ? 0 : reserved->second);
+}
+
+milliseconds placement_machine::retry_hint() const
+{
+    return std::max(m_load_estimate, shortest_retry_hint);
+}
+
+} // namespace cicadahub::placement
--- /dev/null
+++ b/libraries/decision/placement/wake_queue.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "decision/placement/types.hpp"
+
+namespace cicadahub::placement
+{
+
+/// Requests that wait for a model, ordered by deadline.
+class wake_queue
+{
+public:
+    void add(wake it);
+
+    /// Removes and returns every wake of a model.
+    std::vector<wake> take(const model_id& model);
+
+    /// Removes and returns the wakes whose deadline has passed.
+    std::vector<wake> take_expired(time_point now);
+
+    /// Removes and returns one wake.
+    std::optional<wake> take_ticket(std::uint64_t ticket);
+
+    /// The wanted models, that of the earliest deadline first.
+    std::vector<model_id> models_by_deadline() const;
+
+    bool wants(const model_id& model) const { return m_counts.contains(model); }
+    std::size_t size() const { return m_wakes.size(); }
+    const std::vector<wake>& all() const { return m_wakes; }
+    void clear();
+
+private:
+    template<class Predicate>
+    std::vector<wake> take_if(Predicate predicate);
+
+    std::vector<wake> m_wakes;
+    std::map<model_id, std::size_t> m_counts;
+};
+
+} // namespace cicadahub::placement
