--- /dev/null
+++ b/libraries/fleet/frame_codec.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/errors.hpp"
+
+#include "fleet_types.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cicadahub::fleet
+{
+
+inline constexpr std::size_t frame_length_bytes = 4;
+inline constexpr std::uint32_t largest_frame_bytes = 8 * 1024 * 1024;
+
+/// A frame from a peer that is none of ours.
+class malformed_frame : public error
+{
+public:
+    using error::error;
+};
+
+/// The frame with its length before it.
+std::string encode_frame(const wire::Frame& it);
+
+/// Reads what follows the length; throws `malformed_frame`.
+wire::Frame decode_frame(const std::string& payload);
+
+/// Length of the payload; throws `malformed_frame` if it is over the limit.
+std::uint32_t
+decode_length(const std::array<unsigned char, frame_length_bytes>& bytes);
+
+} // namespace cicadahub::fleet
--- /dev/null
+++ b/libraries/fleet/keyed_queue.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <list>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace cicadahub::fleet
+{
+
+/// Send queue in which a newer message makes an older one of the same key
+/// obsolete (semantic reliability; Pereira, Rodrigues, Oliveira, TR-01-2,
+/// 2001). It holds at most one message a key, however slow the receiver is. A
+/// message keeps the place in the queue of the one that it replaces.
+template<class Message>
+class keyed_queue
+{
+public:
+    using entry = std::pair<std::string, Message>;
+
+    void push(const std::string& key, Message message)
+    {
+        const auto at = m_places.find(key);
+        if (at != m_places.end())
+        {
+            at->second->second = std::move(message);
+            return;
+        }
+        m_messages.emplace_back(key, std::move(message));
+        m_places.emplace(key, std::prev(m_messages.end()));
+    }
+
+    /// The oldest message with its key.
+    std::optional<entry> pop()
+    {
+        if (m_messages.empty())
+        {
+            return std::nullopt;
+        }
+        entry it = std::move(m_messages.front());
+        m_places.erase(it.first);
+        m_messages.pop_front();
+        return it;
+    }
+
+    bool contains(const std::string& key) const
+    {
+        return m_places.contains(key);
+    }
+
+    std::size_t size() const { return m_messages.size(); }
+    bool is_empty() const { return m_messages.empty(); }
+
+private:
+    using message_list = std::list<entry>;
+
+    message_list m_messages;
+    std::unordered_map<std::string, typename message_list::iterator> m_places;
+};
+
+} // namespace cicadahub::fleet
