--- /dev/null
+++ b/libraries/backend/answer_relay.cpp
@@ -0,0 +1,267 @@
+#include "backend/answer_relay.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <array>
+
+namespace cicadahub::backend
+{
+
+namespace
+{
+
+constexpr std::uint64_t answer_limit_bytes = 256 * 1024 * 1024;
+constexpr std::size_t stream_buffer_bytes = 16 * 1024;
+constexpr auto no_throw = net::as_tuple(net::use_awaitable);
+
+/// Tokens of a whole answer, by the usage that engines report in it.
+std::int64_t tokens_of(const std::string& body)
+{
+    boost::json::error_code ec;
+    const boost::json::value json = boost::json::parse(body, ec);
+    if (ec || !json.is_object())
+    {
+        return 0;
+    }
+    const auto* usage = json.get_object().if_contains("usage");
+    if (usage == nullptr || !usage->is_object())
+    {
+        return 0;
+    }
+    const auto* total = usage->get_object().if_contains("total_tokens");
+    if (total == nullptr || !total->is_int64())
+    {
+        return 0;
+    }
+    return total->get_int64();
+}
+
+/// Tokens in a part of an event stream: engines send one an event.
+std::int64_t events_in(std::string_view data)
+{
+    constexpr std::string_view mark = "data:";
+    std::int64_t n = 0;
+    for (std::size_t at = data.find(mark); at != std::string_view::npos;
+         at = data.find(mark, at + mark.size()))
+    {
+        ++n;
+    }
+    return n;
+}
+
+bool is_event_stream(std::string_view content_type)
+{
+    return content_type.starts_with("text/event-stream");
+}
+
+} // namespace
+
+answer_relay::answer_relay(http::client_pool& pool, relay_limits limits,
+                           backend_kind kind)
+    : m_pool(pool), m_limits(limits), m_kind(kind)
+{
+}
+
+void answer_relay::close(connection& server)
+{
+    boost::system::error_code ec;
+    server.stream.socket().close(ec);
+}
+
+void answer_relay::cancel()
+{
+    m_is_cancelled = true;
+    if (m_connection != nullptr)
+    {
+        close(*m_connection);
+    }
+}
+
+net::awaitable<relay_result> answer_relay::run(const http::endpoint& address,
+                                               const http::request& message,
+                                               http::reply_writer& reply,
+                                               bool use_new_connection)
+{
+    m_result = {};
+    m_can_reuse = false;
+    http::client_pool::connection_pointer server;
+    try
+    {
+        // GCC 12 miscompiles `co_await` inside a conditional expression.
+        if (use_new_connection)
+        {
+            server = co_await m_pool.connect(address);
+        }
+        else
+        {
+            server = co_await m_pool.acquire(address);
+        }
+    }
+    catch (const boost::system::system_error&)
+    {
+        co_return m_result;
+    }
+    m_result.was_reused = server->is_proven;
+    if (m_is_cancelled)
+    {
+        m_result.end = relay_end::cancelled;
+        co_return m_result;
+    }
+    m_connection = server.get();
+    reply.watch_caller(
+        [this]
+        {
+            m_is_caller_gone = true;
+            close(*m_connection);
+        });
+    m_result.end = relay_end::failed_before_answer;
+    try
+    {
+        server->stream.expires_after(m_limits.answer);
+        co_await http::beast_http::async_write(server->stream, message,
+                                               net::use_awaitable);
+        co_await relay_head(*server, reply);
+    }
+    catch (const boost::system::system_error&)
+    {
+        // The result already says how far the exchange has come.
+    }
+    reply.stop_watching_caller();
+    m_connection = nullptr;
+    if (m_result.end != relay_end::complete && m_is_cancelled)
+    {
+        m_result.end = relay_end::cancelled;
+    }
+    else if (m_result.end != relay_end::complete &&
+             (m_is_caller_gone || m_is_writing_to_caller))
+    {
+        m_result.end = relay_end::caller_gone;
+    }
+    if (m_can_reuse)
+    {
+        m_pool.release(address, std::move(server));
+    }
+    else if (m_result.end == relay_end::failed_before_answer)
+    {
+        m_pool.drop_idle(address);
+    }
+    co_return m_result;
+}
+
+net::awaitable<void> answer_relay::relay_head(connection& server,
+                                              http::reply_writer& reply)
+{
+    m_parser.emplace();
+    m_parser->body_limit(answer_limit_bytes);
+    co_await http::beast_http::async_read_header(server.stream, server.buf,
+                                                 *m_parser, net::use_awaitable);
+    const auto& head = m_parser->get();
+    m_result.status = head.result_int();
+    m_result.end = relay_end::broken_off;
+    if (is_event_stream(head[http::field::content_type]))
+    {
+        co_await relay_stream(server, reply);
+    }
+    else
+    {
+        co_await relay_whole(server, reply);
+    }
+}
+
+bool answer_relay::has_not_run(http::status code)
+{
+    if (m_kind != backend_kind::engine)
+    {
+        return false;
+    }
+    if (code == http::status::not_found)
+    {
+        m_result.end = relay_end::model_absent;
+        return true;
+    }
+    if (code == http::status::service_unavailable ||
+        code == http::status::too_many_requests)
+    {
+        m_result.end = relay_end::turned_away;
+        return true;
+    }
+    return false;
+}
+
+net::awaitable<void> answer_relay::relay_whole(connection& server,
+                                               http::reply_writer& reply)
+{
+    http::beast_http::response_parser<http::beast_http::string_body> parser(
+        std::move(*m_parser));
+    m_parser.reset();
+    co_await http::beast_http::async_read(server.stream, server.buf, parser,
+                                          net::use_awaitable);
+    m_can_reuse = parser.get().keep_alive();
+    http::response answer = parser.release();
+    if (has_not_run(answer.result()))
+    {
+        co_return;
+    }
+    m_result.tokens = tokens_of(answer.body());
+    m_result.first_token_at = monotonic_clock::now();
+    http::response out{answer.result(), 11};
+    out.set(http::field::content_type, answer[http::field::content_type]);
+    out.body() = std::move(answer.body());
+    out.prepare_payload();
+    if (m_keeps_answer)
+    {
+        m_result.kept = std::move(out);
+    }
+    else
+    {
+        reply.stop_watching_caller();
+        m_is_writing_to_caller = true;
+        co_await reply.send(std::move(out));
+        m_is_writing_to_caller = false;
+    }
+    m_result.end = relay_end::complete;
+}
+
+net::awaitable<void> answer_relay::relay_stream(connection& server,
+                                                http::reply_writer& reply)
+{
+    auto& parser = *m_parser;
+    std::array<char, stream_buffer_bytes> data;
+    co_await reply.begin_stream(parser.get().result(),
+                                parser.get()[http::field::content_type]);
+    while (!parser.is_done())
+    {
+        parser.get().body().data = data.data();
+        parser.get().body().size = data.size();
+        server.stream.expires_after(m_limits.gap);
+        auto [ec, n] = co_await http::beast_http::async_read_some(
+            server.stream, server.buf, parser, no_throw);
+        if (ec && ec != http::beast_http::error::need_buffer)
+        {
+            throw boost::system::system_error(ec);
+        }
+        const std::size_t length = data.size() - parser.get().body().size;
+        if (length == 0)
+        {
+            continue;
+        }
+        const std::string_view part(data.data(), length);
+        if (!m_result.first_token_at)
+        {
+            m_result.first_token_at = monotonic_clock::now();
+        }
+        m_result.tokens += events_in(part);
+        m_is_writing_to_caller = true;
+        co_await reply.write_chunk(part);
+        m_is_writing_to_caller = false;
+    }
+    m_can_reuse = parser.get().keep_alive();
+    m_is_writing_to_caller = true;
+    co_await reply.end_stream();
+    m_is_writing_to_caller = false;
+    m_result.end = relay_end::complete;
+}
+
+} // namespace cicadahub::backend
--- /dev/null
+++ b/libraries/backend/engine_client.cpp
@@ -0,0 +1,133 @@
+#include "backend/engine_client.hpp"
+
+#include "core/json_reader.hpp"
+#include "decision/placement/replica_table.hpp"
+
+#include <boost/asio/use_awaitable.hpp>
+#include <netinet/tcp.h>
+
+namespace cicadahub::backend
+{
+
+namespace
+{
+
+using placement::order_kind;
+using placement::order_result;
+
+http::request make_order_request(const placement::order_action& order)
+{
+    const bool is_adapter = placement::base_of(order.target.model).has_value();
+    const bool is_load = order.kind == order_kind::load;
+    boost::json::object body;
+    std::string_view path;
+    if (is_adapter)
+    {
+        body["lora_name"] = order.target.model.value();
+        body["lora_path"] = order.target.model.value();
+        path = is_load ? "/v1/load_lora_adapter" : "/v1/unload_lora_adapter";
+    }
+    else
+    {
+        body["model"] = order.target.model.value();
+        path = is_load ? "/models/load" : "/models/unload";
+    }
+    body["bytes"] = order.target.bytes.value();
+    auto message = http::make_request(http::verb::post, path,
+                                      boost::json::serialize(body));
+    message.set(fencing_header, std::to_string(order.fence.value()));
+    return message;
+}
+
+order_result result_of(http::status code)
+{
+    switch (code)
+    {
+    case http::status::ok:
+        return order_result::done;
+    case http::status::precondition_failed:
+        return order_result::refused_by_fence;
+    default:
+        return order_result::failed;
+    }
+}
+
+/// The kernel gives up undelivered bytes after this time, which bounds how
+/// late an order can arrive.
+void limit_delivery(net::ip::tcp::socket& socket, milliseconds limit)
+{
+    using user_timeout =
+        net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    boost::system::error_code ec;
+    socket.set_option(user_timeout(static_cast<int>(limit.count())), ec);
+}
+
+std::set<model_id> model_set(const json_reader& reader, std::string_view member)
+{
+    std::set<model_id> models;
+    for (const boost::json::value& it : reader.array(member))
+    {
+        models.emplace(std::string(it.as_string()));
+    }
+    return models;
+}
+
+} // namespace
+
+engine_client::engine_client(http::client_pool& pool,
+                             milliseconds order_timeout,
+                             milliseconds report_timeout)
+    : m_pool(pool), m_order_timeout(order_timeout),
+      m_report_timeout(report_timeout)
+{
+}
+
+net::awaitable<order_result> engine_client::send(http::endpoint address,
+                                                 placement::order_action order)
+{
+    const http::request message = make_order_request(order);
+    http::client_pool::connection_pointer connection;
+    try
+    {
+        // An order goes over a connection of its own, which dies with it.
+        connection = co_await m_pool.connect(address);
+    }
+    catch (const boost::system::system_error&)
+    {
+        co_return order_result::failed;
+    }
+    try
+    {
+        limit_delivery(connection->stream.socket(), m_order_timeout);
+        connection->stream.expires_after(m_order_timeout);
+        co_await http::beast_http::async_write(connection->stream, message,
+                                               net::use_awaitable);
+        http::response answer;
+        co_await http::beast_http::async_read(
+            connection->stream, connection->buf, answer, net::use_awaitable);
+        co_return result_of(answer.result());
+    }
+    catch (const boost::system::system_error&)
+    {
+        co_return order_result::unknown;
+    }
+}
+
+net::awaitable<engine_report> engine_client::report(http::endpoint address)
+{
+    const auto answer = co_await http::fetch(
+        m_pool, address, http::make_request(http::verb::get, "/report"),
+        m_report_timeout);
+    const boost::json::object json = parse_json_object(answer.body());
+    const json_reader reader(json);
+    engine_report it;
+    it.boot_id = reader.text("boot_id");
+    it.content.loaded = model_set(reader, "loaded");
+    it.content.loading = model_set(reader, "loading");
+    it.content.on_disk = model_set(reader, "on_disk");
+    it.content.running = static_cast<std::uint32_t>(reader.whole("running"));
+    it.content.waiting = static_cast<std::uint32_t>(reader.whole("waiting"));
+    co_return it;
+}
+
+} // namespace cicadahub::backend
