--- /dev/null
+++ b/libraries/caller/request_handler.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "backend/answer_relay.hpp"
+#include "caller/completion_request.hpp"
+#include "caller/fares.hpp"
+#include "caller/gateways.hpp"
+#include "caller/request_metrics.hpp"
+#include "caller/request_state.hpp"
+#include "caller/running_requests.hpp"
+#include "core/digest.hpp"
+#include "core/event_log.hpp"
+#include "http/server.hpp"
+
+#include <boost/json.hpp>
+#include <prometheus/text_serializer.h>
+
+namespace cicadahub::caller
+{
+
+/// Header by which a caller chooses the class of a request.
+inline constexpr std::string_view class_header = "X-Cicadahub-Class";
+inline constexpr std::string_view request_id_header = "X-Request-Id";
+
+/// Class of a request that names none.
+inline constexpr std::string_view default_class = "default";
+
+/// Attempts of a request that may have run before.
+inline constexpr int attempt_limit = 3;
+
+/// Pause before another attempt at a request that has not run.
+inline constexpr milliseconds attempt_pause{20};
+
+/// Serves the callers' requests of one thread.
+template<control_gateway Control>
+class request_handler
+{
+public:
+    request_handler(net::io_context& context, request_state& state,
+                    Control& control, prometheus::Registry& registry,
+                    request_metrics& metrics, http::client_pool& pool,
+                    backend::relay_limits limits);
+
+    net::awaitable<void> serve(http::request& message,
+                               http::reply_writer& reply);
+
+    /// Ends the running requests of a withdrawn key; from any thread.
+    void withdraw(const key_hash& hash);
+
+    const fare_table& fares() const { return m_fares; }
+
+private:
+    /// What is known of a request before it runs.
+    struct admitted
+    {
+        time_point arrival;
+        time_point deadline;
+        key_hash hash;
+        fare_key fare;
+        bool has_run = false;
+    };
+
+    using configuration_pointer =
+        std::shared_ptr<const configuration::snapshot>;
+
+    net::awaitable<void> serve_path(http::request& message,
+                                    http::reply_writer& reply);
+    net::awaitable<void> serve_models(const http::request& message,
+                                      http::reply_writer& reply);
+    net::awaitable<void> serve_completion(http::request& message,
+                                          http::reply_writer& reply);
+    net::awaitable<void> serve_service(http::request& message,
+                                       http::reply_writer& reply);
+    net::awaitable<void> serve_metrics(http::reply_writer& reply);
+
+    configuration::caller_key authenticate(const http::request& message);
+    admitted admit(const http::request& message, const class_id& work_class,
+                   const configuration::caller_key& key);
+    http::request forwarded(const http::request& message,
+                            std::string_view target) const;
+
+    net::awaitable<routing::target>
+    find_target(const model_id& model, const std::vector<server_id>& excluded,
+                const admitted& it);
+    net::awaitable<void> run_completion(const model_id& model,
+                                        const http::request& message,
+                                        http::reply_writer& reply,
+                                        admitted& it);
+    net::awaitable<void> run_service(const configuration::service_route& route,
+                                     const http::request& message,
+                                     http::reply_writer& reply, admitted& it);
+    net::awaitable<backend::relay_result>
+    relay_once(const routing::target& target, const http::request& message,
+               http::reply_writer& reply, const admitted& it,
+               backend::backend_kind kind, bool use_new_connection);
+    void count_end(const admitted& it, const backend::relay_result& result);
+    [[noreturn]] void give_up(const admitted& it,
+                              const backend::relay_result& result,
+                              http::reply_writer& reply);
+    net::awaitable<void> pause();
+
+    net::io_context& m_context;
+    request_state& m_state;
+    Control& m_control;
+    prometheus::Registry& m_registry;
+    request_metrics& m_metrics;
+    http::client_pool& m_pool;
+    backend::relay_limits m_limits;
+    snapshot_reader<configuration::snapshot> m_configuration;
+    snapshot_reader<routing::routing_table> m_routes;
+    fare_table m_fares;
+    running_requests m_running;
+};
+
+} // namespace cicadahub::caller
+
+#include "caller/request_handler.ipp"
--- /dev/null
+++ b/libraries/caller/request_handler.ipp
@@ -0,0 +1,461 @@
+#pragma once
+
+namespace cicadahub::caller
+{
+
+template<control_gateway Control>
+request_handler<Control>::request_handler(
+    net::io_context& context, request_state& state, Control& control,
+    prometheus::Registry& registry, request_metrics& metrics,
+    http::client_pool& pool, backend::relay_limits limits)
+    : m_context(context), m_state(state), m_control(control),
+      m_registry(registry), m_metrics(metrics), m_pool(pool), m_limits(limits),
+      m_configuration(state.configuration), m_routes(state.routes)
+{
+}
+
+template<control_gateway Control>
+net::awaitable<void> request_handler<Control>::serve(http::request& message,
+                                                     http::reply_writer& reply)
+{
+    try
+    {
+        co_await serve_path(message, reply);
+    }
+    catch (const refused_error& it)
+    {
+        m_metrics.count_refused(it.reason().kind);
+        throw;
+    }
+}
+
+template<control_gateway Control>
+net::awaitable<void>
+request_handler<Control>::serve_path(http::request& message,
+                                     http::reply_writer& reply)
+{
+    const std::string_view path = http::path_of(message.target());
+    const bool is_ready = m_state.is_ready && !m_state.is_draining;
+    if (path == "/healthz")
+    {
+        co_await reply.send(http::json_response(http::status::ok, "{}"));
+    }
+    else if (path == "/readyz")
+    {
+        co_await reply.send(http::json_response(
+            is_ready ? http::status::ok : http::status::service_unavailable,
+            is_ready ? R"({"ready":true})" : R"({"ready":false})"));
+    }
+    else if (path == "/metrics")
+    {
+        co_await serve_metrics(reply);
+    }
+    else if (!m_state.is_ready)
+    {
+        throw refused_error(
+            {refusal_kind::not_ready, true, milliseconds(1'000)});
+    }
+    else if (path == "/v1/models")
+    {
+        co_await serve_models(message, reply);
+    }
+    else if (path == "/v1/completions" || path == "/v1/chat/completions")
+    {
+        co_await serve_completion(message, reply);
+    }
+    else if (path.starts_with("/services/"))
+    {
+        co_await serve_service(message, reply);
+    }
+    else
+    {
+        throw refused_error({refusal_kind::unknown_path});
+    }
+}
+
+template<control_gateway Control>
+net::awaitable<void>
+request_handler<Control>::serve_metrics(http::reply_writer& reply)
+{
+    prometheus::TextSerializer serializer;
+    http::response it{http::status::ok, 11};
+    it.set(http::field::content_type, "text/plain; version=0.0.4");
+    it.body() = serializer.Serialize(m_registry.Collect());
+    it.prepare_payload();
+    co_await reply.send(std::move(it));
+}
+
+template<control_gateway Control>
+configuration::caller_key
+request_handler<Control>::authenticate(const http::request& message)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view field = message[http::field::authorization];
+    if (!field.starts_with(scheme) || field.size() == scheme.size())
+    {
+        throw refused_error({refusal_kind::unauthenticated});
+    }
+    const std::string_view key = field.substr(scheme.size());
+    const auto& configuration = m_configuration.current();
+    const auto* found = configuration->find_key(hash_of_key(key));
+    if (found == nullptr || !configuration->find(found->organisation))
+    {
+        throw refused_error({refusal_kind::unauthenticated});
+    }
+    if (message.body().find(key) != std::string::npos ||
+        message.target().find(key) != std::string_view::npos)
+    {
+        throw refused_error({refusal_kind::key_in_body});
+    }
+    return *found;
+}
+
+template<control_gateway Control>
+typename request_handler<Control>::admitted
+request_handler<Control>::admit(const http::request& message,
+                                const class_id& work_class,
+                                const configuration::caller_key& key)
+{
+    (void)message;
+    const auto& configuration = m_configuration.current();
+    const auto* found = configuration->find(work_class);
+    if (found == nullptr)
+    {
+        throw refused_error({refusal_kind::unknown_class});
+    }
+    admitted it;
+    it.arrival = monotonic_clock::now();
+    it.deadline = it.arrival + found->first_token_within;
+    it.hash = key.hash;
+    it.fare = {work_class, key.organisation};
+    return it;
+}
+
+template<control_gateway Control>
+http::request request_handler<Control>::forwarded(const http::request& message,
+                                                  std::string_view target) const
+{
+    // Only what the server needs is passed on, so that no server ever sees a
+    // caller's key.
+    http::request it{message.method(), target, 11};
+    it.set(http::field::host, "backend");
+    const auto type = message.find(http::field::content_type);
+    if (type != message.end())
+    {
+        it.set(http::field::content_type, type->value());
+    }
+    const auto id = message.find(request_id_header);
+    if (id != message.end())
+    {
+        it.set(request_id_header, id->value());
+    }
+    it.body() = message.body();
+    it.prepare_payload();
+    return it;
+}
+
+template<control_gateway Control>
+net::awaitable<void>
+request_handler<Control>::serve_models(const http::request& message,
+                                       http::reply_writer& reply)
+{
+    authenticate(message);
+    boost::json::array data;
+    const auto add = [&](const model_id& id)
+    {
+        data.push_back({{"id", id.value()},
+                        {"object", "model"},
+                        {"owned_by", "cicadahub"}});
+    };
+    const auto configuration = m_configuration.current();
+    for (const auto& [id, it] : configuration->models())
+    {
+        add(id);
+    }
+    for (const auto& [id, it] : configuration->adapters())
+    {
+        add(id);
+    }
+    const boost::json::object list{{"object", "list"}, {"data", data}};
+    co_await reply.send(
+        http::json_response(http::status::ok, boost::json::serialize(list)));
+}
+
+template<control_gateway Control>
+net::awaitable<void>
+request_handler<Control>::serve_completion(http::request& message,
+                                           http::reply_writer& reply)
+{
+    const configuration::caller_key key = authenticate(message);
+    if (message.method() != http::verb::post)
+    {
+        throw refused_error({refusal_kind::method_not_allowed});
+    }
+    const completion_request parsed = parse_completion(message.body());
+    const auto& configuration = m_configuration.current();
+    if (!configuration->find_model(parsed.model) &&
+        !configuration->find_adapter(parsed.model))
+    {
+        throw refused_error({refusal_kind::unknown_model});
+    }
+    const auto named = message.find(class_header);
+    const class_id work_class(named == message.end()
+                                  ? std::string(default_class)
+                                  : std::string(named->value()));
+    admitted it = admit(message, work_class, key);
+    const http::request out =
+        forwarded(message, http::path_of(message.target()));
+    try
+    {
+        co_await run_completion(parsed.model, out, reply, it);
+    }
+    catch (const refused_error& reason)
+    {
+        m_fares.count_refused(it.fare, reason.reason().kind);
+        throw;
+    }
+}
+
+template<control_gateway Control>
+net::awaitable<routing::target>
+request_handler<Control>::find_target(const model_id& model,
+                                      const std::vector<server_id>& excluded,
+                                      const admitted& it)
+{
+    const auto routes = m_routes.current();
+    const auto at = routes->models.find(model);
+    if (at != routes->models.end())
+    {
+        const auto* found = routing::least_loaded(at->second, excluded);
+        if (found != nullptr)
+        {
+            co_return *found;
+        }
+    }
+    m_metrics.count_wake();
+    const wake_answer answer = co_await m_control.wake(model, it.deadline);
+    if (const auto* reason = std::get_if<refusal>(&answer))
+    {
+        refusal final = *reason;
+        final.is_not_run = !it.has_run;
+        throw refused_error(final);
+    }
+    const auto newer = m_routes.current();
+    const auto server = newer->servers.find(std::get<server_id>(answer));
+    if (server == newer->servers.end())
+    {
+        throw refused_error({refusal_kind::no_capacity, !it.has_run});
+    }
+    co_return server->second;
+}
+
+template<control_gateway Control>
+net::awaitable<backend::relay_result> request_handler<Control>::relay_once(
+    const routing::target& target, const http::request& message,
+    http::reply_writer& reply, const admitted& it, backend::backend_kind kind,
+    bool use_new_connection)
+{
+    routing::load_guard guard(target.load);
+    backend::answer_relay relay(m_pool, m_limits, kind);
+    running_requests::registration registration(m_running, it.hash,
+                                                [&relay] { relay.cancel(); });
+    co_return co_await relay.run(http::parse_endpoint(target.address), message,
+                                 reply, use_new_connection);
+}
+
+template<control_gateway Control>
+void request_handler<Control>::count_end(const admitted& it,
+                                         const backend::relay_result& result)
+{
+    const time_point first = result.first_token_at.value_or(it.arrival);
+    m_fares.count_served(it.fare, first <= it.deadline, result.tokens);
+    m_metrics.count_served(
+        std::chrono::duration_cast<milliseconds>(first - it.arrival),
+        result.tokens);
+}
+
+template<control_gateway Control>
+void request_handler<Control>::give_up(const admitted& it,
+                                       const backend::relay_result& result,
+                                       http::reply_writer& reply)
+{
+    using backend::relay_end;
+    m_metrics.count_failed();
+    if (result.end == relay_end::caller_gone)
+    {
+        CICADAHUB_EVENT(INFO, caller_vanished) << "class=" << it.fare.first;
+        // There is nobody to tell; this ends the connection.
+        throw boost::system::system_error(net::error::connection_aborted);
+    }
+    if (reply.has_started())
+    {
+        m_fares.count_failed(it.fare);
+        reply.abort_stream();
+        throw boost::system::system_error(net::error::connection_aborted);
+    }
+    if (result.end == relay_end::cancelled)
+    {
+        throw refused_error({refusal_kind::key_withdrawn, !it.has_run});
+    }
+    throw refused_error({refusal_kind::backend_failed, !it.has_run});
+}
+
+template<control_gateway Control>
+net::awaitable<void> request_handler<Control>::pause()
+{
+    net::steady_timer timer(m_context, attempt_pause);
+    co_await timer.async_wait(net::use_awaitable);
+}
+
+template<control_gateway Control>
+net::awaitable<void> request_handler<Control>::run_completion(
+    const model_id& model, const http::request& message,
+    http::reply_writer& reply, admitted& it)
+{
+    using backend::relay_end;
+    std::vector<server_id> excluded;
+    bool use_new_connection = false;
+    int attempts_that_ran = 0;
+    for (;;)
+    {
+        const routing::target target =
+            co_await find_target(model, excluded, it);
+        const backend::relay_result result = co_await relay_once(
+            target, message, reply, it, backend::backend_kind::engine,
+            use_new_connection);
+        use_new_connection = false;
+        switch (result.end)
+        {
+        case relay_end::complete:
+            count_end(it, result);
+            co_return;
+        case relay_end::not_sent:
+        case relay_end::model_absent:
+        case relay_end::turned_away:
+            excluded.push_back(target.server);
+            break;
+        case relay_end::failed_before_answer:
+            it.has_run = true;
+            if (result.was_reused)
+            {
+                // The connection may have gone silent while new ones work.
+                use_new_connection = true;
+                break;
+            }
+            excluded.push_back(target.server);
+            if (++attempts_that_ran >= attempt_limit)
+            {
+                give_up(it, result, reply);
+            }
+            break;
+        case relay_end::broken_off:
+            it.has_run = true;
+            give_up(it, result, reply);
+        case relay_end::caller_gone:
+        case relay_end::cancelled:
+            give_up(it, result, reply);
+        }
+        if (monotonic_clock::now() >= it.deadline)
+        {
+            throw refused_error(
+                {refusal_kind::target_unreachable, !it.has_run, attempt_pause});
+        }
+        m_metrics.count_retry();
+        co_await pause();
+    }
+}
+
+template<control_gateway Control>
+net::awaitable<void>
+request_handler<Control>::serve_service(http::request& message,
+                                        http::reply_writer& reply)
+{
+    constexpr std::string_view prefix = "/services/";
+    const std::string_view rest =
+        http::path_of(message.target()).substr(prefix.size());
+    const std::string_view name = rest.substr(0, rest.find('/'));
+    const auto configuration = m_configuration.current();
+    const auto* route = configuration->find(route_id(std::string(name)));
+    if (route == nullptr)
+    {
+        throw refused_error({refusal_kind::unknown_route});
+    }
+    configuration::caller_key key;
+    if (!route->is_open)
+    {
+        key = authenticate(message);
+    }
+    admitted it = admit(message, route->work_class, key);
+    const std::string target =
+        "/" + std::string(rest.substr(std::min(name.size() + 1, rest.size())));
+    const http::request out = forwarded(message, target);
+    try
+    {
+        co_await run_service(*route, out, reply, it);
+    }
+    catch (const refused_error& reason)
+    {
+        m_fares.count_refused(it.fare, reason.reason().kind);
+        throw;
+    }
+}
+
+template<control_gateway Control>
+net::awaitable<void>
+request_handler<Control>::run_service(const configuration::service_route& route,
+                                      const http::request& message,
+                                      http::reply_writer& reply, admitted& it)
+{
+    using backend::relay_end;
+    std::vector<server_id> excluded;
+    for (int attempt = 0; attempt < attempt_limit; ++attempt)
+    {
+        const auto routes = m_routes.current();
+        const auto at = routes->services.find(route.id);
+        const routing::target* target =
+            at == routes->services.end()
+                ? nullptr
+                : routing::least_loaded(at->second, excluded);
+        if (target == nullptr)
+        {
+            throw refused_error(
+                {refusal_kind::no_capacity, !it.has_run, milliseconds(1'000)});
+        }
+        // A call that may not be repeated goes over a connection that is known
+        // to be new, so that a silent one cannot leave its outcome open.
+        const backend::relay_result result = co_await relay_once(
+            *target, message, reply, it, backend::backend_kind::plain_service,
+            !route.is_idempotent);
+        if (result.end == relay_end::complete)
+        {
+            count_end(it, result);
+            co_return;
+        }
+        excluded.push_back(target->server);
+        if (result.end == relay_end::not_sent)
+        {
+            m_metrics.count_retry();
+            continue;
+        }
+        it.has_run = true;
+        if (!route.is_idempotent &&
+            result.end == relay_end::failed_before_answer)
+        {
+            throw refused_error({refusal_kind::outcome_unknown, false});
+        }
+        if (result.end != relay_end::failed_before_answer)
+        {
+            give_up(it, result, reply);
+        }
+        m_metrics.count_retry();
+    }
+    throw refused_error({refusal_kind::backend_failed, !it.has_run});
+}
+
+template<control_gateway Control>
+void request_handler<Control>::withdraw(const key_hash& hash)
+{
+    net::post(m_context, [this, hash] { m_running.cancel(hash); });
+}
+
+} // namespace cicadahub::caller
--- /dev/null
+++ b/libraries/caller/running_requests.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/ids.hpp"
+
+#include <functional>
+#include <map>
+#include <unordered_map>
+
+namespace cicadahub::caller
+{
+
+/// The requests that one thread serves now, by the key that came with them.
+class running_requests
+{
+public:
+    using cancel_function = std::function<void()>;
+
+    /// Removes the request from the table at the end of its scope.
+    class registration
+    {
+    public:
+        registration(running_requests& table, key_hash hash,
+                     cancel_function cancel);
+        ~registration();
+        registration(const registration&) = delete;
+        registration& operator=(const registration&) = delete;
+
+        bool was_cancelled() const { return m_was_cancelled; }
+
+    private:
+        friend class running_requests;
+
+        running_requests& m_table;
+        key_hash m_hash;
+        cancel_function m_cancel;
+        bool m_was_cancelled = false;
+    };
+
+    /// Ends every running request of a key.
+    void cancel(const key_hash& hash);
+
+private:
+    std::unordered_multimap<key_hash, registration*> m_requests;
+};
+
+} // namespace cicadahub::caller
