--- /dev/null
+++ b/libraries/daemon/audit_log.cpp
@@ -0,0 +1,127 @@
+#include "daemon/audit_log.hpp"
+
+#include "core/event_log.hpp"
+#include "daemon/pause.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace cicadahub::daemon
+{
+
+namespace
+{
+
+/// Far below the platform's limit of a megabyte a value.
+constexpr std::size_t entries_per_segment = 500;
+constexpr std::size_t waiting_limit = 100'000;
+constexpr milliseconds batch_pause{200};
+
+std::int64_t wall_clock_ms()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(now).count();
+}
+
+} // namespace
+
+audit_log::audit_log(net::io_context& context, platform::store& store,
+                     std::string writer)
+    : m_context(context), m_store(store), m_writer(std::move(writer))
+{
+    open_segment();
+}
+
+void audit_log::start()
+{
+    net::co_spawn(m_context, run(), net::detached);
+}
+
+void audit_log::append(audit_entry it)
+{
+    if (m_waiting.size() >= waiting_limit)
+    {
+        CICADAHUB_EVENT(ERROR, audit_segment_failed) << "entry lost";
+        return;
+    }
+    m_waiting.push_back({{"at_ms", wall_clock_ms()},
+                         {"who", it.who},
+                         {"what", it.what},
+                         {"target", it.target},
+                         {"before", it.before.value()},
+                         {"after", it.after.value()}});
+}
+
+void audit_log::open_segment()
+{
+    m_segment = {};
+    m_segment.name = "audit." + m_writer + "." + std::to_string(m_number++);
+    m_entries.clear();
+}
+
+net::awaitable<void> audit_log::run()
+{
+    for (;;)
+    {
+        co_await pause(m_context, batch_pause);
+        if (!m_is_writing)
+        {
+            co_await write_batch();
+        }
+    }
+}
+
+net::awaitable<void> audit_log::flush()
+{
+    while (m_is_writing)
+    {
+        co_await pause(m_context, batch_pause);
+    }
+    bool is_written = true;
+    while (is_written && !m_waiting.empty())
+    {
+        is_written = co_await write_batch();
+    }
+}
+
+net::awaitable<bool> audit_log::write_batch()
+{
+    if (m_waiting.empty())
+    {
+        co_return true;
+    }
+    m_is_writing = true;
+    boost::json::array next = m_entries;
+    std::size_t taken = 0;
+    while (taken < m_waiting.size() && next.size() < entries_per_segment)
+    {
+        next.push_back(m_waiting[taken++]);
+    }
+    boost::json::object spec;
+    spec["entries"] = next;
+    const platform::write_result result = co_await m_store.write(
+        platform::collection::audits, m_segment, std::move(spec));
+    m_is_writing = false;
+    if (result.outcome == platform::write_outcome::unknown)
+    {
+        co_return false;
+    }
+    if (result.outcome == platform::write_outcome::conflict)
+    {
+        // An earlier write of this segment was applied after all; go on in a
+        // new one. Its entries may stand twice, which loses nothing.
+        open_segment();
+        co_return true;
+    }
+    m_waiting.erase(m_waiting.begin(),
+                    m_waiting.begin() + static_cast<std::ptrdiff_t>(taken));
+    m_segment.version = result.version;
+    m_entries = std::move(next);
+    if (m_entries.size() >= entries_per_segment)
+    {
+        open_segment();
+    }
+    co_return true;
+}
+
+} // namespace cicadahub::daemon
--- /dev/null
+++ b/libraries/daemon/audit_log.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "platform/store.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <string>
+
+namespace cicadahub::daemon
+{
+
+namespace net = boost::asio;
+
+/// One change or decision.
+struct audit_entry
+{
+    /// Operator or daemon that made it.
+    std::string who;
+    /// What was done, such as "apply" or "load".
+    std::string what;
+    /// Object or replica that it was done to.
+    std::string target;
+    object_version before;
+    object_version after;
+};
+
+/// Keeps the audit trail in the platform, in segments of bounded size. Each
+/// daemon writes segments of its own, so that writers do not contend. Entries
+/// that wait when a daemon is killed are lost.
+class audit_log
+{
+public:
+    audit_log(net::io_context& context, platform::store& store,
+              std::string writer);
+
+    void start();
+    void append(audit_entry it);
+
+    /// Returns once every entry is written, or the platform does not answer.
+    net::awaitable<void> flush();
+
+private:
+    net::awaitable<void> run();
+    net::awaitable<bool> write_batch();
+    void open_segment();
+
+    net::io_context& m_context;
+    platform::store& m_store;
+    std::string m_writer;
+    std::deque<boost::json::object> m_waiting;
+    platform::stored_object m_segment;
+    boost::json::array m_entries;
+    std::uint64_t m_number = 0;
+    bool m_is_writing = false;
+};
+
+} // namespace cicadahub::daemon
--- /dev/null
+++ b/libraries/daemon/control_plane.cpp
@@ -0,0 +1,430 @@
+#include "daemon/control_plane.hpp"
+
+#include "core/digest.hpp"
+#include "core/event_log.hpp"
+#include "core/json_reader.hpp"
+#include "daemon/pause.hpp"
+#include "daemon/placement_document.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace cicadahub::daemon
+{
+
+namespace
+{
+
+constexpr std::size_t idle_connections_per_peer = 16;
+constexpr std::size_t incarnation_bytes = 4;
+constexpr milliseconds owner_retry{50};
+/// Time that a peer's refusal at the deadline needs to come back.
+constexpr milliseconds reply_allowance{20};
+
+platform::client_timing timing_of(const settings::daemon_settings& it)
+{
+    platform::client_timing timing;
+    timing.call_timeout = it.platform_call_timeout;
+    timing.watch_timeout = it.platform_watch_timeout;
+    return timing;
+}
+
+member self_of(const settings::daemon_settings& it)
+{
+    member self;
+    self.id = daemon_id(it.daemon_name + "." + random_hex(incarnation_bytes));
+    self.fleet_address = http::parse_endpoint(it.fleet_address);
+    self.operators_address = http::parse_endpoint(it.operators_address);
+    self.data_centre = data_centre_id(it.data_centre);
+    return self;
+}
+
+placement::load_limits limits_of(const settings::daemon_settings& it)
+{
+    placement::load_limits limits;
+    limits.models_per_second = it.model_loads_per_second;
+    limits.models_in_flight =
+        static_cast<std::uint32_t>(it.model_loads_in_flight);
+    limits.adapters_in_flight =
+        static_cast<std::uint32_t>(it.adapter_loads_in_flight);
+    return limits;
+}
+
+placement::placement_timing
+placement_timing_of(const settings::daemon_settings& it)
+{
+    placement::placement_timing timing;
+    timing.order_lifetime = it.order_lifetime;
+    return timing;
+}
+
+ownership::lease_timing lease_timing_of(const settings::daemon_settings& it)
+{
+    return {it.lease_duration, it.lease_renewal, it.lease_margin};
+}
+
+routing::target target_of(const host_entry& it)
+{
+    return {it.id, http::to_string(it.address), it.slots, it.load};
+}
+
+refusal_kind refusal_named(const std::string& name)
+{
+    for (std::size_t i = 0; i < refusal_kind_count; ++i)
+    {
+        const auto kind = static_cast<refusal_kind>(i);
+        if (name_of(kind) == name)
+        {
+            return kind;
+        }
+    }
+    return refusal_kind::no_capacity;
+}
+
+} // namespace
+
+control_plane::control_plane(net::io_context& context,
+                             const settings::daemon_settings& settings,
+                             caller::request_state& state)
+    : m_context(context), m_settings(settings), m_state(state),
+      m_pool(context, settings.backend_connect_timeout,
+             idle_connections_per_peer),
+      m_store(m_pool, http::parse_endpoint(settings.platform_address),
+              timing_of(settings)),
+      m_engines(m_pool, settings.order_timeout, settings.platform_call_timeout),
+      m_members(context, m_store, settings.daemon_name, self_of(settings)),
+      m_placement_shard(
+          context, m_store, m_members, shard_id("placement-0"),
+          lease_timing_of(settings),
+          [this](epoch_number epoch) { m_placement.on_won(epoch); },
+          [this] { m_placement.on_lost(); }),
+      m_placement(
+          context, m_store, m_hosts, m_engines,
+          [this] { return m_placement_shard.is_held(); }, limits_of(settings),
+          placement_timing_of(settings), settings.backend_report_every),
+      m_configuration_follower(
+          context, m_store, platform::collection::configurations,
+          [this](const auto& it) { on_configuration_object(it); },
+          [this](bool is_whole)
+          {
+              publish_configuration();
+              m_lists_missing -= is_whole ? 1 : 0;
+              update_readiness();
+          }),
+      m_host_follower(
+          context, m_store, platform::collection::hosts,
+          [this](const auto& it) { m_hosts.apply(it); },
+          [this](bool is_whole)
+          {
+              if (is_whole)
+              {
+                  m_hosts.end_list();
+                  m_hosts.begin_list();
+                  --m_lists_missing;
+              }
+              m_placement.on_hosts_changed();
+              publish_routes();
+              update_readiness();
+          }),
+      m_member_follower(
+          context, m_store, platform::collection::members,
+          [this](const auto& it) { m_members.apply(it); },
+          [this](bool is_whole)
+          {
+              if (is_whole)
+              {
+                  m_members.end_list();
+                  m_members.begin_list();
+              }
+          }),
+      m_lease_follower(
+          context, m_store, platform::collection::leases,
+          [this](const auto& it) { m_placement_shard.apply(it); }, [](bool) {}),
+      m_placement_follower(
+          context, m_store, platform::collection::placements,
+          [this](const auto& it) { on_placement_object(it); },
+          [this](bool is_whole)
+          {
+              publish_routes();
+              m_lists_missing -= is_whole ? 1 : 0;
+              update_readiness();
+          }),
+      m_receiver(*this),
+      m_listener(context, http::parse_endpoint(settings.fleet_address),
+                 m_receiver)
+{
+}
+
+void control_plane::set_withdraw_handler(withdraw_handler handler)
+{
+    m_on_withdrawn = std::move(handler);
+}
+
+void control_plane::start()
+{
+    m_listener.start();
+    m_configuration_follower.start();
+    m_host_follower.start();
+    m_member_follower.start();
+    m_lease_follower.start();
+    m_placement_follower.start();
+    m_placement_shard.start();
+    net::co_spawn(m_context, m_members.register_self(), net::detached);
+}
+
+net::awaitable<void> control_plane::release_shards()
+{
+    co_await m_placement_shard.release();
+}
+
+net::awaitable<void> control_plane::leave()
+{
+    co_await m_members.unregister_self();
+}
+
+void control_plane::update_readiness()
+{
+    if (m_lists_missing <= 0 && !m_state.is_ready)
+    {
+        m_state.is_ready = true;
+        CICADAHUB_EVENT(INFO, daemon_ready)
+            << "daemon=" << m_members.self()
+            << " configuration=" << m_configuration.version();
+    }
+}
+
+void control_plane::on_configuration_object(const platform::stored_object& it)
+{
+    try
+    {
+        const auto entry =
+            configuration::make_entry(it.name, it.version, it.spec);
+        const auto& entries = m_configuration.entries();
+        const auto former = entries.find(it.name);
+        std::optional<key_hash> withdrawn;
+        if (entry.kind == configuration::object_kind::key &&
+            former != entries.end() && !former->second.is_deleted)
+        {
+            withdrawn =
+                key_hash(json_reader(former->second.spec).text("sha256"));
+        }
+        if (!m_configuration.apply(entry))
+        {
+            return;
+        }
+        CICADAHUB_EVENT(INFO, configuration_applied)
+            << "object=" << it.name << " version=" << it.version;
+        if (withdrawn && m_configuration.find_key(*withdrawn) == nullptr)
+        {
+            CICADAHUB_EVENT(INFO, key_withdrawn) << "key=" << entry.name;
+            publish_configuration();
+            m_on_withdrawn(*withdrawn);
+        }
+    }
+    catch (const malformed_document& reason)
+    {
+        CICADAHUB_EVENT(WARNING, malformed_object)
+            << "object=" << it.name << " reason=" << reason.what();
+    }
+}
+
+void control_plane::publish_configuration()
+{
+    std::vector<placement::item_spec> items;
+    for (const auto& [id, it] : m_configuration.models())
+    {
+        items.push_back({id, it.bytes, std::nullopt});
+    }
+    for (const auto& [id, it] : m_configuration.adapters())
+    {
+        items.push_back({id, it.bytes, it.base});
+    }
+    m_placement.on_items(items);
+    m_state.configuration.publish(m_configuration);
+}
+
+void control_plane::on_placement_object(const platform::stored_object& it)
+{
+    if (it.name != placement_object)
+    {
+        return;
+    }
+    try
+    {
+        m_decided = placement_from_json(it.spec);
+    }
+    catch (const malformed_document& reason)
+    {
+        CICADAHUB_EVENT(ERROR, malformed_object)
+            << "object=" << it.name << " reason=" << reason.what();
+    }
+}
+
+void control_plane::publish_routes()
+{
+    routing::routing_table table;
+    for (const auto& [id, host] : m_hosts.hosts())
+    {
+        if (host.is_leaving)
+        {
+            continue;
+        }
+        const routing::target target = target_of(host);
+        table.servers.emplace(id, target);
+        for (const route_id& route : host.routes)
+        {
+            table.services[route].push_back(target);
+        }
+    }
+    for (const placement::replica& it : m_decided.replicas)
+    {
+        const auto server = table.servers.find(it.server);
+        if (it.state == placement::replica_state::loaded &&
+            server != table.servers.end())
+        {
+            table.models[it.model].push_back(server->second);
+        }
+    }
+    m_state.routes.publish(std::move(table));
+}
+
+void control_plane::on_accepted(const platform::stored_object& it)
+{
+    on_configuration_object(it);
+    publish_configuration();
+    fleet::wire::ConfigurationNotice notice;
+    notice.name = it.name;
+    notice.version = static_cast<std::int64_t>(it.version.value());
+    notice.spec = boost::json::serialize(it.spec);
+    fleet::wire::Body body;
+    body.__set_configuration_notice(notice);
+    m_members.notify_all("configuration." + it.name, body);
+}
+
+void control_plane::on_configuration_notice(
+    const fleet::wire::ConfigurationNotice& notice)
+{
+    platform::stored_object it;
+    it.name = notice.name;
+    it.version = object_version(static_cast<std::uint64_t>(notice.version));
+    try
+    {
+        it.spec = parse_json_object(notice.spec);
+    }
+    catch (const malformed_document& reason)
+    {
+        CICADAHUB_EVENT(WARNING, malformed_object)
+            << "object=" << it.name << " reason=" << reason.what();
+        return;
+    }
+    on_configuration_object(it);
+    publish_configuration();
+}
+
+net::awaitable<caller::wake_answer> control_plane::wake(model_id model,
+                                                        time_point deadline)
+{
+    co_return co_await net::co_spawn(
+        m_context, wake_here(std::move(model), deadline), net::use_awaitable);
+}
+
+net::awaitable<caller::wake_answer>
+control_plane::wake_here(model_id model, time_point deadline)
+{
+    while (monotonic_clock::now() < deadline)
+    {
+        const auto answer = co_await ask_owner(model, deadline);
+        const auto* reason = answer ? std::get_if<refusal>(&*answer) : nullptr;
+        const bool is_final =
+            answer && (!reason || reason->kind != refusal_kind::not_ready);
+        if (is_final)
+        {
+            co_return *answer;
+        }
+        co_await pause(m_context, owner_retry);
+    }
+    co_return refusal{refusal_kind::target_unreachable, true,
+                      m_settings.lease_duration};
+}
+
+net::awaitable<std::optional<caller::wake_answer>>
+control_plane::ask_owner(const model_id& model, time_point deadline)
+{
+    if (m_placement.is_owner())
+    {
+        co_return co_await m_placement.wake(model, deadline);
+    }
+    const auto link = m_members.link(m_placement_shard.observed().holder);
+    if (!link || !link->is_connected())
+    {
+        co_return std::nullopt;
+    }
+    const auto patience = std::chrono::duration_cast<milliseconds>(
+        deadline - monotonic_clock::now());
+    fleet::wire::WakeRequest request;
+    request.model = model.value();
+    request.patience_us = microseconds(patience - reply_allowance).count();
+    fleet::wire::Body body;
+    body.__set_wake_request(request);
+    try
+    {
+        const auto reply = co_await link->ask(std::move(body), patience);
+        const fleet::wire::WakeReply& it = reply.wake_reply;
+        if (it.refusal.empty())
+        {
+            co_return caller::wake_answer(server_id(it.server));
+        }
+        co_return caller::wake_answer(refusal{refusal_named(it.refusal), true,
+                                              milliseconds(it.retry_after_ms)});
+    }
+    catch (const fleet::peer_unavailable&)
+    {
+        co_return std::nullopt;
+    }
+}
+
+net::awaitable<fleet::wire::Body>
+control_plane::on_wake_request(fleet::wire::WakeRequest request)
+{
+    fleet::wire::WakeReply reply;
+    caller::wake_answer answer = refusal{refusal_kind::not_ready, true};
+    if (m_placement.is_owner())
+    {
+        answer = co_await m_placement.wake(
+            model_id(request.model),
+            monotonic_clock::now() + microseconds(request.patience_us));
+    }
+    if (const auto* server = std::get_if<server_id>(&answer))
+    {
+        reply.server = server->value();
+    }
+    else
+    {
+        const refusal& reason = std::get<refusal>(answer);
+        reply.refusal = name_of(reason.kind);
+        reply.retry_after_ms = reason.retry_after.count();
+    }
+    fleet::wire::Body body;
+    body.__set_wake_reply(reply);
+    co_return body;
+}
+
+net::awaitable<fleet::wire::Body>
+control_plane::on_message(fleet::wire::Body body)
+{
+    fleet::wire::Body reply;
+    reply.__set_acknowledgement({});
+    if (body.__isset.wake_request)
+    {
+        reply = co_await on_wake_request(body.wake_request);
+    }
+    else if (body.__isset.configuration_notice)
+    {
+        on_configuration_notice(body.configuration_notice);
+    }
+    co_return reply;
+}
+
+} // namespace cicadahub::daemon
--- /dev/null
+++ b/libraries/daemon/control_plane.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "caller/request_state.hpp"
+#include "daemon/collection_follower.hpp"
+#include "daemon/fleet_receiver.hpp"
+#include "daemon/placement_owner.hpp"
+#include "fleet/peer_listener.hpp"
+#include "settings/daemon_settings.hpp"
+
+namespace cicadahub::daemon
+{
+
+/// Everything of a daemon that is not on the path of a warm request. Runs on
+/// one thread; `wake` may be awaited from others.
+class control_plane
+{
+public:
+    using withdraw_handler = std::function<void(const key_hash&)>;
+
+    control_plane(net::io_context& context,
+                  const settings::daemon_settings& settings,
+                  caller::request_state& state);
+
+    /// Called for each key that is withdrawn.
+    void set_withdraw_handler(withdraw_handler handler);
+
+    void start();
+
+    /// Gives the shards up early, as at a planned stop.
+    net::awaitable<void> release_shards();
+
+    /// Ends the membership in the fleet.
+    net::awaitable<void> leave();
+
+    net::awaitable<caller::wake_answer> wake(model_id model,
+                                             time_point deadline);
+
+    net::awaitable<fleet::wire::Body> on_message(fleet::wire::Body body);
+
+    /// Takes a configuration object that is known to be accepted, and tells
+    /// the other daemons of it.
+    void on_accepted(const platform::stored_object& it);
+
+    platform::store& store() { return m_store; }
+    net::io_context& context() { return m_context; }
+    const host_directory& hosts() const { return m_hosts; }
+    const member_directory& members() const { return m_members; }
+    const placement_owner& placement() const { return m_placement; }
+    const placement::document& decided() const { return m_decided; }
+    std::vector<const shard_keeper*> shards() const
+    {
+        return {&m_placement_shard};
+    }
+
+private:
+    net::awaitable<caller::wake_answer> wake_here(model_id model,
+                                                  time_point deadline);
+    net::awaitable<std::optional<caller::wake_answer>>
+    ask_owner(const model_id& model, time_point deadline);
+    net::awaitable<fleet::wire::Body>
+    on_wake_request(fleet::wire::WakeRequest request);
+    void on_configuration_object(const platform::stored_object& it);
+    void on_configuration_notice(const fleet::wire::ConfigurationNotice& it);
+    void publish_configuration();
+    void publish_routes();
+    void on_placement_object(const platform::stored_object& it);
+    void update_readiness();
+
+    net::io_context& m_context;
+    const settings::daemon_settings& m_settings;
+    caller::request_state& m_state;
+    http::client_pool m_pool;
+    platform::store m_store;
+    backend::engine_client m_engines;
+    host_directory m_hosts;
+    member_directory m_members;
+    shard_keeper m_placement_shard;
+    placement_owner m_placement;
+    configuration::snapshot m_configuration;
+    placement::document m_decided;
+    withdraw_handler m_on_withdrawn;
+
+    collection_follower m_configuration_follower;
+    collection_follower m_host_follower;
+    collection_follower m_member_follower;
+    collection_follower m_lease_follower;
+    collection_follower m_placement_follower;
+    fleet_receiver m_receiver;
+    fleet::peer_listener<fleet_receiver> m_listener;
+    int m_lists_missing = 3;
+};
+
+} // namespace cicadahub::daemon
--- /dev/null
+++ b/libraries/daemon/daemon.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "caller/request_handler.hpp"
+#include "daemon/audit_log.hpp"
+#include "daemon/control_plane.hpp"
+#include "operators/operator_handler.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <thread>
+
+namespace cicadahub::daemon
+{
+
+/// An address of the settings cannot be listened on.
+class listen_error : public error
+{
+public:
+    using error::error;
+};
+
+/// A whole entry daemon: its threads, its listeners and its stop.
+class entry_daemon
+{
+public:
+    /// Binds every address; throws `listen_error` naming the setting.
+    explicit entry_daemon(const settings::daemon_settings& settings);
+    ~entry_daemon();
+
+    /// Serves until SIGTERM or SIGINT, then drains; returns when all requests
+    /// that were taken have been answered.
+    void run();
+
+private:
+    using handler = caller::request_handler<control_plane>;
+
+    /// One thread that serves requests.
+    struct worker
+    {
+        worker(entry_daemon& owner);
+
+        net::io_context context{1};
+        http::client_pool pool;
+        handler requests;
+        std::thread thread;
+    };
+
+    net::awaitable<void> drain();
+    void start_threads();
+    void stop_threads();
+    caller::fare_map read_fares() const;
+    http::server_limits caller_limits() const;
+    std::vector<http::server_lane<handler>> lanes();
+
+    const settings::daemon_settings& m_settings;
+    caller::request_state m_state;
+    prometheus::Registry m_registry;
+    caller::request_metrics m_metrics;
+    net::io_context m_control_context{1};
+    control_plane m_control;
+    audit_log m_audit;
+    std::vector<std::unique_ptr<worker>> m_workers;
+    operators::operator_handler m_operators;
+    std::unique_ptr<http::server<handler>> m_caller_server;
+    std::unique_ptr<http::server<operators::operator_handler>>
+        m_operator_server;
+    net::signal_set m_signals;
+};
+
+} // namespace cicadahub::daemon
--- /dev/null
+++ b/libraries/daemon/placement_document.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "decision/placement/types.hpp"
+
+#include <boost/json/object.hpp>
+
+namespace cicadahub::daemon
+{
+
+/// Name of the decided set's object in the platform.
+inline constexpr const char* placement_object = "placement-0";
+
+boost::json::object to_json(const placement::document& it);
+
+/// Throws `malformed_document`.
+placement::document placement_from_json(const boost::json::object& json);
+
+} // namespace cicadahub::daemon
--- /dev/null
+++ b/libraries/daemon/shard_keeper.cpp
@@ -0,0 +1,195 @@
+#include "daemon/shard_keeper.hpp"
+
+#include "core/event_log.hpp"
+#include "core/json_reader.hpp"
+#include "daemon/pause.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace cicadahub::daemon
+{
+
+namespace
+{
+
+constexpr milliseconds poll_pause{50};
+constexpr milliseconds retry_pause{200};
+
+using ownership::lease_record;
+using ownership::lease_write_result;
+
+lease_record read_record(const boost::json::object& spec)
+{
+    const json_reader reader(spec);
+    lease_record it;
+    it.holder = daemon_id(reader.text("holder"));
+    it.epoch = epoch_number(static_cast<std::uint64_t>(reader.whole("epoch")));
+    it.renewal = static_cast<std::uint64_t>(reader.whole("renewal"));
+    it.is_released = reader.flag_or("released", false);
+    return it;
+}
+
+boost::json::object spec_of(const lease_record& it)
+{
+    return {{"holder", it.holder.value()},
+            {"epoch", it.epoch.value()},
+            {"renewal", it.renewal},
+            {"released", it.is_released}};
+}
+
+lease_write_result result_of(platform::write_outcome it)
+{
+    switch (it)
+    {
+    case platform::write_outcome::applied:
+        return lease_write_result::applied;
+    case platform::write_outcome::conflict:
+        return lease_write_result::conflict;
+    case platform::write_outcome::unknown:
+        break;
+    }
+    return lease_write_result::unknown;
+}
+
+} // namespace
+
+shard_keeper::shard_keeper(net::io_context& context, platform::store& store,
+                           const member_directory& members, shard_id shard,
+                           ownership::lease_timing timing, won_handler on_won,
+                           lost_handler on_lost)
+    : m_context(context), m_store(store), m_members(members),
+      m_shard(std::move(shard)), m_lease(members.self(), timing, 0),
+      m_on_won(std::move(on_won)), m_on_lost(std::move(on_lost))
+{
+}
+
+void shard_keeper::start()
+{
+    net::co_spawn(m_context, run(), net::detached);
+}
+
+net::awaitable<void> shard_keeper::run()
+{
+    co_await first_read();
+    while (!m_is_stopped)
+    {
+        m_lease.set_rank(m_members.rank_for(m_shard));
+        if (const auto next = m_lease.next_write(monotonic_clock::now()))
+        {
+            co_await write(*next);
+        }
+        note_change();
+        co_await pause(m_context, poll_pause);
+    }
+}
+
+net::awaitable<void> shard_keeper::first_read()
+{
+    while (!m_is_stopped)
+    {
+        try
+        {
+            const auto stored = co_await m_store.read(
+                platform::collection::leases, m_shard.value());
+            if (stored)
+            {
+                apply(*stored);
+            }
+            else
+            {
+                m_lease.on_observed({}, {}, monotonic_clock::now());
+            }
+            co_return;
+        }
+        catch (const error&)
+        {
+            // Asked again until the platform answers.
+        }
+        co_await pause(m_context, retry_pause);
+    }
+}
+
+void shard_keeper::apply(const platform::stored_object& it)
+{
+    if (it.name != m_shard.value())
+    {
+        return;
+    }
+    m_write_marks = it.write_marks;
+    m_lease.on_observed(read_record(it.spec), it.version,
+                        monotonic_clock::now());
+    note_change();
+}
+
+net::awaitable<void> shard_keeper::write(ownership::lease_write it)
+{
+    m_is_writing = true;
+    platform::stored_object former;
+    former.name = m_shard.value();
+    former.version = it.expected;
+    former.write_marks = m_write_marks;
+    const platform::write_result result = co_await m_store.write(
+        platform::collection::leases, std::move(former), spec_of(it.record));
+    m_lease.on_write_result(result_of(result.outcome), result.version,
+                            monotonic_clock::now());
+    m_is_writing = false;
+    if (result.outcome != platform::write_outcome::applied)
+    {
+        co_await read_back();
+    }
+}
+
+net::awaitable<void> shard_keeper::read_back()
+{
+    try
+    {
+        const auto stored = co_await m_store.read(platform::collection::leases,
+                                                  m_shard.value());
+        if (stored)
+        {
+            apply(*stored);
+        }
+    }
+    catch (const error&)
+    {
+        // The watch brings it when the platform answers again.
+    }
+}
+
+void shard_keeper::note_change()
+{
+    const bool is_held = this->is_held();
+    if (m_announced && (!is_held || *m_announced != m_lease.epoch()))
+    {
+        CICADAHUB_EVENT(INFO, lease_lost)
+            << "shard=" << m_shard << " epoch=" << *m_announced;
+        m_announced.reset();
+        m_on_lost();
+    }
+    if (is_held && !m_announced && !m_is_stopped)
+    {
+        m_announced = m_lease.epoch();
+        CICADAHUB_EVENT(INFO, lease_won)
+            << "shard=" << m_shard << " epoch=" << m_lease.epoch();
+        m_on_won(m_lease.epoch());
+    }
+}
+
+net::awaitable<void> shard_keeper::release()
+{
+    m_is_stopped = true;
+    while (m_is_writing)
+    {
+        co_await pause(m_context, poll_pause);
+    }
+    const auto last = m_lease.release(monotonic_clock::now());
+    note_change();
+    if (last)
+    {
+        co_await write(*last);
+        CICADAHUB_EVENT(INFO, lease_released) << "shard=" << m_shard;
+    }
+}
+
+} // namespace cicadahub::daemon
