--- /dev/null
+++ b/utilities/cicada-load/load_plan.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/errors.hpp"
+#include "core/units.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cicadahub::load
+{
+
+/// A plan that does not say what to send.
+class plan_error : public error
+{
+public:
+    using error::error;
+};
+
+/// Requests of one class and organisation.
+struct flow
+{
+    std::string name;
+    std::string work_class = "default";
+    std::string organisation;
+    std::string key;
+    std::vector<std::string> models;
+    double requests_per_second = 10;
+    std::int64_t max_tokens = 16;
+    std::int64_t prompt_bytes = 64;
+    bool is_stream = false;
+};
+
+/// One request at its time, fixed before the load begins.
+struct scheduled_request
+{
+    microseconds at{0};
+    std::size_t flow = 0;
+    std::size_t model = 0;
+};
+
+/// Reads the flows of a TOML file, a table `flow.NAME` each.
+std::vector<flow> read_plan(const std::string& file);
+
+/// Poisson arrivals of every flow, in the order of their time.
+std::vector<scheduled_request> make_schedule(const std::vector<flow>& flows,
+                                             seconds duration,
+                                             std::uint64_t seed);
+
+} // namespace cicadahub::load
--- /dev/null
+++ b/utilities/cicada-load/main.cpp
@@ -0,0 +1,165 @@
+#include "load_runner.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <tclap/CmdLine.h>
+
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+namespace
+{
+
+using namespace cicadahub;
+
+constexpr int exit_ok = 0;
+constexpr int exit_failure = 1;
+constexpr int exit_usage = 2;
+
+/// Time for the threads to stand ready before the first request.
+constexpr milliseconds start_delay{100};
+
+load::report_map run_load(const std::vector<load::flow>& flows,
+                          const std::vector<http::endpoint>& targets,
+                          const std::vector<load::scheduled_request>& schedule,
+                          std::size_t threads)
+{
+    const time_point start = monotonic_clock::now() + start_delay;
+    std::vector<load::report_map> parts(threads);
+    std::vector<std::thread> running;
+    for (std::size_t n = 0; n < threads; ++n)
+    {
+        std::vector<load::scheduled_request> part;
+        for (std::size_t i = n; i < schedule.size(); i += threads)
+        {
+            part.push_back(schedule[i]);
+        }
+        running.emplace_back(
+            [&, n, part = std::move(part)]
+            {
+                boost::asio::io_context context(1);
+                load::load_runner runner(context, flows, targets, start);
+                boost::asio::co_spawn(context, runner.run(part),
+                                      boost::asio::detached);
+                context.run();
+                parts[n] = runner.reports();
+            });
+    }
+    load::report_map whole;
+    for (std::size_t n = 0; n < threads; ++n)
+    {
+        running[n].join();
+        for (const auto& [name, it] : parts[n])
+        {
+            whole[name].merge(it);
+        }
+    }
+    return whole;
+}
+
+int run(int argc, char** argv)
+{
+    TCLAP::CmdLine line("cicada-load, open-loop load on daemons or engines.",
+                        ' ', CICADAHUB_VERSION);
+    line.setExceptionHandling(false);
+    load::flow one;
+    one.name = "flow";
+    TCLAP::MultiArg<std::string> targets(
+        "t", "target", "Where to send; several are taken in turn.", true,
+        "ADDRESS:PORT");
+    TCLAP::ValueArg<std::string> plan("p", "plan", "Flows of a TOML file.",
+                                      false, "", "FILE");
+    TCLAP::ValueArg<std::string> key("k", "key", "The caller's key.", false, "",
+                                     "KEY");
+    TCLAP::MultiArg<std::string> models("m", "model", "A model to ask.", false,
+                                        "MODEL");
+    TCLAP::ValueArg<std::string> work_class("c", "class", "Class of the work.",
+                                            false, "default", "CLASS");
+    TCLAP::ValueArg<double> rate("r", "rate", "Requests a second.", false, 10,
+                                 "N");
+    TCLAP::ValueArg<std::int64_t> tokens(
+        "n", "max-tokens", "Tokens of an answer.", false, 16, "N");
+    TCLAP::ValueArg<std::int64_t> duration(
+        "d", "duration", "Length in seconds.", false, 10, "S");
+    TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "Seed of the schedule.",
+                                        false, 1, "N");
+    TCLAP::ValueArg<std::size_t> threads(
+        "j", "threads", "Threads to send from.", false, 1, "N");
+    TCLAP::ValueArg<std::string> json("o", "json", "File for the report.",
+                                      false, "", "FILE");
+    TCLAP::SwitchArg stream("e", "stream", "Ask for streamed answers.");
+    const std::vector<TCLAP::Arg*> arguments{
+        &targets, &plan,     &key,  &models,  &work_class, &rate,
+        &tokens,  &duration, &seed, &threads, &json,       &stream};
+    for (TCLAP::Arg* it : arguments)
+    {
+        line.add(it);
+    }
+    line.parse(argc, argv);
+    std::vector<load::flow> flows;
+    if (plan.isSet())
+    {
+        flows = load::read_plan(plan.getValue());
+    }
+    else
+    {
+        one.key = key.getValue();
+        one.models = models.getValue();
+        one.work_class = work_class.getValue();
+        one.requests_per_second = rate.getValue();
+        one.max_tokens = tokens.getValue();
+        one.is_stream = stream.getValue();
+        if (one.models.empty())
+        {
+            throw load::plan_error("--model or --plan is needed");
+        }
+        flows.push_back(one);
+    }
+    std::vector<http::endpoint> endpoints;
+    for (const std::string& it : targets.getValue())
+    {
+        endpoints.push_back(http::parse_endpoint(it));
+    }
+    const auto reports =
+        run_load(flows, endpoints,
+                 load::make_schedule(flows, seconds(duration.getValue()),
+                                     seed.getValue()),
+                 threads.getValue());
+    load::print(reports);
+    if (json.isSet())
+    {
+        std::ofstream(json.getValue())
+            << boost::json::serialize(load::to_json(reports)) << "\n";
+    }
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return run(argc, argv);
+    }
+    catch (const TCLAP::ExitException& it)
+    {
+        return it.getExitStatus();
+    }
+    catch (const TCLAP::ArgException& it)
+    {
+        std::cerr << "cicada-load: " << it.error() << " " << it.argId() << "\n";
+        return exit_usage;
+    }
+    catch (const load::plan_error& it)
+    {
+        std::cerr << "cicada-load: " << it.what() << "\n";
+        return exit_usage;
+    }
+    catch (const std::exception& it)
+    {
+        std::cerr << "cicada-load: " << it.what() << "\n";
+        return exit_failure;
+    }
+}
--- /dev/null
+++ b/utilities/cicada-standin/main.cpp
@@ -0,0 +1,202 @@
+#include "engine_standin.hpp"
+#include "platform_standin.hpp"
+#include "service_standin.hpp"
+#include "weight_store_standin.hpp"
+
+#include "core/errors.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+#include <thread>
+
+namespace
+{
+
+using namespace cicadahub;
+
+constexpr int exit_ok = 0;
+constexpr int exit_failure = 1;
+constexpr int exit_usage = 2;
+
+/// Serves until SIGTERM or SIGINT.
+template<class Handler>
+void serve(const std::string& address, http::server_limits limits,
+           std::vector<http::server_lane<Handler>> lanes)
+{
+    http::server<Handler> server(http::parse_endpoint(address), limits, lanes);
+    boost::asio::signal_set signals(lanes.front().context, SIGTERM, SIGINT);
+    signals.async_wait(
+        [&](boost::system::error_code, int)
+        {
+            for (const auto& lane : lanes)
+            {
+                lane.context.stop();
+            }
+        });
+    server.start();
+    std::cout << "listening " << http::to_string(server.local_endpoint())
+              << std::endl;
+    std::vector<std::thread> threads;
+    threads.reserve(lanes.size());
+    for (const auto& lane : lanes)
+    {
+        threads.emplace_back(
+            [&context = lane.context]
+            {
+                const auto work = boost::asio::make_work_guard(context);
+                context.run();
+            });
+    }
+    for (std::thread& it : threads)
+    {
+        it.join();
+    }
+}
+
+template<class Handler, class... Arguments>
+void serve_on_one_thread(const std::string& address, Arguments... arguments)
+{
+    boost::asio::io_context context(1);
+    Handler handler(context, arguments...);
+    http::server_limits limits;
+    limits.body_bytes = 64 * 1024 * 1024;
+    limits.idle_timeout = milliseconds(3'600'000);
+    serve<Handler>(address, limits, {{context, handler}});
+}
+
+void serve_engine(const std::string& address,
+                  const standin::engine_settings& settings, int threads)
+{
+    standin::engine_state state(settings);
+    std::vector<std::unique_ptr<boost::asio::io_context>> contexts;
+    std::vector<std::unique_ptr<standin::engine_standin>> parts;
+    std::vector<http::server_lane<standin::engine_standin>> lanes;
+    for (int n = 0; n < threads; ++n)
+    {
+        contexts.push_back(std::make_unique<boost::asio::io_context>(1));
+        parts.push_back(
+            std::make_unique<standin::engine_standin>(*contexts.back(), state));
+        lanes.push_back({*contexts.back(), *parts.back()});
+    }
+    http::server_limits limits;
+    limits.idle_timeout = milliseconds(3'600'000);
+    serve<standin::engine_standin>(address, limits, lanes);
+}
+
+int run(int argc, char** argv)
+{
+    TCLAP::CmdLine line("cicada-standin, stand-ins for the systems that "
+                        "cicadahub serves.",
+                        ' ', CICADAHUB_VERSION);
+    line.setExceptionHandling(false);
+    std::vector<std::string> roles{"platform", "weights", "engine", "service"};
+    TCLAP::ValuesConstraint<std::string> is_role(roles);
+    TCLAP::UnlabeledValueArg<std::string> role("role", "What to stand in for.",
+                                               true, "", &is_role);
+    TCLAP::ValueArg<std::string> listen("l", "listen",
+                                        "Where to listen; port 0 takes any.",
+                                        false, "127.0.0.1:0", "ADDRESS:PORT");
+    TCLAP::ValueArg<std::int64_t> memory("", "memory",
+                                         "Engine: memory in bytes.", false,
+                                         16'000'000'000, "BYTES");
+    TCLAP::ValueArg<std::int64_t> slots(
+        "", "slots", "Engine: requests at full speed.", false, 8, "N");
+    TCLAP::ValueArg<std::string> fencing(
+        "", "fencing", "Engine: honour or ignore fencing numbers.", false,
+        "honour", "honour|ignore");
+    TCLAP::ValueArg<std::int64_t> prefill("", "prefill-us",
+                                          "Engine: time to the first token.",
+                                          false, 2'000, "US");
+    TCLAP::ValueArg<std::int64_t> token_gap(
+        "", "token-us", "Engine: time between tokens.", false, 2'000, "US");
+    TCLAP::ValueArg<std::string> weights(
+        "", "weights", "Engine: the weight store.", false, "", "ADDRESS:PORT");
+    TCLAP::ValueArg<int> threads("", "threads", "Engine: threads.", false, 1,
+                                 "N");
+    TCLAP::MultiArg<std::string> preloaded(
+        "", "preload", "Engine: a model loaded from the start.", false,
+        "MODEL");
+    TCLAP::ValueArg<double> rate("", "loads-per-second",
+                                 "Weight store: transfers begun a second.",
+                                 false, 3, "N");
+    TCLAP::ValueArg<std::int64_t> full_speed(
+        "", "full-speed-loads", "Weight store: transfers at full speed.", false,
+        4, "N");
+    TCLAP::ValueArg<double> bandwidth("", "bytes-per-second",
+                                      "Weight store: speed of one transfer.",
+                                      false, 1e9, "BYTES");
+    const std::vector<TCLAP::Arg*> arguments{
+        &bandwidth, &full_speed, &rate,    &preloaded, &threads, &weights,
+        &token_gap, &prefill,    &fencing, &slots,     &memory,  &listen};
+    for (TCLAP::Arg* it : arguments)
+    {
+        line.add(it);
+    }
+    line.add(role);
+    line.parse(argc, argv);
+    if (role.getValue() == "platform")
+    {
+        serve_on_one_thread<standin::platform_standin>(listen.getValue());
+    }
+    else if (role.getValue() == "weights")
+    {
+        serve_on_one_thread<standin::weight_store_standin>(
+            listen.getValue(),
+            standin::weight_store_settings{
+                rate.getValue(), full_speed.getValue(), bandwidth.getValue()});
+    }
+    else if (role.getValue() == "service")
+    {
+        serve_on_one_thread<standin::service_standin>(listen.getValue());
+    }
+    else
+    {
+        standin::engine_settings settings;
+        settings.memory_bytes = memory.getValue();
+        settings.slots = slots.getValue();
+        settings.is_fencing = fencing.getValue() == "honour";
+        settings.prefill = microseconds(prefill.getValue());
+        settings.token_gap = microseconds(token_gap.getValue());
+        if (!weights.getValue().empty())
+        {
+            settings.weight_store = http::parse_endpoint(weights.getValue());
+        }
+        settings.preloaded.insert(preloaded.getValue().begin(),
+                                  preloaded.getValue().end());
+        serve_engine(listen.getValue(), settings, threads.getValue());
+    }
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return run(argc, argv);
+    }
+    catch (const TCLAP::ExitException& it)
+    {
+        return it.getExitStatus();
+    }
+    catch (const TCLAP::ArgException& it)
+    {
+        std::cerr << "cicada-standin: " << it.error() << " " << it.argId()
+                  << "\n";
+        return exit_usage;
+    }
+    catch (const malformed_document& it)
+    {
+        std::cerr << "cicada-standin: " << it.what() << "\n";
+        return exit_usage;
+    }
+    catch (const std::exception& it)
+    {
+        std::cerr << "cicada-standin: " << it.what() << "\n";
+        return exit_failure;
+    }
+}
--- /dev/null
+++ b/utilities/cicadactl/commands.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "operator_client.hpp"
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cicadahub::ctl
+{
+
+/// Words on the command line that do not make a command.
+class usage_error : public error
+{
+public:
+    using error::error;
+};
+
+struct command_options
+{
+    bool is_json = false;
+    /// After a change, wait until it is in force at every daemon.
+    bool waits = false;
+    milliseconds wait_limit{30'000};
+};
+
+using word_list = std::vector<std::string>;
+
+struct command_row
+{
+    std::string_view name;
+    std::string_view arguments;
+    std::string_view meaning;
+    void (*run)(operator_client&, const command_options&, const word_list&);
+};
+
+std::span<const command_row> command_rows();
+
+/// Runs the command that the words name; throws `usage_error` or
+/// `call_failed`.
+void run_command(operator_client& client, const command_options& options,
+                 const word_list& words);
+
+} // namespace cicadahub::ctl
--- /dev/null
+++ b/utilities/cicadactl/main.cpp
@@ -0,0 +1,87 @@
+#include "commands.hpp"
+
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+
+namespace
+{
+
+using namespace cicadahub;
+
+constexpr int exit_ok = 0;
+constexpr int exit_failure = 1;
+constexpr int exit_usage = 2;
+
+std::string command_help()
+{
+    std::string text = "cicadactl, the operators' command line.";
+    for (const ctl::command_row& it : ctl::command_rows())
+    {
+        text += "\n  " + std::string(it.name) + " " +
+                std::string(it.arguments) + ": " + std::string(it.meaning);
+    }
+    return text;
+}
+
+int run(int argc, char** argv)
+{
+    TCLAP::CmdLine line(command_help(), ' ', CICADAHUB_VERSION);
+    line.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> daemon("d", "daemon",
+                                        "Operators' address of any daemon.",
+                                        true, "", "ADDRESS:PORT");
+    std::vector<std::string> outputs{"table", "json"};
+    TCLAP::ValuesConstraint<std::string> is_output(outputs);
+    TCLAP::ValueArg<std::string> output("o", "output", "Form of the output.",
+                                        false, "table", &is_output);
+    TCLAP::ValueArg<std::string> name("u", "operator",
+                                      "Name for the audit trail.", false,
+                                      "cicadactl", "NAME");
+    TCLAP::SwitchArg wait("w", "wait",
+                          "Wait until a change is in force at every daemon.");
+    TCLAP::UnlabeledMultiArg<std::string> words("words", "Command and words.",
+                                                true, "WORD");
+    line.add(daemon);
+    line.add(output);
+    line.add(name);
+    line.add(wait);
+    line.add(words);
+    line.parse(argc, argv);
+    ctl::operator_client client(http::parse_endpoint(daemon.getValue()),
+                                name.getValue());
+    ctl::command_options options;
+    options.is_json = output.getValue() == "json";
+    options.waits = wait.getValue();
+    ctl::run_command(client, options, words.getValue());
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return run(argc, argv);
+    }
+    catch (const TCLAP::ExitException& it)
+    {
+        return it.getExitStatus();
+    }
+    catch (const TCLAP::ArgException& it)
+    {
+        std::cerr << "cicadactl: " << it.error() << " " << it.argId() << "\n";
+        return exit_usage;
+    }
+    catch (const ctl::usage_error& it)
+    {
+        std::cerr << "cicadactl: " << it.what() << "\n";
+        return exit_usage;
+    }
+    catch (const std::exception& it)
+    {
+        std::cerr << "cicadactl: " << it.what() << "\n";
+        return exit_failure;
+    }
+}
