Placement: Keep late orders in writing across owners

An owner whose load order had no answer saw the model loaded by a second order and wrote it as loaded; the next owner then unloaded it, knew of no late order, and gave its memory away before the first order arrived. Ruled out: the fencing path (the runs with servers that honour fences pass), and the order of commit and order (the check runs at the load itself). Change: the document says for how long an order without an answer may still arrive, as a duration on the writer's own clock; the next owner counts on from there.

--- a/libraries/daemon/placement_document.cpp
+++ b/libraries/daemon/placement_document.cpp
@@ -39,6 +39,7 @@
     it.bytes = byte_count(reader.whole("bytes"));
     it.state = state_from(reader.text("state"));
     it.decided_in = epoch_number(number("epoch"));
+    it.unsettled = milliseconds(reader.whole_or("unsettled_ms", 0));
     return it;
 }
 
@@ -56,7 +57,8 @@
              {"server", it.server.value()},
              {"bytes", it.bytes.value()},
              {"state", state_names.at(static_cast<std::size_t>(it.state))},
-             {"epoch", it.decided_in.value()}});
+             {"epoch", it.decided_in.value()},
+             {"unsettled_ms", it.unsettled.count()}});
     }
     return {{"epoch", content.epoch.value()},
             {"next_generation", content.next_generation},
--- a/libraries/decision/placement/placement_machine.cpp
+++ b/libraries/decision/placement/placement_machine.cpp
@@ -19,6 +19,10 @@
 
 constexpr milliseconds shortest_retry_hint{100};
 
+/// Models that wait for memory or for the weight store before the rest of the
+/// queue is left for a later step.
+constexpr std::uint32_t blocked_limit = 16;
+
 } // namespace
 
 placement_machine::placement_machine(load_limits limits,
@@ -40,11 +44,11 @@
         replica_record& record = m_replicas.add(it);
         record.committed = it.state;
         record.last_used = now;
-        if (it.state != replica_state::loaded)
-        {
-            // The former owner may have sent an order that is still on its way.
-            record.late_order_until = now + m_timing.order_lifetime;
-        }
+        // A former owner may have sent an order that is still on its way; once
+        // a replica is no longer to be loaded, none has followed.
+        const bool may_be_ordered = it.state == replica_state::loading;
+        record.late_order_until =
+            now + (may_be_ordered ? m_timing.order_lifetime : it.unsettled);
     }
     // The epoch is written before the first order under it.
     m_is_dirty = true;
@@ -173,8 +177,7 @@
     record->retry_at = now + m_timing.order_retry;
     if (result == order_result::unknown && kind == order_kind::load)
     {
-        record->late_order_until =
-            std::max(record->late_order_until, now + m_timing.order_lifetime);
+        note_late_order(*record, now);
     }
     const auto server = m_servers.find(record->it.server);
     if (result == order_result::unknown && server != m_servers.end())
@@ -263,7 +266,7 @@
     retire_from_leaving(now);
     place_wakes(now, actions);
     emit_orders(now, actions);
-    emit_commit(actions);
+    emit_commit(now, actions);
     return actions;
 }
 
@@ -288,9 +291,17 @@
             models.push_back(model);
         }
     }
+    std::uint32_t blocked = 0;
     for (const model_id& model : models)
     {
-        if (place(model, now) == placing::impossible)
+        if (blocked >= blocked_limit)
+        {
+            break;
+        }
+        const placing outcome = place(model, now);
+        blocked += outcome == placing::waits_for_memory ||
+                   outcome == placing::waits_for_budget;
+        if (outcome == placing::impossible)
         {
             for (const wake& it : m_wakes.take(model))
             {
@@ -639,7 +650,7 @@
     return order;
 }
 
-void placement_machine::emit_commit(action_list& actions)
+void placement_machine::emit_commit(time_point now, action_list& actions)
 {
     if (!m_is_dirty || m_commit_in_flight)
     {
@@ -653,6 +664,11 @@
     for (const auto& [generation, record] : m_replicas.records())
     {
         content.replicas.push_back(record.it);
+        // Kept in writing while an order may still arrive, so that the next
+        // owner knows of it too.
+        content.replicas.back().unsettled =
+            std::chrono::ceil<milliseconds>(std::max(
+                record.late_order_until - now, monotonic_clock::duration(0)));
         m_commit_states[generation] = record.it.state;
     }
     actions.push_back(commit_action{std::move(content), m_sequence});
@@ -711,6 +727,12 @@
     }
 }
 
+void placement_machine::note_late_order(replica_record& record, time_point now)
+{
+    record.late_order_until = now + m_timing.order_lifetime;
+    m_is_dirty = true;
+}
+
 void placement_machine::drop_unloaded(replica_record& record, time_point now)
 {
     if (record.it.state != replica_state::unloading)
--- a/libraries/decision/placement/placement_machine.hpp
+++ b/libraries/decision/placement/placement_machine.hpp
@@ -104,7 +104,7 @@
     void emit_orders(time_point now, action_list& actions);
     bool is_order_due(const replica_record& record, time_point now) const;
     order_action make_order(replica_record& record, time_point now);
-    void emit_commit(action_list& actions);
+    void emit_commit(time_point now, action_list& actions);
     void answer_wakes(const replica& it, action_list& actions);
     void refuse(const wake& it, refusal_kind kind, action_list& actions);
     void on_load_done(replica_record& record, time_point now,
@@ -113,6 +113,7 @@
     bool is_idle(const replica_record& record, time_point now) const;
     std::int64_t freed_by(const replica_record& record) const;
     void drop_unloaded(replica_record& record, time_point now);
+    void note_late_order(replica_record& record, time_point now);
     void adopt_strays(const server_id& server, const server_report& report);
     int cache_tier(const server_entry& server, const model_id& model) const;
     std::int64_t free_bytes(const server_entry& server) const;
--- a/libraries/decision/placement/types.hpp
+++ b/libraries/decision/placement/types.hpp
@@ -57,6 +57,9 @@
     replica_state state = replica_state::loading;
     /// Holding of the shard under which the replica was decided.
     epoch_number decided_in;
+    /// A load order without an answer may still reach the server for this
+    /// long after the document was written.
+    milliseconds unsettled{0};
 
     bool operator==(const replica&) const = default;
 };
--- /dev/null
+++ b/tests/decision/placement_run.hpp
@@ -0,0 +1,371 @@
+#pragma once
+
+#include "decision/placement/placement_machine.hpp"
+#include "fake_server.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+namespace cicadahub::placement
+{
+
+struct placement_faults
+{
+    /// Of orders and commits, the share whose answer is lost.
+    double lost_answers = 0;
+    /// Of orders, the share that arrives late, up to its lifetime.
+    double late_orders = 0;
+    double failed_loads = 0;
+    /// Time between changes of owner; 0 for one owner throughout.
+    milliseconds owner_change{0};
+    milliseconds server_crash{0};
+    bool all_fencing = false;
+    bool none_fencing = false;
+};
+
+struct placement_sizes
+{
+    int servers = 6;
+    std::int64_t server_memory = 40;
+    int models = 40;
+    std::int64_t model_bytes_low = 5;
+    std::int64_t model_bytes_high = 15;
+    int adapters = 10;
+    milliseconds between_wakes{40};
+    milliseconds patience{4'000};
+};
+
+/// Owners that follow each other, the written document and the servers. It
+/// checks what must always hold whenever a server begins to load.
+class placement_run
+{
+public:
+    placement_run(std::uint64_t seed, placement_sizes sizes,
+                  placement_faults faults)
+        : world(seed), m_sizes(sizes), m_faults(faults)
+    {
+        for (int n = 0; n < sizes.servers; ++n)
+        {
+            add_server(n);
+        }
+        for (int n = 0; n < sizes.models; ++n)
+        {
+            m_items.push_back({model_id("m" + std::to_string(n)),
+                               byte_count(world.pick(sizes.model_bytes_low,
+                                                     sizes.model_bytes_high)),
+                               std::nullopt});
+        }
+        for (int n = 0; n < sizes.adapters; ++n)
+        {
+            const item_spec& base = m_items[static_cast<std::size_t>(
+                world.pick(0, sizes.models - 1))];
+            m_items.push_back(
+                {model_id(base.id.value() + ":a" + std::to_string(n)),
+                 byte_count(1), base.id});
+        }
+        take_over();
+        tick();
+        report();
+        if (m_faults.owner_change.count() > 0)
+        {
+            schedule_owner_change();
+        }
+        if (m_faults.server_crash.count() > 0)
+        {
+            schedule_crash();
+        }
+    }
+
+    /// Sends a wake to the current owner.
+    void ask(const model_id& model, milliseconds patience)
+    {
+        if (!m_owner)
+        {
+            ++without_owner;
+            return;
+        }
+        const std::uint64_t ticket = m_next_ticket++;
+        m_waiting[ticket] = {m_epoch, world.now() + patience};
+        ++asked;
+        perform(m_owner->on_wake({ticket, model, world.now() + patience},
+                                 world.now()));
+    }
+
+    /// Wakes at random times for as long as the run lasts.
+    void ask_at_random()
+    {
+        const auto n =
+            world.pick(0, static_cast<std::int64_t>(m_items.size()) - 1);
+        // Some models are asked for far more than others.
+        ask(m_items[static_cast<std::size_t>(world.happens(0.6) ? n % 5 : n)]
+                .id,
+            m_sizes.patience);
+        const std::int64_t mean = m_sizes.between_wakes.count();
+        world.after(world.pick_ms(1, 2 * mean), [this] { ask_at_random(); });
+    }
+
+    void stop_faults()
+    {
+        m_faults = {};
+        for (auto& it : m_servers)
+        {
+            it->failure_rate = 0;
+        }
+    }
+
+    /// Every wait must have ended by its deadline, in an answer.
+    void check_waits() const
+    {
+        for (const auto& [ticket, it] : m_waiting)
+        {
+            // A tick after the deadline the owner has refused it.
+            ASSERT_GE(it.deadline + milliseconds(60), world.now())
+                << "ticket " << ticket;
+        }
+    }
+
+    std::uint64_t total_loads() const
+    {
+        std::uint64_t n = 0;
+        for (const auto& it : m_servers)
+        {
+            n += it->loads();
+        }
+        return n;
+    }
+
+    const std::vector<item_spec>& items() const { return m_items; }
+    const document& written() const { return m_written; }
+
+    fakes::virtual_world world;
+    std::uint64_t asked = 0;
+    std::uint64_t served = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t without_owner = 0;
+    std::uint64_t takeovers = 0;
+    std::size_t most_loading = 0;
+    milliseconds longest_wait{0};
+
+private:
+    struct wait
+    {
+        epoch_number epoch;
+        time_point deadline;
+    };
+
+    void add_server(int n)
+    {
+        server_spec spec;
+        spec.id = server_id("s" + std::to_string(n));
+        spec.memory = byte_count(m_sizes.server_memory);
+        spec.is_fencing =
+            m_faults.all_fencing || (!m_faults.none_fencing && n % 2 == 0);
+        m_specs.push_back(spec);
+        m_servers.push_back(std::make_unique<fakes::fake_server>(
+            world, spec, [this, n](const replica& it) { check_load(n, it); }));
+        m_servers.back()->failure_rate = m_faults.failed_loads;
+    }
+
+    /// What begins to load must be written, and must fit.
+    void check_load(int n, const replica& it)
+    {
+        const fakes::fake_server& server =
+            *m_servers[static_cast<std::size_t>(n)];
+        const bool is_decided = std::any_of(
+            m_written.replicas.begin(), m_written.replicas.end(),
+            [&](const replica& other)
+            { return other.model == it.model && other.server == it.server; });
+        ASSERT_TRUE(is_decided) << it.model << " on " << it.server;
+        ASSERT_LE(server.used(), server.spec().memory.value()) << it.server;
+        std::size_t loading = 0;
+        for (const auto& other : m_servers)
+        {
+            loading += other->loading_count();
+        }
+        most_loading = std::max(most_loading, loading);
+    }
+
+    void take_over()
+    {
+        ++takeovers;
+        m_epoch = epoch_number(m_epoch.value() + 1);
+        m_owner = std::make_unique<placement_machine>(load_limits{},
+                                                      placement_timing{});
+        m_owner->on_items(m_items);
+        m_owner->on_servers(m_specs, world.now());
+        perform(m_owner->on_adopted(m_written, m_epoch, world.now()));
+    }
+
+    void schedule_owner_change()
+    {
+        const std::int64_t mean = m_faults.owner_change.count();
+        world.after(world.pick_ms(mean / 2, mean * 3 / 2),
+                    [this]
+                    {
+                        if (m_faults.owner_change.count() == 0)
+                        {
+                            return;
+                        }
+                        // The owner dies or is frozen: its orders on their way
+                        // still arrive, its waits are asked anew by others.
+                        m_owner.reset();
+                        std::erase_if(m_waiting,
+                                      [](const auto&) { return true; });
+                        world.after(world.pick_ms(0, 500),
+                                    [this]
+                                    {
+                                        take_over();
+                                        schedule_owner_change();
+                                    });
+                    });
+    }
+
+    void schedule_crash()
+    {
+        const std::int64_t mean = m_faults.server_crash.count();
+        world.after(world.pick_ms(mean / 2, mean * 3 / 2),
+                    [this]
+                    {
+                        if (m_faults.server_crash.count() == 0)
+                        {
+                            return;
+                        }
+                        const auto n = world.pick(0, m_sizes.servers - 1);
+                        m_servers[static_cast<std::size_t>(n)]->crash();
+                        schedule_crash();
+                    });
+    }
+
+    void tick()
+    {
+        if (m_owner)
+        {
+            perform(m_owner->on_tick(world.now()));
+        }
+        check_waits();
+        world.after(milliseconds(20), [this] { tick(); });
+    }
+
+    void report()
+    {
+        for (std::size_t n = 0; n < m_servers.size(); ++n)
+        {
+            // The report is that of an earlier time when it arrives.
+            const server_report seen = m_servers[n]->report();
+            world.after(world.pick_ms(1, 400),
+                        [this, n, seen, epoch = m_epoch]
+                        {
+                            if (m_owner && epoch == m_epoch)
+                            {
+                                perform(m_owner->on_report(m_specs[n].id, seen,
+                                                           world.now()));
+                            }
+                        });
+        }
+        world.after(milliseconds(500), [this] { report(); });
+    }
+
+    void perform(const action_list& actions)
+    {
+        for (const action& it : actions)
+        {
+            std::visit([this](const auto& a) { perform(a); }, it);
+        }
+    }
+
+    void perform(const commit_action& it)
+    {
+        const std::uint64_t expected = m_version;
+        world.after(world.pick_ms(1, 30),
+                    [this, it, expected, epoch = m_epoch]
+                    {
+                        // A conditional update: that of a former owner fails.
+                        if (expected != m_version)
+                        {
+                            return;
+                        }
+                        m_written = it.content;
+                        ++m_version;
+                        answer_commit(it, epoch);
+                    });
+    }
+
+    void answer_commit(const commit_action& it, epoch_number epoch)
+    {
+        // A lost answer is found out by reading back, which takes a while.
+        const bool is_lost = world.happens(m_faults.lost_answers);
+        const auto delay =
+            is_lost ? world.pick_ms(100, 1'500) : world.pick_ms(1, 10);
+        world.after(
+            delay,
+            [this, it, epoch]
+            {
+                if (m_owner && epoch == m_epoch)
+                {
+                    perform(m_owner->on_committed(it.sequence, world.now()));
+                }
+            });
+    }
+
+    void perform(const order_action& it)
+    {
+        const bool is_late = world.happens(m_faults.late_orders);
+        const bool is_lost = is_late || world.happens(m_faults.lost_answers);
+        const auto delay =
+            is_late ? world.pick_ms(1'000, 25'000) : world.pick_ms(1, 20);
+        const auto server = std::find_if(
+            m_servers.begin(), m_servers.end(),
+            [&](const auto& s) { return s->spec().id == it.target.server; });
+        fakes::fake_server& to = **server;
+        const epoch_number epoch = m_epoch;
+        auto is_answered = std::make_shared<bool>(false);
+        const auto finish = [this, it, epoch, is_answered](order_result result)
+        {
+            if (!std::exchange(*is_answered, true) && m_owner &&
+                epoch == m_epoch)
+            {
+                perform(m_owner->on_order_result(it.target.generation, it.kind,
+                                                 result, world.now()));
+            }
+        };
+        world.after(delay,
+                    [this, &to, it, finish, is_lost]
+                    {
+                        to.receive(it,
+                                   [this, finish, is_lost](order_result result)
+                                   {
+                                       if (!is_lost)
+                                       {
+                                           world.after(world.pick_ms(1, 20),
+                                                       [finish, result]
+                                                       { finish(result); });
+                                       }
+                                   });
+                    });
+        world.after(milliseconds(3'000),
+                    [finish] { finish(order_result::unknown); });
+    }
+
+    void perform(const answer_action& it)
+    {
+        const auto at = m_waiting.find(it.ticket);
+        ASSERT_NE(at, m_waiting.end()) << "answered twice: " << it.ticket;
+        m_waiting.erase(at);
+        ++(std::holds_alternative<replica>(it.answer) ? served : refused);
+    }
+
+    placement_sizes m_sizes;
+    placement_faults m_faults;
+    std::vector<item_spec> m_items;
+    std::vector<server_spec> m_specs;
+    std::vector<std::unique_ptr<fakes::fake_server>> m_servers;
+    std::unique_ptr<placement_machine> m_owner;
+    epoch_number m_epoch;
+    document m_written;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_next_ticket = 1;
+    std::map<std::uint64_t, wait> m_waiting;
+};
+
+} // namespace cicadahub::placement
