Quota: Grant rates from one owner, with a fixed part for each slot

Weighed: an even split for each host (refuses inside the rate as soon as the balancer is uneven), one owner that is asked for each request (nothing without it), and grants with an end, of which the unspent rest is given back. Change: the owner grants from 70% of each rate; 30% is parted among slots and spent without it. What is granted and may still be spent, and what is left to grant, never exceed the burst together. Also, System tests: fleets of real processes through kills, freezes, outages, lost answers and races. Two faults found by them and mended: `fetch` took its address by reference into a coroutine that started later, and a fleet address in use ended with exit code 1 in place of 2.

--- a/libraries/daemon/control_plane.cpp
+++ b/libraries/daemon/control_plane.cpp
@@ -151,9 +151,7 @@
               m_lists_missing -= is_whole ? 1 : 0;
               update_readiness();
           }),
-      m_receiver(*this),
-      m_listener(context, http::parse_endpoint(settings.fleet_address),
-                 m_receiver)
+      m_receiver(*this)
 {
 }
 
@@ -162,9 +160,15 @@
     m_on_withdrawn = std::move(handler);
 }
 
+void control_plane::bind()
+{
+    m_listener.emplace(
+        m_context, http::parse_endpoint(m_settings.fleet_address), m_receiver);
+}
+
 void control_plane::start()
 {
-    m_listener.start();
+    m_listener->start();
     m_configuration_follower.start();
     m_host_follower.start();
     m_member_follower.start();
--- a/libraries/daemon/control_plane.hpp
+++ b/libraries/daemon/control_plane.hpp
@@ -24,6 +24,10 @@
     /// Called for each key that is withdrawn.
     void set_withdraw_handler(withdraw_handler handler);
 
+    /// Binds the fleet's address; throws `boost::system::system_error`.
+    void bind();
+
+    /// Begins to follow the platform; the address must be bound.
     void start();
 
     /// Gives the shards up early, as at a planned stop.
@@ -86,7 +90,7 @@
     collection_follower m_lease_follower;
     collection_follower m_placement_follower;
     fleet_receiver m_receiver;
-    fleet::peer_listener<fleet_receiver> m_listener;
+    std::optional<fleet::peer_listener<fleet_receiver>> m_listener;
     int m_lists_missing = 3;
 };
 
--- /dev/null
+++ b/libraries/decision/quota/local_rate.cpp
@@ -0,0 +1,172 @@
+#include "decision/quota/local_rate.hpp"
+
+#include "core/invariant.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cicadahub::quota
+{
+
+namespace
+{
+
+/// Time over which demand is averaged.
+constexpr double demand_memory_seconds = 1.0;
+
+/// Part of a grant's life for which the usual demand is asked ahead.
+constexpr double ahead_share = 0.35;
+
+/// Part of a grant's life before its end in which it is given back.
+constexpr double return_share = 0.35;
+
+double seconds_of(monotonic_clock::duration it)
+{
+    return std::chrono::duration<double>(it).count();
+}
+
+} // namespace
+
+local_rate::local_rate(rate_limit whole, quota_timing timing, time_point now)
+    : m_timing(timing), m_slot(slot_part(whole, timing)), m_demand_at(now)
+{
+    m_slot.start_empty(now);
+}
+
+void local_rate::set_rate(rate_limit whole, time_point now)
+{
+    const rate_limit part = slot_part(whole, m_timing);
+    if (m_slot.limit() == part)
+    {
+        return;
+    }
+    refill_slot(now);
+    m_slot.set_limit(part);
+    m_slot.limit_to(part.burst);
+}
+
+void local_rate::hold_slot(time_point until, time_point now)
+{
+    if (now >= m_slot_until)
+    {
+        // The former holder may have spent the slot's burst just now.
+        m_slot.start_empty(now);
+    }
+    m_slot_until = until;
+}
+
+void local_rate::refill_slot(time_point now)
+{
+    m_slot.refill(std::min(now, m_slot_until), m_slot.limit().burst);
+}
+
+void local_rate::drop_ended(time_point now)
+{
+    std::erase_if(m_grants,
+                  [&](const held_grant& it) { return it.ends <= now; });
+}
+
+std::int64_t local_rate::granted() const
+{
+    std::int64_t tokens = 0;
+    for (const held_grant& it : m_grants)
+    {
+        tokens += it.tokens;
+    }
+    return tokens;
+}
+
+token_count local_rate::available(time_point now)
+{
+    drop_ended(now);
+    refill_slot(now);
+    const std::int64_t fixed = now < m_slot_until ? m_slot.level().value() : 0;
+    return token_count(granted() + fixed);
+}
+
+void local_rate::note_demand(std::int64_t tokens, time_point now)
+{
+    const double elapsed = seconds_of(now - m_demand_at);
+    const double kept = std::exp(-elapsed / demand_memory_seconds);
+    m_demand_per_second = m_demand_per_second * kept +
+                          static_cast<double>(tokens) / demand_memory_seconds;
+    m_demand_at = now;
+}
+
+bool local_rate::spend(token_count tokens, time_point now)
+{
+    if (available(now) < tokens)
+    {
+        return false;
+    }
+    note_demand(tokens.value(), now);
+    std::int64_t left = tokens.value();
+    // Grants first: they end, while the fixed part keeps.
+    for (held_grant& it : m_grants)
+    {
+        const std::int64_t part = std::min(left, it.tokens);
+        it.tokens -= part;
+        left -= part;
+    }
+    std::erase_if(m_grants,
+                  [](const held_grant& it) { return it.tokens == 0; });
+    if (left > 0)
+    {
+        const bool is_taken = m_slot.take(token_count(left));
+        CICADAHUB_INVARIANT(is_taken && now < m_slot_until);
+    }
+    return true;
+}
+
+void local_rate::on_granted(const grant& it, time_point asked_at)
+{
+    if (it.tokens.value() > 0)
+    {
+        m_grants.push_back({it.number, it.epoch, it.tokens.value(),
+                            asked_at + m_timing.grant_lifetime});
+    }
+}
+
+token_count local_rate::wanted(token_count needed, time_point now)
+{
+    const double ahead =
+        m_demand_per_second * ahead_share * seconds_of(m_timing.grant_lifetime);
+    const std::int64_t goal =
+        needed.value() + static_cast<std::int64_t>(std::ceil(ahead));
+    return token_count(
+        std::max<std::int64_t>(0, goal - available(now).value()));
+}
+
+bool local_rate::is_low(time_point now)
+{
+    return wanted(token_count(0), now).value() > 0;
+}
+
+bool local_rate::has_returns(time_point now) const
+{
+    const auto margin = std::chrono::duration_cast<monotonic_clock::duration>(
+        m_timing.grant_lifetime * return_share);
+    return std::any_of(m_grants.begin(), m_grants.end(),
+                       [&](const held_grant& it)
+                       { return it.ends > now && it.ends - now < margin; });
+}
+
+std::vector<returned_grant> local_rate::take_returns(time_point now)
+{
+    const auto margin = std::chrono::duration_cast<monotonic_clock::duration>(
+        m_timing.grant_lifetime * return_share);
+    std::vector<returned_grant> returns;
+    drop_ended(now);
+    for (const held_grant& it : m_grants)
+    {
+        if (it.ends - now < margin)
+        {
+            returns.push_back({it.number, it.epoch, token_count(it.tokens)});
+        }
+    }
+    std::erase_if(m_grants,
+                  [&](const held_grant& it) { return it.ends - now < margin; });
+    return returns;
+}
+
+} // namespace cicadahub::quota
--- /dev/null
+++ b/libraries/decision/quota/rate_owner.cpp
@@ -0,0 +1,151 @@
+#include "decision/quota/rate_owner.hpp"
+
+#include "core/invariant.hpp"
+
+#include <algorithm>
+
+namespace cicadahub::quota
+{
+
+namespace
+{
+
+constexpr milliseconds shortest_retry{20};
+
+} // namespace
+
+void rate_owner::on_adopted(epoch_number epoch, bool may_have_grants,
+                            time_point now)
+{
+    m_is_owner = true;
+    m_epoch = epoch;
+    m_foreign_until =
+        may_have_grants ? now + m_timing.grant_lifetime : time_point{};
+    for (auto& [id, it] : m_entries)
+    {
+        it.grants.clear();
+        it.outstanding = 0;
+        it.bucket.start_empty(now);
+    }
+}
+
+void rate_owner::set_rate(const organisation_id& organisation, rate_limit whole,
+                          time_point now)
+{
+    const rate_limit part = granted_part(whole, m_timing);
+    const auto [at, is_new] = m_entries.emplace(organisation, entry(part));
+    entry& it = at->second;
+    if (is_new)
+    {
+        it.bucket.start_empty(now);
+        return;
+    }
+    if (it.bucket.limit() == part)
+    {
+        return;
+    }
+    bring_up_to_date(it, now);
+    it.bucket.set_limit(part);
+    it.bucket.limit_to(cap_of(it, now));
+}
+
+void rate_owner::remove(const organisation_id& organisation)
+{
+    m_entries.erase(organisation);
+}
+
+token_count rate_owner::cap_of(const entry& it, time_point now) const
+{
+    const std::int64_t burst = it.bucket.limit().burst.value();
+    const std::int64_t foreign = now < m_foreign_until ? burst : 0;
+    return token_count(
+        std::max<std::int64_t>(0, burst - it.outstanding - foreign));
+}
+
+void rate_owner::bring_up_to_date(entry& it, time_point now) const
+{
+    // Step through the ends of grants in order, so that the room which a grant
+    // leaves fills only from its end on.
+    while (!it.grants.empty() && it.grants.begin()->second.ends <= now)
+    {
+        const outstanding_grant ended = it.grants.begin()->second;
+        it.bucket.refill(ended.ends, cap_of(it, ended.ends));
+        it.outstanding -= ended.tokens;
+        it.grants.erase(it.grants.begin());
+    }
+    it.bucket.refill(now, cap_of(it, now));
+}
+
+void rate_owner::take_back(entry& it, const returned_grant& returned) const
+{
+    const auto at = it.grants.find(returned.number);
+    if (returned.epoch != m_epoch || at == it.grants.end())
+    {
+        // It has ended here meanwhile, or was another owner's: the tokens are
+        // no longer counted, so that there is nothing to take back.
+        return;
+    }
+    const std::int64_t tokens =
+        std::clamp<std::int64_t>(returned.tokens.value(), 0, at->second.tokens);
+    at->second.tokens -= tokens;
+    it.outstanding -= tokens;
+    it.bucket.put_back(token_count(tokens));
+}
+
+grant rate_owner::on_request(const organisation_id& organisation,
+                             token_count wanted,
+                             const std::vector<returned_grant>& returned,
+                             time_point now)
+{
+    CICADAHUB_INVARIANT(m_is_owner);
+    grant result;
+    result.epoch = m_epoch;
+    const auto at = m_entries.find(organisation);
+    if (at == m_entries.end() || wanted.value() < 0)
+    {
+        return result;
+    }
+    entry& it = at->second;
+    bring_up_to_date(it, now);
+    for (const returned_grant& each : returned)
+    {
+        take_back(it, each);
+    }
+    const std::int64_t tokens =
+        std::min(wanted.value(), it.bucket.level().value());
+    if (tokens > 0 && it.bucket.take(token_count(tokens)))
+    {
+        result.number = m_next_number++;
+        it.grants.emplace(
+            result.number,
+            outstanding_grant{now + m_timing.grant_lifetime, tokens});
+        it.outstanding += tokens;
+        result.tokens = token_count(tokens);
+    }
+    if (tokens < wanted.value())
+    {
+        result.retry_after =
+            std::max(shortest_retry,
+                     it.bucket.time_to(token_count(wanted.value() - tokens)));
+    }
+    check(it, now);
+    return result;
+}
+
+bool rate_owner::can_release(time_point now) const
+{
+    return now >= m_foreign_until;
+}
+
+void rate_owner::check(const entry& it, time_point now) const
+{
+    const std::int64_t burst = it.bucket.limit().burst.value();
+    if (now >= m_foreign_until)
+    {
+        CICADAHUB_INVARIANT(it.bucket.level().value() + it.outstanding <=
+                            std::max(burst, it.outstanding));
+    }
+    CICADAHUB_INVARIANT(it.outstanding >= 0);
+}
+
+} // namespace cicadahub::quota
--- a/libraries/fleet/fleet.thrift
+++ b/libraries/fleet/fleet.thrift
@@ -45,15 +45,18 @@
   2: i64 version
 }
 
+/// What is left of a grant, given back before its end.
+struct ReturnedGrant {
+  1: i64 number
+  2: i64 epoch
+  3: i64 tokens
+}
+
 /// Asks the owner of an organisation's rate for an allowance.
 struct AllowanceRequest {
-  1: string sender
-  2: string organisation
-  3: i64 wanted_tokens
-  /// Tokens of former grants that were not used and are given back.
-  4: i64 returned_tokens
-  /// Epoch of the owner that made the grants that are given back.
-  5: i64 returned_epoch
+  1: string organisation
+  2: i64 wanted_tokens
+  3: list<ReturnedGrant> returned
 }
 
 struct AllowanceReply {
@@ -62,6 +65,7 @@
   3: i64 retry_after_ms
   /// False if the receiver does not own the rate.
   4: bool is_owner
+  5: i64 number
 }
 
 enum IntentStatus {
@@ -78,6 +82,9 @@
 struct IntentRequest {
   1: string key
   2: string fingerprint
+  /// The one attempt that may dispatch; asked again after a lost reply, it
+  /// gets the same leave.
+  3: string attempt
 }
 
 struct SavedAnswer {
@@ -99,6 +106,7 @@
   3: optional SavedAnswer answer
   /// True if no byte of the request has gone out.
   4: bool is_not_run
+  5: string attempt
 }
 
 struct OutcomeReply {
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint64_t response_body_limit_bytes = 64 * 1024 * 1024;
 
 net::awaitable<response> exchange(client_connection& connection,
-                                  const request& message, milliseconds timeout)
+                                  request message, milliseconds timeout)
 {
     connection.stream.expires_after(timeout);
     const std::string head = flat_head(message);
@@ -88,8 +88,8 @@
     m_idle.erase(address);
 }
 
-net::awaitable<response> fetch(client_pool& pool, const endpoint& address,
-                               const request& message, milliseconds timeout)
+net::awaitable<response> fetch(client_pool& pool, endpoint address,
+                               request message, milliseconds timeout)
 {
     auto connection = co_await pool.acquire(address);
     response answer;
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -57,8 +57,8 @@
 
 /// Sends one request and reads the whole response, within `timeout`. A
 /// connection that fails is closed, never reused.
-net::awaitable<response> fetch(client_pool& pool, const endpoint& address,
-                               const request& message, milliseconds timeout);
+net::awaitable<response> fetch(client_pool& pool, endpoint address,
+                               request message, milliseconds timeout);
 
 /// A request with the given body, ready to send.
 request make_request(verb method, std::string_view target,
--- a/libraries/platform/object_client.cpp
+++ b/libraries/platform/object_client.cpp
@@ -162,7 +162,8 @@
 {
     try
     {
-        co_return co_await http::fetch(m_pool, m_address, message, timeout);
+        co_return co_await http::fetch(m_pool, m_address, std::move(message),
+                                       timeout);
     }
     catch (const boost::system::system_error& it)
     {
--- /dev/null
+++ b/tests/system/fleet.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "core/json_reader.hpp"
+#include "http/client.hpp"
+#include "process.hpp"
+
+#include <boost/json.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace cicadahub::system_tests
+{
+
+/// An answer as a test looks at it.
+struct answer
+{
+    unsigned status = 0;
+    std::string body;
+
+    /// Name of the refusal, or empty.
+    std::string refusal() const;
+    bool is_not_run() const;
+};
+
+/// One HTTP exchange over a connection of its own; status 0 if it failed.
+answer call(const std::string& address, http::verb method,
+            const std::string& target, const std::string& body = {},
+            const std::vector<std::pair<std::string, std::string>>& fields = {},
+            milliseconds timeout = milliseconds(30'000));
+
+/// A member of `GET /stats` at a stand-in.
+std::int64_t stat(const std::string& address, const std::string& member);
+
+/// Waits until a condition holds; false if it does not within the limit.
+bool eventually(const std::function<bool()>& condition,
+                milliseconds limit = milliseconds(20'000));
+
+struct engine_options
+{
+    std::string fencing = "honour";
+    std::string memory = "16000";
+    std::string token_us = "1000";
+    std::string slots = "8";
+};
+
+/// Stand-ins and daemons on loopback.
+class fleet
+{
+public:
+    struct node
+    {
+        std::unique_ptr<process> program;
+        std::string callers;
+        std::string operators;
+        std::string settings_file;
+    };
+
+    struct standin
+    {
+        std::unique_ptr<process> program;
+        std::string address;
+    };
+
+    explicit fleet(int daemons, int engines = 2, engine_options options = {});
+
+    /// Starts another daemon and waits until it is ready.
+    std::size_t add_daemon(const std::string& name);
+    void restart_daemon(std::size_t n);
+
+    /// Applies a configuration object through daemon `n`; its version.
+    std::int64_t apply(const std::string& kind, const std::string& name,
+                       const std::string& spec, std::size_t n = 0);
+
+    /// Waits until every running daemon answers with the object's version.
+    bool is_in_force(const std::string& kind, const std::string& name,
+                     std::int64_t version);
+
+    answer complete(std::size_t daemon, const std::string& model,
+                    const std::string& key = "key-of-a", int tokens = 2,
+                    bool is_stream = false, const std::string& prompt = "p");
+
+    void set_fault(const standin& at, const std::string& json) const;
+    void list_host(const std::string& name, const std::string& spec) const;
+    void update_host(const std::string& name, const std::string& spec) const;
+
+    /// Name of the daemon that holds a shard, as daemon `n` sees it.
+    std::string holder_of(const std::string& shard, std::size_t n);
+    /// Number of the daemon that holds a shard.
+    std::size_t holder_number(const std::string& shard, std::size_t asked);
+
+    std::int64_t engine_total(const std::string& member) const;
+    std::string engine_spec(std::size_t n, const std::string& more = "") const;
+    bool is_memory_respected() const;
+
+    standin platform;
+    standin weights;
+    standin ledger;
+    std::vector<standin> engines;
+    std::vector<node> nodes;
+
+private:
+    static standin start_standin(std::vector<std::string> arguments);
+    void write_settings(const node& it, const std::string& name) const;
+    bool is_ready(const node& it) const;
+
+    engine_options m_options;
+    std::string m_folder = make_folder();
+};
+
+} // namespace cicadahub::system_tests
--- /dev/null
+++ b/tests/system/process.cpp
@@ -0,0 +1,113 @@
+#include "process.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace cicadahub::system_tests
+{
+
+namespace
+{
+
+std::string build_folder()
+{
+    const char* it = std::getenv("CICADAHUB_BUILD");
+    return it == nullptr ? "build" : it;
+}
+
+} // namespace
+
+std::string make_folder()
+{
+    std::string name = "/tmp/cicadahub-test-XXXXXX";
+    if (::mkdtemp(name.data()) == nullptr)
+    {
+        throw std::runtime_error("no folder for the test");
+    }
+    return name;
+}
+
+process::process(const std::string& program, std::vector<std::string> arguments)
+{
+    static const std::string folder = make_folder();
+    static std::atomic<int> number{0};
+    m_output_file = folder + "/" + std::to_string(++number) + ".out";
+    const std::string path = build_folder() + "/" + program;
+    std::vector<char*> words{const_cast<char*>(path.c_str())};
+    for (std::string& it : arguments)
+    {
+        words.push_back(it.data());
+    }
+    words.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
+                                     m_output_file.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    const int error = ::posix_spawn(&m_pid, path.c_str(), &actions, nullptr,
+                                    words.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0)
+    {
+        throw std::runtime_error("cannot start " + path);
+    }
+}
+
+process::~process()
+{
+    if (!m_has_ended)
+    {
+        kill();
+        wait();
+    }
+}
+
+void process::signal(int number) const
+{
+    if (!m_has_ended)
+    {
+        ::kill(m_pid, number);
+    }
+}
+
+int process::wait()
+{
+    if (!m_has_ended)
+    {
+        int raw = 0;
+        ::waitpid(m_pid, &raw, 0);
+        m_has_ended = true;
+        m_status = WIFEXITED(raw) ? WEXITSTATUS(raw) : 128 + WTERMSIG(raw);
+    }
+    return m_status;
+}
+
+std::string process::output() const
+{
+    std::ifstream in(m_output_file);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+std::string free_address()
+{
+    namespace net = boost::asio;
+    net::io_context context;
+    net::ip::tcp::acceptor acceptor(context,
+                                    {net::ip::make_address("127.0.0.1"), 0});
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+} // namespace cicadahub::system_tests
