Once: Give leave to dispatch from a written ledger

Weighed: writing each intent on its own (one platform write a request, and the platform takes a few hundred a second), and remembering runs in memory (lost with the daemon). Chosen: the owner of a range of keys writes many intents in one conditional update and gives leave only after it; the same attempt may ask again after a lost reply, no other may. Also, Suspicion: count crashes that a request was part of.

--- /dev/null
+++ b/libraries/decision/once/intent_ledger.cpp
@@ -0,0 +1,227 @@
+#include "decision/once/intent_ledger.hpp"
+
+#include "core/invariant.hpp"
+
+#include <algorithm>
+
+namespace cicadahub::once
+{
+
+action_list intent_ledger::on_adopted(const ledger_document& content,
+                                      epoch_number epoch, time_point now)
+{
+    m_is_owner = true;
+    m_epoch = epoch;
+    m_entries.clear();
+    m_write_in_flight.reset();
+    for (const auto& [key, it] : content.intents)
+    {
+        entry& added = m_entries[key];
+        added.it = it;
+        added.is_written = true;
+        added.opened = now;
+        added.ends = now + it.kept_for;
+    }
+    // The epoch is written before the first leave under it, which makes every
+    // write of a former owner fail.
+    m_is_dirty = true;
+    action_list actions;
+    write_if_due(now, actions);
+    return actions;
+}
+
+action_list intent_ledger::on_lost()
+{
+    action_list actions;
+    for (const auto& [key, it] : m_entries)
+    {
+        for (const question& each : it.waiting)
+        {
+            actions.push_back(
+                reply_action{each.ticket, {leave::not_written, std::nullopt}});
+        }
+    }
+    m_is_owner = false;
+    m_entries.clear();
+    m_write_in_flight.reset();
+    m_in_write.clear();
+    m_is_dirty = false;
+    return actions;
+}
+
+leave_result intent_ledger::verdict_for(const entry& it,
+                                        const attempt_id& attempt) const
+{
+    switch (it.it.state)
+    {
+    case intent_state::answered:
+        return {leave::answered, it.it.answer};
+    case intent_state::outcome_unknown:
+        return {leave::outcome_unknown, std::nullopt};
+    case intent_state::open:
+        break;
+    }
+    // The same attempt asks again only if its reply was lost: it has not
+    // dispatched.
+    const bool is_same = it.it.attempt == attempt;
+    return {is_same ? leave::may_dispatch : leave::running, std::nullopt};
+}
+
+action_list intent_ledger::on_question(std::uint64_t ticket,
+                                       const intent_key& key,
+                                       const fingerprint& request,
+                                       const attempt_id& attempt,
+                                       time_point now)
+{
+    action_list actions;
+    if (!m_is_owner)
+    {
+        actions.push_back(
+            reply_action{ticket, {leave::not_written, std::nullopt}});
+        return actions;
+    }
+    const auto [at, is_new] = m_entries.try_emplace(key);
+    entry& it = at->second;
+    if (is_new)
+    {
+        it.it.request = request;
+        it.it.attempt = attempt;
+        it.opened = now;
+        it.ends = now + m_timing.kept_for;
+        m_is_dirty = true;
+    }
+    else if (it.it.request != request)
+    {
+        actions.push_back(
+            reply_action{ticket, {leave::other_request, std::nullopt}});
+        return actions;
+    }
+    if (it.is_written)
+    {
+        actions.push_back(reply_action{ticket, verdict_for(it, attempt)});
+        return actions;
+    }
+    it.waiting.push_back({ticket, attempt});
+    write_if_due(now, actions);
+    return actions;
+}
+
+action_list intent_ledger::on_outcome(const intent_key& key,
+                                      const attempt_id& attempt,
+                                      std::optional<saved_answer> answer,
+                                      bool is_not_run, time_point now)
+{
+    action_list actions;
+    const auto at = m_entries.find(key);
+    if (!m_is_owner || at == m_entries.end() ||
+        at->second.it.attempt != attempt ||
+        at->second.it.state == intent_state::answered)
+    {
+        return actions;
+    }
+    entry& it = at->second;
+    if (is_not_run)
+    {
+        // Nothing has run: the next attempt may.
+        m_entries.erase(at);
+    }
+    else if (answer)
+    {
+        it.it.state = intent_state::answered;
+        it.it.answer = std::move(answer);
+    }
+    else
+    {
+        it.it.state = intent_state::outcome_unknown;
+    }
+    m_is_dirty = true;
+    write_if_due(now, actions);
+    return actions;
+}
+
+action_list intent_ledger::on_committed(std::uint64_t sequence, time_point now)
+{
+    action_list actions;
+    if (m_write_in_flight != sequence)
+    {
+        return actions;
+    }
+    m_write_in_flight.reset();
+    for (const intent_key& key : m_in_write)
+    {
+        const auto at = m_entries.find(key);
+        if (at == m_entries.end())
+        {
+            continue;
+        }
+        at->second.is_written = true;
+        for (const question& each : std::exchange(at->second.waiting, {}))
+        {
+            actions.push_back(reply_action{
+                each.ticket, verdict_for(at->second, each.attempt)});
+        }
+    }
+    m_in_write.clear();
+    write_if_due(now, actions);
+    return actions;
+}
+
+action_list intent_ledger::on_tick(time_point now)
+{
+    action_list actions;
+    if (!m_is_owner)
+    {
+        return actions;
+    }
+    end_running(now);
+    drop_ended(now);
+    write_if_due(now, actions);
+    return actions;
+}
+
+void intent_ledger::end_running(time_point now)
+{
+    for (auto& [key, it] : m_entries)
+    {
+        if (it.is_written && it.it.state == intent_state::open &&
+            now >= it.opened + m_timing.running_limit)
+        {
+            it.it.state = intent_state::outcome_unknown;
+            m_is_dirty = true;
+        }
+    }
+}
+
+void intent_ledger::drop_ended(time_point now)
+{
+    const std::size_t n = std::erase_if(
+        m_entries, [&](const auto& it)
+        { return it.second.is_written && now >= it.second.ends; });
+    m_is_dirty = m_is_dirty || n > 0;
+}
+
+void intent_ledger::write_if_due(time_point now, action_list& actions)
+{
+    if (!m_is_dirty || m_write_in_flight)
+    {
+        return;
+    }
+    m_is_dirty = false;
+    m_write_in_flight = ++m_sequence;
+    ledger_document content;
+    content.epoch = m_epoch;
+    for (auto& [key, it] : m_entries)
+    {
+        intent written = it.it;
+        written.kept_for = std::chrono::ceil<milliseconds>(
+            std::max(it.ends - now, monotonic_clock::duration(0)));
+        content.intents.emplace(key, std::move(written));
+        if (!it.is_written)
+        {
+            m_in_write.push_back(key);
+        }
+    }
+    actions.push_back(write_action{std::move(content), m_sequence});
+}
+
+} // namespace cicadahub::once
--- /dev/null
+++ b/libraries/decision/once/intent_ledger.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "decision/once/types.hpp"
+
+namespace cicadahub::once
+{
+
+struct ledger_timing
+{
+    /// An intent without an outcome counts as running for this long.
+    milliseconds running_limit{60'000};
+    /// A repeat finds its answer for this long.
+    milliseconds kept_for{86'400'000};
+};
+
+/// Gives leave to dispatch requests that must run at most once. Held by the
+/// owner of a range of keys. Leave is given only for an intent that is known to
+/// be written, to one attempt; many intents share one write.
+class intent_ledger
+{
+public:
+    explicit intent_ledger(ledger_timing timing) : m_timing(timing) {}
+
+    action_list on_adopted(const ledger_document& content, epoch_number epoch,
+                           time_point now);
+    /// The shard was lost: questions without an answer get `not_written`.
+    action_list on_lost();
+
+    action_list on_question(std::uint64_t ticket, const intent_key& key,
+                            const fingerprint& request,
+                            const attempt_id& attempt, time_point now);
+
+    /// The attempt has ended: with an answer, without having run, or with an
+    /// outcome that is not known.
+    action_list on_outcome(const intent_key& key, const attempt_id& attempt,
+                           std::optional<saved_answer> answer, bool is_not_run,
+                           time_point now);
+
+    action_list on_committed(std::uint64_t sequence, time_point now);
+    action_list on_tick(time_point now);
+
+    bool is_owner() const { return m_is_owner; }
+    std::size_t size() const { return m_entries.size(); }
+
+private:
+    struct question
+    {
+        std::uint64_t ticket;
+        attempt_id attempt;
+    };
+
+    struct entry
+    {
+        intent it;
+        bool is_written = false;
+        time_point opened{};
+        time_point ends{};
+        /// Questions that wait for the intent to be written.
+        std::vector<question> waiting;
+    };
+
+    leave_result verdict_for(const entry& it, const attempt_id& attempt) const;
+    void write_if_due(time_point now, action_list& actions);
+    void end_running(time_point now);
+    void drop_ended(time_point now);
+
+    ledger_timing m_timing;
+    bool m_is_owner = false;
+    epoch_number m_epoch;
+    std::map<intent_key, entry> m_entries;
+    bool m_is_dirty = false;
+    std::uint64_t m_sequence = 0;
+    std::optional<std::uint64_t> m_write_in_flight;
+    std::vector<intent_key> m_in_write;
+};
+
+} // namespace cicadahub::once
--- /dev/null
+++ b/libraries/decision/suspicion/suspect_table.cpp
@@ -0,0 +1,71 @@
+#include "decision/suspicion/suspect_table.hpp"
+
+#include <algorithm>
+
+namespace cicadahub::suspicion
+{
+
+std::uint32_t suspect_table::on_crash(const fingerprint& request,
+                                      time_point now)
+{
+    drop_old(now);
+    suspect& it = m_suspects[request];
+    it.seen = now;
+    return ++it.crashes;
+}
+
+void suspect_table::on_notice(const fingerprint& request, std::uint32_t crashes,
+                              time_point now)
+{
+    if (crashes == 0)
+    {
+        m_suspects.erase(request);
+        return;
+    }
+    drop_old(now);
+    suspect& it = m_suspects[request];
+    it.seen = now;
+    it.crashes = std::max(it.crashes, crashes);
+}
+
+void suspect_table::on_completed(const fingerprint& request)
+{
+    m_suspects.erase(request);
+}
+
+bool suspect_table::is_suspect(const fingerprint& request) const
+{
+    return m_suspects.contains(request);
+}
+
+bool suspect_table::is_refused(const fingerprint& request) const
+{
+    const auto at = m_suspects.find(request);
+    return at != m_suspects.end() && at->second.crashes >= m_limits.crashes;
+}
+
+bool suspect_table::try_isolate(const server_id& server)
+{
+    return m_isolating.insert(server).second;
+}
+
+void suspect_table::end_isolation(const server_id& server)
+{
+    m_isolating.erase(server);
+}
+
+void suspect_table::drop_old(time_point now)
+{
+    std::erase_if(m_suspects, [&](const auto& it)
+                  { return now >= it.second.seen + m_limits.kept_for; });
+    while (m_suspects.size() >= m_limits.entries)
+    {
+        const auto oldest =
+            std::min_element(m_suspects.begin(), m_suspects.end(),
+                             [](const auto& left, const auto& right)
+                             { return left.second.seen < right.second.seen; });
+        m_suspects.erase(oldest);
+    }
+}
+
+} // namespace cicadahub::suspicion
--- /dev/null
+++ b/tests/decision/intent_ledger_test.cpp
@@ -0,0 +1,281 @@
+#include "decision/once/intent_ledger.hpp"
+#include "virtual_world.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+namespace cicadahub::once
+{
+namespace
+{
+
+struct once_case
+{
+    const char* name;
+    std::uint64_t seed;
+    double lost_messages;
+    double dying_daemons;
+    double not_run;
+    milliseconds owner_change;
+
+    friend void PrintTo(const once_case& it, std::ostream* out)
+    {
+        *out << it.name;
+    }
+};
+
+/// Callers that repeat keyed requests through any daemon, and owners that
+/// follow each other. The naive version is the map of runs: one place that
+/// knows each run, where no key may have two.
+class once_run
+{
+public:
+    explicit once_run(const once_case& it) : world(it.seed), m_case(it)
+    {
+        take_over();
+        tick();
+        arrive();
+        if (it.owner_change.count() > 0)
+        {
+            schedule_change();
+        }
+    }
+
+    fakes::virtual_world world;
+    std::uint64_t ran = 0;
+    std::uint64_t repeats_answered = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t questions = 0;
+
+private:
+    void arrive()
+    {
+        world.after(
+            microseconds(world.pick(100, 4'000)),
+            [this]
+            {
+                // Mostly new keys, and repeats of recent ones.
+                const bool is_new = m_last_key == 0 || world.happens(0.5);
+                const std::int64_t key =
+                    is_new
+                        ? ++m_last_key
+                        : world.pick(std::max<std::int64_t>(1, m_last_key - 50),
+                                     m_last_key);
+                ask(intent_key(std::to_string(key)),
+                    attempt_id(std::to_string(++m_last_attempt)), 3);
+                arrive();
+            });
+    }
+
+    /// One daemon's attempt; it asks again after a lost reply.
+    void ask(intent_key key, attempt_id attempt, int tries)
+    {
+        if (tries == 0)
+        {
+            return;
+        }
+        ++questions;
+        const std::uint64_t ticket = ++m_last_ticket;
+        auto is_answered = std::make_shared<bool>(false);
+        m_replies[ticket] = [=, this](leave_result result)
+        {
+            if (std::exchange(*is_answered, true))
+            {
+                return;
+            }
+            if (world.happens(m_case.lost_messages))
+            {
+                world.after(milliseconds(200),
+                            [=, this] { ask(key, attempt, tries - 1); });
+                return;
+            }
+            world.after(microseconds(world.pick(100, 2'000)),
+                        [=, this] { on_leave(key, attempt, result); });
+        };
+        world.after(microseconds(world.pick(100, 2'000)),
+                    [=, this]
+                    {
+                        if (m_owner)
+                        {
+                            perform(m_owner->on_question(
+                                ticket, key, fingerprint("f" + key.value()),
+                                attempt, world.now()));
+                        }
+                    });
+        world.after(milliseconds(800),
+                    [=, this]
+                    {
+                        if (!std::exchange(*is_answered, true))
+                        {
+                            ask(key, attempt, tries - 1);
+                        }
+                    });
+    }
+
+    void on_leave(const intent_key& key, const attempt_id& attempt,
+                  const leave_result& result)
+    {
+        repeats_answered += result.verdict == leave::answered;
+        if (result.verdict == leave::answered)
+        {
+            ASSERT_EQ(result.answer->body, "answer to " + key.value());
+        }
+        if (result.verdict != leave::may_dispatch)
+        {
+            return;
+        }
+        if (world.happens(m_case.dying_daemons))
+        {
+            return;
+        }
+        const bool is_not_run = world.happens(m_case.not_run);
+        if (!is_not_run)
+        {
+            ASSERT_EQ(++m_runs[key], 1) << "ran twice: " << key;
+            ++ran;
+        }
+        if (world.happens(m_case.dying_daemons))
+        {
+            return;
+        }
+        world.after(world.pick_ms(1, 50),
+                    [=, this] { tell_outcome(key, attempt, is_not_run); });
+    }
+
+    void tell_outcome(const intent_key& key, const attempt_id& attempt,
+                      bool is_not_run)
+    {
+        if (!m_owner || world.happens(m_case.lost_messages))
+        {
+            return;
+        }
+        std::optional<saved_answer> answer;
+        if (!is_not_run && !world.happens(0.1))
+        {
+            answer = saved_answer{200, "text", "answer to " + key.value()};
+        }
+        perform(
+            m_owner->on_outcome(key, attempt, answer, is_not_run, world.now()));
+    }
+
+    void take_over()
+    {
+        m_owner = std::make_unique<intent_ledger>(ledger_timing{});
+        ++m_epoch;
+        perform(
+            m_owner->on_adopted(m_written, epoch_number(m_epoch), world.now()));
+    }
+
+    void schedule_change()
+    {
+        const std::int64_t mean = m_case.owner_change.count();
+        world.after(world.pick_ms(mean / 2, mean * 3 / 2),
+                    [this]
+                    {
+                        perform(m_owner->on_lost());
+                        m_owner.reset();
+                        world.after(world.pick_ms(10, 1'000),
+                                    [this]
+                                    {
+                                        take_over();
+                                        schedule_change();
+                                    });
+                    });
+    }
+
+    void tick()
+    {
+        if (m_owner)
+        {
+            perform(m_owner->on_tick(world.now()));
+        }
+        world.after(milliseconds(100), [this] { tick(); });
+    }
+
+    void perform(const action_list& actions)
+    {
+        for (const action& it : actions)
+        {
+            std::visit([this](const auto& a) { perform(a); }, it);
+        }
+    }
+
+    void perform(const write_action& it)
+    {
+        ++writes;
+        const std::uint64_t expected = m_version;
+        const auto arrival = world.pick_ms(1, 8);
+        world.after(arrival,
+                    [this, it, expected, epoch = m_epoch]
+                    {
+                        if (expected != m_version)
+                        {
+                            return;
+                        }
+                        ++m_version;
+                        m_written = it.content;
+                        world.after(world.pick_ms(1, 8),
+                                    [this, it, epoch]
+                                    {
+                                        if (m_owner && epoch == m_epoch)
+                                        {
+                                            perform(m_owner->on_committed(
+                                                it.sequence, world.now()));
+                                        }
+                                    });
+                    });
+    }
+
+    void perform(const reply_action& it)
+    {
+        const auto at = m_replies.find(it.ticket);
+        ASSERT_NE(at, m_replies.end());
+        auto reply = std::move(at->second);
+        m_replies.erase(at);
+        reply(it.result);
+    }
+
+    once_case m_case;
+    std::unique_ptr<intent_ledger> m_owner;
+    std::uint64_t m_epoch = 0;
+    ledger_document m_written;
+    std::uint64_t m_version = 0;
+    std::int64_t m_last_key = 0;
+    std::int64_t m_last_attempt = 0;
+    std::uint64_t m_last_ticket = 0;
+    std::map<std::uint64_t, std::function<void(leave_result)>> m_replies;
+    std::map<intent_key, int> m_runs;
+};
+
+class once_runs : public testing::TestWithParam<once_case>
+{
+};
+
+TEST_P(once_runs, run_each_keyed_request_at_most_once)
+{
+    once_run run(GetParam());
+    run.world.run_until(time_point(seconds(12)));
+    EXPECT_GT(run.ran, 1'000u);
+    EXPECT_GT(run.repeats_answered, 500u);
+    EXPECT_LT(run.writes * 3, run.questions);
+    std::cout << "ran " << run.ran << " repeats answered "
+              << run.repeats_answered << " questions " << run.questions
+              << " writes " << run.writes << " steps " << run.world.steps()
+              << "\n";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, once_runs,
+    testing::Values(
+        once_case{"calm", 1, 0, 0, 0, milliseconds(0)},
+        once_case{"lost_messages", 2, 0.2, 0, 0, milliseconds(0)},
+        once_case{"dying_daemons", 3, 0, 0.1, 0, milliseconds(0)},
+        once_case{"not_run", 4, 0, 0, 0.2, milliseconds(0)},
+        once_case{"owner_changes", 5, 0, 0, 0, milliseconds(1'500)},
+        once_case{"everything", 6, 0.1, 0.05, 0.1, milliseconds(2'500)},
+        once_case{"everything_again", 7, 0.2, 0.1, 0.2, milliseconds(2'000)}),
+    [](const auto& it) { return it.param.name; });
+
+} // namespace
+} // namespace cicadahub::once
