Daemon: Hold rates, run keyed requests once, stop requests that crash servers

The quota, once and suspicion decisions are run by the daemon: two more shards under leases, a slot for each daemon under a long lease, and three kinds of messages between daemons. Cause of the one failure on the way: the fleet's listener was bound nowhere, so that every daemon crashed at its start; the system tests showed it.

--- a/libraries/backend/answer_relay.cpp
+++ b/libraries/backend/answer_relay.cpp
@@ -129,9 +129,12 @@
                                   net::use_awaitable);
         co_await relay_head(*server, reply);
     }
-    catch (const boost::system::system_error&)
+    catch (const boost::system::system_error& reason)
     {
         // The result already says how far the exchange has come.
+        m_result.is_connection_lost =
+            reason.code() != boost::beast::error::timeout && !m_is_cancelled &&
+            !m_is_caller_gone && !m_is_writing_to_caller;
     }
     reply.stop_watching_caller();
     m_connection = nullptr;
--- a/libraries/backend/answer_relay.hpp
+++ b/libraries/backend/answer_relay.hpp
@@ -40,6 +40,9 @@
     /// The connection had served an exchange before, so that its failure says
     /// nothing of the server.
     bool was_reused = false;
+    /// The server ended the connection after bytes of the request had gone to
+    /// it, as when its process dies.
+    bool is_connection_lost = false;
     /// The whole answer, if it was asked to be kept rather than sent.
     std::optional<http::response> kept;
 };
--- /dev/null
+++ b/libraries/caller/rate_gate.cpp
@@ -0,0 +1,106 @@
+#include "caller/rate_gate.hpp"
+
+namespace cicadahub::caller
+{
+
+std::shared_ptr<rate_gate::entry>
+rate_gate::find(const organisation_id& organisation) const
+{
+    const auto entries = m_entries.copy();
+    const auto at = entries->find(organisation);
+    return at == entries->end() ? nullptr : at->second;
+}
+
+void rate_gate::set_rates(
+    const std::map<organisation_id, quota::rate_limit>& rates)
+{
+    const time_point now = monotonic_clock::now();
+    const auto former = m_entries.copy();
+    entry_map next;
+    for (const auto& [organisation, limit] : rates)
+    {
+        const auto at = former->find(organisation);
+        if (at != former->end())
+        {
+            std::lock_guard lock(at->second->mutex);
+            at->second->rate.set_rate(limit, now);
+            next.insert(*at);
+            continue;
+        }
+        auto added =
+            std::make_shared<entry>(quota::local_rate(limit, m_timing, now));
+        if (now < m_slot_until)
+        {
+            added->rate.hold_slot(m_slot_until, now);
+        }
+        next.emplace(organisation, std::move(added));
+    }
+    m_entries.publish(std::move(next));
+}
+
+void rate_gate::hold_slot(time_point until)
+{
+    m_slot_until = until;
+    const time_point now = monotonic_clock::now();
+    const auto entries = m_entries.copy();
+    for (const auto& [organisation, it] : *entries)
+    {
+        std::lock_guard lock(it->mutex);
+        it->rate.hold_slot(until, now);
+    }
+}
+
+bool rate_gate::try_spend(const organisation_id& organisation,
+                          token_count tokens)
+{
+    const auto it = find(organisation);
+    if (!it)
+    {
+        return false;
+    }
+    std::lock_guard lock(it->mutex);
+    return it->rate.spend(tokens, monotonic_clock::now());
+}
+
+rate_gate::question
+rate_gate::make_question(const organisation_id& organisation,
+                         token_count needed)
+{
+    question result;
+    if (const auto it = find(organisation))
+    {
+        std::lock_guard lock(it->mutex);
+        const time_point now = monotonic_clock::now();
+        result.returned = it->rate.take_returns(now);
+        result.wanted = it->rate.wanted(needed, now);
+    }
+    return result;
+}
+
+void rate_gate::on_granted(const organisation_id& organisation,
+                           const quota::grant& granted, time_point asked_at)
+{
+    if (const auto it = find(organisation))
+    {
+        std::lock_guard lock(it->mutex);
+        it->rate.on_granted(granted, asked_at);
+    }
+}
+
+std::vector<organisation_id> rate_gate::needing_question()
+{
+    std::vector<organisation_id> found;
+    const time_point now = monotonic_clock::now();
+    const auto entries = m_entries.copy();
+    for (const auto& [organisation, it] : *entries)
+    {
+        std::lock_guard lock(it->mutex);
+        if (it->rate.is_low(now) || it->rate.has_returns(now))
+        {
+            found.push_back(organisation);
+        }
+    }
+    return found;
+}
+
+} // namespace cicadahub::caller
--- a/libraries/caller/request_handler.hpp
+++ b/libraries/caller/request_handler.hpp
@@ -19,6 +19,7 @@
 
 /// Header by which a caller chooses the class of a request.
 inline constexpr std::string_view class_header = "X-Cicadahub-Class";
+inline constexpr std::string_view idempotency_header = "Idempotency-Key";
 inline constexpr std::string_view request_id_header = "X-Request-Id";
 
 /// Class of a request that names none.
@@ -27,6 +28,12 @@
 /// Attempts of a request that may have run before.
 inline constexpr int attempt_limit = 3;
 
+/// When to come back if no server can take a request, or its original runs.
+inline constexpr milliseconds no_capacity_retry{1'000};
+inline constexpr milliseconds running_retry{500};
+
+inline constexpr std::size_t attempt_id_bytes = 8;
+
 /// Pause before another attempt at a request that has not run.
 inline constexpr milliseconds attempt_pause{20};
 
@@ -59,6 +66,23 @@
         bool has_run = false;
     };
 
+    /// Frees a server that was taken for a suspect.
+    class isolation
+    {
+    public:
+        isolation(suspect_gate& gate, server_id server)
+            : m_gate(gate), m_server(std::move(server))
+        {
+        }
+        ~isolation() { m_gate.end_isolation(m_server); }
+        isolation(const isolation&) = delete;
+        isolation& operator=(const isolation&) = delete;
+
+    private:
+        suspect_gate& m_gate;
+        server_id m_server;
+    };
+
     using configuration_pointer =
         std::shared_ptr<const configuration::snapshot>;
 
@@ -88,6 +112,26 @@
     net::awaitable<void> run_service(const configuration::service_route& route,
                                      const http::request& message,
                                      http::reply_writer& reply, admitted& it);
+    net::awaitable<void> charge(token_count tokens, const admitted& it);
+    suspicion::fingerprint suspect_of(const http::request& message) const;
+    void refuse_known_culprit(const http::request& message,
+                              const admitted& it) const;
+    /// Counts a crash and refuses the request after its second.
+    net::awaitable<void> note_crash(const http::request& message,
+                                    const admitted& it);
+    net::awaitable<void>
+    run_service_once(const configuration::service_route& route,
+                     const std::string& key, const http::request& message,
+                     http::reply_writer& reply, admitted& it);
+    net::awaitable<backend::relay_result>
+    relay_and_keep(const routing::target& target, const http::request& message,
+                   http::reply_writer& reply, const admitted& it);
+    std::optional<routing::target>
+    service_target(const configuration::service_route& route,
+                   const std::vector<server_id>& excluded);
+    void refuse_if_late(const admitted& it) const;
+    net::awaitable<void> replay(const once::leave_result& result,
+                                http::reply_writer& reply);
     net::awaitable<backend::relay_result>
     relay_once(const routing::target& target, const http::request& message,
                http::reply_writer& reply, const admitted& it,
--- a/libraries/caller/request_handler.ipp
+++ b/libraries/caller/request_handler.ipp
@@ -207,6 +207,8 @@
         forwarded(message, http::path_of(message.target()));
     try
     {
+        refuse_known_culprit(out, it);
+        co_await charge(parsed.expected_tokens, it);
         co_await run_completion(parsed.model, out, reply, it);
     }
     catch (const refused_error& reason)
@@ -216,6 +218,52 @@
     }
 }
 
+template<control_gateway Control>
+net::awaitable<void> request_handler<Control>::charge(token_count tokens,
+                                                      const admitted& it)
+{
+    const organisation_id& organisation = it.fare.second;
+    if (m_control.rates().try_spend(organisation, tokens))
+    {
+        co_return;
+    }
+    const auto reason =
+        co_await m_control.spend(organisation, tokens, it.deadline);
+    if (reason)
+    {
+        throw refused_error(*reason);
+    }
+}
+
+template<control_gateway Control>
+suspicion::fingerprint
+request_handler<Control>::suspect_of(const http::request& message) const
+{
+    return suspicion::fingerprint(
+        sha256_hex(std::string(message.target()) + "\n" + message.body()));
+}
+
+template<control_gateway Control>
+void request_handler<Control>::refuse_known_culprit(
+    const http::request& message, const admitted& it) const
+{
+    suspect_gate& suspects = m_control.suspects();
+    if (!suspects.is_empty() && suspects.is_refused(suspect_of(message)))
+    {
+        throw refused_error({refusal_kind::suspect_request, !it.has_run});
+    }
+}
+
+template<control_gateway Control>
+net::awaitable<void>
+request_handler<Control>::note_crash(const http::request& message,
+                                     const admitted& it)
+{
+    // Every daemon knows of it before this one tries again or answers.
+    co_await m_control.report_crash(suspect_of(message));
+    refuse_known_culprit(message, it);
+}
+
 template<control_gateway Control>
 net::awaitable<routing::target>
 request_handler<Control>::find_target(const model_id& model,
@@ -320,15 +368,42 @@
     {
         const routing::target target =
             co_await find_target(model, excluded, it);
+        const bool is_suspect =
+            !m_control.suspects().is_empty() &&
+            m_control.suspects().is_suspect(suspect_of(message));
+        std::optional<isolation> isolated;
+        if (is_suspect && !m_control.suspects().try_isolate(target.server))
+        {
+            // Another suspect runs there: a crash would not tell which it was.
+            refuse_if_late(it);
+            co_await pause();
+            continue;
+        }
+        if (is_suspect)
+        {
+            isolated.emplace(m_control.suspects(), target.server);
+        }
         const backend::relay_result result = co_await relay_once(
             target, message, reply, it, backend::backend_kind::engine,
             use_new_connection);
+        isolated.reset();
         use_new_connection = false;
-        switch (result.end)
+        if (result.end == relay_end::complete)
         {
-        case relay_end::complete:
             count_end(it, result);
+            if (is_suspect)
+            {
+                m_control.report_completed(suspect_of(message));
+            }
             co_return;
+        }
+        if (result.is_connection_lost)
+        {
+            it.has_run = true;
+            co_await note_crash(message, it);
+        }
+        switch (result.end)
+        {
         case relay_end::not_sent:
         case relay_end::model_absent:
         case relay_end::turned_away:
@@ -336,35 +411,37 @@
             break;
         case relay_end::failed_before_answer:
             it.has_run = true;
-            if (result.was_reused)
+            // The connection may have gone silent while new ones work.
+            use_new_connection = result.was_reused;
+            if (!result.was_reused)
             {
-                // The connection may have gone silent while new ones work.
-                use_new_connection = true;
-                break;
+                excluded.push_back(target.server);
             }
-            excluded.push_back(target.server);
             if (++attempts_that_ran >= attempt_limit)
             {
                 give_up(it, result, reply);
             }
             break;
-        case relay_end::broken_off:
+        default:
             it.has_run = true;
             give_up(it, result, reply);
-        case relay_end::caller_gone:
-        case relay_end::cancelled:
-            give_up(it, result, reply);
-        }
-        if (monotonic_clock::now() >= it.deadline)
-        {
-            throw refused_error(
-                {refusal_kind::target_unreachable, !it.has_run, attempt_pause});
         }
+        refuse_if_late(it);
         m_metrics.count_retry();
         co_await pause();
     }
 }
 
+template<control_gateway Control>
+void request_handler<Control>::refuse_if_late(const admitted& it) const
+{
+    if (monotonic_clock::now() >= it.deadline)
+    {
+        throw refused_error(
+            {refusal_kind::target_unreachable, !it.has_run, attempt_pause});
+    }
+}
+
 template<control_gateway Control>
 net::awaitable<void>
 request_handler<Control>::serve_service(http::request& message,
@@ -389,9 +466,17 @@
     const std::string target =
         "/" + std::string(rest.substr(std::min(name.size() + 1, rest.size())));
     const http::request out = forwarded(message, target);
+    const std::string once_key(message[idempotency_header]);
     try
     {
-        co_await run_service(*route, out, reply, it);
+        if (!route->is_idempotent && !once_key.empty())
+        {
+            co_await run_service_once(*route, once_key, out, reply, it);
+        }
+        else
+        {
+            co_await run_service(*route, out, reply, it);
+        }
     }
     catch (const refused_error& reason)
     {
@@ -410,16 +495,11 @@
     std::vector<server_id> excluded;
     for (int attempt = 0; attempt < attempt_limit; ++attempt)
     {
-        const auto routes = m_routes.current();
-        const auto at = routes->services.find(route.id);
-        const routing::target* target =
-            at == routes->services.end()
-                ? nullptr
-                : routing::least_loaded(at->second, excluded);
-        if (target == nullptr)
+        const auto target = service_target(route, excluded);
+        if (!target)
         {
             throw refused_error(
-                {refusal_kind::no_capacity, !it.has_run, milliseconds(1'000)});
+                {refusal_kind::no_capacity, !it.has_run, no_capacity_retry});
         }
         // A call that may not be repeated goes over a connection that is known
         // to be new, so that a silent one cannot leave its outcome open.
@@ -452,6 +532,117 @@
     throw refused_error({refusal_kind::backend_failed, !it.has_run});
 }
 
+template<control_gateway Control>
+net::awaitable<void> request_handler<Control>::run_service_once(
+    const configuration::service_route& route, const std::string& key,
+    const http::request& message, http::reply_writer& reply, admitted& it)
+{
+    using backend::relay_end;
+    const once::intent_key intent(it.fare.second.value() + "/" +
+                                  route.id.value() + "/" + key);
+    const once::fingerprint print(
+        sha256_hex(std::string(message.method_string()) + " " +
+                   std::string(message.target()) + "\n" + message.body()));
+    const once::attempt_id attempt(random_hex(attempt_id_bytes));
+    const once::leave_result leave =
+        co_await m_control.ask_leave(intent, print, attempt, it.deadline);
+    if (leave.verdict != once::leave::may_dispatch)
+    {
+        co_await replay(leave, reply);
+        co_return;
+    }
+    std::vector<server_id> excluded;
+    for (;;)
+    {
+        const auto target = service_target(route, excluded);
+        if (!target)
+        {
+            m_control.tell_outcome(intent, attempt, std::nullopt, true);
+            throw refused_error(
+                {refusal_kind::no_capacity, true, no_capacity_retry});
+        }
+        backend::relay_result result =
+            co_await relay_and_keep(*target, message, reply, it);
+        if (result.end == relay_end::not_sent)
+        {
+            excluded.push_back(target->server);
+            continue;
+        }
+        it.has_run = true;
+        if (result.end != relay_end::complete)
+        {
+            m_control.tell_outcome(intent, attempt, std::nullopt, false);
+            throw refused_error({refusal_kind::outcome_unknown, false});
+        }
+        const http::response& kept = *result.kept;
+        once::saved_answer answer{kept.result_int(),
+                                  std::string(kept[http::field::content_type]),
+                                  kept.body()};
+        m_control.tell_outcome(intent, attempt, std::move(answer), false);
+        count_end(it, result);
+        co_await reply.send(std::move(*result.kept));
+        co_return;
+    }
+}
+
+template<control_gateway Control>
+net::awaitable<backend::relay_result> request_handler<Control>::relay_and_keep(
+    const routing::target& target, const http::request& message,
+    http::reply_writer& reply, const admitted& it)
+{
+    routing::load_guard guard(target.load);
+    backend::answer_relay relay(m_pool, m_limits,
+                                backend::backend_kind::plain_service);
+    relay.keep_answer();
+    running_requests::registration registration(m_running, it.hash,
+                                                [&relay] { relay.cancel(); });
+    co_return co_await relay.run(http::parse_endpoint(target.address), message,
+                                 reply, true);
+}
+
+template<control_gateway Control>
+std::optional<routing::target> request_handler<Control>::service_target(
+    const configuration::service_route& route,
+    const std::vector<server_id>& excluded)
+{
+    const auto& routes = m_routes.current();
+    const auto at = routes->services.find(route.id);
+    if (at == routes->services.end())
+    {
+        return std::nullopt;
+    }
+    const routing::target* found = routing::least_loaded(at->second, excluded);
+    return found == nullptr ? std::nullopt : std::optional(*found);
+}
+
+template<control_gateway Control>
+net::awaitable<void>
+request_handler<Control>::replay(const once::leave_result& result,
+                                 http::reply_writer& reply)
+{
+    switch (result.verdict)
+    {
+    case once::leave::running:
+        throw refused_error(
+            {refusal_kind::request_running, false, running_retry});
+    case once::leave::outcome_unknown:
+        throw refused_error({refusal_kind::outcome_unknown, false});
+    case once::leave::other_request:
+        throw refused_error({refusal_kind::key_reused});
+    case once::leave::not_written:
+    case once::leave::may_dispatch:
+        throw refused_error({refusal_kind::not_ready, true, no_capacity_retry});
+    case once::leave::answered:
+        break;
+    }
+    http::response it{static_cast<http::status>(result.answer->status), 11};
+    it.set(http::field::content_type, result.answer->content_type);
+    it.set("Idempotency-Replayed", "true");
+    it.body() = result.answer->body;
+    it.prepare_payload();
+    co_await reply.send(std::move(it));
+}
+
 template<control_gateway Control>
 void request_handler<Control>::withdraw(const key_hash& hash)
 {
--- a/libraries/daemon/control_plane.cpp
+++ b/libraries/daemon/control_plane.cpp
@@ -20,6 +20,11 @@
 constexpr std::size_t idle_connections_per_peer = 16;
 constexpr std::size_t incarnation_bytes = 4;
 constexpr milliseconds owner_retry{50};
+/// Renewals of a slot's lease within its length.
+constexpr int slot_renewals = 10;
+/// Longest wait for another daemon to know of a crash.
+constexpr milliseconds crash_notice_timeout{200};
+constexpr milliseconds notice_poll{2};
 /// Time that a peer's refusal at the deadline needs to come back.
 constexpr milliseconds reply_allowance{20};
 
@@ -65,6 +70,27 @@
     return {it.lease_duration, it.lease_renewal, it.lease_margin};
 }
 
+ownership::lease_timing slot_timing_of(const settings::daemon_settings& it)
+{
+    return {it.quota_slot_lease, it.quota_slot_lease / slot_renewals,
+            it.lease_margin};
+}
+
+quota::quota_timing quota_timing_of(const settings::daemon_settings& it)
+{
+    quota::quota_timing timing;
+    timing.grant_lifetime = it.lease_margin * 9 / 10;
+    timing.slots = static_cast<std::uint32_t>(it.quota_slots);
+    return timing;
+}
+
+once::ledger_timing ledger_timing_of(const settings::daemon_settings& it)
+{
+    once::ledger_timing timing;
+    timing.kept_for = it.once_kept_for;
+    return timing;
+}
+
 routing::target target_of(const host_entry& it)
 {
     return {it.id, http::to_string(it.address), it.slots, it.load};
@@ -100,10 +126,29 @@
           lease_timing_of(settings),
           [this](epoch_number epoch) { m_placement.on_won(epoch); },
           [this] { m_placement.on_lost(); }),
+      m_quota_shard(
+          context, m_store, m_members, shard_id("quota-0"),
+          lease_timing_of(settings),
+          [this](epoch_number epoch) { m_rates.on_won(epoch); },
+          [this] { m_rates.on_lost(); }),
+      m_once_shard(
+          context, m_store, m_members, shard_id("once-0"),
+          lease_timing_of(settings),
+          [this](epoch_number epoch) { m_once.on_won(epoch); },
+          [this] { m_once.on_lost(); }),
+      m_slot(context, m_store, m_members,
+             static_cast<std::uint32_t>(settings.quota_slots),
+             slot_timing_of(settings)),
+      m_shard_caller(m_members, [this](fleet::wire::Body body)
+                     { return on_message(std::move(body)); }),
+      m_rate_gate(quota_timing_of(settings)),
       m_placement(
           context, m_store, m_hosts, m_engines,
           [this] { return m_placement_shard.is_held(); }, limits_of(settings),
           placement_timing_of(settings), settings.backend_report_every),
+      m_rates(context, m_quota_shard, m_slot, m_shard_caller, m_rate_gate),
+      m_once(context, m_store, m_once_shard, m_shard_caller,
+             ledger_timing_of(settings)),
       m_configuration_follower(
           context, m_store, platform::collection::configurations,
           [this](const auto& it) { on_configuration_object(it); },
@@ -141,7 +186,14 @@
           }),
       m_lease_follower(
           context, m_store, platform::collection::leases,
-          [this](const auto& it) { m_placement_shard.apply(it); }, [](bool) {}),
+          [this](const auto& it)
+          {
+              m_placement_shard.apply(it);
+              m_quota_shard.apply(it);
+              m_once_shard.apply(it);
+              m_slot.apply(it);
+          },
+          [this](bool) { m_slot.start(); }),
       m_placement_follower(
           context, m_store, platform::collection::placements,
           [this](const auto& it) { on_placement_object(it); },
@@ -175,16 +227,22 @@
     m_lease_follower.start();
     m_placement_follower.start();
     m_placement_shard.start();
+    m_quota_shard.start();
+    m_once_shard.start();
+    m_rates.start();
     net::co_spawn(m_context, m_members.register_self(), net::detached);
 }
 
 net::awaitable<void> control_plane::release_shards()
 {
     co_await m_placement_shard.release();
+    co_await m_quota_shard.release();
+    co_await m_once_shard.release();
 }
 
 net::awaitable<void> control_plane::leave()
 {
+    co_await m_slot.release();
     co_await m_members.unregister_self();
 }
 
@@ -246,6 +304,12 @@
         items.push_back({id, it.bytes, it.base});
     }
     m_placement.on_items(items);
+    std::map<organisation_id, quota::rate_limit> rates;
+    for (const auto& [id, it] : m_configuration.organisations())
+    {
+        rates.emplace(id, quota::rate_limit{it.tokens_per_second, it.burst});
+    }
+    m_rates.set_rates(rates);
     m_state.configuration.publish(m_configuration);
 }
 
@@ -356,15 +420,6 @@
 net::awaitable<std::optional<caller::wake_answer>>
 control_plane::ask_owner(const model_id& model, time_point deadline)
 {
-    if (m_placement.is_owner())
-    {
-        co_return co_await m_placement.wake(model, deadline);
-    }
-    const auto link = m_members.link(m_placement_shard.observed().holder);
-    if (!link || !link->is_connected())
-    {
-        co_return std::nullopt;
-    }
     const auto patience = std::chrono::duration_cast<milliseconds>(
         deadline - monotonic_clock::now());
     fleet::wire::WakeRequest request;
@@ -372,21 +427,112 @@
     request.patience_us = microseconds(patience - reply_allowance).count();
     fleet::wire::Body body;
     body.__set_wake_request(request);
-    try
+    const auto reply = co_await m_shard_caller.ask(m_placement_shard,
+                                                   std::move(body), patience);
+    if (!reply)
     {
-        const auto reply = co_await link->ask(std::move(body), patience);
-        const fleet::wire::WakeReply& it = reply.wake_reply;
-        if (it.refusal.empty())
-        {
-            co_return caller::wake_answer(server_id(it.server));
-        }
-        co_return caller::wake_answer(refusal{refusal_named(it.refusal), true,
-                                              milliseconds(it.retry_after_ms)});
+        co_return std::nullopt;
     }
-    catch (const fleet::peer_unavailable&)
+    const fleet::wire::WakeReply& it = reply->wake_reply;
+    if (it.refusal.empty())
     {
-        co_return std::nullopt;
+        co_return caller::wake_answer(server_id(it.server));
+    }
+    co_return caller::wake_answer(refusal{refusal_named(it.refusal), true,
+                                          milliseconds(it.retry_after_ms)});
+}
+
+net::awaitable<std::optional<refusal>>
+control_plane::spend(organisation_id organisation, token_count tokens,
+                     time_point deadline)
+{
+    co_return co_await net::co_spawn(
+        m_context, m_rates.spend(std::move(organisation), tokens, deadline),
+        net::use_awaitable);
+}
+
+net::awaitable<once::leave_result>
+control_plane::ask_leave(once::intent_key key, once::fingerprint request,
+                         once::attempt_id attempt, time_point deadline)
+{
+    co_return co_await net::co_spawn(
+        m_context,
+        m_once.ask_leave(std::move(key), std::move(request), std::move(attempt),
+                         deadline),
+        net::use_awaitable);
+}
+
+void control_plane::tell_outcome(once::intent_key key, once::attempt_id attempt,
+                                 std::optional<once::saved_answer> answer,
+                                 bool is_not_run)
+{
+    net::co_spawn(m_context,
+                  m_once.tell_outcome(std::move(key), std::move(attempt),
+                                      std::move(answer), is_not_run),
+                  net::detached);
+}
+
+net::awaitable<std::uint32_t>
+control_plane::report_crash(suspicion::fingerprint request)
+{
+    co_return co_await net::co_spawn(m_context, tell_crash(std::move(request)),
+                                     net::use_awaitable);
+}
+
+net::awaitable<std::uint32_t>
+control_plane::tell_crash(suspicion::fingerprint request)
+{
+    const std::uint32_t crashes = m_suspects.on_crash(request);
+    CICADAHUB_EVENT(WARNING, request_suspected)
+        << "request=" << request << " crashes=" << crashes;
+    fleet::wire::SuspectNotice notice;
+    notice.fingerprint = request.value();
+    notice.crashes = static_cast<std::int32_t>(crashes);
+    fleet::wire::Body body;
+    body.__set_suspect_notice(notice);
+    const auto told = std::make_shared<std::size_t>(0);
+    std::size_t asked = 0;
+    for (const auto& [id, link] : m_members.links())
+    {
+        ++asked;
+        net::co_spawn(
+            m_context,
+            [link = link, body, told]() -> net::awaitable<void>
+            {
+                try
+                {
+                    co_await link->ask(body, crash_notice_timeout);
+                }
+                catch (const fleet::peer_unavailable&)
+                {
+                    // A daemon that is cut off is not waited for.
+                }
+                ++*told;
+            },
+            net::detached);
+    }
+    const time_point limit = monotonic_clock::now() + crash_notice_timeout;
+    while (*told < asked && monotonic_clock::now() < limit)
+    {
+        co_await pause(m_context, notice_poll);
     }
+    co_return crashes;
+}
+
+void control_plane::report_completed(suspicion::fingerprint request)
+{
+    net::post(m_context, [this, request] { tell_completed(request); });
+}
+
+void control_plane::tell_completed(const suspicion::fingerprint& request)
+{
+    m_suspects.on_completed(request);
+    fleet::wire::SuspectNotice notice;
+    notice.fingerprint = request.value();
+    notice.crashes = 0;
+    fleet::wire::Body body;
+    body.__set_suspect_notice(notice);
+    m_members.notify_all("suspect." + request.value(), body);
 }
 
 net::awaitable<fleet::wire::Body>
@@ -428,6 +574,24 @@
     {
         on_configuration_notice(body.configuration_notice);
     }
+    else if (body.__isset.allowance_request)
+    {
+        reply = m_rates.on_request(body.allowance_request);
+    }
+    else if (body.__isset.intent_request)
+    {
+        reply = co_await m_once.on_question(body.intent_request);
+    }
+    else if (body.__isset.outcome_request)
+    {
+        reply = m_once.on_outcome(body.outcome_request);
+    }
+    else if (body.__isset.suspect_notice)
+    {
+        m_suspects.on_notice(
+            suspicion::fingerprint(body.suspect_notice.fingerprint),
+            static_cast<std::uint32_t>(body.suspect_notice.crashes));
+    }
     co_return reply;
 }
 
--- a/libraries/daemon/control_plane.hpp
+++ b/libraries/daemon/control_plane.hpp
@@ -3,7 +3,9 @@
 #include "caller/request_state.hpp"
 #include "daemon/collection_follower.hpp"
 #include "daemon/fleet_receiver.hpp"
+#include "daemon/once_service.hpp"
 #include "daemon/placement_owner.hpp"
+#include "daemon/rate_service.hpp"
 #include "fleet/peer_listener.hpp"
 #include "settings/daemon_settings.hpp"
 
@@ -39,6 +41,24 @@
     net::awaitable<caller::wake_answer> wake(model_id model,
                                              time_point deadline);
 
+    net::awaitable<std::optional<refusal>> spend(organisation_id organisation,
+                                                 token_count tokens,
+                                                 time_point deadline);
+
+    net::awaitable<once::leave_result> ask_leave(once::intent_key key,
+                                                 once::fingerprint request,
+                                                 once::attempt_id attempt,
+                                                 time_point deadline);
+    void tell_outcome(once::intent_key key, once::attempt_id attempt,
+                      std::optional<once::saved_answer> answer,
+                      bool is_not_run);
+
+    net::awaitable<std::uint32_t> report_crash(suspicion::fingerprint request);
+    void report_completed(suspicion::fingerprint request);
+
+    caller::rate_gate& rates() { return m_rate_gate; }
+    caller::suspect_gate& suspects() { return m_suspects; }
+
     net::awaitable<fleet::wire::Body> on_message(fleet::wire::Body body);
 
     /// Takes a configuration object that is known to be accepted, and tells
@@ -53,7 +73,7 @@
     const placement::document& decided() const { return m_decided; }
     std::vector<const shard_keeper*> shards() const
     {
-        return {&m_placement_shard};
+        return {&m_placement_shard, &m_quota_shard, &m_once_shard};
     }
 
 private:
@@ -61,6 +81,8 @@
                                                   time_point deadline);
     net::awaitable<std::optional<caller::wake_answer>>
     ask_owner(const model_id& model, time_point deadline);
+    net::awaitable<std::uint32_t> tell_crash(suspicion::fingerprint request);
+    void tell_completed(const suspicion::fingerprint& request);
     net::awaitable<fleet::wire::Body>
     on_wake_request(fleet::wire::WakeRequest request);
     void on_configuration_object(const platform::stored_object& it);
@@ -79,7 +101,15 @@
     host_directory m_hosts;
     member_directory m_members;
     shard_keeper m_placement_shard;
+    shard_keeper m_quota_shard;
+    shard_keeper m_once_shard;
+    slot_keeper m_slot;
+    shard_caller m_shard_caller;
+    caller::rate_gate m_rate_gate;
+    caller::suspect_gate m_suspects{suspicion::suspicion_limits{}};
     placement_owner m_placement;
+    rate_service m_rates;
+    once_service m_once;
     configuration::snapshot m_configuration;
     placement::document m_decided;
     withdraw_handler m_on_withdrawn;
--- a/libraries/daemon/daemon.cpp
+++ b/libraries/daemon/daemon.cpp
@@ -56,6 +56,8 @@
     {
         m_workers.push_back(std::make_unique<worker>(*this));
     }
+    bind_or_explain("listen.fleet", settings.fleet_address,
+                    [&] { m_control.bind(); });
     m_caller_server =
         bind_or_explain("listen.callers", settings.callers_address,
                         [&]
--- a/libraries/daemon/member_directory.hpp
+++ b/libraries/daemon/member_directory.hpp
@@ -44,6 +44,11 @@
     /// The link to a daemon; none if it is not known.
     std::shared_ptr<fleet::peer_link> link(const daemon_id& id) const;
 
+    const std::map<daemon_id, std::shared_ptr<fleet::peer_link>>& links() const
+    {
+        return m_links;
+    }
+
     /// Sends a notice to every other daemon.
     void notify_all(const std::string& key, const fleet::wire::Body& body);
 
--- /dev/null
+++ b/libraries/daemon/once_service.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "daemon/shard_caller.hpp"
+#include "decision/once/intent_ledger.hpp"
+
+namespace cicadahub::daemon
+{
+
+/// Both sides of requests that must run at most once: the ledger while this
+/// daemon holds its shard, and questions to whichever daemon does.
+class once_service
+{
+public:
+    once_service(net::io_context& context, platform::store& store,
+                 const shard_keeper& shard, const shard_caller& caller,
+                 once::ledger_timing timing);
+
+    void on_won(epoch_number epoch);
+    void on_lost();
+
+    net::awaitable<fleet::wire::Body>
+    on_question(fleet::wire::IntentRequest request);
+    fleet::wire::Body on_outcome(const fleet::wire::OutcomeRequest& request);
+
+    /// Asks for leave to dispatch until the deadline.
+    net::awaitable<once::leave_result> ask_leave(once::intent_key key,
+                                                 once::fingerprint request,
+                                                 once::attempt_id attempt,
+                                                 time_point deadline);
+
+    /// Tells the ledger how an attempt ended; tries again for a while.
+    net::awaitable<void> tell_outcome(once::intent_key key,
+                                      once::attempt_id attempt,
+                                      std::optional<once::saved_answer> answer,
+                                      bool is_not_run);
+
+private:
+    struct pending_question
+    {
+        explicit pending_question(net::io_context& context) : timer(context) {}
+
+        net::steady_timer timer;
+        std::optional<once::leave_result> result;
+    };
+
+    net::awaitable<void> adopt();
+    net::awaitable<void> tick_loop(epoch_number epoch);
+    net::awaitable<void> write(once::write_action it);
+    void execute(const once::action_list& actions);
+    void execute(const once::write_action& it);
+    void execute(const once::reply_action& it);
+    bool is_current(epoch_number epoch) const;
+
+    net::io_context& m_context;
+    platform::store& m_store;
+    const shard_keeper& m_shard;
+    const shard_caller& m_caller;
+    once::intent_ledger m_ledger;
+    epoch_number m_epoch;
+    platform::stored_object m_stored;
+    std::uint64_t m_next_ticket = 1;
+    std::map<std::uint64_t, std::shared_ptr<pending_question>> m_questions;
+};
+
+} // namespace cicadahub::daemon
--- a/libraries/daemon/placement_owner.cpp
+++ b/libraries/daemon/placement_owner.cpp
@@ -60,6 +60,7 @@
 void placement_owner::on_lost()
 {
     m_epoch = epoch_number();
+    ++m_run;
     m_machine.on_lost();
     for (auto& [ticket, pending] : m_wakes)
     {
@@ -102,26 +103,27 @@
             const time_point now = monotonic_clock::now();
             m_machine.on_servers(m_hosts.engines(), now);
             execute(m_machine.on_adopted(content, epoch, now));
-            net::co_spawn(m_context, tick_loop(epoch), net::detached);
-            net::co_spawn(m_context, report_loop(epoch), net::detached);
+            ++m_run;
+            net::co_spawn(m_context, tick_loop(m_run), net::detached);
+            net::co_spawn(m_context, report_loop(m_run), net::detached);
             co_return;
         }
         co_await pause(m_context, adopt_retry);
     }
 }
 
-net::awaitable<void> placement_owner::tick_loop(epoch_number epoch)
+net::awaitable<void> placement_owner::tick_loop(std::uint64_t run)
 {
-    while (is_current(epoch))
+    while (m_run == run && m_is_held())
     {
         execute(m_machine.on_tick(monotonic_clock::now()));
         co_await pause(m_context, tick_pause);
     }
 }
 
-net::awaitable<void> placement_owner::report_loop(epoch_number epoch)
+net::awaitable<void> placement_owner::report_loop(std::uint64_t run)
 {
-    while (is_current(epoch))
+    while (m_run == run && m_is_held())
     {
         for (const auto& [id, host] : m_hosts.hosts())
         {
--- a/libraries/daemon/placement_owner.hpp
+++ b/libraries/daemon/placement_owner.hpp
@@ -46,8 +46,8 @@
     };
 
     net::awaitable<void> adopt();
-    net::awaitable<void> tick_loop(epoch_number epoch);
-    net::awaitable<void> report_loop(epoch_number epoch);
+    net::awaitable<void> tick_loop(std::uint64_t run);
+    net::awaitable<void> report_loop(std::uint64_t run);
     net::awaitable<void> read_report(server_id server, http::endpoint address);
     void execute(const placement::action_list& actions);
     void execute(const placement::commit_action& it);
@@ -65,6 +65,8 @@
     milliseconds m_report_every;
     placement::placement_machine m_machine;
     epoch_number m_epoch;
+    /// Counts adoptions, so that the loops of a former one end.
+    std::uint64_t m_run = 0;
     platform::stored_object m_stored;
     std::uint64_t m_next_ticket = 1;
     std::map<std::uint64_t, std::shared_ptr<pending_wake>> m_wakes;
--- /dev/null
+++ b/libraries/daemon/rate_service.cpp
@@ -0,0 +1,169 @@
+#include "daemon/rate_service.hpp"
+
+#include "daemon/pause.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace cicadahub::daemon
+{
+
+namespace
+{
+
+constexpr milliseconds look_pause{50};
+constexpr milliseconds question_timeout{300};
+constexpr milliseconds shortest_pause{10};
+constexpr milliseconds owner_pause{100};
+
+/// A request over its rate is not held longer than this: it is refused at
+/// once, with the time to come back.
+constexpr milliseconds longest_hold{250};
+
+} // namespace
+
+rate_service::rate_service(net::io_context& context, const shard_keeper& shard,
+                           const slot_keeper& slot, const shard_caller& caller,
+                           caller::rate_gate& gate)
+    : m_context(context), m_shard(shard), m_slot(slot), m_caller(caller),
+      m_gate(gate), m_owner(gate.timing())
+{
+}
+
+void rate_service::start()
+{
+    net::co_spawn(m_context, look_after(), net::detached);
+}
+
+void rate_service::on_won(epoch_number epoch)
+{
+    m_owner.on_adopted(epoch, m_shard.was_taken_early(),
+                       monotonic_clock::now());
+}
+
+void rate_service::on_lost()
+{
+    m_owner.on_lost();
+}
+
+void rate_service::set_rates(
+    const std::map<organisation_id, quota::rate_limit>& rates)
+{
+    const time_point now = monotonic_clock::now();
+    for (const auto& [organisation, limit] : rates)
+    {
+        m_owner.set_rate(organisation, limit, now);
+    }
+    m_gate.set_rates(rates);
+}
+
+fleet::wire::Body
+rate_service::on_request(const fleet::wire::AllowanceRequest& request)
+{
+    fleet::wire::AllowanceReply reply;
+    // Asked immediately before the effect, which is the grant.
+    if (m_owner.is_owner() && m_shard.is_held())
+    {
+        std::vector<quota::returned_grant> returned;
+        for (const fleet::wire::ReturnedGrant& it : request.returned)
+        {
+            returned.push_back(
+                {static_cast<std::uint64_t>(it.number),
+                 epoch_number(static_cast<std::uint64_t>(it.epoch)),
+                 token_count(it.tokens)});
+        }
+        const quota::grant it =
+            m_owner.on_request(organisation_id(request.organisation),
+                               token_count(request.wanted_tokens), returned,
+                               monotonic_clock::now());
+        reply.is_owner = true;
+        reply.granted_tokens = it.tokens.value();
+        reply.epoch = static_cast<std::int64_t>(it.epoch.value());
+        reply.number = static_cast<std::int64_t>(it.number);
+        reply.retry_after_ms = it.retry_after.count();
+    }
+    fleet::wire::Body body;
+    body.__set_allowance_reply(reply);
+    return body;
+}
+
+net::awaitable<std::optional<quota::grant>>
+rate_service::ask_owner(organisation_id organisation, token_count needed)
+{
+    const caller::rate_gate::question question =
+        m_gate.make_question(organisation, needed);
+    fleet::wire::AllowanceRequest request;
+    request.organisation = organisation.value();
+    request.wanted_tokens = question.wanted.value();
+    for (const quota::returned_grant& it : question.returned)
+    {
+        fleet::wire::ReturnedGrant returned;
+        returned.number = static_cast<std::int64_t>(it.number);
+        returned.epoch = static_cast<std::int64_t>(it.epoch.value());
+        returned.tokens = it.tokens.value();
+        request.returned.push_back(returned);
+    }
+    fleet::wire::Body body;
+    body.__set_allowance_request(request);
+    const time_point asked_at = monotonic_clock::now();
+    const auto reply =
+        co_await m_caller.ask(m_shard, std::move(body), question_timeout);
+    if (!reply || !reply->allowance_reply.is_owner)
+    {
+        co_return std::nullopt;
+    }
+    const fleet::wire::AllowanceReply& from = reply->allowance_reply;
+    quota::grant it;
+    it.number = static_cast<std::uint64_t>(from.number);
+    it.tokens = token_count(from.granted_tokens);
+    it.epoch = epoch_number(static_cast<std::uint64_t>(from.epoch));
+    it.retry_after = milliseconds(from.retry_after_ms);
+    m_gate.on_granted(organisation, it, asked_at);
+    co_return it;
+}
+
+net::awaitable<std::optional<refusal>>
+rate_service::spend(organisation_id organisation, token_count tokens,
+                    time_point deadline)
+{
+    const time_point limit =
+        std::min(deadline, monotonic_clock::now() + longest_hold);
+    milliseconds retry_after = owner_pause;
+    for (;;)
+    {
+        const auto granted = co_await ask_owner(organisation, tokens);
+        if (m_gate.try_spend(organisation, tokens))
+        {
+            co_return std::nullopt;
+        }
+        retry_after = granted ? std::max(granted->retry_after, shortest_pause)
+                              : owner_pause;
+        const milliseconds wait = retry_after;
+        if (monotonic_clock::now() + wait > limit)
+        {
+            co_return refusal{refusal_kind::over_rate, true, retry_after};
+        }
+        co_await pause(m_context, wait);
+    }
+}
+
+net::awaitable<void> rate_service::look_after()
+{
+    for (;;)
+    {
+        if (const auto until = m_slot.held_until())
+        {
+            m_gate.hold_slot(*until);
+        }
+        for (const organisation_id& it : m_gate.needing_question())
+        {
+            net::co_spawn(m_context, ask_owner(it, token_count(0)),
+                          net::detached);
+        }
+        co_await pause(m_context, look_pause);
+    }
+}
+
+} // namespace cicadahub::daemon
--- /dev/null
+++ b/libraries/daemon/rate_service.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "caller/gateways.hpp"
+#include "caller/rate_gate.hpp"
+#include "daemon/shard_caller.hpp"
+#include "daemon/slot_keeper.hpp"
+#include "decision/quota/rate_owner.hpp"
+
+namespace cicadahub::daemon
+{
+
+/// Both sides of the rates: grants while this daemon holds the quota shard,
+/// and questions to whichever daemon does.
+class rate_service
+{
+public:
+    rate_service(net::io_context& context, const shard_keeper& shard,
+                 const slot_keeper& slot, const shard_caller& caller,
+                 caller::rate_gate& gate);
+
+    void start();
+    void on_won(epoch_number epoch);
+    void on_lost();
+    void set_rates(const std::map<organisation_id, quota::rate_limit>& rates);
+
+    fleet::wire::Body on_request(const fleet::wire::AllowanceRequest& request);
+
+    /// Spends, after asking the owner; a refusal `over_rate` if it cannot be
+    /// had by the deadline.
+    net::awaitable<std::optional<refusal>> spend(organisation_id organisation,
+                                                 token_count tokens,
+                                                 time_point deadline);
+
+private:
+    net::awaitable<void> look_after();
+    net::awaitable<std::optional<quota::grant>>
+    ask_owner(organisation_id organisation, token_count needed);
+
+    net::io_context& m_context;
+    const shard_keeper& m_shard;
+    const slot_keeper& m_slot;
+    const shard_caller& m_caller;
+    caller::rate_gate& m_gate;
+    quota::rate_owner m_owner;
+};
+
+} // namespace cicadahub::daemon
--- a/libraries/daemon/shard_keeper.cpp
+++ b/libraries/daemon/shard_keeper.cpp
@@ -1,7 +1,7 @@
 #include "daemon/shard_keeper.hpp"
 
 #include "core/event_log.hpp"
-#include "core/json_reader.hpp"
+#include "daemon/lease_document.hpp"
 #include "daemon/pause.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -16,42 +16,6 @@
 constexpr milliseconds poll_pause{50};
 constexpr milliseconds retry_pause{200};
 
-using ownership::lease_record;
-using ownership::lease_write_result;
-
-lease_record read_record(const boost::json::object& spec)
-{
-    const json_reader reader(spec);
-    lease_record it;
-    it.holder = daemon_id(reader.text("holder"));
-    it.epoch = epoch_number(static_cast<std::uint64_t>(reader.whole("epoch")));
-    it.renewal = static_cast<std::uint64_t>(reader.whole("renewal"));
-    it.is_released = reader.flag_or("released", false);
-    return it;
-}
-
-boost::json::object spec_of(const lease_record& it)
-{
-    return {{"holder", it.holder.value()},
-            {"epoch", it.epoch.value()},
-            {"renewal", it.renewal},
-            {"released", it.is_released}};
-}
-
-lease_write_result result_of(platform::write_outcome it)
-{
-    switch (it)
-    {
-    case platform::write_outcome::applied:
-        return lease_write_result::applied;
-    case platform::write_outcome::conflict:
-        return lease_write_result::conflict;
-    case platform::write_outcome::unknown:
-        break;
-    }
-    return lease_write_result::unknown;
-}
-
 } // namespace
 
 shard_keeper::shard_keeper(net::io_context& context, platform::store& store,
@@ -117,7 +81,7 @@
         return;
     }
     m_write_marks = it.write_marks;
-    m_lease.on_observed(read_record(it.spec), it.version,
+    m_lease.on_observed(lease_from_json(it.spec), it.version,
                         monotonic_clock::now());
     note_change();
 }
@@ -130,7 +94,7 @@
     former.version = it.expected;
     former.write_marks = m_write_marks;
     const platform::write_result result = co_await m_store.write(
-        platform::collection::leases, std::move(former), spec_of(it.record));
+        platform::collection::leases, std::move(former), to_json(it.record));
     m_lease.on_write_result(result_of(result.outcome), result.version,
                             monotonic_clock::now());
     m_is_writing = false;
--- a/libraries/decision/ownership/shard_lease.cpp
+++ b/libraries/decision/ownership/shard_lease.cpp
@@ -75,6 +75,9 @@
         // A lapsed lease is never renewed: another daemon may have held the
         // shard meanwhile, so it is won anew under a new fencing number.
         next.epoch = epoch_number(m_observed.epoch.value() + 1);
+        m_was_taken_early =
+            m_version.value() > 0 &&
+            (m_observed.is_released || m_observed.holder == m_self);
     }
     m_sent_at = now;
     m_in_flight = lease_write{next, m_version};
--- a/libraries/decision/ownership/shard_lease.hpp
+++ b/libraries/decision/ownership/shard_lease.hpp
@@ -72,9 +72,16 @@
     /// before each outside effect.
     bool is_held(time_point now) const;
 
+    /// End of the holding on this daemon's clock; meaningful while held.
+    time_point valid_until() const { return m_valid_until.value_or(time_point{}); }
+
     /// Fencing number of the current holding; meaningful while held.
     epoch_number epoch() const { return m_epoch; }
 
+    /// True if the shard was taken over without the wait for its lease to end:
+    /// given up by its former holder, or won back by that holder itself.
+    bool was_taken_early() const { return m_was_taken_early; }
+
     /// The holder as last observed.
     const lease_record& observed() const { return m_observed; }
 
@@ -94,6 +101,7 @@
     std::optional<time_point> m_valid_until;
     time_point m_last_renewal{};
     epoch_number m_epoch;
+    bool m_was_taken_early = false;
 
     std::optional<lease_write> m_in_flight;
     time_point m_sent_at{};
--- a/libraries/settings/daemon_settings.hpp
+++ b/libraries/settings/daemon_settings.hpp
@@ -43,6 +43,10 @@
     std::int64_t model_loads_in_flight = 0;
     std::int64_t adapter_loads_in_flight = 0;
 
+    std::int64_t quota_slots = 0;
+    milliseconds quota_slot_lease{};
+    milliseconds once_kept_for{};
+
     milliseconds backend_connect_timeout{};
     milliseconds backend_gap_limit{};
     milliseconds backend_answer_limit{};
--- a/tests/system/failure_test.cpp
+++ b/tests/system/failure_test.cpp
@@ -1,5 +1,7 @@
 #include "fleet.hpp"
 
+#include "core/digest.hpp"
+
 #include <gtest/gtest.h>
 
 #include <future>
@@ -257,5 +259,154 @@
     EXPECT_EQ(stream.get().status, 0u);
 }
 
+answer post_once(const fleet& it, std::size_t daemon, const std::string& key,
+                 const std::string& body)
+{
+    return call(it.nodes[daemon].callers, http::verb::post,
+                "/services/ledger/post", body,
+                {{"Authorization", "Bearer key-of-a"},
+                 {"Idempotency-Key", key},
+                 {"X-Request-Id", key}});
+}
+
+/// Runs of the request with the given id at the plain service.
+std::int64_t runs_of(const fleet& it, const std::string& id)
+{
+    const boost::json::object json = parse_json_object(
+        call(it.ledger.address, http::verb::get, "/stats").body);
+    return json_reader(json_reader(json).object("runs")).whole_or(id, 0);
+}
+
+TEST(once, a_repeat_through_another_daemon_gets_the_saved_answer)
+{
+    fleet it(3, 1);
+    const answer first = post_once(it, 0, "k1", "{}");
+    EXPECT_EQ(first.status, 200u) << first.body;
+    answer second;
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            second = post_once(it, 1, "k1", "{}");
+            return second.status == 200;
+        }));
+    EXPECT_EQ(second.body, first.body);
+    const answer other = post_once(it, 2, "k1", R"({"n":2})");
+    EXPECT_EQ(other.status, 422u);
+    EXPECT_EQ(other.refusal(), "key-reused");
+    EXPECT_EQ(runs_of(it, "k1"), 1);
+}
+
+TEST(once, racing_repeats_run_once)
+{
+    fleet it(3, 1);
+    it.set_fault(it.ledger, R"({"work_ms":300})");
+    std::vector<std::future<answer>> repeats;
+    for (std::size_t n = 0; n < 9; ++n)
+    {
+        repeats.push_back(
+            std::async(std::launch::async,
+                       [&, n] { return post_once(it, n % 3, "k2", "{}"); }));
+    }
+    int served = 0;
+    for (auto& each : repeats)
+    {
+        const answer seen = each.get();
+        served += seen.status == 200;
+        EXPECT_TRUE(seen.status == 200 || seen.refusal() == "request-running")
+            << seen.body;
+    }
+    EXPECT_EQ(served, 1);
+    EXPECT_EQ(runs_of(it, "k2"), 1);
+}
+
+TEST(once, a_lost_outcome_is_told_as_unknown_and_never_run_again)
+{
+    fleet it(2, 1);
+    it.set_fault(it.ledger, R"({"lose_answers":1})");
+    const answer first = post_once(it, 0, "k3", "{}");
+    EXPECT_EQ(first.status, 504u);
+    EXPECT_EQ(first.refusal(), "outcome-unknown");
+    EXPECT_FALSE(first.is_not_run());
+    for (std::size_t n = 0; n < 4; ++n)
+    {
+        EXPECT_NE(post_once(it, n % 2, "k3", "{}").status, 200u);
+    }
+    EXPECT_EQ(runs_of(it, "k3"), 1);
+}
+
+TEST(once, the_ledger_outlives_its_owner_and_a_platform_outage)
+{
+    fleet it(3, 1);
+    EXPECT_EQ(post_once(it, 0, "k4", "{}").status, 200u);
+    const std::size_t owner = it.holder_number("once-0", 0);
+    const std::size_t asked = other_than(owner, it);
+    std::this_thread::sleep_for(milliseconds(300));
+    it.nodes[owner].program->kill();
+    it.nodes[owner].program->wait();
+    const answer repeat = post_once(it, asked, "k4", "{}");
+    EXPECT_EQ(repeat.status, 200u) << repeat.body;
+    EXPECT_EQ(runs_of(it, "k4"), 1);
+    it.set_fault(it.platform, R"({"outage":true})");
+    const answer refused = post_once(it, asked, "k5", "{}");
+    EXPECT_EQ(refused.status, 503u) << refused.body;
+    EXPECT_TRUE(refused.is_not_run());
+    EXPECT_EQ(runs_of(it, "k5"), 0);
+    it.set_fault(it.platform, R"({"outage":false})");
+}
+
+TEST(suspects, a_request_that_crashes_servers_costs_two_of_them)
+{
+    fleet it(3, 5);
+    EXPECT_EQ(it.complete(0, "m1").status, 200u);
+    for (const auto& engine : it.engines)
+    {
+        it.set_fault(engine, R"({"crash_on":"poison"})");
+    }
+    std::vector<answer> answers;
+    for (std::size_t n = 0; n < 6; ++n)
+    {
+        answers.push_back(
+            it.complete(n % 3, "m1", "key-of-a", 2, false, "poison"));
+    }
+    int crashed = 0;
+    for (const auto& engine : it.engines)
+    {
+        crashed += call(engine.address, http::verb::get, "/stats").status == 0;
+    }
+    EXPECT_LE(crashed, 2);
+    for (std::size_t n = 1; n < answers.size(); ++n)
+    {
+        EXPECT_EQ(answers[n].refusal(), "suspect-request") << answers[n].body;
+    }
+    EXPECT_TRUE(eventually([&] { return it.complete(1, "m1").status == 200; }));
+}
+
+TEST(rates, hold_across_daemons)
+{
+    fleet it(3, 1);
+    it.apply("organisation", "b",
+             R"({"tokens_per_second":1000,"burst_tokens":2000})");
+    const auto version = it.apply("key", "b",
+                                  R"({"organisation":"b","sha256":")" +
+                                      hash_of_key("key-of-b").value() + "\"}");
+    ASSERT_TRUE(it.is_in_force("key", "b", version));
+    EXPECT_EQ(it.complete(0, "m1").status, 200u);
+    const time_point start = monotonic_clock::now();
+    // Each request costs 100 tokens and a few for its prompt.
+    int served = 0;
+    for (int n = 0; n < 150; ++n)
+    {
+        const answer seen =
+            it.complete(static_cast<std::size_t>(n % 3), "m1", "key-of-b", 100);
+        served += seen.status == 200;
+        EXPECT_TRUE(seen.status == 200 || seen.refusal() == "over-rate")
+            << seen.body;
+    }
+    const double elapsed =
+        std::chrono::duration<double>(monotonic_clock::now() - start).count();
+    EXPECT_LE(served * 100, 2000 + 1000 * elapsed);
+    EXPECT_GT(served, 5);
+}
+
 } // namespace
 } // namespace cicadahub::system_tests
