Admission: Queue fairly before each server and refuse at once

Weighed: one first-come queue (an organisation that asks five times its share takes five sixths of it), a queue of requests at the engine (overdrives old hardware and cannot refuse), and deficit round robin among organisations with the earliest deadline first within one. Change: no daemon sends a server more than its slots; what waits is bounded in number and bytes, and is refused at once when the pace of departures says that its deadline cannot be met. A line may hold no more than its part of the places. After: 40 requests at once before 4 slots: each served or refused with a true not_run, never more than 4 at the engine. Not proved: nine daemons before one server may send nine times its slots; the engine then turns requests away, which wait and are tried again.

--- a/libraries/caller/request_handler.hpp
+++ b/libraries/caller/request_handler.hpp
@@ -7,6 +7,7 @@
 #include "caller/request_metrics.hpp"
 #include "caller/request_state.hpp"
 #include "caller/running_requests.hpp"
+#include "caller/server_gate.hpp"
 #include "core/digest.hpp"
 #include "core/event_log.hpp"
 #include "http/server.hpp"
@@ -44,8 +45,8 @@
 public:
     request_handler(net::io_context& context, request_state& state,
                     Control& control, prometheus::Registry& registry,
-                    request_metrics& metrics, http::client_pool& pool,
-                    backend::relay_limits limits);
+                    request_metrics& metrics, gate_table& gates,
+                    http::client_pool& pool, backend::relay_limits limits);
 
     net::awaitable<void> serve(http::request& message,
                                http::reply_writer& reply);
@@ -59,6 +60,7 @@
     /// What is known of a request before it runs.
     struct admitted
     {
+        token_count cost{1};
         time_point arrival;
         time_point deadline;
         key_hash hash;
@@ -147,6 +149,7 @@
     Control& m_control;
     prometheus::Registry& m_registry;
     request_metrics& m_metrics;
+    gate_table& m_gates;
     http::client_pool& m_pool;
     backend::relay_limits m_limits;
     snapshot_reader<configuration::snapshot> m_configuration;
--- a/libraries/caller/request_handler.ipp
+++ b/libraries/caller/request_handler.ipp
@@ -6,11 +6,12 @@
 template<control_gateway Control>
 request_handler<Control>::request_handler(
     net::io_context& context, request_state& state, Control& control,
-    prometheus::Registry& registry, request_metrics& metrics,
+    prometheus::Registry& registry, request_metrics& metrics, gate_table& gates,
     http::client_pool& pool, backend::relay_limits limits)
     : m_context(context), m_state(state), m_control(control),
-      m_registry(registry), m_metrics(metrics), m_pool(pool), m_limits(limits),
-      m_configuration(state.configuration), m_routes(state.routes)
+      m_registry(registry), m_metrics(metrics), m_gates(gates), m_pool(pool),
+      m_limits(limits), m_configuration(state.configuration),
+      m_routes(state.routes)
 {
 }
 
@@ -208,6 +209,7 @@
     try
     {
         refuse_known_culprit(out, it);
+        it.cost = parsed.expected_tokens;
         co_await charge(parsed.expected_tokens, it);
         co_await run_completion(parsed.model, out, reply, it);
     }
@@ -303,7 +305,21 @@
     http::reply_writer& reply, const admitted& it, backend::backend_kind kind,
     bool use_new_connection)
 {
-    routing::load_guard guard(target.load);
+    const auto gate = m_gates.gate_of(target.server);
+    admission::waiting_request waiting;
+    waiting.organisation = it.fare.second;
+    waiting.deadline = it.deadline;
+    waiting.bytes = static_cast<std::int64_t>(message.body().size());
+    waiting.cost = it.cost.value();
+    const auto refused = co_await gate->enter(m_context, waiting, target.slots);
+    if (refused)
+    {
+        refusal reason = *refused;
+        reason.is_not_run = !it.has_run;
+        throw refused_error(reason);
+    }
+    const place_guard place(gate);
+    const routing::load_guard guard(target.load);
     backend::answer_relay relay(m_pool, m_limits, kind);
     running_requests::registration registration(m_running, it.hash,
                                                 [&relay] { relay.cancel(); });
--- /dev/null
+++ b/libraries/caller/server_gate.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "decision/admission/fair_queue.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace cicadahub::caller
+{
+
+namespace net = boost::asio;
+
+/// Lets no more of this daemon's requests run on one server than it has slots;
+/// the others wait in a fair queue.
+class server_gate
+{
+public:
+    explicit server_gate(admission::queue_limits limits) : m_queue(limits) {}
+
+    /// Waits for a place until the request's deadline; a refusal if there is
+    /// none by then. A place must be given back by `leave`.
+    net::awaitable<std::optional<refusal>> enter(net::io_context& context,
+                                                 admission::waiting_request it,
+                                                 std::uint32_t slots);
+
+    void leave();
+
+    std::size_t waiting_count() const;
+
+private:
+    struct waiter
+    {
+        explicit waiter(net::io_context& owner) : context(owner), timer(owner)
+        {
+        }
+
+        net::io_context& context;
+        net::steady_timer timer;
+        bool has_place = false;
+    };
+
+    using waiter_pointer = std::shared_ptr<waiter>;
+
+    /// Gives free places away; the mutex is held.
+    void give_places(time_point now);
+
+    mutable std::mutex m_mutex;
+    admission::fair_queue m_queue;
+    std::map<std::uint64_t, waiter_pointer> m_waiters;
+    std::uint64_t m_next_ticket = 1;
+    std::uint32_t m_running = 0;
+    std::uint32_t m_slots = 1;
+};
+
+/// Gives a place back at the end of its scope.
+class place_guard
+{
+public:
+    explicit place_guard(std::shared_ptr<server_gate> gate)
+        : m_gate(std::move(gate))
+    {
+    }
+    ~place_guard() { m_gate->leave(); }
+    place_guard(const place_guard&) = delete;
+    place_guard& operator=(const place_guard&) = delete;
+
+private:
+    std::shared_ptr<server_gate> m_gate;
+};
+
+/// The gates of all servers that this daemon has sent to.
+class gate_table
+{
+public:
+    explicit gate_table(admission::queue_limits limits) : m_limits(limits) {}
+
+    std::shared_ptr<server_gate> gate_of(const server_id& server);
+    std::size_t waiting_count() const;
+
+private:
+    admission::queue_limits m_limits;
+    mutable std::mutex m_mutex;
+    std::map<server_id, std::shared_ptr<server_gate>> m_gates;
+};
+
+} // namespace cicadahub::caller
--- a/libraries/daemon/daemon.cpp
+++ b/libraries/daemon/daemon.cpp
@@ -40,12 +40,15 @@
     : pool(context, owner.m_settings.backend_connect_timeout,
            idle_connections_per_server),
       requests(context, owner.m_state, owner.m_control, owner.m_registry,
-               owner.m_metrics, pool, relay_limits_of(owner.m_settings))
+               owner.m_metrics, owner.m_gates, pool,
+               relay_limits_of(owner.m_settings))
 {
 }
 
 entry_daemon::entry_daemon(const settings::daemon_settings& settings)
     : m_settings(settings), m_metrics(m_registry),
+      m_gates({static_cast<std::size_t>(settings.queue_requests),
+               settings.queue_bytes}),
       m_control(m_control_context, settings, m_state),
       m_audit(m_control_context, m_control.store(),
               m_control.members().self().value()),
--- a/libraries/daemon/daemon.hpp
+++ b/libraries/daemon/daemon.hpp
@@ -57,6 +57,7 @@
     caller::request_state m_state;
     prometheus::Registry m_registry;
     caller::request_metrics m_metrics;
+    caller::gate_table m_gates;
     net::io_context m_control_context{1};
     control_plane m_control;
     audit_log m_audit;
--- /dev/null
+++ b/libraries/decision/admission/fair_queue.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/refusal.hpp"
+#include "core/units.hpp"
+
+#include <list>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace cicadahub::admission
+{
+
+struct queue_limits
+{
+    std::size_t requests = 1024;
+    std::int64_t bytes = 33'554'432;
+};
+
+/// A request that waits for a place on a server.
+struct waiting_request
+{
+    std::uint64_t ticket = 0;
+    organisation_id organisation;
+    time_point deadline{};
+    std::int64_t bytes = 0;
+    /// Tokens that it asks for, by which organisations take turns.
+    std::int64_t cost = 1;
+};
+
+/// Requests that wait, bounded in number and bytes. Organisations take turns
+/// by what their requests cost (deficit round robin; Shreedhar and Varghese,
+/// 1995); within one the earliest deadline goes first. Each request leaves it
+/// once: taken, expired or cancelled.
+class fair_queue
+{
+public:
+    explicit fair_queue(queue_limits limits) : m_limits(limits) {}
+
+    /// Refuses at once if the request cannot be served in time at the pace at
+    /// which requests have been leaving, or if the queue is full.
+    std::optional<refusal> add(waiting_request it, time_point now);
+
+    /// The request whose turn it is.
+    std::optional<waiting_request> take(time_point now);
+
+    /// Removes the requests whose deadline has passed.
+    std::vector<waiting_request> take_expired(time_point now);
+
+    bool cancel(std::uint64_t ticket);
+
+    std::size_t size() const { return m_count; }
+    std::int64_t bytes() const { return m_bytes; }
+    /// Estimated wait of a request that is added now.
+    milliseconds estimated_wait() const;
+
+private:
+    struct line
+    {
+        std::list<waiting_request> requests;
+        std::int64_t deficit = 0;
+    };
+
+    using line_map = std::map<organisation_id, line>;
+
+    void forget(const waiting_request& it);
+    line_map::iterator next_line();
+    void note_departure(time_point now);
+    bool is_line_too_long(const organisation_id& organisation) const;
+
+    queue_limits m_limits;
+    line_map m_lines;
+    organisation_id m_turn;
+    std::size_t m_count = 0;
+    std::int64_t m_bytes = 0;
+    time_point m_last_departure{};
+    double m_us_between_departures = 0;
+};
+
+} // namespace cicadahub::admission
--- a/libraries/decision/ownership/shard_lease.hpp
+++ b/libraries/decision/ownership/shard_lease.hpp
@@ -73,7 +73,10 @@
     bool is_held(time_point now) const;
 
     /// End of the holding on this daemon's clock; meaningful while held.
-    time_point valid_until() const { return m_valid_until.value_or(time_point{}); }
+    time_point valid_until() const
+    {
+        return m_valid_until.value_or(time_point{});
+    }
 
     /// Fencing number of the current holding; meaningful while held.
     epoch_number epoch() const { return m_epoch; }
--- a/tests/system/failure_test.cpp
+++ b/tests/system/failure_test.cpp
@@ -381,6 +381,34 @@
     EXPECT_TRUE(eventually([&] { return it.complete(1, "m1").status == 200; }));
 }
 
+TEST(admission, a_flood_is_served_or_refused_in_time_and_does_not_overdrive)
+{
+    engine_options slow;
+    slow.token_us = "20000";
+    slow.slots = "4";
+    fleet it(1, 1, slow);
+    it.apply("class", "default",
+             R"({"first_token_within_ms":1000,"refusals_percent":1})");
+    EXPECT_EQ(it.complete(0, "m1", "key-of-a", 1).status, 200u);
+    std::vector<std::future<answer>> flood;
+    for (int n = 0; n < 40; ++n)
+    {
+        flood.push_back(
+            std::async(std::launch::async,
+                       [&] { return it.complete(0, "m1", "key-of-a", 10); }));
+    }
+    int served = 0;
+    for (auto& each : flood)
+    {
+        const answer seen = each.get();
+        served += seen.status == 200;
+        EXPECT_TRUE(seen.status == 200 || seen.is_not_run()) << seen.body;
+    }
+    EXPECT_GE(served, 8);
+    EXPECT_LE(it.engine_total("most_running"), 4);
+    EXPECT_EQ(it.engine_total("requests"), served + 1);
+}
+
 TEST(rates, hold_across_daemons)
 {
     fleet it(3, 1);
