--- a/tests/decision/placement_run.hpp
+++ b/tests/decision/placement_run.hpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 
 namespace cicadahub::placement
@@ -42,8 +43,8 @@
 {
 public:
     placement_run(std::uint64_t seed, placement_sizes sizes,
-                  placement_faults faults)
-        : world(seed), m_sizes(sizes), m_faults(faults)
+                  placement_faults faults, load_limits limits = {})
+        : world(seed), m_sizes(sizes), m_faults(faults), m_limits(limits)
     {
         for (int n = 0; n < sizes.servers; ++n)
         {
@@ -86,7 +87,7 @@
             return;
         }
         const std::uint64_t ticket = m_next_ticket++;
-        m_waiting[ticket] = {m_epoch, world.now() + patience};
+        m_waiting[ticket] = {m_epoch, world.now() + patience, world.now()};
         ++asked;
         perform(m_owner->on_wake({ticket, model, world.now() + patience},
                                  world.now()));
@@ -125,6 +126,25 @@
         }
     }
 
+    /// Every load takes this long.
+    void set_load_time(std::int64_t ms)
+    {
+        for (const auto& it : m_servers)
+        {
+            it->load_ms_low = ms;
+            it->load_ms_high = ms;
+        }
+    }
+
+    /// Waits of the requests that were served, in milliseconds.
+    double wait_percentile(double part) const
+    {
+        std::vector<double> sorted = m_waits;
+        std::sort(sorted.begin(), sorted.end());
+        const auto last = static_cast<double>(sorted.size() - 1);
+        return sorted.at(static_cast<std::size_t>(last * part + 0.5));
+    }
+
     std::uint64_t total_loads() const
     {
         std::uint64_t n = 0;
@@ -145,13 +165,13 @@
     std::uint64_t without_owner = 0;
     std::uint64_t takeovers = 0;
     std::size_t most_loading = 0;
-    milliseconds longest_wait{0};
 
 private:
     struct wait
     {
         epoch_number epoch;
         time_point deadline;
+        time_point asked_at;
     };
 
     void add_server(int n)
@@ -190,8 +210,8 @@
     {
         ++takeovers;
         m_epoch = epoch_number(m_epoch.value() + 1);
-        m_owner = std::make_unique<placement_machine>(load_limits{},
-                                                      placement_timing{});
+        m_owner =
+            std::make_unique<placement_machine>(m_limits, placement_timing{});
         m_owner->on_items(m_items);
         m_owner->on_servers(m_specs, world.now());
         perform(m_owner->on_adopted(m_written, m_epoch, world.now()));
@@ -351,12 +371,20 @@
     {
         const auto at = m_waiting.find(it.ticket);
         ASSERT_NE(at, m_waiting.end()) << "answered twice: " << it.ticket;
+        if (std::holds_alternative<replica>(it.answer))
+        {
+            m_waits.push_back(std::chrono::duration<double, std::milli>(
+                                  world.now() - at->second.asked_at)
+                                  .count());
+        }
         m_waiting.erase(at);
         ++(std::holds_alternative<replica>(it.answer) ? served : refused);
     }
 
     placement_sizes m_sizes;
     placement_faults m_faults;
+    load_limits m_limits;
+    std::vector<double> m_waits;
     std::vector<item_spec> m_items;
     std::vector<server_spec> m_specs;
     std::vector<std::unique_ptr<fakes::fake_server>> m_servers;
--- /dev/null
+++ b/tests/decision/quota_run.hpp
@@ -0,0 +1,252 @@
+#pragma once
+
+#include "decision/quota/local_rate.hpp"
+#include "decision/quota/rate_owner.hpp"
+#include "virtual_world.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+namespace cicadahub::quota
+{
+
+inline const organisation_id organisation("o");
+
+/// The naive version: one bucket with whole knowledge. What the fleet spends
+/// must be what this bucket would have allowed, moment by moment.
+class whole_bucket
+{
+public:
+    explicit whole_bucket(rate_limit limit) : m_limit(limit) {}
+
+    /// Lowest level that the bucket has come to.
+    double spend(token_count tokens, time_point now)
+    {
+        const double gained = m_limit.tokens_per_second *
+                              std::chrono::duration<double>(now - m_at).count();
+        m_level = std::min(static_cast<double>(m_limit.burst.value()),
+                           m_level + gained);
+        m_at = now;
+        m_level -= static_cast<double>(tokens.value());
+        return m_level;
+    }
+
+    bool would_allow(token_count tokens, time_point now)
+    {
+        const double gained = m_limit.tokens_per_second *
+                              std::chrono::duration<double>(now - m_at).count();
+        return std::min(static_cast<double>(m_limit.burst.value()),
+                        m_level + gained) >=
+               static_cast<double>(tokens.value());
+    }
+
+private:
+    rate_limit m_limit;
+    double m_level = 0;
+    time_point m_at{};
+};
+
+struct quota_case
+{
+    const char* name;
+    std::uint64_t seed;
+    /// Demand as a multiple of the rate.
+    double demand;
+    milliseconds owner_change{0};
+    /// Owner changes that are planned, with the lease released.
+    double planned = 0;
+    /// Share of the requests that the first daemon gets.
+    double skew = 0;
+    double lost_messages = 0;
+    milliseconds outage_every{0};
+
+    friend void PrintTo(const quota_case& it, std::ostream* out)
+    {
+        *out << it.name;
+    }
+};
+
+/// Daemons that spend one organisation's rate, and the owners that follow
+/// each other.
+class quota_run
+{
+public:
+    explicit quota_run(const quota_case& it)
+        : world(it.seed), m_case(it), m_whole(limit)
+    {
+        m_timing.slots = 12;
+        for (int n = 0; n < daemons; ++n)
+        {
+            m_rates.push_back(
+                std::make_unique<local_rate>(limit, m_timing, world.now()));
+            m_rates.back()->hold_slot(time_point(seconds(100'000)),
+                                      world.now());
+            m_is_asking.push_back(false);
+        }
+        take_over(false);
+        arrive();
+        for (std::size_t n = 0; n < m_rates.size(); ++n)
+        {
+            look_after(n);
+        }
+        if (it.owner_change.count() > 0)
+        {
+            schedule_change();
+        }
+        if (it.outage_every.count() > 0)
+        {
+            schedule_outage();
+        }
+    }
+
+    fakes::virtual_world world;
+    std::uint64_t asked = 0;
+    std::uint64_t spent = 0;
+    /// Refused although one bucket for the whole fleet would have allowed it.
+    std::uint64_t refused_inside = 0;
+    double lowest = 0;
+
+private:
+    static constexpr int daemons = 9;
+    static constexpr std::int64_t cost = 20;
+    const rate_limit limit{10'000, token_count(20'000)};
+
+    void arrive()
+    {
+        const double per_second =
+            m_case.demand * limit.tokens_per_second / static_cast<double>(cost);
+        world.after(microseconds(static_cast<std::int64_t>(
+                        2e6 / per_second *
+                        static_cast<double>(world.pick(0, 1'000)) / 1'000)),
+                    [this]
+                    {
+                        const auto n = world.happens(m_case.skew)
+                                           ? 0
+                                           : world.pick(0, daemons - 1);
+                        ++asked;
+                        serve(static_cast<std::size_t>(n), 2);
+                        arrive();
+                    });
+    }
+
+    void serve(std::size_t n, int questions)
+    {
+        if (m_rates[n]->spend(token_count(cost), world.now()))
+        {
+            ++spent;
+            lowest =
+                std::min(lowest, m_whole.spend(token_count(cost), world.now()));
+            return;
+        }
+        if (questions > 0)
+        {
+            ask(n, [this, n, questions] { serve(n, questions - 1); });
+            return;
+        }
+        refused_inside += m_whole.would_allow(token_count(cost), world.now());
+    }
+
+    /// Asks ahead and gives back what is about to end.
+    void look_after(std::size_t n)
+    {
+        local_rate& rate = *m_rates[n];
+        if (!m_is_asking[n] &&
+            (rate.is_low(world.now()) || rate.has_returns(world.now())))
+        {
+            m_is_asking[n] = true;
+            ask(
+                n, [this, n] { m_is_asking[n] = false; }, 0);
+        }
+        world.after(milliseconds(50), [this, n] { look_after(n); });
+    }
+
+    void ask(std::size_t n, std::function<void()> then,
+             std::int64_t needed = cost)
+    {
+        const time_point asked_at = world.now();
+        const token_count wanted =
+            m_rates[n]->wanted(token_count(needed), asked_at);
+        const auto returns = m_rates[n]->take_returns(asked_at);
+        const bool is_lost = world.happens(m_case.lost_messages);
+        world.after(microseconds(world.pick(200, 3'000)),
+                    [=, this]
+                    {
+                        grant it;
+                        const bool is_answered = m_owner && !is_lost;
+                        if (m_owner && m_owner->is_owner())
+                        {
+                            it = m_owner->on_request(organisation, wanted,
+                                                     returns, world.now());
+                        }
+                        const auto delay =
+                            is_answered ? microseconds(world.pick(200, 3'000))
+                                        : microseconds(100'000);
+                        world.after(delay,
+                                    [=, this]
+                                    {
+                                        if (is_answered)
+                                        {
+                                            m_rates[n]->on_granted(it,
+                                                                   asked_at);
+                                        }
+                                        then();
+                                    });
+                    });
+    }
+
+    void take_over(bool may_have_grants)
+    {
+        m_owner = std::make_unique<rate_owner>(m_timing);
+        m_owner->set_rate(organisation, limit, world.now());
+        m_owner->on_adopted(epoch_number(++m_epoch), may_have_grants,
+                            world.now());
+    }
+
+    void schedule_change()
+    {
+        const std::int64_t mean = m_case.owner_change.count();
+        world.after(world.pick_ms(mean / 2, mean * 3 / 2),
+                    [this]
+                    {
+                        const bool is_planned =
+                            world.happens(m_case.planned) &&
+                            m_owner->can_release(world.now());
+                        m_owner.reset();
+                        // A lease that lapses is taken over after its margin.
+                        const auto gap =
+                            is_planned ? milliseconds(20) : milliseconds(7'000);
+                        world.after(gap,
+                                    [this, is_planned]
+                                    {
+                                        take_over(is_planned);
+                                        schedule_change();
+                                    });
+                    });
+    }
+
+    void schedule_outage()
+    {
+        world.after(m_case.outage_every,
+                    [this]
+                    {
+                        m_owner.reset();
+                        world.after(milliseconds(120'000),
+                                    [this]
+                                    {
+                                        take_over(false);
+                                        schedule_outage();
+                                    });
+                    });
+    }
+
+    quota_case m_case;
+    quota_timing m_timing;
+    whole_bucket m_whole;
+    std::vector<std::unique_ptr<local_rate>> m_rates;
+    std::vector<bool> m_is_asking;
+    std::unique_ptr<rate_owner> m_owner;
+    std::uint64_t m_epoch = 0;
+};
+
+} // namespace cicadahub::quota
--- /dev/null
+++ b/tests/measure/main.cpp
@@ -0,0 +1,192 @@
+#include "../decision/placement_run.hpp"
+#include "../decision/quota_run.hpp"
+#include "decision/admission/fair_queue.hpp"
+
+#include <algorithm>
+#include <iomanip>
+#include <iostream>
+
+namespace
+{
+
+using namespace cicadahub;
+
+constexpr std::uint64_t seed = 1;
+constexpr int daemons = 9;
+
+struct site
+{
+    const char* name;
+    int servers;
+    int models;
+    int adapters;
+    double loads_per_second;
+};
+
+constexpr site sites[] = {{"Pohjatäht", 9, 50, 40, 3},
+                          {"Saldanha", 18, 100, 120, 15}};
+
+void print(const std::string& measure, double ours, double naive,
+           const std::string& target, bool is_met)
+{
+    std::cout << std::left << std::setw(58) << measure << std::right
+              << std::setw(12) << std::setprecision(4) << ours << std::setw(12)
+              << naive << "  " << std::setw(22) << target << "  "
+              << (is_met ? "met" : "MISSED") << "\n";
+}
+
+placement::placement_sizes sizes_of(const site& it)
+{
+    placement::placement_sizes sizes;
+    sizes.servers = it.servers;
+    sizes.server_memory = 80;
+    sizes.models = it.models;
+    sizes.adapters = it.adapters;
+    return sizes;
+}
+
+placement::load_limits limits_of(const site& it)
+{
+    placement::load_limits limits;
+    limits.models_per_second = it.loads_per_second;
+    return limits;
+}
+
+/// A burst on one cold model from nine daemons. The naive version loads once
+/// for each daemon that knows of no replica.
+void measure_burst(const site& it)
+{
+    placement::placement_run run(seed, sizes_of(it), {}, limits_of(it));
+    run.world.run_until(time_point(seconds(1)));
+    for (int n = 0; n < daemons; ++n)
+    {
+        run.ask(run.items()[0].id, milliseconds(10'000));
+    }
+    run.world.run_until(time_point(seconds(12)));
+    const auto loads = static_cast<double>(run.total_loads());
+    print("loads of a burst on one cold model from nine daemons", loads,
+          daemons, "1", loads == 1);
+}
+
+/// Time until the last model of a burst is served if nothing but the weight
+/// store's rate and its places at full speed held it up.
+double best_schedule_ms(const site& it, int models, double load_ms)
+{
+    const double by_rate = 1000.0 * models / it.loads_per_second;
+    const double by_places = load_ms * models / 4;
+    return std::max(by_rate, by_places) + load_ms;
+}
+
+/// A burst of cold models at once. The naive version loads each of them for
+/// every daemon, all at the same rate.
+void measure_cold_start(const site& it)
+{
+    constexpr int burst = 40;
+    constexpr double load_ms = 500;
+    placement::placement_run run(seed, sizes_of(it), {}, limits_of(it));
+    run.set_load_time(static_cast<std::int64_t>(load_ms));
+    run.world.run_until(time_point(seconds(2)));
+    for (int n = 0; n < burst; ++n)
+    {
+        run.ask(run.items()[static_cast<std::size_t>(n)].id,
+                milliseconds(120'000));
+    }
+    run.world.run_until(time_point(seconds(130)));
+    const double best = best_schedule_ms(it, burst, load_ms);
+    const double naive = best_schedule_ms(it, burst * daemons, load_ms);
+    const double ours = run.wait_percentile(0.99);
+    print("p99 cold start of 40 models at once, multiple of the best",
+          ours / best, naive / best, "at most 1.25", ours <= 1.25 * best);
+}
+
+double refused_inside_percent(const quota::quota_case& it, double& lowest)
+{
+    quota::quota_run run(it);
+    run.world.run_until(time_point(seconds(600)));
+    lowest = std::min(lowest, run.lowest);
+    return 100.0 * static_cast<double>(run.refused_inside) /
+           static_cast<double>(run.asked);
+}
+
+/// What an even split for each host would refuse: the first daemon gets
+/// `skew` of the requests and a ninth of the rate.
+double even_split_percent(double demand, double skew)
+{
+    const double first = demand * (skew + (1 - skew) / daemons);
+    const double served = std::min(first, 1.0 / daemons);
+    return 100.0 * (first - served) / demand;
+}
+
+void measure_rates()
+{
+    double lowest = 0;
+    quota::quota_case uneven{};
+    uneven.seed = seed;
+    uneven.demand = 0.8;
+    uneven.skew = 0.6;
+    const double refused = refused_inside_percent(uneven, lowest);
+    print("refused inside the rate, 60% at one daemon, percent", refused,
+          even_split_percent(0.8, 0.6), "at most 0.5", refused <= 0.5);
+    quota::quota_case dying = uneven;
+    dying.owner_change = milliseconds(300'000);
+    const double over_death = refused_inside_percent(dying, lowest);
+    print("the same over owners' deaths, one in 300 s, percent", over_death,
+          even_split_percent(0.8, 0.6), "at most 2", over_death <= 2);
+    print("lowest level of one bucket for the fleet, tokens", lowest, 0,
+          "not below 0", lowest >= 0);
+}
+
+/// One organisation asks for 45 a second, another five times as much, before
+/// 100 a second; the naive version is first come, first served.
+void measure_worst_served()
+{
+    fakes::virtual_world world(seed);
+    admission::fair_queue queue({200, 1'000'000});
+    std::map<organisation_id, double> served;
+    const std::function<void(const char*, std::int64_t)> ask =
+        [&](const char* organisation, std::int64_t gap_us)
+    {
+        admission::waiting_request it;
+        it.organisation = organisation_id(organisation);
+        it.deadline = world.now() + milliseconds(2'000);
+        it.cost = 100;
+        queue.add(it, world.now());
+        world.after(microseconds(gap_us), [&ask, organisation, gap_us]
+                    { ask(organisation, gap_us); });
+    };
+    const std::function<void()> serve = [&]
+    {
+        queue.take_expired(world.now());
+        if (const auto it = queue.take(world.now()))
+        {
+            ++served[it->organisation];
+        }
+        world.after(milliseconds(10), serve);
+    };
+    ask("small", 22'222);
+    ask("large", 4'444);
+    serve();
+    world.run_until(time_point(seconds(60)));
+    const double share = served[organisation_id("small")] / (45 * 60);
+    print("worst-served organisation, share of what it gets alone", share,
+          100.0 / (45 + 225), "at least 0.95", share >= 0.95);
+}
+
+} // namespace
+
+int main()
+{
+    for (const site& it : sites)
+    {
+        std::cout << "== " << it.name << ", seed " << seed << " ==\n"
+                  << std::left << std::setw(58) << "measure" << std::right
+                  << std::setw(12) << "cicadahub" << std::setw(12) << "naive"
+                  << "  " << std::setw(22) << "target"
+                  << "\n";
+        measure_burst(it);
+        measure_cold_start(it);
+        measure_worst_served();
+        measure_rates();
+    }
+    return 0;
+}
