--- /dev/null
+++ b/tests/fleet/fleet_test.cpp
@@ -0,0 +1,79 @@
+#include "fleet/frame_codec.hpp"
+#include "fleet/keyed_queue.hpp"
+
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <gtest/gtest.h>
+
+namespace cicadahub::fleet
+{
+namespace
+{
+
+TEST(keyed_queue, a_newer_message_takes_the_place_of_an_older_one)
+{
+    keyed_queue<int> queue;
+    queue.push("a", 1);
+    queue.push("b", 2);
+    queue.push("a", 3);
+    EXPECT_EQ(queue.size(), 2u);
+    EXPECT_EQ(queue.pop()->second, 3);
+    EXPECT_EQ(queue.pop()->second, 2);
+    EXPECT_FALSE(queue.pop());
+}
+
+wire::Frame sample()
+{
+    wire::ConfigurationNotice notice;
+    notice.name = "model.m";
+    notice.version = 7;
+    notice.spec = R"({"bytes":1})";
+    wire::Frame frame;
+    frame.exchange = 42;
+    frame.is_reply = false;
+    frame.body.__set_configuration_notice(notice);
+    return frame;
+}
+
+TEST(frame_codec, reads_what_it_wrote)
+{
+    const std::string bytes = encode_frame(sample());
+    const wire::Frame seen = decode_frame(bytes.substr(frame_length_bytes));
+    EXPECT_EQ(seen.exchange, 42);
+    EXPECT_EQ(seen.body.configuration_notice.name, "model.m");
+    EXPECT_EQ(seen.body.configuration_notice.version, 7);
+}
+
+TEST(frame_codec, damaged_frames_are_refused_or_read_and_never_worse)
+{
+    boost::random::mt19937_64 random(1);
+    const auto pick = [&](std::size_t high)
+    {
+        return boost::random::uniform_int_distribution<std::size_t>(0, high)(
+            random);
+    };
+    const std::string good = encode_frame(sample()).substr(frame_length_bytes);
+    int refused = 0;
+    for (int n = 0; n < 20'000; ++n)
+    {
+        std::string bytes = good.substr(0, 1 + pick(good.size() - 1));
+        for (std::size_t flips = pick(4); flips > 0; --flips)
+        {
+            bytes[pick(bytes.size() - 1)] = static_cast<char>(pick(255));
+        }
+        try
+        {
+            decode_frame(bytes);
+        }
+        catch (const malformed_frame&)
+        {
+            ++refused;
+        }
+    }
+    EXPECT_GT(refused, 1'000);
+    EXPECT_THROW(decode_length({0xff, 0xff, 0xff, 0xff}), malformed_frame);
+    EXPECT_THROW(decode_length({0, 0, 0, 0}), malformed_frame);
+}
+
+} // namespace
+} // namespace cicadahub::fleet
