--- a/libraries/decision/placement/placement_machine.cpp
+++ b/libraries/decision/placement/placement_machine.cpp
@@ -82,6 +82,14 @@
         next.emplace(spec.id, std::move(entry));
     }
     m_servers = std::move(next);
+    m_leaving.clear();
+    for (const server_spec& spec : servers)
+    {
+        if (spec.is_leaving)
+        {
+            m_leaving.push_back(spec.id);
+        }
+    }
     std::vector<generation_number> gone;
     for (const auto& [generation, record] : m_replicas.records())
     {
@@ -343,12 +351,8 @@
 
 void placement_machine::retire_from_leaving(time_point now)
 {
-    for (const auto& [id, server] : m_servers)
+    for (const server_id& id : m_leaving)
     {
-        if (!server.spec.is_leaving)
-        {
-            continue;
-        }
         for (const generation_number generation : m_replicas.on_server(id))
         {
             replica_record& record = *m_replicas.find(generation);
--- a/libraries/decision/placement/placement_machine.hpp
+++ b/libraries/decision/placement/placement_machine.hpp
@@ -126,6 +126,7 @@
     std::uint64_t m_next_generation = 1;
 
     std::map<server_id, server_entry> m_servers;
+    std::vector<server_id> m_leaving;
     std::unordered_map<model_id, item_spec> m_items;
     replica_table m_replicas;
     wake_queue m_wakes;
