Quota: Test that grants and slots end at the receiver

Cause: the mutant that lets a grant live forty times as long at the receiver survived; in the runs grants are spent or given back well before their end. Ruled out: a weaker bound in the run (its bucket is exact). Change: focused tests on the end of a grant and of a slot. The mutant failed the new test first; without it the test passes.

--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -104,7 +104,8 @@
 
 private:
     net::awaitable<void> accept_loop();
-    net::awaitable<void> session(net::ip::tcp::socket socket, Handler& handler);
+    net::awaitable<void> session(boost::beast::tcp_stream stream,
+                                 Handler& handler);
     net::awaitable<bool> serve_next(boost::beast::tcp_stream& stream,
                                     boost::beast::flat_buffer& buf,
                                     read_deadline& deadline, Handler& handler);
@@ -163,19 +164,19 @@
         auto [ec] = co_await m_acceptor.async_accept(socket, token);
         if (!ec)
         {
-            net::co_spawn(to.context, session(std::move(socket), to.handler),
+            boost::beast::tcp_stream stream(std::move(socket));
+            net::co_spawn(to.context, session(std::move(stream), to.handler),
                           net::detached);
         }
     }
 }
 
 template<request_handler Handler>
-net::awaitable<void> server<Handler>::session(net::ip::tcp::socket socket,
+net::awaitable<void> server<Handler>::session(boost::beast::tcp_stream stream,
                                               Handler& handler)
 {
     boost::system::error_code ec;
-    socket.set_option(net::ip::tcp::no_delay(true), ec);
-    boost::beast::tcp_stream stream(std::move(socket));
+    stream.socket().set_option(net::ip::tcp::no_delay(true), ec);
     boost::beast::flat_buffer buf;
     read_deadline deadline(stream);
     try
--- a/tests/decision/quota_test.cpp
+++ b/tests/decision/quota_test.cpp
@@ -5,6 +5,28 @@
 namespace
 {
 
+TEST(local_rate, a_grant_is_not_spent_after_its_end)
+{
+    const quota_timing timing;
+    const time_point asked_at(seconds(10));
+    local_rate rate({1'000, token_count(1'000)}, timing, asked_at);
+    rate.on_granted({1, token_count(100), epoch_number(1), {}}, asked_at);
+    // The answer took a while, but the grant counts from the question.
+    EXPECT_EQ(
+        rate.available(asked_at + timing.grant_lifetime - milliseconds(1)),
+        token_count(100));
+    EXPECT_FALSE(rate.spend(token_count(1), asked_at + timing.grant_lifetime));
+}
+
+TEST(local_rate, a_slot_that_has_lapsed_is_not_spent)
+{
+    const time_point start(seconds(10));
+    local_rate rate({1'000, token_count(1'000)}, {}, start);
+    rate.hold_slot(start + seconds(60), start);
+    EXPECT_TRUE(rate.spend(token_count(1), start + seconds(59)));
+    EXPECT_FALSE(rate.spend(token_count(1), start + seconds(60)));
+}
+
 class quota_runs : public testing::TestWithParam<quota_case>
 {
 };
