Meta: Add a soak of the randomised runs, and measure queues with one entry a key

Also, HTTP: let the kernel end connections whose other end went silent. Not shown by a test: loopback loses no packets.

--- a/libraries/backend/answer_relay.cpp
+++ b/libraries/backend/answer_relay.cpp
@@ -133,7 +133,8 @@
     {
         // The result already says how far the exchange has come.
         m_result.is_connection_lost =
-            reason.code() != boost::beast::error::timeout && !m_is_cancelled &&
+            reason.code() != boost::beast::error::timeout &&
+            reason.code() != net::error::timed_out && !m_is_cancelled &&
             !m_is_caller_gone && !m_is_writing_to_caller;
     }
     reply.stop_watching_caller();
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -6,14 +6,36 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <netinet/tcp.h>
+
 namespace cicadahub::http
 {
 
 namespace
 {
 
+constexpr milliseconds silence_limit{2'000};
+constexpr int keep_alive_seconds = 1;
+constexpr int keep_alive_probes = 2;
 constexpr std::uint64_t response_body_limit_bytes = 64 * 1024 * 1024;
 
+/// Makes the kernel end a connection whose other end no longer acknowledges
+/// what is sent, as when something between has lost track of it. A server that
+/// only takes long still acknowledges.
+void end_when_silent(net::ip::tcp::socket& socket)
+{
+    using net::detail::socket_option::integer;
+    boost::system::error_code ec;
+    const auto limit = static_cast<int>(silence_limit.count());
+    socket.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(limit), ec);
+    socket.set_option(net::socket_base::keep_alive(true), ec);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(keep_alive_seconds),
+                      ec);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(keep_alive_seconds),
+                      ec);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(keep_alive_probes), ec);
+}
+
 net::awaitable<response> exchange(client_connection& connection,
                                   request message, milliseconds timeout)
 {
@@ -69,6 +91,7 @@
     co_await connection->stream.async_connect(address, net::use_awaitable);
     connection->stream.socket().set_option(net::ip::tcp::no_delay(true));
     connection->stream.socket().non_blocking(true);
+    end_when_silent(connection->stream.socket());
     co_return connection;
 }
 
--- a/tests/decision/shard_lease_test.cpp
+++ b/tests/decision/shard_lease_test.cpp
@@ -1,4 +1,5 @@
 #include "decision/ownership/shard_lease.hpp"
+#include "virtual_world.hpp"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
@@ -93,7 +94,8 @@
 class lease_run
 {
 public:
-    explicit lease_run(std::uint64_t seed) : m_random(seed)
+    explicit lease_run(std::uint64_t seed)
+        : m_random(seed + fakes::seed_offset())
     {
         for (int n = 0; n < 4; ++n)
         {
--- a/tests/fakes/virtual_world.hpp
+++ b/tests/fakes/virtual_world.hpp
@@ -6,17 +6,27 @@
 #include <boost/random/uniform_int_distribution.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
 
+#include <cstdlib>
 #include <functional>
 #include <map>
 
 namespace cicadahub::fakes
 {
 
+/// Added to the seed of every randomised run; 0 but in `meta/soak`.
+inline std::uint64_t seed_offset()
+{
+    const char* text = std::getenv("CICADAHUB_SEED_OFFSET");
+    return text == nullptr ? 0 : std::strtoull(text, nullptr, 10);
+}
+
 /// Virtual time, its events and the run's only source of chance.
 class virtual_world
 {
 public:
-    explicit virtual_world(std::uint64_t seed) : m_random(seed) {}
+    explicit virtual_world(std::uint64_t seed) : m_random(seed + seed_offset())
+    {
+    }
 
     time_point now() const { return m_now; }
     std::uint64_t steps() const { return m_steps; }
--- /dev/null
+++ b/tests/measure/obsolescence.cpp
@@ -0,0 +1,183 @@
+#include "fleet/keyed_queue.hpp"
+
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include <deque>
+#include <iomanip>
+#include <iostream>
+#include <vector>
+
+// One sender tells eight peers of changes to 200 keys; one peer is slowed for
+// 10 to 90% of the time, as in the paper's evaluation. A plain FIFO queue of
+// bounded length, which holds the sender up when it is full, is compared with
+// one entry a key. Time goes in steps of a millisecond.
+
+namespace
+{
+
+using cicadahub::fleet::keyed_queue;
+
+constexpr int peers = 8;
+constexpr int keys = 200;
+constexpr int steps = 60'000;
+constexpr int changes_per_step = 2;
+constexpr int sends_per_step = 4;
+constexpr int slow_period_steps = 1'000;
+constexpr std::size_t fifo_limit = 1'000;
+
+struct change
+{
+    int key;
+    int made_at;
+};
+
+struct result
+{
+    std::size_t longest_queue = 0;
+    double slow_staleness_ms = 0;
+    double other_delay_ms = 0;
+};
+
+class fifo
+{
+public:
+    void push(const change& it) { m_queue.push_back(it); }
+    bool is_full() const { return m_queue.size() >= fifo_limit; }
+    std::size_t size() const { return m_queue.size(); }
+    bool pop(change& it)
+    {
+        if (m_queue.empty())
+        {
+            return false;
+        }
+        it = m_queue.front();
+        m_queue.pop_front();
+        return true;
+    }
+
+private:
+    std::deque<change> m_queue;
+};
+
+class by_key
+{
+public:
+    void push(const change& it) { m_queue.push(std::to_string(it.key), it); }
+    bool is_full() const { return false; }
+    std::size_t size() const { return m_queue.size(); }
+    bool pop(change& it)
+    {
+        const auto next = m_queue.pop();
+        if (next)
+        {
+            it = next->second;
+        }
+        return next.has_value();
+    }
+
+private:
+    keyed_queue<change> m_queue;
+};
+
+template<class Queue>
+result run(int slow_percent)
+{
+    boost::random::mt19937_64 random(1);
+    boost::random::uniform_int_distribution<int> pick(0, keys - 1);
+    std::vector<Queue> queues(peers);
+    std::deque<change> held_up;
+    std::vector<int> newest_made(keys, 0);
+    std::vector<int> seen_by_slow(keys, 0);
+    result it;
+    double delays = 0;
+    double delivered = 0;
+    double staleness = 0;
+    for (int now = 0; now < steps; ++now)
+    {
+        for (int n = 0; n < changes_per_step; ++n)
+        {
+            const int key = pick(random);
+            newest_made[static_cast<std::size_t>(key)] = now;
+            held_up.push_back({key, now});
+        }
+        const auto is_any_full = [&]
+        {
+            for (const Queue& each : queues)
+            {
+                if (each.is_full())
+                {
+                    return true;
+                }
+            }
+            return false;
+        };
+        while (!held_up.empty() && !is_any_full())
+        {
+            for (Queue& each : queues)
+            {
+                each.push(held_up.front());
+            }
+            held_up.pop_front();
+        }
+        for (int peer = 0; peer < peers; ++peer)
+        {
+            const bool is_slow_now =
+                peer == 0 && now % slow_period_steps <
+                                 slow_period_steps * slow_percent / 100;
+            Queue& from = queues[static_cast<std::size_t>(peer)];
+            it.longest_queue = std::max(it.longest_queue, from.size());
+            change next{};
+            for (int n = 0; n < sends_per_step && !is_slow_now; ++n)
+            {
+                if (!from.pop(next))
+                {
+                    break;
+                }
+                if (peer == 0)
+                {
+                    seen_by_slow[static_cast<std::size_t>(next.key)] =
+                        next.made_at;
+                }
+                else
+                {
+                    delays += now - next.made_at;
+                    ++delivered;
+                }
+            }
+        }
+        for (std::size_t key = 0; key < keys; ++key)
+        {
+            if (newest_made[key] > seen_by_slow[key])
+            {
+                staleness += now - seen_by_slow[key];
+            }
+        }
+    }
+    it.slow_staleness_ms = staleness / steps / keys;
+    it.other_delay_ms = delays / delivered;
+    return it;
+}
+
+void print(int percent, const char* name, const result& it)
+{
+    std::cout << std::setw(6) << percent << "  " << std::left << std::setw(18)
+              << name << std::right << std::setw(14) << it.longest_queue
+              << std::setw(20) << std::fixed << std::setprecision(1)
+              << it.slow_staleness_ms << std::setw(20) << it.other_delay_ms
+              << "\n";
+}
+
+} // namespace
+
+int main()
+{
+    std::cout << "slowed  queue                longest    staleness at it, ms"
+                 "  others' delay, ms\n";
+    for (const int percent : {10, 30, 50, 70, 90})
+    {
+        print(percent, "FIFO", run<fifo>(percent));
+        print(percent, "one entry a key", run<by_key>(percent));
+    }
+    return 0;
+}
