--- a/libraries/caller/request_handler.hpp
+++ b/libraries/caller/request_handler.hpp
@@ -161,3 +161,4 @@
 } // namespace cicadahub::caller
 
 #include "caller/request_handler.ipp"
+#include "caller/request_handler_services.ipp"
--- a/libraries/daemon/control_plane.cpp
+++ b/libraries/daemon/control_plane.cpp
@@ -5,6 +5,7 @@
 #include "core/json_reader.hpp"
 #include "daemon/pause.hpp"
 #include "daemon/placement_document.hpp"
+#include "daemon/settings_parts.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -18,79 +19,13 @@
 {
 
 constexpr std::size_t idle_connections_per_peer = 16;
-constexpr std::size_t incarnation_bytes = 4;
 constexpr milliseconds owner_retry{50};
-/// Renewals of a slot's lease within its length.
-constexpr int slot_renewals = 10;
 /// Longest wait for another daemon to know of a crash.
 constexpr milliseconds crash_notice_timeout{200};
 constexpr milliseconds notice_poll{2};
 /// Time that a peer's refusal at the deadline needs to come back.
 constexpr milliseconds reply_allowance{20};
 
-platform::client_timing timing_of(const settings::daemon_settings& it)
-{
-    platform::client_timing timing;
-    timing.call_timeout = it.platform_call_timeout;
-    timing.watch_timeout = it.platform_watch_timeout;
-    return timing;
-}
-
-member self_of(const settings::daemon_settings& it)
-{
-    member self;
-    self.id = daemon_id(it.daemon_name + "." + random_hex(incarnation_bytes));
-    self.fleet_address = http::parse_endpoint(it.fleet_address);
-    self.operators_address = http::parse_endpoint(it.operators_address);
-    self.data_centre = data_centre_id(it.data_centre);
-    return self;
-}
-
-placement::load_limits limits_of(const settings::daemon_settings& it)
-{
-    placement::load_limits limits;
-    limits.models_per_second = it.model_loads_per_second;
-    limits.models_in_flight =
-        static_cast<std::uint32_t>(it.model_loads_in_flight);
-    limits.adapters_in_flight =
-        static_cast<std::uint32_t>(it.adapter_loads_in_flight);
-    return limits;
-}
-
-placement::placement_timing
-placement_timing_of(const settings::daemon_settings& it)
-{
-    placement::placement_timing timing;
-    timing.order_lifetime = it.order_lifetime;
-    return timing;
-}
-
-ownership::lease_timing lease_timing_of(const settings::daemon_settings& it)
-{
-    return {it.lease_duration, it.lease_renewal, it.lease_margin};
-}
-
-ownership::lease_timing slot_timing_of(const settings::daemon_settings& it)
-{
-    return {it.quota_slot_lease, it.quota_slot_lease / slot_renewals,
-            it.lease_margin};
-}
-
-quota::quota_timing quota_timing_of(const settings::daemon_settings& it)
-{
-    quota::quota_timing timing;
-    timing.grant_lifetime = it.lease_margin * 9 / 10;
-    timing.slots = static_cast<std::uint32_t>(it.quota_slots);
-    return timing;
-}
-
-once::ledger_timing ledger_timing_of(const settings::daemon_settings& it)
-{
-    once::ledger_timing timing;
-    timing.kept_for = it.once_kept_for;
-    return timing;
-}
-
 routing::target target_of(const host_entry& it)
 {
     return {it.id, http::to_string(it.address), it.slots, it.load};
--- a/services/cicadad/main.cpp
+++ b/services/cicadad/main.cpp
@@ -1,6 +1,7 @@
 #include "core/event_log.hpp"
 #include "daemon/daemon.hpp"
 #include "settings/daemon_settings.hpp"
+#include "settings/program.hpp"
 
 #include <tclap/CmdLine.h>
 
@@ -11,9 +12,8 @@
 
 using namespace cicadahub;
 
-constexpr int exit_ok = 0;
-constexpr int exit_failure = 1;
-constexpr int exit_usage = 2;
+using settings::exit_ok;
+using settings::exit_usage;
 
 int report_faults(const std::vector<settings::settings_fault>& faults)
 {
@@ -53,11 +53,34 @@
         std::cerr << file << ": " << reason.what() << "\n";
         return exit_usage;
     }
-    catch (const std::exception& reason)
+}
+
+int run(int argc, char** argv)
+{
+    TCLAP::CmdLine line("cicadad, the entry daemon of cicadahub.", ' ',
+                        CICADAHUB_VERSION);
+    line.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> settings_file(
+        "s", "settings", "Settings to serve with.", false, "", "FILE");
+    TCLAP::ValueArg<std::string> checked_file(
+        "c", "check-settings", "Settings to check, without serving.", false, "",
+        "FILE");
+    TCLAP::SwitchArg list_settings("", "list-settings",
+                                   "Prints the table of the settings.");
+    const std::vector<TCLAP::Arg*> modes{&settings_file, &checked_file,
+                                         &list_settings};
+    line.xorAdd(modes);
+    line.parse(argc, argv);
+    if (list_settings.isSet())
     {
-        std::cerr << "cicadad: " << reason.what() << "\n";
-        return exit_failure;
+        return print_settings();
     }
+    if (checked_file.isSet())
+    {
+        return report_faults(
+            settings::read_settings(checked_file.getValue()).faults);
+    }
+    return serve(settings_file.getValue());
 }
 
 } // namespace
@@ -66,40 +89,6 @@
 {
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
-    try
-    {
-        TCLAP::CmdLine line("cicadad, the entry daemon of cicadahub.", ' ',
-                            CICADAHUB_VERSION);
-        line.setExceptionHandling(false);
-        TCLAP::ValueArg<std::string> settings_file(
-            "s", "settings", "Settings to serve with.", false, "", "FILE");
-        TCLAP::ValueArg<std::string> checked_file(
-            "c", "check-settings", "Settings to check, without serving.", false,
-            "", "FILE");
-        TCLAP::SwitchArg list_settings("", "list-settings",
-                                       "Prints the table of the settings.");
-        const std::vector<TCLAP::Arg*> modes{&settings_file, &checked_file,
-                                             &list_settings};
-        line.xorAdd(modes);
-        line.parse(argc, argv);
-        if (list_settings.isSet())
-        {
-            return print_settings();
-        }
-        if (checked_file.isSet())
-        {
-            return report_faults(
-                settings::read_settings(checked_file.getValue()).faults);
-        }
-        return serve(settings_file.getValue());
-    }
-    catch (const TCLAP::ExitException& it)
-    {
-        return it.getExitStatus();
-    }
-    catch (const TCLAP::ArgException& it)
-    {
-        std::cerr << "cicadad: " << it.error() << " " << it.argId() << "\n";
-        return exit_usage;
-    }
+    return cicadahub::settings::run_program("cicadad",
+                                            [&] { return run(argc, argv); });
 }
--- a/utilities/cicada-load/load_plan.hpp
+++ b/utilities/cicada-load/load_plan.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/errors.hpp"
 #include "core/units.hpp"
+#include "settings/program.hpp"
 
 #include <cstdint>
 #include <string>
@@ -11,10 +11,10 @@
 {
 
 /// A plan that does not say what to send.
-class plan_error : public error
+class plan_error : public settings::usage_error
 {
 public:
-    using error::error;
+    using usage_error::usage_error;
 };
 
 /// Requests of one class and organisation.
--- a/utilities/cicada-load/main.cpp
+++ b/utilities/cicada-load/main.cpp
@@ -1,7 +1,9 @@
 #include "load_runner.hpp"
 
+#include "settings/program.hpp"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+
 #include <tclap/CmdLine.h>
 
 #include <fstream>
@@ -13,10 +15,6 @@
 
 using namespace cicadahub;
 
-constexpr int exit_ok = 0;
-constexpr int exit_failure = 1;
-constexpr int exit_usage = 2;
-
 /// Time for the threads to stand ready before the first request.
 constexpr milliseconds start_delay{100};
 
@@ -132,34 +130,13 @@
         std::ofstream(json.getValue())
             << boost::json::serialize(load::to_json(reports)) << "\n";
     }
-    return exit_ok;
+    return settings::exit_ok;
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    try
-    {
-        return run(argc, argv);
-    }
-    catch (const TCLAP::ExitException& it)
-    {
-        return it.getExitStatus();
-    }
-    catch (const TCLAP::ArgException& it)
-    {
-        std::cerr << "cicada-load: " << it.error() << " " << it.argId() << "\n";
-        return exit_usage;
-    }
-    catch (const load::plan_error& it)
-    {
-        std::cerr << "cicada-load: " << it.what() << "\n";
-        return exit_usage;
-    }
-    catch (const std::exception& it)
-    {
-        std::cerr << "cicada-load: " << it.what() << "\n";
-        return exit_failure;
-    }
+    return cicadahub::settings::run_program("cicada-load",
+                                            [&] { return run(argc, argv); });
 }
--- a/utilities/cicada-standin/main.cpp
+++ b/utilities/cicada-standin/main.cpp
@@ -5,8 +5,10 @@
 
 #include "core/errors.hpp"
 
+#include "settings/program.hpp"
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
+
 #include <tclap/CmdLine.h>
 
 #include <iostream>
@@ -17,10 +19,6 @@
 
 using namespace cicadahub;
 
-constexpr int exit_ok = 0;
-constexpr int exit_failure = 1;
-constexpr int exit_usage = 2;
-
 /// Serves until SIGTERM or SIGINT.
 template<class Handler>
 void serve(const std::string& address, http::server_limits limits,
@@ -168,35 +166,13 @@
                                   preloaded.getValue().end());
         serve_engine(listen.getValue(), settings, threads.getValue());
     }
-    return exit_ok;
+    return settings::exit_ok;
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    try
-    {
-        return run(argc, argv);
-    }
-    catch (const TCLAP::ExitException& it)
-    {
-        return it.getExitStatus();
-    }
-    catch (const TCLAP::ArgException& it)
-    {
-        std::cerr << "cicada-standin: " << it.error() << " " << it.argId()
-                  << "\n";
-        return exit_usage;
-    }
-    catch (const malformed_document& it)
-    {
-        std::cerr << "cicada-standin: " << it.what() << "\n";
-        return exit_usage;
-    }
-    catch (const std::exception& it)
-    {
-        std::cerr << "cicada-standin: " << it.what() << "\n";
-        return exit_failure;
-    }
+    return cicadahub::settings::run_program("cicada-standin",
+                                            [&] { return run(argc, argv); });
 }
--- a/utilities/cicadactl/commands.hpp
+++ b/utilities/cicadactl/commands.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "operator_client.hpp"
+#include "settings/program.hpp"
 
 #include <span>
 #include <string>
@@ -10,12 +11,7 @@
 namespace cicadahub::ctl
 {
 
-/// Words on the command line that do not make a command.
-class usage_error : public error
-{
-public:
-    using error::error;
-};
+using settings::usage_error;
 
 struct command_options
 {
--- a/utilities/cicadactl/main.cpp
+++ b/utilities/cicadactl/main.cpp
@@ -1,5 +1,7 @@
 #include "commands.hpp"
 
+#include "settings/program.hpp"
+
 #include <tclap/CmdLine.h>
 
 #include <iostream>
@@ -9,10 +11,6 @@
 
 using namespace cicadahub;
 
-constexpr int exit_ok = 0;
-constexpr int exit_failure = 1;
-constexpr int exit_usage = 2;
-
 std::string command_help()
 {
     std::string text = "cicadactl, the operators' command line.";
@@ -54,34 +52,13 @@
     options.is_json = output.getValue() == "json";
     options.waits = wait.getValue();
     ctl::run_command(client, options, words.getValue());
-    return exit_ok;
+    return settings::exit_ok;
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    try
-    {
-        return run(argc, argv);
-    }
-    catch (const TCLAP::ExitException& it)
-    {
-        return it.getExitStatus();
-    }
-    catch (const TCLAP::ArgException& it)
-    {
-        std::cerr << "cicadactl: " << it.error() << " " << it.argId() << "\n";
-        return exit_usage;
-    }
-    catch (const ctl::usage_error& it)
-    {
-        std::cerr << "cicadactl: " << it.what() << "\n";
-        return exit_usage;
-    }
-    catch (const std::exception& it)
-    {
-        std::cerr << "cicadactl: " << it.what() << "\n";
-        return exit_failure;
-    }
+    return cicadahub::settings::run_program("cicadactl",
+                                            [&] { return run(argc, argv); });
 }
