--- a/libraries/daemon/audit_log.hpp
+++ b/libraries/daemon/audit_log.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/ids.hpp"
+#include "daemon/audit_entry.hpp"
 #include "platform/store.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -13,19 +13,6 @@
 
 namespace net = boost::asio;
 
-/// One change or decision.
-struct audit_entry
-{
-    /// Operator or daemon that made it.
-    std::string who;
-    /// What was done, such as "apply" or "load".
-    std::string what;
-    /// Object or replica that it was done to.
-    std::string target;
-    object_version before;
-    object_version after;
-};
-
 /// Keeps the audit trail in the platform, in segments of bounded size. Each
 /// daemon writes segments of its own, so that writers do not contend. Entries
 /// that wait when a daemon is killed are lost.
--- a/libraries/daemon/control_plane.cpp
+++ b/libraries/daemon/control_plane.cpp
@@ -59,17 +59,29 @@
       m_placement_shard(
           context, m_store, m_members, shard_id("placement-0"),
           lease_timing_of(settings),
-          [this](epoch_number epoch) { m_placement.on_won(epoch); },
+          [this](epoch_number epoch)
+          {
+              note_taken(m_placement_shard, epoch);
+              m_placement.on_won(epoch);
+          },
           [this] { m_placement.on_lost(); }),
       m_quota_shard(
           context, m_store, m_members, shard_id("quota-0"),
           lease_timing_of(settings),
-          [this](epoch_number epoch) { m_rates.on_won(epoch); },
+          [this](epoch_number epoch)
+          {
+              note_taken(m_quota_shard, epoch);
+              m_rates.on_won(epoch);
+          },
           [this] { m_rates.on_lost(); }),
       m_once_shard(
           context, m_store, m_members, shard_id("once-0"),
           lease_timing_of(settings),
-          [this](epoch_number epoch) { m_once.on_won(epoch); },
+          [this](epoch_number epoch)
+          {
+              note_taken(m_once_shard, epoch);
+              m_once.on_won(epoch);
+          },
           [this] { m_once.on_lost(); }),
       m_slot(context, m_store, m_members,
              static_cast<std::uint32_t>(settings.quota_slots),
@@ -80,7 +92,8 @@
       m_placement(
           context, m_store, m_hosts, m_engines,
           [this] { return m_placement_shard.is_held(); }, limits_of(settings),
-          placement_timing_of(settings), settings.backend_report_every),
+          placement_timing_of(settings), settings.backend_report_every,
+          [this](const placement::order_action& it) { note_order(it); }),
       m_rates(context, m_quota_shard, m_slot, m_shard_caller, m_rate_gate),
       m_once(context, m_store, m_once_shard, m_shard_caller,
              ledger_timing_of(settings)),
@@ -147,6 +160,32 @@
     m_on_withdrawn = std::move(handler);
 }
 
+void control_plane::set_audit_handler(audit_handler handler)
+{
+    m_on_audit = std::move(handler);
+}
+
+void control_plane::note_taken(const shard_keeper& shard, epoch_number epoch)
+{
+    audit_entry entry;
+    entry.who = m_members.self().value();
+    entry.what = "take shard";
+    entry.target = shard.shard().value();
+    entry.before = object_version(epoch.value() - 1);
+    entry.after = object_version(epoch.value());
+    m_on_audit(std::move(entry));
+}
+
+void control_plane::note_order(const placement::order_action& it)
+{
+    audit_entry entry;
+    entry.who = m_members.self().value();
+    entry.what = it.kind == placement::order_kind::load ? "load" : "unload";
+    entry.target = it.target.model.value() + " on " + it.target.server.value();
+    entry.after = object_version(it.target.generation.value());
+    m_on_audit(std::move(entry));
+}
+
 void control_plane::bind()
 {
     m_listener.emplace(
--- a/libraries/daemon/control_plane.hpp
+++ b/libraries/daemon/control_plane.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller/request_state.hpp"
+#include "daemon/audit_entry.hpp"
 #include "daemon/collection_follower.hpp"
 #include "daemon/fleet_receiver.hpp"
 #include "daemon/once_service.hpp"
@@ -26,6 +27,9 @@
     /// Called for each key that is withdrawn.
     void set_withdraw_handler(withdraw_handler handler);
 
+    /// Called for each decision that belongs in the audit trail.
+    void set_audit_handler(audit_handler handler);
+
     /// Binds the fleet's address; throws `boost::system::system_error`.
     void bind();
 
@@ -91,6 +95,8 @@
     void publish_routes();
     void on_placement_object(const platform::stored_object& it);
     void update_readiness();
+    void note_taken(const shard_keeper& shard, epoch_number epoch);
+    void note_order(const placement::order_action& it);
 
     net::io_context& m_context;
     const settings::daemon_settings& m_settings;
@@ -113,6 +119,7 @@
     configuration::snapshot m_configuration;
     placement::document m_decided;
     withdraw_handler m_on_withdrawn;
+    audit_handler m_on_audit;
 
     collection_follower m_configuration_follower;
     collection_follower m_host_follower;
--- a/libraries/daemon/daemon.cpp
+++ b/libraries/daemon/daemon.cpp
@@ -79,6 +79,8 @@
                 http::server_limits{},
                 std::vector<server::lane>{{m_control_context, m_operators}});
         });
+    m_control.set_audit_handler([this](audit_entry it)
+                                { m_audit.append(std::move(it)); });
     m_control.set_withdraw_handler(
         [this](const key_hash& hash)
         {
--- a/libraries/daemon/placement_owner.cpp
+++ b/libraries/daemon/placement_owner.cpp
@@ -39,10 +39,11 @@
     net::io_context& context, platform::store& store,
     const host_directory& hosts, backend::engine_client& engines,
     const std::function<bool()>& is_held, placement::load_limits limits,
-    placement::placement_timing timing, milliseconds report_every)
+    placement::placement_timing timing, milliseconds report_every,
+    order_handler on_order)
     : m_context(context), m_store(store), m_hosts(hosts), m_engines(engines),
       m_is_held(is_held), m_report_every(report_every),
-      m_machine(limits, timing)
+      m_on_order(std::move(on_order)), m_machine(limits, timing)
 {
 }
 
@@ -285,6 +286,7 @@
              : CICADAHUB_EVENT(INFO, unload_ordered))
         << "model=" << it.target.model << " server=" << it.target.server
         << " generation=" << it.target.generation;
+    m_on_order(it);
     const placement::order_result result =
         co_await m_engines.send(host->address, it);
     if (result == placement::order_result::done)
--- a/libraries/daemon/placement_owner.hpp
+++ b/libraries/daemon/placement_owner.hpp
@@ -14,13 +14,16 @@
 class placement_owner
 {
 public:
+    /// Called for each order that is sent.
+    using order_handler = std::function<void(const placement::order_action&)>;
+
     placement_owner(net::io_context& context, platform::store& store,
                     const host_directory& hosts,
                     backend::engine_client& engines,
                     const std::function<bool()>& is_held,
                     placement::load_limits limits,
                     placement::placement_timing timing,
-                    milliseconds report_every);
+                    milliseconds report_every, order_handler on_order);
 
     void on_won(epoch_number epoch);
     void on_lost();
@@ -63,6 +66,7 @@
     backend::engine_client& m_engines;
     std::function<bool()> m_is_held;
     milliseconds m_report_every;
+    order_handler m_on_order;
     placement::placement_machine m_machine;
     epoch_number m_epoch;
     /// Counts adoptions, so that the loops of a former one end.
