--- a/libraries/daemon/daemon.cpp
+++ b/libraries/daemon/daemon.cpp
@@ -29,8 +29,7 @@
     }
     catch (const boost::system::system_error& reason)
     {
-        throw listen_error(std::string(setting) + ": " + address + ": " +
-                           reason.code().message());
+        throw listen_error(setting, address + ": " + reason.code().message());
     }
 }
 
--- a/libraries/daemon/daemon.hpp
+++ b/libraries/daemon/daemon.hpp
@@ -17,7 +17,16 @@
 class listen_error : public error
 {
 public:
-    using error::error;
+    listen_error(std::string setting, const std::string& reason)
+        : error(reason), m_setting(std::move(setting))
+    {
+    }
+
+    /// Name of the setting that holds the address.
+    const std::string& setting() const { return m_setting; }
+
+private:
+    std::string m_setting;
 };
 
 /// A whole entry daemon: its threads, its listeners and its stop.
--- a/libraries/settings/daemon_settings.cpp
+++ b/libraries/settings/daemon_settings.cpp
@@ -259,6 +259,7 @@
         {
             return;
         }
+        m_result.lines[name] = line_of(*node);
         const std::string reason =
             std::visit(row_reader{row, *node, m_result.settings}, row.member);
         if (!reason.empty())
@@ -340,7 +341,7 @@
 {
     if (!std::ifstream(file).good())
     {
-        return {{}, {{file, 0, "file", "cannot be read"}}};
+        return {{}, {{file, 0, "file", "cannot be read"}}, {}};
     }
     try
     {
@@ -350,7 +351,7 @@
     catch (const toml::parse_error& it)
     {
         const auto line = static_cast<unsigned>(it.source().begin.line);
-        return {{}, {{file, line, "file", std::string(it.description())}}};
+        return {{}, {{file, line, "file", std::string(it.description())}}, {}};
     }
 }
 
--- a/libraries/settings/daemon_settings.hpp
+++ b/libraries/settings/daemon_settings.hpp
@@ -4,6 +4,7 @@
 #include "core/units.hpp"
 
 #include <cstdint>
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
@@ -101,6 +102,8 @@
     daemon_settings settings;
     /// Every fault of the file, not just the first; empty if it is good.
     std::vector<settings_fault> faults;
+    /// Where each setting that the file names stands in it.
+    std::map<std::string, unsigned> lines;
 };
 
 settings_result read_settings(const std::string& file);
--- a/services/cicadad/main.cpp
+++ b/services/cicadad/main.cpp
@@ -49,9 +49,12 @@
     }
     catch (const daemon::listen_error& reason)
     {
-        CICADAHUB_EVENT(ERROR, listen_failed) << reason.what();
-        std::cerr << file << ": " << reason.what() << "\n";
-        return exit_usage;
+        CICADAHUB_EVENT(ERROR, listen_failed)
+            << reason.setting() << " " << reason.what();
+        const auto line = result.lines.find(reason.setting());
+        return report_faults(
+            {{file, line == result.lines.end() ? 0 : line->second,
+              reason.setting(), reason.what()}});
     }
 }
 
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -130,7 +130,10 @@
     process second("services/cicadad",
                    {"--settings", it.nodes[0].settings_file});
     EXPECT_EQ(second.wait(), 2);
-    EXPECT_NE(second.output().find("listen."), std::string::npos);
+    // File, line and setting: the addresses begin in line 5.
+    EXPECT_NE(second.output().find(it.nodes[0].settings_file + ":7: listen."),
+              std::string::npos)
+        << second.output();
     process usage("services/cicadad", {"--none"});
     EXPECT_EQ(usage.wait(), 2);
     process checked("services/cicadad",
