--- a/tests/decision/shard_lease_test.cpp
+++ b/tests/decision/shard_lease_test.cpp
@@ -111,7 +111,8 @@
     void step()
     {
         m_now += pick(1, 60);
-        daemon& it = m_daemons[pick(0, m_daemons.size() - 1)];
+        daemon& it = m_daemons[static_cast<std::size_t>(
+            pick(0, static_cast<std::int64_t>(m_daemons.size()) - 1))];
         if (m_now < it.paused_until)
         {
             return;
--- a/tests/system/failure_test.cpp
+++ b/tests/system/failure_test.cpp
@@ -226,6 +226,7 @@
     fleet it(2, 1, slow);
     EXPECT_EQ(it.complete(0, "m1", "key-of-a", 1).status, 200u);
     std::vector<std::future<answer>> streams;
+    streams.reserve(5);
     for (int n = 0; n < 5; ++n)
     {
         streams.push_back(std::async(
@@ -301,6 +302,7 @@
     fleet it(3, 1);
     it.set_fault(it.ledger, R"({"work_ms":300})");
     std::vector<std::future<answer>> repeats;
+    repeats.reserve(9);
     for (std::size_t n = 0; n < 9; ++n)
     {
         repeats.push_back(
@@ -363,6 +365,7 @@
         it.set_fault(engine, R"({"crash_on":"poison"})");
     }
     std::vector<answer> answers;
+    answers.reserve(6);
     for (std::size_t n = 0; n < 6; ++n)
     {
         answers.push_back(
@@ -391,6 +394,7 @@
              R"({"first_token_within_ms":1000,"refusals_percent":1})");
     EXPECT_EQ(it.complete(0, "m1", "key-of-a", 1).status, 200u);
     std::vector<std::future<answer>> flood;
+    flood.reserve(40);
     for (int n = 0; n < 40; ++n)
     {
         flood.push_back(
