--- /dev/null
+++ b/libraries/core/structured_log.cpp
@@ -0,0 +1,99 @@
+#include "core/structured_log.hpp"
+
+#include <boost/json/serialize.hpp>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+
+namespace cicadahub
+{
+
+namespace
+{
+
+/// About two seconds of lines at the highest rate that is worth reading.
+constexpr std::size_t queue_lines = 4096;
+
+struct open_log
+{
+    std::shared_ptr<spdlog::details::thread_pool> pool;
+    std::shared_ptr<spdlog::async_logger> logger;
+    std::string daemon;
+};
+
+open_log& current()
+{
+    static open_log it;
+    return it;
+}
+
+spdlog::level::level_enum level_of(severity it)
+{
+    switch (it)
+    {
+    case severity::info:
+        return spdlog::level::info;
+    case severity::warning:
+        return spdlog::level::warn;
+    case severity::error:
+        break;
+    }
+    return spdlog::level::err;
+}
+
+} // namespace
+
+void open_structured_log(const std::string& daemon)
+{
+    open_log& it = current();
+    it.daemon = daemon;
+    it.pool = std::make_shared<spdlog::details::thread_pool>(queue_lines, 1);
+    it.logger = std::make_shared<spdlog::async_logger>(
+        "cicadahub", std::make_shared<spdlog::sinks::stdout_sink_mt>(), it.pool,
+        spdlog::async_overflow_policy::overrun_oldest);
+    it.logger->set_pattern(
+        R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l",%v})");
+}
+
+void close_structured_log()
+{
+    open_log& it = current();
+    if (it.logger)
+    {
+        it.logger->flush();
+    }
+    it.logger.reset();
+    it.pool.reset();
+}
+
+void log_event(severity level, event_number event, boost::json::object fields)
+{
+    open_log& it = current();
+    if (!it.logger)
+    {
+        return;
+    }
+    boost::json::object line;
+    line["event"] = static_cast<int>(event);
+    line["name"] = name_of(event);
+    line["daemon"] = it.daemon;
+    for (auto& field : fields)
+    {
+        line[field.key()] = std::move(field.value());
+    }
+    const std::string text = boost::json::serialize(line);
+    // The braces stand in the pattern, before and after the time.
+    it.logger->log(level_of(level), "{}",
+                   std::string_view(text).substr(1, text.size() - 2));
+}
+
+std::uint64_t dropped_log_lines()
+{
+    const open_log& it = current();
+    return it.pool ? it.pool->overrun_counter() : 0;
+}
+
+} // namespace cicadahub
--- a/libraries/core/units.hpp
+++ b/libraries/core/units.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace cicadahub
 {
@@ -15,7 +16,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Time on one process's own monotonic clock; never compared across processes.
+/// Time on one process's own monotonic clock, which goes on while the host is
+/// suspended; never compared across processes.
 struct monotonic_clock
 {
     using duration = std::chrono::microseconds;
@@ -26,8 +28,11 @@
 
     static time_point now()
     {
-        const auto it = std::chrono::steady_clock::now().time_since_epoch();
-        return time_point(std::chrono::duration_cast<duration>(it));
+        timespec it{};
+        clock_gettime(CLOCK_BOOTTIME, &it);
+        return time_point(std::chrono::duration_cast<duration>(
+            std::chrono::seconds(it.tv_sec) +
+            std::chrono::nanoseconds(it.tv_nsec)));
     }
 };
 
--- a/libraries/daemon/control_plane.cpp
+++ b/libraries/daemon/control_plane.cpp
@@ -57,8 +57,9 @@
       m_engines(m_pool, settings.order_timeout, settings.platform_call_timeout),
       m_members(context, m_store, settings.daemon_name, self_of(settings)),
       m_placement_shard(
-          context, m_store, m_members, shard_id("placement-0"),
+          context, m_store, m_members.self(), shard_id("placement-0"),
           lease_timing_of(settings),
+          [this] { return m_members.rank_for(shard_id("placement-0")); },
           [this](epoch_number epoch)
           {
               note_taken(m_placement_shard, epoch);
@@ -66,8 +67,9 @@
           },
           [this] { m_placement.on_lost(); }),
       m_quota_shard(
-          context, m_store, m_members, shard_id("quota-0"),
+          context, m_store, m_members.self(), shard_id("quota-0"),
           lease_timing_of(settings),
+          [this] { return m_members.rank_for(shard_id("quota-0")); },
           [this](epoch_number epoch)
           {
               note_taken(m_quota_shard, epoch);
@@ -75,8 +77,9 @@
           },
           [this] { m_rates.on_lost(); }),
       m_once_shard(
-          context, m_store, m_members, shard_id("once-0"),
+          context, m_store, m_members.self(), shard_id("once-0"),
           lease_timing_of(settings),
+          [this] { return m_members.rank_for(shard_id("once-0")); },
           [this](epoch_number epoch)
           {
               note_taken(m_once_shard, epoch);
--- a/libraries/daemon/shard_keeper.cpp
+++ b/libraries/daemon/shard_keeper.cpp
@@ -19,11 +19,11 @@
 } // namespace
 
 shard_keeper::shard_keeper(net::io_context& context, platform::store& store,
-                           const member_directory& members, shard_id shard,
-                           ownership::lease_timing timing, won_handler on_won,
-                           lost_handler on_lost)
-    : m_context(context), m_store(store), m_members(members),
-      m_shard(std::move(shard)), m_lease(members.self(), timing, 0),
+                           daemon_id self, shard_id shard,
+                           ownership::lease_timing timing, rank_handler rank,
+                           won_handler on_won, lost_handler on_lost)
+    : m_context(context), m_store(store), m_shard(std::move(shard)),
+      m_lease(std::move(self), timing, 0), m_rank(std::move(rank)),
       m_on_won(std::move(on_won)), m_on_lost(std::move(on_lost))
 {
 }
@@ -38,16 +38,37 @@
     co_await first_read();
     while (!m_is_stopped)
     {
-        m_lease.set_rank(m_members.rank_for(m_shard));
-        if (const auto next = m_lease.next_write(monotonic_clock::now()))
-        {
-            co_await write(*next);
-        }
+        co_await renew_or_win();
         note_change();
         co_await pause(m_context, poll_pause);
     }
 }
 
+net::awaitable<void> shard_keeper::renew_or_win()
+{
+    const std::optional<std::uint32_t> rank = m_rank();
+    if (!rank && !is_held())
+    {
+        co_return;
+    }
+    m_lease.set_rank(rank.value_or(0));
+    if (const auto next = m_lease.next_write(monotonic_clock::now()))
+    {
+        co_await write(*next);
+    }
+}
+
+void shard_keeper::on_holder_heard(const daemon_id& holder, epoch_number epoch,
+                                   object_version version)
+{
+    ownership::lease_record record;
+    record.holder = holder;
+    record.epoch = epoch;
+    record.is_released = false;
+    m_lease.on_observed(record, version, monotonic_clock::now());
+    note_change();
+}
+
 net::awaitable<void> shard_keeper::first_read()
 {
     while (!m_is_stopped)
--- a/libraries/daemon/shard_keeper.hpp
+++ b/libraries/daemon/shard_keeper.hpp
@@ -1,14 +1,18 @@
 #pragma once
 
-#include "daemon/member_directory.hpp"
 #include "decision/ownership/shard_lease.hpp"
 #include "platform/store.hpp"
 
+#include <boost/asio/io_context.hpp>
+
 #include <functional>
+#include <optional>
 
 namespace cicadahub::daemon
 {
 
+namespace net = boost::asio;
+
 /// Runs the lease of one shard against the platform.
 class shard_keeper
 {
@@ -17,11 +21,14 @@
     /// lost or given up.
     using won_handler = std::function<void(epoch_number)>;
     using lost_handler = std::function<void()>;
+    /// Rank of this daemon as a holder of the shard; none if it should not
+    /// try to win it now.
+    using rank_handler = std::function<std::optional<std::uint32_t>()>;
 
     shard_keeper(net::io_context& context, platform::store& store,
-                 const member_directory& members, shard_id shard,
-                 ownership::lease_timing timing, won_handler on_won,
-                 lost_handler on_lost);
+                 daemon_id self, shard_id shard,
+                 ownership::lease_timing timing, rank_handler rank,
+                 won_handler on_won, lost_handler on_lost);
 
     void start();
 
@@ -31,6 +38,11 @@
     /// Takes an object of the collection of leases.
     void apply(const platform::stored_object& it);
 
+    /// Another daemon tells that it holds the lease in this version.
+    void on_holder_heard(const daemon_id& holder, epoch_number epoch,
+                         object_version version);
+
+    object_version version() const { return m_lease.version(); }
     const shard_id& shard() const { return m_shard; }
     bool is_held() const { return m_lease.is_held(monotonic_clock::now()); }
     epoch_number epoch() const { return m_lease.epoch(); }
@@ -44,15 +56,16 @@
 private:
     net::awaitable<void> run();
     net::awaitable<void> first_read();
+    net::awaitable<void> renew_or_win();
     net::awaitable<void> write(ownership::lease_write it);
     net::awaitable<void> read_back();
     void note_change();
 
     net::io_context& m_context;
     platform::store& m_store;
-    const member_directory& m_members;
     shard_id m_shard;
     ownership::shard_lease m_lease;
+    rank_handler m_rank;
     won_handler m_on_won;
     lost_handler m_on_lost;
     std::vector<std::string> m_write_marks;
--- a/libraries/decision/ownership/shard_lease.hpp
+++ b/libraries/decision/ownership/shard_lease.hpp
@@ -85,6 +85,9 @@
     /// given up by its former holder, or won back by that holder itself.
     bool was_taken_early() const { return m_was_taken_early; }
 
+    /// Version of the object as last observed or written.
+    object_version version() const { return m_version; }
+
     /// The holder as last observed.
     const lease_record& observed() const { return m_observed; }
 
--- /dev/null
+++ b/libraries/decision/replicas/replica_planner.cpp
@@ -0,0 +1,408 @@
+#include "decision/replicas/replica_planner.hpp"
+
+#include <algorithm>
+
+namespace cicadahub::replicas
+{
+
+namespace
+{
+
+/// An unload waits for the requests that run; a usual one takes this long.
+constexpr double running_wait_ms = 300;
+
+/// A model that was just used is likely to be asked for again soon.
+constexpr milliseconds recent_use{1'000};
+
+/// A victim that others wait for would only be loaded again.
+constexpr double wanted_victim_ms = 60'000;
+
+std::uint32_t running_at(const planner_view& view, const server_id& server,
+                         const model_id& model)
+{
+    const auto it = view.running.find({server, model});
+    return it == view.running.end() ? 0 : it->second;
+}
+
+model_use use_of(const planner_view& view, const model_id& model)
+{
+    const auto it = view.use.find(model);
+    return it == view.use.end() ? model_use{} : it->second;
+}
+
+bool is_wanted(const planner_view& view, const model_id& model)
+{
+    return std::any_of(view.wants.begin(), view.wants.end(),
+                       [&](const want& it) { return it.copy.model == model; });
+}
+
+std::size_t replica_count(const planner_view& view, const model_id& model)
+{
+    return static_cast<std::size_t>(
+        std::count_if(view.servers.begin(), view.servers.end(),
+                      [&](const auto& it)
+                      {
+                          return it.second.is_usable() &&
+                                 (it.second.serves(model) ||
+                                  it.second.is_loading(model));
+                      }));
+}
+
+std::uint32_t store_loads(const planner_view& view)
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        view.servers.begin(), view.servers.end(),
+        [](const auto& it)
+        {
+            const auto& pending = it.second.pending();
+            return pending && pending->what.kind == order_kind::load &&
+                   pending->what.is_store_load;
+        }));
+}
+
+bool is_room_being_made(const planner_view& view, const model_id& model)
+{
+    return std::any_of(view.servers.begin(), view.servers.end(),
+                       [&](const auto& it)
+                       {
+                           const auto& pending = it.second.pending();
+                           return pending && pending->makes_room_for == model;
+                       });
+}
+
+/// What it costs, in milliseconds of waiting, to drop a model from a server.
+double cost_of_dropping(const planner_view& view, const server_state& server,
+                        const model_id& model, time_point now)
+{
+    const auto spec = view.engine.models.find(model);
+    if (spec == view.engine.models.end())
+    {
+        return 0;
+    }
+    double cost = 0;
+    const std::uint32_t running = running_at(view, server.id(), model);
+    if (running > 0)
+    {
+        cost += running_wait_ms;
+    }
+    if (is_wanted(view, model))
+    {
+        cost += wanted_victim_ms;
+    }
+    const model_use use = use_of(view, model);
+    const auto replicas =
+        static_cast<double>(std::max<std::size_t>(1, replica_count(view, model)));
+    const double reload = static_cast<double>(
+        std::max(server.load_time(model, spec->second),
+                 spec->second.load_from_memory)
+            .count());
+    // What this replica serves in the time that a reload would take.
+    cost += use.requests_per_second / replicas * reload;
+    cost += running_wait_ms * static_cast<double>(running);
+    const auto used = view.last_used.find({model, std::nullopt});
+    if (used != view.last_used.end())
+    {
+        const auto age =
+            std::chrono::duration_cast<milliseconds>(now - used->second);
+        if (age < recent_use)
+        {
+            cost += static_cast<double>((recent_use - age).count()) / 2;
+        }
+        // Among equals the one unused for longest goes.
+        cost += 100.0 / (1.0 + static_cast<double>(age.count()) / 1000.0);
+    }
+    return cost;
+}
+
+} // namespace
+
+struct replica_planner::candidate
+{
+    server_state* server = nullptr;
+    double cost_ms = 0;
+    std::vector<model_id> victims;
+    bool is_store_load = false;
+    milliseconds load_time{0};
+};
+
+std::optional<replica_planner::candidate>
+replica_planner::weigh(const planner_view& view, const server_state& server,
+                       const model_id& model, time_point now) const
+{
+    const serving::model_spec& spec = view.engine.models.at(model);
+    candidate it;
+    it.load_time = server.load_time(model, spec);
+    it.is_store_load = !server.has_near_copy(model);
+    it.cost_ms = static_cast<double>(it.load_time.count());
+    double free =
+        view.engine.megabytes - server.used_megabytes(view.engine);
+    std::vector<std::pair<double, model_id>> ranked;
+    if (free < spec.megabytes)
+    {
+        for (const auto& [held, adapters] : server.models())
+        {
+            ranked.emplace_back(cost_of_dropping(view, server, held, now),
+                                held);
+        }
+        std::sort(ranked.begin(), ranked.end());
+    }
+    for (const auto& [cost, held] : ranked)
+    {
+        if (free >= spec.megabytes)
+        {
+            break;
+        }
+        const auto held_spec = view.engine.models.find(held);
+        free += held_spec == view.engine.models.end()
+                    ? view.engine.megabytes
+                    : held_spec->second.megabytes;
+        it.cost_ms += cost;
+        it.victims.push_back(held);
+    }
+    if (free < spec.megabytes)
+    {
+        return std::nullopt;
+    }
+    return it;
+}
+
+std::optional<replica_planner::candidate>
+replica_planner::best_server(const planner_view& view, const model_id& model,
+                             bool may_use_store, time_point now) const
+{
+    std::optional<candidate> best;
+    for (auto& [id, server] : view.servers)
+    {
+        if (!server.is_usable() || server.is_engaged() ||
+            server.models().contains(model))
+        {
+            continue;
+        }
+        auto it = weigh(view, server, model, now);
+        if (!it || (it->is_store_load && !may_use_store))
+        {
+            continue;
+        }
+        if (!best || it->cost_ms < best->cost_ms)
+        {
+            it->server = &server;
+            best = std::move(it);
+        }
+    }
+    return best;
+}
+
+void replica_planner::emit(const planner_view& view, const candidate& to,
+                           const model_id& model, time_point now,
+                           std::vector<planned_order>& orders) const
+{
+    server_state& server = *to.server;
+    planned_order it;
+    it.what.server = server.id();
+    it.what.incarnation = server.entry().incarnation;
+    it.what.expected = server.orders_accepted();
+    if (to.victims.empty())
+    {
+        it.what.kind = order_kind::load;
+        it.what.copy = {model, std::nullopt};
+        it.what.is_store_load = to.is_store_load;
+        it.expected_time = to.load_time;
+    }
+    else
+    {
+        it.what.kind = order_kind::unload;
+        it.what.copy = {to.victims.front(), std::nullopt};
+        it.makes_room_for = model;
+    }
+    server.on_order_sent(it.what, it.expected_time, it.makes_room_for, now);
+    (void)view;
+    orders.push_back(std::move(it));
+}
+
+void replica_planner::plan_waiting(const planner_view& view, time_point now,
+                                   std::vector<planned_order>& orders) const
+{
+    std::vector<const want*> sorted;
+    for (const want& it : view.wants)
+    {
+        sorted.push_back(&it);
+    }
+    std::stable_sort(sorted.begin(), sorted.end(),
+                     [](const want* a, const want* b)
+                     { return a->slack < b->slack; });
+    for (const want* it : sorted)
+    {
+        const model_id& model = it->copy.model;
+        if (!view.engine.models.contains(model) ||
+            replica_count(view, model) > 0 || is_room_being_made(view, model))
+        {
+            continue;
+        }
+        const bool has_near_copy = std::any_of(
+            view.servers.begin(), view.servers.end(),
+            [&](const auto& server)
+            {
+                return server.second.is_usable() &&
+                       server.second.has_near_copy(model);
+            });
+        // Waiting for the server that has a copy is shorter than a fetch.
+        const bool may_use_store =
+            !has_near_copy && store_loads(view) < m_limits.store_loads_at_once;
+        if (const auto to = best_server(view, model, may_use_store, now))
+        {
+            emit(view, *to, model, now, orders);
+        }
+    }
+}
+
+void replica_planner::plan_adapters(const planner_view& view, time_point now,
+                                    std::vector<planned_order>& orders) const
+{
+    for (const want& it : view.wants)
+    {
+        if (!it.copy.adapter)
+        {
+            continue;
+        }
+        const auto spec = view.engine.models.find(it.copy.model);
+        if (spec == view.engine.models.end())
+        {
+            continue;
+        }
+        server_state* best = nullptr;
+        std::uint32_t least = 0;
+        bool is_held = false;
+        for (auto& [id, server] : view.servers)
+        {
+            if (!server.is_usable() || !server.serves(it.copy.model))
+            {
+                continue;
+            }
+            is_held = is_held || server.holds(it.copy);
+            const std::uint32_t running =
+                running_at(view, id, it.copy.model);
+            if (!server.is_engaged() && (best == nullptr || running < least))
+            {
+                best = &server;
+                least = running;
+            }
+        }
+        if (is_held || best == nullptr)
+        {
+            continue;
+        }
+        planned_order next;
+        next.what.server = best->id();
+        next.what.incarnation = best->entry().incarnation;
+        next.what.expected = best->orders_accepted();
+        next.what.copy = it.copy;
+        const bool has_room =
+            best->adapter_count() < view.engine.adapter_places &&
+            best->used_megabytes(view.engine) +
+                    spec->second.adapter_megabytes <=
+                view.engine.megabytes;
+        if (!has_room)
+        {
+            const copy_name* oldest = nullptr;
+            copy_name held;
+            time_point oldest_use = now;
+            for (const auto& [model, adapters] : best->models())
+            {
+                for (const adapter_id& adapter : adapters)
+                {
+                    const copy_name name{model, adapter};
+                    const auto used = view.last_used.find(name);
+                    const time_point at = used == view.last_used.end()
+                                              ? time_point{}
+                                              : used->second;
+                    if (oldest == nullptr || at < oldest_use)
+                    {
+                        held = name;
+                        oldest = &held;
+                        oldest_use = at;
+                    }
+                }
+            }
+            if (oldest == nullptr)
+            {
+                continue;
+            }
+            next.what.kind = order_kind::unload;
+            next.what.copy = held;
+        }
+        best->on_order_sent(next.what, {}, std::nullopt, now);
+        orders.push_back(std::move(next));
+    }
+}
+
+void replica_planner::plan_more_replicas(
+    const planner_view& view, time_point now,
+    std::vector<planned_order>& orders) const
+{
+    for (const auto& [model, use] : view.use)
+    {
+        const std::size_t replicas = replica_count(view, model);
+        if (replicas == 0 || !view.engine.models.contains(model) ||
+            static_cast<double>(use.running) <=
+                m_limits.running_per_replica * static_cast<double>(replicas) ||
+            is_room_being_made(view, model))
+        {
+            continue;
+        }
+        const auto to = best_server(view, model, false, now);
+        // Worth it only if it takes less from others than it gives.
+        if (to && to->cost_ms <
+                      static_cast<double>(use.running) * running_wait_ms)
+        {
+            emit(view, *to, model, now, orders);
+        }
+    }
+}
+
+void replica_planner::plan_staging(const planner_view& view, time_point now,
+                                   std::vector<planned_order>& orders) const
+{
+    const bool has_demand = !view.use.empty();
+    const std::uint32_t limit =
+        has_demand
+            ? m_limits.store_loads_at_once - m_limits.store_loads_kept_free
+            : m_limits.store_loads_at_once;
+    for (const auto& [model, spec] : view.engine.models)
+    {
+        if (store_loads(view) >= limit)
+        {
+            return;
+        }
+        const bool has_copy = std::any_of(
+            view.servers.begin(), view.servers.end(),
+            [&](const auto& it)
+            {
+                return it.second.is_usable() &&
+                       (it.second.has_near_copy(model) ||
+                        it.second.models().contains(model) ||
+                        it.second.is_loading(model));
+            });
+        if (has_copy || is_room_being_made(view, model))
+        {
+            continue;
+        }
+        const auto to = best_server(view, model, true, now);
+        if (to)
+        {
+            emit(view, *to, model, now, orders);
+        }
+    }
+}
+
+std::vector<planned_order> replica_planner::plan(const planner_view& view,
+                                                 time_point now) const
+{
+    std::vector<planned_order> orders;
+    plan_waiting(view, now, orders);
+    plan_adapters(view, now, orders);
+    plan_more_replicas(view, now, orders);
+    plan_staging(view, now, orders);
+    return orders;
+}
+
+} // namespace cicadahub::replicas
--- /dev/null
+++ b/libraries/decision/replicas/replica_planner.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "decision/replicas/server_state.hpp"
+
+#include <map>
+
+namespace cicadahub::replicas
+{
+
+struct planner_limits
+{
+    /// Loads that the weight store serves at full speed at once (sheets of the
+    /// deployments); more only slow one another down.
+    std::uint32_t store_loads_at_once = 4;
+    /// Copies of weights that are fetched ahead of demand while requests come
+    /// leave this many of the above to requests that wait.
+    std::uint32_t store_loads_kept_free = 2;
+    /// Adapters that one server takes from the store at once (published).
+    std::uint32_t adapters_in_transit = 4;
+    /// Requests that a replica runs before another replica is worth a load.
+    double running_per_replica = 8;
+};
+
+/// All that the planner decides by.
+struct planner_view
+{
+    const serving::engine_spec& engine;
+    std::map<server_id, server_state>& servers;
+    std::vector<want> wants;
+    std::map<model_id, model_use> use;
+    /// Requests that run of each model at each server, fleet-wide.
+    std::map<std::pair<server_id, model_id>, std::uint32_t> running;
+    std::map<copy_name, time_point> last_used;
+};
+
+struct planned_order
+{
+    order what;
+    milliseconds expected_time{0};
+    std::optional<model_id> makes_room_for;
+};
+
+/// Decides which models and adapters are loaded where, by who waits for what
+/// and what it costs to bring a copy back. Performs no I/O and keeps nothing:
+/// what was ordered stands in the servers' states.
+class replica_planner
+{
+public:
+    explicit replica_planner(planner_limits limits) : m_limits(limits) {}
+
+    /// The orders to send now, at most one for a model a server.
+    std::vector<planned_order> plan(const planner_view& view,
+                                    time_point now) const;
+
+private:
+    struct candidate;
+
+    void plan_waiting(const planner_view& view, time_point now,
+                      std::vector<planned_order>& orders) const;
+    void plan_adapters(const planner_view& view, time_point now,
+                       std::vector<planned_order>& orders) const;
+    void plan_more_replicas(const planner_view& view, time_point now,
+                            std::vector<planned_order>& orders) const;
+    void plan_staging(const planner_view& view, time_point now,
+                      std::vector<planned_order>& orders) const;
+    std::optional<candidate> best_server(const planner_view& view,
+                                         const model_id& model,
+                                         bool may_use_store,
+                                         time_point now) const;
+    std::optional<candidate> weigh(const planner_view& view,
+                                   const server_state& server,
+                                   const model_id& model,
+                                   time_point now) const;
+    void emit(const planner_view& view, const candidate& to,
+              const model_id& model, time_point now,
+              std::vector<planned_order>& orders) const;
+
+    planner_limits m_limits;
+};
+
+} // namespace cicadahub::replicas
--- /dev/null
+++ b/libraries/decision/replicas/server_state.cpp
@@ -0,0 +1,209 @@
+#include "decision/replicas/server_state.hpp"
+
+namespace cicadahub::replicas
+{
+
+namespace
+{
+
+/// Reports tell of a server as it was some hundred milliseconds ago.
+constexpr milliseconds report_lag{500};
+
+} // namespace
+
+server_state::server_state(const serving::server_entry& entry)
+    : m_entry(entry), m_models(entry.models),
+      m_orders_accepted(entry.orders_accepted)
+{
+}
+
+bool server_state::on_told(const serving::holdings& models,
+                           const std::set<model_id>& in_memory,
+                           const std::set<model_id>& on_disk,
+                           std::uint64_t orders_accepted, bool is_busy,
+                           time_point now)
+{
+    if (orders_accepted < m_orders_accepted)
+    {
+        // Older than what this daemon has ordered itself.
+        return false;
+    }
+    m_orders_accepted = orders_accepted;
+    m_entry.in_memory = in_memory;
+    m_entry.on_disk = on_disk;
+    bool has_changed = models != m_models;
+    if (m_pending && orders_accepted > m_pending->what.expected)
+    {
+        const bool is_there = models.contains(m_pending->what.copy.model);
+        const bool wants_there = m_pending->what.kind == order_kind::load;
+        if (!is_busy && (is_there == wants_there || now >= m_pending->due_at))
+        {
+            m_pending.reset();
+            has_changed = true;
+        }
+    }
+    m_models = models;
+    return has_changed;
+}
+
+void server_state::on_entry(const serving::server_entry& entry)
+{
+    const auto in_memory = std::move(m_entry.in_memory);
+    const auto on_disk = std::move(m_entry.on_disk);
+    m_entry = entry;
+    m_entry.in_memory = in_memory;
+    m_entry.on_disk = on_disk;
+}
+
+void server_state::on_order_sent(const order& it, milliseconds expected_time,
+                                 std::optional<model_id> makes_room_for,
+                                 time_point now)
+{
+    m_awaits_answer = true;
+    if (!it.copy.adapter)
+    {
+        m_pending = pending_order{it,    now,   now + expected_time,
+                                  false, false, std::move(makes_room_for)};
+    }
+}
+
+void server_state::on_answer(const order& it, order_answer answer)
+{
+    m_awaits_answer = false;
+    if (answer == order_answer::accepted || answer == order_answer::holds)
+    {
+        m_orders_accepted =
+            std::max(m_orders_accepted,
+                     it.expected + (answer == order_answer::accepted ? 1 : 0));
+        if (it.copy.adapter && it.kind == order_kind::load)
+        {
+            m_models[it.copy.model].insert(*it.copy.adapter);
+        }
+        else if (it.copy.adapter)
+        {
+            m_models[it.copy.model].erase(*it.copy.adapter);
+        }
+        else if (answer == order_answer::holds)
+        {
+            m_pending.reset();
+            m_is_confirmed = false;
+        }
+        else if (m_pending)
+        {
+            m_pending->is_accepted = true;
+        }
+        return;
+    }
+    if (answer == order_answer::unknown)
+    {
+        // It may still be carried out: what it asks for stays counted, and the
+        // report tells whether its number was used.
+        if (m_pending && !it.copy.adapter)
+        {
+            m_pending->is_uncertain = true;
+        }
+        m_is_confirmed = false;
+        return;
+    }
+    if (!it.copy.adapter)
+    {
+        m_pending.reset();
+    }
+    m_is_confirmed = false;
+}
+
+void server_state::confirm(time_point asked_at)
+{
+    if (m_pending && m_pending->is_uncertain &&
+        m_orders_accepted == m_pending->what.expected)
+    {
+        if (asked_at < m_pending->sent_at + report_lag)
+        {
+            return;
+        }
+        // Not accepted so far. Should it still arrive, it is carried out only
+        // in the state that it was made for, and excludes what is ordered now.
+        m_pending.reset();
+    }
+    m_is_confirmed = true;
+}
+
+bool server_state::holds(const copy_name& copy) const
+{
+    const auto it = m_models.find(copy.model);
+    if (it == m_models.end() || !serves(copy.model))
+    {
+        return false;
+    }
+    return !copy.adapter || it->second.contains(*copy.adapter);
+}
+
+bool server_state::serves(const model_id& model) const
+{
+    if (!m_models.contains(model))
+    {
+        return false;
+    }
+    return !m_pending || m_pending->what.copy.model != model ||
+           m_pending->what.kind != order_kind::unload;
+}
+
+bool server_state::is_loading(const model_id& model) const
+{
+    return m_pending && m_pending->what.copy.model == model &&
+           m_pending->what.kind == order_kind::load;
+}
+
+double server_state::used_megabytes(const serving::engine_spec& engine) const
+{
+    const auto size_of = [&](const model_id& model, std::size_t adapters)
+    {
+        const auto spec = engine.models.find(model);
+        // A model that the configuration no longer names still takes room.
+        if (spec == engine.models.end())
+        {
+            return engine.megabytes;
+        }
+        return spec->second.megabytes +
+               static_cast<double>(adapters) * spec->second.adapter_megabytes;
+    };
+    double sum = 0;
+    for (const auto& [model, adapters] : m_models)
+    {
+        sum += size_of(model, adapters.size());
+    }
+    if (m_pending && m_pending->what.kind == order_kind::load &&
+        !m_models.contains(m_pending->what.copy.model))
+    {
+        sum += size_of(m_pending->what.copy.model, 0);
+    }
+    return sum;
+}
+
+std::uint32_t server_state::adapter_count() const
+{
+    std::size_t n = 0;
+    for (const auto& [model, adapters] : m_models)
+    {
+        n += adapters.size();
+    }
+    return static_cast<std::uint32_t>(n);
+}
+
+bool server_state::has_near_copy(const model_id& model) const
+{
+    return m_entry.in_memory.contains(model) || m_entry.on_disk.contains(model);
+}
+
+milliseconds server_state::load_time(const model_id& model,
+                                     const serving::model_spec& spec) const
+{
+    if (m_entry.in_memory.contains(model))
+    {
+        return spec.load_from_memory;
+    }
+    return m_entry.on_disk.contains(model) ? spec.load_from_disk
+                                           : spec.load_from_store;
+}
+
+} // namespace cicadahub::replicas
--- /dev/null
+++ b/libraries/decision/routing/server_choice.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/ids.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace cicadahub::routing
+{
+
+/// A server that can run the request, with its load over the whole fleet.
+struct choice_candidate
+{
+    const server_id* server = nullptr;
+    std::uint32_t running = 0;
+    std::uint32_t slots = 1;
+    bool is_near = false;
+    bool is_trusted = true;
+};
+
+/// What of a prompt other requests share, and so may be kept by a server.
+struct prompt_affinity
+{
+    /// Names the shared parts with their model; the same at every daemon.
+    std::string key;
+    std::int64_t shared_tokens = 0;
+};
+
+/// The engine to send a request to: the one that would read the fewest tokens
+/// before it, those of the shared parts included unless it is the one that all
+/// daemons prefer for them. None if all are full.
+std::optional<std::size_t> choose_engine(std::span<const choice_candidate> from,
+                                         const prompt_affinity& prompt,
+                                         double mean_prompt_tokens);
+
+/// The server of a plain service: the least loaded, a near one among equals.
+std::optional<std::size_t>
+choose_plain(std::span<const choice_candidate> from);
+
+} // namespace cicadahub::routing
--- /dev/null
+++ b/libraries/decision/sharing/host_rate.cpp
@@ -0,0 +1,74 @@
+#include "decision/sharing/host_rate.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cicadahub::sharing
+{
+
+namespace
+{
+
+/// Part of an even share that a host keeps without any demand.
+constexpr double idle_part = 0.25;
+
+} // namespace
+
+quota::rate_limit host_rate::part_of(const quota::rate_limit& whole,
+                                     double share)
+{
+    const double burst = static_cast<double>(whole.burst.value()) * share;
+    return {whole.tokens_per_second * share,
+            token_count(static_cast<std::int64_t>(std::floor(burst)))};
+}
+
+host_rate::host_rate(quota::rate_limit whole, double share, time_point now)
+    : m_bucket(part_of(whole, share))
+{
+    m_bucket.start_empty(now);
+    m_bucket.put_back(m_bucket.limit().burst);
+}
+
+void host_rate::set(quota::rate_limit whole, double share, time_point now)
+{
+    m_bucket.refill(now, m_bucket.limit().burst);
+    m_bucket.set_limit(part_of(whole, share));
+    m_bucket.limit_to(m_bucket.limit().burst);
+}
+
+std::optional<milliseconds> host_rate::charge(std::int64_t tokens,
+                                              time_point now)
+{
+    m_bucket.refill(now, m_bucket.limit().burst);
+    // A request larger than the part of the burst passes when the part is
+    // full; the bucket then owes the rest.
+    const token_count needed(
+        std::min(tokens, m_bucket.limit().burst.value()));
+    if (m_bucket.level() < needed)
+    {
+        return m_bucket.time_to(needed);
+    }
+    m_bucket.put_back(token_count(-tokens));
+    return std::nullopt;
+}
+
+void host_rate::give_back(std::int64_t tokens, time_point now)
+{
+    m_bucket.refill(now, m_bucket.limit().burst);
+    m_bucket.put_back(token_count(tokens));
+    m_bucket.limit_to(m_bucket.limit().burst);
+}
+
+double share_of_demand(double own, double all, std::size_t host_count)
+{
+    const double even = 1.0 / static_cast<double>(std::max<std::size_t>(
+                                  1, host_count));
+    if (all <= 0)
+    {
+        return even;
+    }
+    const double fixed = even * idle_part;
+    return fixed + (1.0 - idle_part) * std::min(1.0, own / all);
+}
+
+} // namespace cicadahub::sharing
--- /dev/null
+++ b/libraries/decision/sharing/server_health.cpp
@@ -0,0 +1,60 @@
+#include "decision/sharing/server_health.hpp"
+
+#include <algorithm>
+
+namespace cicadahub::sharing
+{
+
+namespace
+{
+
+/// Weight of the newest outcome: about the last ten requests count.
+constexpr double newest_weight = 0.1;
+/// Above what a sound application fails on its own account.
+constexpr double suspect_failure_share = 0.35;
+constexpr std::uint32_t least_samples = 6;
+constexpr milliseconds first_suspension{1'000};
+constexpr std::uint32_t longest_doublings = 3;
+
+} // namespace
+
+void server_health::on_success()
+{
+    ++m_samples;
+    m_failure_share *= 1 - newest_weight;
+    if (m_failure_share < newest_weight)
+    {
+        m_suspensions = 0;
+    }
+}
+
+bool server_health::on_failure(time_point now)
+{
+    ++m_samples;
+    m_failure_share =
+        m_failure_share * (1 - newest_weight) + newest_weight;
+    if (m_samples < least_samples || m_failure_share < suspect_failure_share)
+    {
+        return false;
+    }
+    suspend(now);
+    return true;
+}
+
+void server_health::on_unreachable(time_point now)
+{
+    suspend(now);
+}
+
+void server_health::suspend(time_point now)
+{
+    m_suspended_until =
+        now + first_suspension *
+                  (1U << std::min(m_suspensions, longest_doublings));
+    ++m_suspensions;
+    // The next trial counts as much as all that came before it.
+    m_samples = least_samples / 2;
+    m_failure_share = suspect_failure_share / 2;
+}
+
+} // namespace cicadahub::sharing
--- /dev/null
+++ b/libraries/decision/sharing/server_health.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "core/units.hpp"
+
+namespace cicadahub::sharing
+{
+
+/// Judges one backend server by what became of this daemon's requests there.
+class server_health
+{
+public:
+    /// The server answered as it should.
+    void on_success();
+
+    /// The server failed a request. True if it is suspended from now on.
+    bool on_failure(time_point now);
+
+    /// The server could not be reached: suspended at once.
+    void on_unreachable(time_point now);
+
+    bool is_trusted(time_point now) const { return now >= m_suspended_until; }
+    double failure_share() const { return m_failure_share; }
+
+private:
+    void suspend(time_point now);
+
+    double m_failure_share = 0;
+    std::uint32_t m_samples = 0;
+    std::uint32_t m_suspensions = 0;
+    time_point m_suspended_until{};
+};
+
+} // namespace cicadahub::sharing
--- /dev/null
+++ b/libraries/entry/demand_table.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "decision/replicas/types.hpp"
+#include "decision/sharing/rate_estimate.hpp"
+
+#include <map>
+
+namespace cicadahub::entry
+{
+
+/// What callers ask of this daemon: models, adapters, organisations' tokens.
+class demand_table
+{
+public:
+    void on_request(const replicas::copy_name& copy, time_point now);
+    void on_tokens(const organisation_id& organisation, std::int64_t tokens,
+                   time_point now);
+
+    /// Models asked for lately, with their rate.
+    std::map<model_id, double> model_rates(time_point now);
+    double tokens_per_second(const organisation_id& organisation,
+                             time_point now);
+    std::map<organisation_id, double> organisation_rates(time_point now);
+    const std::map<replicas::copy_name, time_point>& last_used() const
+    {
+        return m_last_used;
+    }
+
+private:
+    std::map<model_id, sharing::rate_estimate> m_models;
+    std::map<organisation_id, sharing::rate_estimate> m_organisations;
+    std::map<replicas::copy_name, time_point> m_last_used;
+};
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/digest_exchange.cpp
@@ -0,0 +1,227 @@
+#include "entry/digest_exchange.hpp"
+
+#include "core/structured_log.hpp"
+#include "fleet/digest_codec.hpp"
+#include "fleet/frame_codec.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace cicadahub::entry
+{
+
+namespace
+{
+
+/// Time between two digests without news.
+constexpr milliseconds digest_period{250};
+/// Changes that come together are told together.
+constexpr milliseconds gather_time{5};
+constexpr std::size_t largest_datagram_bytes = 60'000;
+/// So that a digest never names more hosts than a datagram holds.
+constexpr std::size_t told_addresses = 64;
+constexpr auto no_throw = net::as_tuple(net::use_awaitable);
+
+net::ip::udp::endpoint datagram_endpoint(const http::endpoint& it)
+{
+    return {it.address(), it.port()};
+}
+
+/// Grows with each run of this daemon, whatever host it runs on.
+std::int64_t new_incarnation()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace
+
+digest_exchange::digest_exchange(entry_state& state, fill_handler fill,
+                                 heard_handler on_heard)
+    : m_state(state), m_fill(std::move(fill)), m_on_heard(std::move(on_heard)),
+      m_socket(state.context, datagram_endpoint(state.settings.fleet)),
+      m_timer(state.context), m_incarnation(new_incarnation())
+{
+    m_socket.non_blocking(true);
+    for (const http::endpoint& it : state.settings.known_hosts)
+    {
+        add_address(it);
+    }
+}
+
+void digest_exchange::start()
+{
+    net::co_spawn(m_state.context, receive_loop(), net::detached);
+    net::co_spawn(m_state.context, send_loop(), net::detached);
+}
+
+void digest_exchange::add_address(const http::endpoint& address)
+{
+    if (address != m_state.settings.fleet)
+    {
+        m_addresses.insert(datagram_endpoint(address));
+    }
+}
+
+void digest_exchange::tell_soon()
+{
+    if (!m_is_urgent)
+    {
+        m_is_urgent = true;
+        m_timer.cancel();
+    }
+}
+
+fleet::wire::Digest digest_exchange::make_digest(time_point now)
+{
+    fleet::wire::Digest it;
+    it.sender = m_state.settings.name.value();
+    it.incarnation = m_incarnation;
+    it.number = ++m_number;
+    it.data_centre = m_state.settings.data_centre.value();
+    it.is_leaving = m_state.is_draining;
+    if (m_state.configuration)
+    {
+        it.configuration_revision = static_cast<std::int64_t>(
+            m_state.configuration->revision.value());
+    }
+    for (const replicas::want& want : m_state.waiting.wants(now))
+    {
+        fleet::wire::WantedCopy wanted;
+        wanted.model = want.copy.model.value();
+        wanted.adapter = want.copy.adapter ? want.copy.adapter->value()
+                                           : std::string();
+        wanted.waiting = static_cast<std::int32_t>(want.waiting);
+        wanted.slack_ms = static_cast<std::int32_t>(want.slack.count());
+        it.wants.push_back(std::move(wanted));
+    }
+    for (const auto& [model, rate] : m_state.demand.model_rates(now))
+    {
+        fleet::wire::ModelUsage usage;
+        usage.model = model.value();
+        usage.requests_per_second = rate;
+        it.usage.push_back(std::move(usage));
+    }
+    for (const auto& [id, record] : m_state.servers.records())
+    {
+        if (record->running == 0)
+        {
+            continue;
+        }
+        fleet::wire::ServerWork work;
+        work.server = id.value();
+        work.running = static_cast<std::int32_t>(record->running);
+        for (const auto& [model, n] : record->running_models)
+        {
+            work.models[model.value()] = static_cast<std::int32_t>(n);
+        }
+        it.work.push_back(std::move(work));
+    }
+    for (const auto& [name, rate] : m_state.demand.organisation_rates(now))
+    {
+        fleet::wire::OrganisationDemand demand;
+        demand.organisation = name.value();
+        demand.per_second = rate;
+        it.demand.push_back(std::move(demand));
+    }
+    for (const auto& [name, peer] : m_state.fleet.peers())
+    {
+        if (it.peers.size() < told_addresses)
+        {
+            it.peers.push_back(http::to_string(peer.address));
+        }
+    }
+    m_fill(it, now);
+    return it;
+}
+
+void digest_exchange::tell_now()
+{
+    const std::string datagram =
+        fleet::encode_digest(make_digest(monotonic_clock::now()));
+    for (const auto& it : m_addresses)
+    {
+        boost::system::error_code ec;
+        // A digest that is lost is made up for by the next.
+        m_socket.send_to(net::buffer(datagram), it, 0, ec);
+    }
+}
+
+net::awaitable<void> digest_exchange::send_loop()
+{
+    while (true)
+    {
+        m_is_urgent = false;
+        m_state.fleet.drop_silent(monotonic_clock::now());
+        m_state.share_rates(monotonic_clock::now());
+        tell_now();
+        m_timer.expires_after(digest_period);
+        co_await m_timer.async_wait(no_throw);
+        if (m_is_urgent)
+        {
+            net::steady_timer gather(m_state.context, gather_time);
+            co_await gather.async_wait(no_throw);
+        }
+    }
+}
+
+net::awaitable<void> digest_exchange::receive_loop()
+{
+    std::vector<char> buf(largest_datagram_bytes);
+    while (true)
+    {
+        net::ip::udp::endpoint from;
+        auto [ec, n] = co_await m_socket.async_receive_from(net::buffer(buf),
+                                                            from, no_throw);
+        if (!ec)
+        {
+            on_datagram(std::string_view(buf.data(), n), from);
+        }
+    }
+}
+
+void digest_exchange::on_datagram(std::string_view datagram,
+                                  const net::ip::udp::endpoint& from)
+{
+    fleet::wire::Digest digest;
+    try
+    {
+        digest = fleet::decode_digest(datagram);
+    }
+    catch (const fleet::malformed_frame& reason)
+    {
+        log_event(severity::warning, event_number::peer_frame_malformed,
+                  {{"from", from.address().to_string()},
+                   {"reason", reason.what()}});
+        return;
+    }
+    const std::string sender = digest.sender;
+    if (sender == m_state.settings.name.value())
+    {
+        return;
+    }
+    const http::endpoint address(from.address(), from.port());
+    add_address(address);
+    for (const std::string& it : digest.peers)
+    {
+        try
+        {
+            add_address(http::parse_endpoint(it));
+        }
+        catch (const malformed_document& reason)
+        {
+            log_event(severity::warning, event_number::peer_frame_malformed,
+                      {{"peer", sender}, {"reason", reason.what()}});
+        }
+    }
+    if (m_state.fleet.on_digest(std::move(digest), address,
+                                monotonic_clock::now()))
+    {
+        m_on_heard(m_state.fleet.peers().at(sender));
+    }
+}
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/digest_exchange.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "entry/entry_state.hpp"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <set>
+
+namespace cicadahub::entry
+{
+
+/// Tells all other daemons again and again what this one knows, by datagram,
+/// and takes what they tell.
+class digest_exchange
+{
+public:
+    using fill_handler = std::function<void(fleet::wire::Digest&, time_point)>;
+    using heard_handler = std::function<void(const peer&)>;
+
+    /// Binds the fleet's address; throws `boost::system::system_error`.
+    digest_exchange(entry_state& state, fill_handler fill,
+                    heard_handler on_heard);
+
+    void start();
+    /// Something changed that others wait for.
+    void tell_soon();
+    void add_address(const http::endpoint& address);
+    /// Tells everybody at once, as before the daemon stops.
+    void tell_now();
+
+private:
+    net::awaitable<void> send_loop();
+    net::awaitable<void> receive_loop();
+    void on_datagram(std::string_view datagram,
+                     const net::ip::udp::endpoint& from);
+    fleet::wire::Digest make_digest(time_point now);
+
+    entry_state& m_state;
+    fill_handler m_fill;
+    heard_handler m_on_heard;
+    net::ip::udp::socket m_socket;
+    net::steady_timer m_timer;
+    std::set<net::ip::udp::endpoint> m_addresses;
+    std::int64_t m_incarnation;
+    std::int64_t m_number = 0;
+    bool m_is_urgent = false;
+};
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/entry_daemon.cpp
@@ -0,0 +1,338 @@
+#include "entry/entry_daemon.hpp"
+
+#include "core/json_reader.hpp"
+#include "core/structured_log.hpp"
+#include "daemon/pause.hpp"
+
+#include <csignal>
+
+namespace cicadahub::entry
+{
+
+namespace
+{
+
+using daemon::pause;
+
+constexpr milliseconds connect_timeout{500};
+constexpr std::size_t idle_connections = 4;
+/// A call and a watch together stay under the time in which a configuration
+/// and a leaving server must be known, should a connection go silent.
+constexpr platform::client_timing store_timing{
+    milliseconds(600), milliseconds(1'000), milliseconds(3'000)};
+constexpr milliseconds member_period{5'000};
+constexpr milliseconds retry_pause{300};
+/// The balancer asks each second and takes a daemon out after two misses.
+constexpr milliseconds balancer_notice{2'600};
+constexpr milliseconds drain_poll{20};
+/// Left of the grace for the process to end by itself.
+constexpr milliseconds exit_reserve{700};
+
+} // namespace
+
+net::awaitable<void> readiness_handler::serve(http::request&,
+                                              http::reply_writer& reply)
+{
+    http::response answer{m_is_ready() ? http::status::ok
+                                       : http::status::service_unavailable,
+                          11};
+    answer.prepare_payload();
+    co_await reply.send(std::move(answer));
+}
+
+entry_daemon::entry_daemon(entry_settings settings, platform_dialects dialects,
+                           reload_handler reload)
+    : m_settings(std::move(settings)), m_dialects(dialects),
+      m_reload(std::move(reload)),
+      m_state(m_context, m_settings, dialects.documents),
+      m_platform_pool(m_context, connect_timeout, idle_connections),
+      m_order_pool(m_context, connect_timeout, idle_connections),
+      m_store(m_platform_pool, m_settings.store, store_timing, dialects.store),
+      m_placement(m_context, m_order_pool, m_store,
+                  {m_settings, dialects.servers, m_state.servers, m_state.fleet,
+                   m_state.demand, m_state.waiting,
+                   [this] { return m_state.configuration; }},
+                  [this]
+                  {
+                      m_digests.tell_soon();
+                      m_state.waiting.wake_all();
+                  }),
+      m_digests(
+          m_state,
+          [this](fleet::wire::Digest& it, time_point now)
+          { m_placement.fill(it, now); },
+          [this](const peer& it) { on_heard(it); }),
+      m_requests(m_state, dialects.callers, dialects.servers),
+      m_readiness([this] { return is_ready(); }),
+      m_caller_server(m_settings.callers, limits_of({}),
+                      {{m_context, m_requests}}),
+      m_readiness_server(m_settings.readiness, http::server_limits{},
+                         {{m_context, m_readiness}}),
+      m_configurations(
+          m_context, m_store, platform::collection::configurations,
+          [this](const platform::stored_object& it) { on_configuration(it); },
+          [this](bool) { note_readiness(); }),
+      m_servers(
+          m_context, m_store, platform::collection::servers,
+          [this](const platform::stored_object& it)
+          { m_state.servers.apply(it); },
+          [this](bool is_whole) { on_servers_changed(is_whole); }),
+      m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
+      m_started(monotonic_clock::now())
+{
+    m_state.waiting.set_change_handler(
+        [this]
+        {
+            m_digests.tell_soon();
+            m_placement.kick();
+        });
+}
+
+bool entry_daemon::is_ready() const
+{
+    return m_state.configuration && m_state.has_servers && !m_state.is_draining;
+}
+
+void entry_daemon::note_readiness()
+{
+    if (!m_was_ready && is_ready())
+    {
+        m_was_ready = true;
+        const auto took = std::chrono::duration_cast<milliseconds>(
+            monotonic_clock::now() - m_started);
+        log_event(severity::info, event_number::daemon_ready,
+                  {{"after_ms", took.count()},
+                   {"configuration", m_state.configuration->version},
+                   {"servers", m_state.servers.records().size()}});
+    }
+}
+
+http::server_limits
+entry_daemon::limits_of(const serving::caller_limits& it) const
+{
+    http::server_limits limits;
+    limits.header_bytes = it.header_bytes;
+    limits.body_bytes = it.body_bytes;
+    limits.read_timeout = it.read_timeout;
+    limits.idle_timeout = it.idle_timeout;
+    return limits;
+}
+
+void entry_daemon::on_configuration(const platform::stored_object& it)
+{
+    if (it.name != m_dialects.documents.configuration_name || it.is_deleted)
+    {
+        return;
+    }
+    if (m_state.configuration && it.version <= m_state.configuration->revision)
+    {
+        return;
+    }
+    try
+    {
+        auto next = std::make_shared<const serving::configuration>(
+            m_dialects.documents.read_configuration(it));
+        log_event(severity::info, event_number::configuration_applied,
+                  {{"configuration", next->version},
+                   {"revision", next->revision.value()},
+                   {"routes", next->routes.size()},
+                   {"organisations", next->organisations.size()}});
+        m_caller_server.set_limits(limits_of(next->limits));
+        m_state.configuration = std::move(next);
+        m_state.share_rates(monotonic_clock::now());
+        m_state.waiting.wake_all();
+    }
+    catch (const std::exception& reason)
+    {
+        log_event(severity::error, event_number::malformed_object,
+                  {{"collection", "configurations"},
+                   {"object", it.name},
+                   {"version", it.version.value()},
+                   {"reason", reason.what()}});
+    }
+}
+
+void entry_daemon::on_servers_changed(bool is_whole)
+{
+    m_state.servers.end_of_list(is_whole);
+    m_state.has_servers = true;
+    note_readiness();
+    m_placement.kick();
+    m_state.waiting.wake_all();
+}
+
+void entry_daemon::on_heard(const peer& it)
+{
+    m_state.servers.set_running_elsewhere(m_state.fleet.running_by_server());
+    if (it.digest.__isset.placement_epoch)
+    {
+        m_placement.on_holder_heard(it);
+        if (!m_placement.is_held())
+        {
+            take_holdings(it);
+        }
+    }
+    if (m_placement.is_held() && !it.digest.wants.empty())
+    {
+        m_placement.kick();
+    }
+}
+
+void entry_daemon::take_holdings(const peer& holder)
+{
+    for (const auto& it : holder.digest.holdings)
+    {
+        ordered_holdings told;
+        told.incarnation = it.incarnation;
+        told.orders_accepted = static_cast<std::uint64_t>(it.orders_accepted);
+        for (const auto& [model, adapters] : it.models)
+        {
+            auto& names = told.models[model_id(model)];
+            for (const std::string& adapter : adapters)
+            {
+                names.insert(adapter_id(adapter));
+            }
+        }
+        if (!it.loading.empty())
+        {
+            told.loading = model_id(it.loading);
+            told.loaded_at = holder.heard_at + milliseconds(it.loading_ms);
+        }
+        m_state.servers.on_ordered(server_id(it.server), std::move(told));
+    }
+    m_state.waiting.wake_all();
+}
+
+net::awaitable<void> entry_daemon::register_member()
+{
+    const std::string name = m_settings.name.value();
+    const boost::json::object spec{
+        {"address", http::to_string(m_settings.fleet)}};
+    while (!m_state.is_draining)
+    {
+        try
+        {
+            auto stored =
+                co_await m_store.read(platform::collection::members, name);
+            if (stored && stored->spec == spec)
+            {
+                co_return;
+            }
+            if (!stored)
+            {
+                stored.emplace();
+                stored->name = name;
+            }
+            const auto written = co_await m_store.write(
+                platform::collection::members, std::move(*stored), spec);
+            if (written.outcome == platform::write_outcome::applied)
+            {
+                co_return;
+            }
+        }
+        catch (const error& reason)
+        {
+            log_event(severity::warning, event_number::platform_unreachable,
+                      {{"collection", "members"}, {"reason", reason.what()}});
+        }
+        co_await pause(m_context, retry_pause);
+    }
+}
+
+net::awaitable<void> entry_daemon::follow_members()
+{
+    co_await register_member();
+    while (!m_state.is_draining)
+    {
+        try
+        {
+            const auto all =
+                co_await m_store.list(platform::collection::members);
+            for (const platform::stored_object& it : all.objects)
+            {
+                const json_reader reader(it.spec);
+                m_digests.add_address(
+                    http::parse_endpoint(reader.text("address")));
+            }
+        }
+        catch (const error& reason)
+        {
+            log_event(severity::warning, event_number::platform_unreachable,
+                      {{"collection", "members"}, {"reason", reason.what()}});
+        }
+        co_await pause(m_context, member_period);
+    }
+}
+
+void entry_daemon::wait_for_signal()
+{
+    m_signals.async_wait(
+        [this](boost::system::error_code ec, int number)
+        {
+            if (ec)
+            {
+                return;
+            }
+            if (number != SIGHUP)
+            {
+                net::co_spawn(m_context, drain(), net::detached);
+                return;
+            }
+            const auto next = m_reload();
+            log_event(next ? severity::info : severity::error,
+                      event_number::settings_reloaded,
+                      {{"is_good", next.has_value()}});
+            if (next)
+            {
+                for (const http::endpoint& it : next->known_hosts)
+                {
+                    m_digests.add_address(it);
+                }
+            }
+            wait_for_signal();
+        });
+}
+
+void entry_daemon::run()
+{
+    wait_for_signal();
+    m_configurations.start();
+    m_servers.start();
+    m_placement.start();
+    m_digests.start();
+    net::co_spawn(m_context, follow_members(), net::detached);
+    m_caller_server.start();
+    m_readiness_server.start();
+    log_event(severity::info, event_number::daemon_started,
+              {{"version", CICADAHUB_VERSION},
+               {"callers", http::to_string(m_settings.callers)},
+               {"fleet", http::to_string(m_settings.fleet)},
+               {"store", http::to_string(m_settings.store)}});
+    m_context.run();
+    log_event(severity::info, event_number::daemon_stopped,
+              {{"dropped_log_lines", dropped_log_lines()}});
+}
+
+net::awaitable<void> entry_daemon::drain()
+{
+    log_event(severity::info, event_number::drain_began,
+              {{"running", m_caller_server.busy_count()}});
+    const time_point began = monotonic_clock::now();
+    const time_point limit = began + m_settings.stop_grace - exit_reserve;
+    m_state.is_draining = true;
+    m_caller_server.begin_drain();
+    co_await m_placement.release();
+    m_digests.tell_now();
+    while (monotonic_clock::now() < began + balancer_notice)
+    {
+        co_await pause(m_context, drain_poll);
+    }
+    m_caller_server.stop_accepting();
+    while (m_caller_server.busy_count() > 0 && monotonic_clock::now() < limit)
+    {
+        co_await pause(m_context, drain_poll);
+    }
+    m_context.stop();
+}
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/entry_daemon.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "daemon/collection_follower.hpp"
+#include "entry/digest_exchange.hpp"
+#include "entry/placement_duty.hpp"
+#include "entry/request_handler.hpp"
+#include "http/server.hpp"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace cicadahub::entry
+{
+
+/// How the platform that the daemon runs on spells what it says.
+struct platform_dialects
+{
+    const platform::object_dialect& store;
+    const document_dialect& documents;
+    const caller_dialect& callers;
+    const server_dialect& servers;
+};
+
+/// Tells the balancer whether this daemon takes new connections.
+class readiness_handler
+{
+public:
+    explicit readiness_handler(std::function<bool()> is_ready)
+        : m_is_ready(std::move(is_ready))
+    {
+    }
+
+    net::awaitable<void> serve(http::request& message,
+                               http::reply_writer& reply);
+
+private:
+    std::function<bool()> m_is_ready;
+};
+
+/// A whole entry daemon on a platform that keeps all that must last. One
+/// thread runs it: the hosts have less than one core.
+class entry_daemon
+{
+public:
+    using reload_handler = std::function<std::optional<entry_settings>()>;
+
+    /// Binds every address; throws `boost::system::system_error`.
+    entry_daemon(entry_settings settings, platform_dialects dialects,
+                 reload_handler reload);
+
+    /// Serves until SIGTERM or SIGINT, then drains.
+    void run();
+
+private:
+    net::awaitable<void> drain();
+    net::awaitable<void> register_member();
+    net::awaitable<void> follow_members();
+    void wait_for_signal();
+    void on_configuration(const platform::stored_object& it);
+    void on_servers_changed(bool is_whole);
+    void on_heard(const peer& it);
+    void take_holdings(const peer& holder);
+    void note_readiness();
+    bool is_ready() const;
+    http::server_limits limits_of(const serving::caller_limits& it) const;
+
+    net::io_context m_context{1};
+    entry_settings m_settings;
+    platform_dialects m_dialects;
+    reload_handler m_reload;
+    entry_state m_state;
+    http::client_pool m_platform_pool;
+    http::client_pool m_order_pool;
+    platform::store m_store;
+    placement_duty m_placement;
+    digest_exchange m_digests;
+    request_handler m_requests;
+    readiness_handler m_readiness;
+    http::server<request_handler> m_caller_server;
+    http::server<readiness_handler> m_readiness_server;
+    daemon::collection_follower m_configurations;
+    daemon::collection_follower m_servers;
+    net::signal_set m_signals;
+    time_point m_started;
+    bool m_was_ready = false;
+};
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/entry_state.cpp
@@ -0,0 +1,66 @@
+#include "entry/entry_state.hpp"
+
+namespace cicadahub::entry
+{
+
+namespace
+{
+
+constexpr milliseconds connect_timeout{500};
+constexpr std::size_t idle_connections_per_server = 32;
+
+} // namespace
+
+entry_state::entry_state(net::io_context& io, const entry_settings& given,
+                         const document_dialect& documents)
+    : context(io), settings(given), servers(documents), waiting(io),
+      pool(io, connect_timeout, idle_connections_per_server)
+{
+}
+
+void entry_state::share_rates(time_point now)
+{
+    if (!configuration)
+    {
+        return;
+    }
+    const std::size_t hosts = fleet.peers().size() + 1;
+    for (const auto& [name, it] : configuration->organisations)
+    {
+        if (!it.rate)
+        {
+            rates.erase(name);
+            continue;
+        }
+        const double own = demand.tokens_per_second(name, now);
+        const double share = sharing::share_of_demand(
+            own, own + fleet.demand_of(name), hosts);
+        const auto known = rates.find(name);
+        if (known == rates.end())
+        {
+            rates.emplace(name, sharing::host_rate(*it.rate, share, now));
+        }
+        else
+        {
+            known->second.set(*it.rate, share, now);
+        }
+    }
+}
+
+sharing::repeat_budget& entry_state::repeats_of(const service_id& service)
+{
+    const auto known = repeats.find(service);
+    if (known != repeats.end())
+    {
+        return known->second;
+    }
+    sharing::repeat_limits limits;
+    limits.ratio = settings.repeat_ratio;
+    limits.window = settings.repeat_window;
+    limits.extra = settings.repeat_extra /
+                   static_cast<double>(fleet.peers().size() + 1);
+    return repeats.emplace(service, sharing::repeat_budget(limits))
+        .first->second;
+}
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/entry_state.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "decision/sharing/host_rate.hpp"
+#include "decision/sharing/repeat_budget.hpp"
+#include "entry/demand_table.hpp"
+#include "entry/fleet_view.hpp"
+#include "entry/server_table.hpp"
+#include "entry/settings.hpp"
+#include "entry/waiting_room.hpp"
+#include "http/client.hpp"
+
+#include <functional>
+
+namespace cicadahub::entry
+{
+
+/// What the parts of one daemon share; used on one thread only.
+struct entry_state
+{
+    entry_state(net::io_context& io, const entry_settings& given,
+                const document_dialect& documents);
+
+    net::io_context& context;
+    const entry_settings& settings;
+    /// None until the first one is known.
+    std::shared_ptr<const serving::configuration> configuration;
+    server_table servers;
+    fleet_view fleet;
+    demand_table demand;
+    waiting_room waiting;
+    /// Connections to backend servers that carry callers' requests.
+    http::client_pool pool;
+    std::map<organisation_id, sharing::host_rate> rates;
+    std::map<service_id, sharing::repeat_budget> repeats;
+    bool is_draining = false;
+    bool has_servers = false;
+    /// Mean of the prompt tokens of recent requests.
+    double mean_prompt_tokens = 500;
+
+    /// Parts the rates among the hosts anew by the latest demand.
+    void share_rates(time_point now);
+    sharing::repeat_budget& repeats_of(const service_id& service);
+};
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/exchange.cpp
@@ -0,0 +1,359 @@
+#include "entry/exchange.hpp"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/lexical_cast/try_lexical_convert.hpp>
+
+#include <array>
+
+namespace cicadahub::entry
+{
+
+namespace
+{
+
+constexpr std::uint64_t answer_limit_bytes = 64 * 1024 * 1024;
+constexpr std::size_t stream_buffer_bytes = 16 * 1024;
+constexpr auto no_throw = net::as_tuple(net::use_awaitable);
+
+/// Part of a server's stated idle timeout in which a connection is used again,
+/// so that a request does not cross its close.
+constexpr double reused_part_of_timeout = 0.6;
+
+/// Fields of an answer that concern one connection.
+bool concerns_connection(http::field it)
+{
+    switch (it)
+    {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+        return true;
+    default:
+        return false;
+    }
+}
+
+http::response caller_head(const http::beast_http::response_header<>& from)
+{
+    http::response head{from.result(), 11};
+    head.reason(from.reason());
+    for (const auto& it : from)
+    {
+        if (!concerns_connection(it.name()))
+        {
+            head.insert(it.name_string(), it.value());
+        }
+    }
+    return head;
+}
+
+/// When a connection may no longer be used again, by its Keep-Alive field.
+time_point reusable_until(std::string_view keep_alive)
+{
+    constexpr std::string_view mark = "timeout=";
+    const std::size_t at = keep_alive.find(mark);
+    if (at == std::string_view::npos)
+    {
+        return time_point::max();
+    }
+    const std::string_view rest = keep_alive.substr(at + mark.size());
+    double timeout = 0;
+    if (!boost::conversion::try_lexical_convert(
+            rest.substr(0, rest.find_first_of(", ;")), timeout))
+    {
+        return time_point::max();
+    }
+    const auto part = std::chrono::duration<double>(timeout) *
+                      reused_part_of_timeout;
+    return monotonic_clock::now() +
+           std::chrono::duration_cast<monotonic_clock::duration>(part);
+}
+
+/// Where the last whole event of a stream ends; 0 if there is none.
+std::size_t end_of_last_event(std::string_view text)
+{
+    std::size_t end = 0;
+    for (const std::string_view mark : {"\n\n", "\r\n\r\n"})
+    {
+        const std::size_t at = text.rfind(mark);
+        end = at == std::string_view::npos ? end
+                                           : std::max(end, at + mark.size());
+    }
+    return end;
+}
+
+/// Value of the last "id:" line in whole events.
+std::optional<std::string> last_event_id(std::string_view events)
+{
+    constexpr std::string_view mark = "id:";
+    std::optional<std::string> id;
+    while (!events.empty())
+    {
+        const std::size_t end = std::min(events.find('\n'), events.size());
+        std::string_view line = events.substr(0, end);
+        events.remove_prefix(std::min(end + 1, events.size()));
+        if (line.starts_with(mark))
+        {
+            line.remove_prefix(mark.size());
+            line.remove_prefix(std::min(line.find_first_not_of(' '),
+                                        line.size()));
+            if (!line.empty() && line.back() == '\r')
+            {
+                line.remove_suffix(1);
+            }
+            id = std::string(line);
+        }
+    }
+    return id;
+}
+
+} // namespace
+
+std::string_view name_of(exchange_end it)
+{
+    constexpr std::array<std::string_view, 8> names{
+        "streamed", "answered", "not-sent",    "turned-away",
+        "not-here", "failed",   "out-of-time", "caller-gone"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
+exchange::exchange(http::client_pool& pool, const server_dialect& dialect)
+    : m_pool(pool), m_dialect(dialect)
+{
+}
+
+void exchange::cancel()
+{
+    m_is_cancelled = true;
+    if (m_connection != nullptr)
+    {
+        boost::system::error_code ec;
+        m_connection->stream.socket().close(ec);
+    }
+}
+
+void exchange::arm(connection& server)
+{
+    const auto left = m_time_limit - monotonic_clock::now();
+    server.stream.expires_after(std::max<monotonic_clock::duration>(
+        left, std::chrono::milliseconds(1)));
+}
+
+net::awaitable<exchange_result>
+exchange::run(const http::endpoint& address, const http::request& message,
+              const forwarding& added, const request_id& id,
+              http::reply_writer& reply, stream_progress& progress,
+              time_point time_limit)
+{
+    m_result = {};
+    m_time_limit = time_limit;
+    m_has_sent = false;
+    m_can_reuse = false;
+    http::client_pool::connection_pointer server;
+    try
+    {
+        server = co_await m_pool.acquire(address);
+    }
+    catch (const boost::system::system_error& reason)
+    {
+        m_result.reason = reason.code().message();
+        co_return m_result;
+    }
+    if (m_is_cancelled)
+    {
+        m_pool.release(address, std::move(server));
+        m_result.end = exchange_end::caller_gone;
+        co_return m_result;
+    }
+    m_connection = server.get();
+    try
+    {
+        co_await send(*server, message, added);
+        co_await receive(*server, id, reply, progress);
+    }
+    catch (const boost::system::system_error& reason)
+    {
+        m_result.reason = reason.code().message();
+        if (m_is_cancelled || m_is_writing_to_caller)
+        {
+            m_result.end = exchange_end::caller_gone;
+        }
+        else if (monotonic_clock::now() >= m_time_limit)
+        {
+            m_result.end = exchange_end::out_of_time;
+        }
+        else
+        {
+            m_result.end =
+                m_has_sent ? exchange_end::failed : exchange_end::not_sent;
+        }
+    }
+    m_connection = nullptr;
+    finish(address, std::move(server));
+    co_return m_result;
+}
+
+void exchange::finish(const http::endpoint& address,
+                      http::client_pool::connection_pointer server)
+{
+    if (m_can_reuse && server->buf.size() == 0)
+    {
+        m_pool.release(address, std::move(server));
+        return;
+    }
+    if (m_result.end == exchange_end::failed ||
+        m_result.end == exchange_end::not_sent)
+    {
+        // Connections go silent or break as a group.
+        m_pool.drop_idle(address);
+    }
+}
+
+net::awaitable<void> exchange::send(connection& server,
+                                    const http::request& message,
+                                    const forwarding& added)
+{
+    arm(server);
+    const std::string head = m_dialect.forward_head(message, added);
+    const std::array<net::const_buffer, 2> bytes{net::buffer(head),
+                                                 net::buffer(message.body())};
+    auto [ec, n] = co_await net::async_write(server.stream, bytes, no_throw);
+    m_has_sent = n > 0;
+    if (ec)
+    {
+        throw boost::system::system_error(ec);
+    }
+}
+
+net::awaitable<void> exchange::receive(connection& server,
+                                       const request_id& id,
+                                       http::reply_writer& reply,
+                                       stream_progress& progress)
+{
+    m_parser.emplace();
+    m_parser->body_limit(answer_limit_bytes);
+    co_await http::beast_http::async_read_header(server.stream, server.buf,
+                                                 *m_parser, net::use_awaitable);
+    const auto& head = m_parser->get();
+    const answer_head meaning = m_dialect.read_answer(head, id);
+    m_result.load = meaning.load;
+    if (meaning.meaning == answer_meaning::not_an_answer)
+    {
+        m_result.reason = "not an answer to this request";
+        m_result.end = exchange_end::failed;
+        co_return;
+    }
+    const bool is_stream =
+        meaning.meaning == answer_meaning::answer &&
+        head.result() == http::status::ok &&
+        boost::algorithm::starts_with(head[http::field::content_type],
+                                      "text/event-stream");
+    if (is_stream)
+    {
+        co_await relay_stream(server, reply, progress);
+        co_return;
+    }
+    http::response answer = co_await read_whole(server);
+    switch (meaning.meaning)
+    {
+    case answer_meaning::turned_away:
+        m_result.end = exchange_end::turned_away;
+        break;
+    case answer_meaning::not_here:
+        m_result.end = exchange_end::not_here;
+        break;
+    default:
+        m_result.end = exchange_end::answered;
+        m_result.answer = std::move(answer);
+        break;
+    }
+}
+
+net::awaitable<http::response> exchange::read_whole(connection& server)
+{
+    http::beast_http::response_parser<http::beast_http::string_body> parser(
+        std::move(*m_parser));
+    m_parser.reset();
+    co_await http::beast_http::async_read(server.stream, server.buf, parser,
+                                          net::use_awaitable);
+    m_can_reuse = parser.get().keep_alive();
+    server.reusable_until =
+        reusable_until(parser.get()[http::field::keep_alive]);
+    http::response answer = caller_head(parser.get());
+    answer.body() = std::move(parser.get().body());
+    answer.content_length(answer.body().size());
+    co_return answer;
+}
+
+net::awaitable<void> exchange::hand_on(std::string_view events,
+                                       http::reply_writer& reply,
+                                       stream_progress& progress)
+{
+    m_is_writing_to_caller = true;
+    co_await reply.write_chunk(events);
+    m_is_writing_to_caller = false;
+    if (auto id = last_event_id(events))
+    {
+        progress.last_event = std::move(id);
+    }
+}
+
+net::awaitable<void> exchange::relay_stream(connection& server,
+                                            http::reply_writer& reply,
+                                            stream_progress& progress)
+{
+    auto& parser = *m_parser;
+    if (!progress.has_head)
+    {
+        http::response head = caller_head(parser.get());
+        progress.has_head = true;
+        m_is_writing_to_caller = true;
+        co_await reply.begin_stream(std::move(head));
+        m_is_writing_to_caller = false;
+    }
+    const bool can_reuse = parser.get().keep_alive();
+    server.reusable_until =
+        reusable_until(parser.get()[http::field::keep_alive]);
+    std::array<char, stream_buffer_bytes> data;
+    std::string unfinished;
+    while (!parser.is_done())
+    {
+        parser.get().body().data = data.data();
+        parser.get().body().size = data.size();
+        arm(server);
+        auto [ec, n] = co_await http::beast_http::async_read_some(
+            server.stream, server.buf, parser, no_throw);
+        if (ec && ec != http::beast_http::error::need_buffer)
+        {
+            throw boost::system::system_error(ec);
+        }
+        unfinished.append(data.data(), data.size() - parser.get().body().size);
+        const std::size_t whole = end_of_last_event(unfinished);
+        if (whole == 0)
+        {
+            continue;
+        }
+        co_await hand_on(std::string_view(unfinished).substr(0, whole), reply,
+                         progress);
+        unfinished.erase(0, whole);
+    }
+    if (!unfinished.empty())
+    {
+        co_await hand_on(unfinished, reply, progress);
+    }
+    m_can_reuse = can_reuse;
+    m_is_writing_to_caller = true;
+    co_await reply.end_stream();
+    m_is_writing_to_caller = false;
+    m_result.end = exchange_end::streamed;
+}
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/placement_duty.cpp
@@ -0,0 +1,467 @@
+#include "entry/placement_duty.hpp"
+
+#include "core/structured_log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace cicadahub::entry
+{
+
+namespace
+{
+
+/// The least often that the holder looks for work to do.
+constexpr milliseconds plan_period{100};
+/// Time between two reports of one server: they tell of it as it was some
+/// hundred milliseconds ago.
+constexpr milliseconds report_period{150};
+/// An order that a server has not answered by then counts as unanswered.
+constexpr milliseconds order_timeout{1'000};
+constexpr milliseconds report_timeout{1'000};
+/// Rank of daemons that are not the first in the order of names is their
+/// place; it parts their tries for a free lease.
+constexpr std::string_view placement_shard = "placement";
+
+ownership::lease_timing timing_of(const entry_settings& settings)
+{
+    // A third of the time by which holders must be apart is left to the
+    // margin, so that duration and margin together are that time.
+    const milliseconds duration = settings.order_lease * 2 / 3;
+    return {duration, duration / 4, settings.order_lease - duration};
+}
+
+std::uint32_t rank_of(const daemon_id& self, const fleet_view& fleet)
+{
+    std::uint32_t rank = 0;
+    for (const auto& [name, it] : fleet.peers())
+    {
+        rank += name < self.value() ? 1 : 0;
+    }
+    return rank;
+}
+
+std::string_view name_of(replicas::order_kind it)
+{
+    return it == replicas::order_kind::load ? "load" : "unload";
+}
+
+std::string_view name_of(replicas::order_answer it)
+{
+    switch (it)
+    {
+    case replicas::order_answer::accepted:
+        return "accepted";
+    case replicas::order_answer::holds:
+        return "holds";
+    case replicas::order_answer::conflict:
+        return "conflict";
+    case replicas::order_answer::refused:
+        return "refused";
+    case replicas::order_answer::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+std::string adapter_name(const replicas::copy_name& it)
+{
+    return it.adapter ? it.adapter->value() : std::string();
+}
+
+} // namespace
+
+placement_duty::placement_duty(net::io_context& context,
+                               http::client_pool& pool, platform::store& store,
+                               duty_inputs inputs,
+                               std::function<void()> on_holdings_changed)
+    : m_context(context), m_pool(pool), m_inputs(std::move(inputs)),
+      m_on_holdings_changed(std::move(on_holdings_changed)),
+      m_shard(
+          context, store, m_inputs.settings.name,
+          shard_id(std::string(placement_shard)), timing_of(m_inputs.settings),
+          [this]() -> std::optional<std::uint32_t>
+          {
+              if (m_inputs.fleet.placement_holder() != nullptr ||
+                  m_inputs.configuration() == nullptr)
+              {
+                  return std::nullopt;
+              }
+              return rank_of(m_inputs.settings.name, m_inputs.fleet);
+          },
+          [this](epoch_number) { on_won(); },
+          [this] { m_servers.clear(); }),
+      m_planner(replicas::planner_limits{}), m_timer(context)
+{
+}
+
+void placement_duty::start()
+{
+    m_shard.start();
+    net::co_spawn(m_context, run(), net::detached);
+}
+
+net::awaitable<void> placement_duty::release()
+{
+    m_is_stopped = true;
+    co_await m_shard.release();
+}
+
+void placement_duty::on_holder_heard(const peer& holder)
+{
+    if (holder.digest.__isset.lease_version)
+    {
+        m_shard.on_holder_heard(
+            daemon_id(holder.digest.sender),
+            epoch_number(
+                static_cast<std::uint64_t>(holder.digest.placement_epoch)),
+            object_version(
+                static_cast<std::uint64_t>(holder.digest.lease_version)));
+    }
+}
+
+void placement_duty::on_won()
+{
+    m_servers.clear();
+    m_asked.clear();
+    kick();
+}
+
+net::awaitable<void> placement_duty::run()
+{
+    while (!m_is_stopped)
+    {
+        const time_point now = monotonic_clock::now();
+        if (is_held())
+        {
+            follow_servers(now);
+            plan(now);
+            ask_reports(now);
+        }
+        m_timer.expires_after(plan_period);
+        co_await m_timer.async_wait(net::as_tuple(net::use_awaitable));
+    }
+}
+
+void placement_duty::follow_servers(time_point now)
+{
+    const auto configuration = m_inputs.configuration();
+    for (auto& [service, servers] : m_servers)
+    {
+        std::erase_if(servers,
+                      [&](const auto& it)
+                      {
+                          const auto record = m_inputs.servers.find(it.first);
+                          return !record || record->entry.incarnation !=
+                                                it.second.entry().incarnation;
+                      });
+    }
+    for (const auto& [id, record] : m_inputs.servers.records())
+    {
+        const auto* service =
+            configuration->find_service(record->entry.service);
+        if (service == nullptr || !service->engine)
+        {
+            continue;
+        }
+        auto& servers = m_servers[service->name];
+        const auto known = servers.find(id);
+        if (known == servers.end())
+        {
+            servers.emplace(id, replicas::server_state(record->entry));
+            continue;
+        }
+        known->second.on_entry(record->entry);
+        const auto& entry = record->entry;
+        const bool is_told_busy = false;
+        if (entry.orders_accepted >= known->second.orders_accepted() &&
+            known->second.pending() && !entry.models.empty() &&
+            known->second.on_told(entry.models, entry.in_memory, entry.on_disk,
+                                  entry.orders_accepted, is_told_busy, now))
+        {
+            publish(id, now);
+        }
+    }
+}
+
+replicas::planner_view
+placement_duty::view_of(const serving::engine_spec& engine,
+                        server_map& servers, time_point now)
+{
+    replicas::planner_view view{engine, servers, m_inputs.waiting.wants(now),
+                                {},     {},      m_inputs.demand.last_used()};
+    for (const auto& [model, rate] : m_inputs.demand.model_rates(now))
+    {
+        view.use[model].requests_per_second += rate;
+    }
+    for (const auto& [id, state] : servers)
+    {
+        if (const auto record = m_inputs.servers.find(id))
+        {
+            for (const auto& [model, n] : record->running_models)
+            {
+                view.running[{id, model}] += n;
+                view.use[model].running += n;
+            }
+        }
+    }
+    for (const auto& [name, peer] : m_inputs.fleet.peers())
+    {
+        for (const auto& it : peer.digest.wants)
+        {
+            replicas::want want;
+            want.copy.model = model_id(it.model);
+            if (!it.adapter.empty())
+            {
+                want.copy.adapter = adapter_id(it.adapter);
+            }
+            want.waiting = static_cast<std::uint32_t>(it.waiting);
+            want.slack = milliseconds(it.slack_ms);
+            view.wants.push_back(std::move(want));
+        }
+        for (const auto& it : peer.digest.usage)
+        {
+            const model_id model(it.model);
+            view.use[model].requests_per_second += it.requests_per_second;
+        }
+        for (const auto& work : peer.digest.work)
+        {
+            const server_id server(work.server);
+            for (const auto& [model, n] : work.models)
+            {
+                const auto running = static_cast<std::uint32_t>(n);
+                view.running[{server, model_id(model)}] += running;
+                view.use[model_id(model)].running += running;
+                view.last_used[{model_id(model), std::nullopt}] =
+                    peer.heard_at;
+            }
+        }
+    }
+    return view;
+}
+
+void placement_duty::plan(time_point now)
+{
+    const auto configuration = m_inputs.configuration();
+    for (auto& [name, servers] : m_servers)
+    {
+        const auto* service = configuration->find_service(name);
+        if (service == nullptr || !service->engine)
+        {
+            continue;
+        }
+        const auto view = view_of(*service->engine, servers, now);
+        for (auto& it : m_planner.plan(view, now))
+        {
+            log_event(severity::info, event_number::order_sent,
+                      {{"server", it.what.server.value()},
+                       {"kind", name_of(it.what.kind)},
+                       {"model", it.what.copy.model.value()},
+                       {"adapter", adapter_name(it.what.copy)},
+                       {"expected", it.what.expected},
+                       {"epoch", m_shard.epoch().value()},
+                       {"makes_room_for", it.makes_room_for
+                                              ? it.makes_room_for->value()
+                                              : std::string()},
+                       {"from_store", it.what.is_store_load},
+                       {"expected_ms", it.expected_time.count()},
+                       {"wants", view.wants.size()}});
+            publish(it.what.server, now);
+            net::co_spawn(m_context, send(std::move(it.what)), net::detached);
+        }
+    }
+}
+
+replicas::server_state* placement_duty::find(const server_id& id)
+{
+    for (auto& [service, servers] : m_servers)
+    {
+        const auto it = servers.find(id);
+        if (it != servers.end())
+        {
+            return &it->second;
+        }
+    }
+    return nullptr;
+}
+
+net::awaitable<void> placement_duty::send(replicas::order it)
+{
+    auto answer = replicas::order_answer::unknown;
+    std::string reason;
+    const auto record = m_inputs.servers.find(it.server);
+    if (record)
+    {
+        try
+        {
+            http::request message = m_inputs.dialect.make_order(
+                it, m_inputs.settings.name, m_shard.epoch());
+            const http::response response = co_await http::fetch(
+                m_pool, record->entry.address, std::move(message),
+                order_timeout, [this] { return is_held(); });
+            answer = m_inputs.dialect.read_order_answer(response);
+        }
+        catch (const boost::system::system_error& failure)
+        {
+            reason = failure.code().message();
+        }
+    }
+    log_event(answer == replicas::order_answer::unknown ? severity::warning
+                                                        : severity::info,
+              event_number::order_answered,
+              {{"server", it.server.value()},
+               {"kind", name_of(it.kind)},
+               {"model", it.copy.model.value()},
+               {"adapter", adapter_name(it.copy)},
+               {"expected", it.expected},
+               {"answer", name_of(answer)},
+               {"reason", reason}});
+    auto* state = find(it.server);
+    if (state != nullptr && state->entry().incarnation == it.incarnation)
+    {
+        state->on_answer(it, answer);
+        publish(it.server, monotonic_clock::now());
+    }
+    kick();
+}
+
+void placement_duty::ask_reports(time_point now)
+{
+    for (auto& [service, servers] : m_servers)
+    {
+        for (auto& [id, state] : servers)
+        {
+            const bool is_due = state.pending() &&
+                                state.pending()->is_accepted &&
+                                now >= state.pending()->due_at;
+            if ((state.is_confirmed() && !is_due) || state.awaits_answer() ||
+                now < m_asked[id] + report_period)
+            {
+                continue;
+            }
+            m_asked[id] = now;
+            net::co_spawn(m_context, ask_report(id), net::detached);
+        }
+    }
+}
+
+net::awaitable<void> placement_duty::ask_report(server_id id)
+{
+    const auto record = m_inputs.servers.find(id);
+    if (!record)
+    {
+        co_return;
+    }
+    const time_point asked_at = monotonic_clock::now();
+    try
+    {
+        http::request message = m_inputs.dialect.make_report_request(id);
+        const http::response response =
+            co_await http::fetch(m_pool, record->entry.address,
+                                 std::move(message), report_timeout);
+        const auto report = m_inputs.dialect.read_report(response);
+        auto* state = find(id);
+        if (state == nullptr ||
+            state->entry().incarnation != record->entry.incarnation)
+        {
+            co_return;
+        }
+        const time_point now = monotonic_clock::now();
+        if (report.orders_accepted >= state->orders_accepted())
+        {
+            const bool was_pending = state->pending().has_value();
+            const bool has_changed = state->on_told(
+                report.models, report.in_memory, report.on_disk,
+                report.orders_accepted, report.is_busy, now);
+            state->confirm(asked_at);
+            if (was_pending && !state->pending())
+            {
+                log_event(severity::info, event_number::order_ended,
+                          {{"server", id.value()},
+                           {"orders_accepted", report.orders_accepted}});
+            }
+            if (has_changed)
+            {
+                publish(id, now);
+            }
+            kick();
+        }
+    }
+    catch (const std::exception& reason)
+    {
+        log_event(severity::warning, event_number::server_unreachable,
+                  {{"server", id.value()}, {"reason", reason.what()}});
+    }
+}
+
+void placement_duty::publish(const server_id& id, time_point)
+{
+    const auto* state = find(id);
+    if (state == nullptr)
+    {
+        return;
+    }
+    ordered_holdings it;
+    it.incarnation = state->entry().incarnation;
+    it.orders_accepted = state->orders_accepted();
+    for (const auto& [model, adapters] : state->models())
+    {
+        if (state->serves(model))
+        {
+            it.models[model] = adapters;
+        }
+    }
+    if (state->pending() &&
+        state->pending()->what.kind == replicas::order_kind::load)
+    {
+        it.loading = state->pending()->what.copy.model;
+        it.loaded_at = state->pending()->due_at;
+    }
+    m_inputs.servers.on_ordered(id, std::move(it));
+    m_on_holdings_changed();
+}
+
+void placement_duty::fill(fleet::wire::Digest& digest, time_point now) const
+{
+    if (!is_held())
+    {
+        return;
+    }
+    digest.__set_placement_epoch(
+        static_cast<std::int64_t>(m_shard.epoch().value()));
+    digest.__set_lease_version(
+        static_cast<std::int64_t>(m_shard.version().value()));
+    for (const auto& [id, record] : m_inputs.servers.records())
+    {
+        if (!record->ordered)
+        {
+            continue;
+        }
+        const ordered_holdings& told = *record->ordered;
+        fleet::wire::HeldModels held;
+        held.server = id.value();
+        held.incarnation = told.incarnation;
+        held.orders_accepted =
+            static_cast<std::int64_t>(told.orders_accepted);
+        for (const auto& [model, adapters] : told.models)
+        {
+            auto& names = held.models[model.value()];
+            for (const adapter_id& it : adapters)
+            {
+                names.push_back(it.value());
+            }
+        }
+        if (told.loading)
+        {
+            held.loading = told.loading->value();
+            held.loading_ms = static_cast<std::int32_t>(
+                std::chrono::duration_cast<milliseconds>(told.loaded_at - now)
+                    .count());
+        }
+        digest.holdings.push_back(std::move(held));
+    }
+}
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/placement_duty.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "daemon/shard_keeper.hpp"
+#include "decision/replicas/replica_planner.hpp"
+#include "entry/demand_table.hpp"
+#include "entry/fleet_view.hpp"
+#include "entry/server_table.hpp"
+#include "entry/settings.hpp"
+#include "entry/waiting_room.hpp"
+#include "http/client.hpp"
+
+#include <functional>
+
+namespace cicadahub::entry
+{
+
+/// What the duty reads of its daemon.
+struct duty_inputs
+{
+    const entry_settings& settings;
+    const server_dialect& dialect;
+    server_table& servers;
+    fleet_view& fleet;
+    demand_table& demand;
+    waiting_room& waiting;
+    std::function<std::shared_ptr<const serving::configuration>()>
+        configuration;
+};
+
+/// Orders loads and unloads, fleet-wide, for as long as this daemon holds the
+/// placement lease.
+class placement_duty
+{
+public:
+    placement_duty(net::io_context& context, http::client_pool& pool,
+                   platform::store& store, duty_inputs inputs,
+                   std::function<void()> on_holdings_changed);
+
+    void start();
+    net::awaitable<void> release();
+
+    /// Something changed that may call for orders.
+    void kick() { m_timer.cancel(); }
+
+    void on_holder_heard(const peer& holder);
+    bool is_held() const { return m_shard.is_held(); }
+    /// Adds what the holder tells the others.
+    void fill(fleet::wire::Digest& digest, time_point now) const;
+
+private:
+    using server_map = std::map<server_id, replicas::server_state>;
+
+    net::awaitable<void> run();
+    void on_won();
+    void follow_servers(time_point now);
+    void plan(time_point now);
+    replicas::planner_view view_of(const serving::engine_spec& engine,
+                                   server_map& servers, time_point now);
+    void ask_reports(time_point now);
+    net::awaitable<void> ask_report(server_id id);
+    net::awaitable<void> send(replicas::order it);
+    replicas::server_state* find(const server_id& id);
+    void publish(const server_id& id, time_point now);
+
+    net::io_context& m_context;
+    http::client_pool& m_pool;
+    duty_inputs m_inputs;
+    std::function<void()> m_on_holdings_changed;
+    daemon::shard_keeper m_shard;
+    replicas::replica_planner m_planner;
+    net::steady_timer m_timer;
+    std::map<service_id, server_map> m_servers;
+    std::map<server_id, time_point> m_asked;
+    bool m_is_stopped = false;
+};
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/request_run.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "decision/routing/server_choice.hpp"
+#include "entry/entry_state.hpp"
+#include "entry/exchange.hpp"
+
+#include <set>
+
+namespace cicadahub::entry
+{
+
+/// One caller's request from its arrival to its end.
+class request_run
+{
+public:
+    request_run(entry_state& state, const server_dialect& servers,
+                const http::request& message, serving::request request,
+                http::reply_writer& reply);
+
+    /// Serves the request; throws `refused_error` to refuse it.
+    net::awaitable<void> serve();
+
+private:
+    struct picked
+    {
+        server_table::record_pointer record;
+        bool is_any_there = false;
+    };
+
+    void find_route();
+    void authenticate();
+    void charge();
+    void choose_service();
+    net::awaitable<void> attempt_until_answered();
+    net::awaitable<server_table::record_pointer> wait_for_server();
+    picked pick() const;
+    net::awaitable<exchange_result>
+    attempt(const server_table::record_pointer& record);
+    /// True if the request may go to another server after this.
+    bool may_go_on(const exchange_result& result,
+                   const server_table::record_pointer& record);
+    bool may_repeat(const exchange_result& result) const;
+    void judge(const exchange_result& result, server_record& record);
+    net::awaitable<void> finish(exchange_result result);
+    [[noreturn]] void refuse(refusal_kind kind, milliseconds retry_after);
+    void refuse_if_hopeless(time_point now);
+    milliseconds estimated_wait(time_point now) const;
+    milliseconds time_left(time_point now) const;
+    void log_attempt(const exchange_result& result,
+                     const server_record& record, time_point sent_at) const;
+    void log_end(std::string_view outcome) const;
+    bool is_stream() const;
+
+    entry_state& m_state;
+    const server_dialect& m_servers;
+    const http::request& m_message;
+    serving::request m_request;
+    http::reply_writer& m_reply;
+
+    std::shared_ptr<const serving::configuration> m_configuration;
+    const serving::route* m_route = nullptr;
+    const serving::organisation* m_organisation = nullptr;
+    const serving::service* m_service = nullptr;
+    std::optional<replicas::copy_name> m_copy;
+    routing::prompt_affinity m_affinity;
+    std::int64_t m_charged = 0;
+    time_point m_arrived{};
+    time_point m_deadline{};
+    std::set<server_id> m_passed_over;
+    std::uint32_t m_runs = 0;
+    std::uint32_t m_sends = 0;
+    stream_progress m_progress;
+    exchange m_exchange;
+    waiting_room::waiter_pointer m_waiter;
+    bool m_is_caller_gone = false;
+};
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/server_table.cpp
@@ -0,0 +1,164 @@
+#include "entry/server_table.hpp"
+
+#include "core/structured_log.hpp"
+
+namespace cicadahub::entry
+{
+
+const serving::holdings& server_record::models() const
+{
+    const bool is_newer =
+        ordered && ordered->incarnation == entry.incarnation &&
+        ordered->orders_accepted >= entry.orders_accepted;
+    return is_newer ? ordered->models : entry.models;
+}
+
+bool server_record::holds(const replicas::copy_name& copy) const
+{
+    const auto& held = models();
+    const auto it = held.find(copy.model);
+    return it != held.end() &&
+           (!copy.adapter || it->second.contains(*copy.adapter));
+}
+
+void server_record::on_absent(const replicas::copy_name& copy)
+{
+    const auto forget = [&](serving::holdings& held)
+    {
+        const auto it = held.find(copy.model);
+        if (it == held.end())
+        {
+            return;
+        }
+        if (copy.adapter && it->second.erase(*copy.adapter) > 0)
+        {
+            return;
+        }
+        held.erase(it);
+    };
+    forget(entry.models);
+    if (ordered)
+    {
+        forget(ordered->models);
+    }
+}
+
+void server_table::apply(const platform::stored_object& it)
+{
+    const server_id id(it.name);
+    m_seen_in_list.insert(id);
+    if (it.is_deleted)
+    {
+        remove(id);
+        return;
+    }
+    serving::server_entry entry;
+    try
+    {
+        entry = m_documents.read_server(it);
+    }
+    catch (const malformed_document& reason)
+    {
+        log_event(severity::warning, event_number::malformed_object,
+                  {{"collection", "servers"},
+                   {"object", it.name},
+                   {"version", it.version.value()},
+                   {"reason", reason.what()}});
+        remove(id);
+        return;
+    }
+    auto& record = m_records[id];
+    const bool is_new =
+        !record || record->entry.incarnation != entry.incarnation;
+    if (is_new)
+    {
+        record = std::make_shared<server_record>();
+        log_event(severity::info, event_number::server_listed,
+                  {{"server", id.value()},
+                   {"service", entry.service.value()},
+                   {"incarnation", entry.incarnation},
+                   {"version", it.version.value()}});
+    }
+    if (entry.is_leaving && !record->entry.is_leaving)
+    {
+        log_event(severity::info, event_number::server_leaving,
+                  {{"server", id.value()}, {"version", it.version.value()}});
+    }
+    record->entry = std::move(entry);
+}
+
+void server_table::remove(const server_id& id)
+{
+    if (m_records.erase(id) > 0)
+    {
+        log_event(severity::info, event_number::server_gone,
+                  {{"server", id.value()}});
+    }
+}
+
+void server_table::end_of_list(bool is_whole)
+{
+    if (is_whole)
+    {
+        std::vector<server_id> gone;
+        for (const auto& [id, record] : m_records)
+        {
+            if (!m_seen_in_list.contains(id))
+            {
+                gone.push_back(id);
+            }
+        }
+        for (const server_id& it : gone)
+        {
+            remove(it);
+        }
+    }
+    m_seen_in_list.clear();
+}
+
+void server_table::on_ordered(const server_id& server,
+                              ordered_holdings holdings)
+{
+    if (const auto record = find(server))
+    {
+        record->ordered = std::move(holdings);
+    }
+}
+
+void server_table::set_running_elsewhere(
+    const std::unordered_map<std::string, std::uint32_t>& running)
+{
+    for (const auto& [id, record] : m_records)
+    {
+        const auto it = running.find(id.value());
+        record->running_elsewhere = it == running.end() ? 0 : it->second;
+    }
+}
+
+server_table::record_pointer server_table::find(const server_id& id) const
+{
+    const auto it = m_records.find(id);
+    return it == m_records.end() ? nullptr : it->second;
+}
+
+running_guard::running_guard(server_table::record_pointer record,
+                             std::optional<model_id> model)
+    : m_record(std::move(record)), m_model(std::move(model))
+{
+    ++m_record->running;
+    if (m_model)
+    {
+        ++m_record->running_models[*m_model];
+    }
+}
+
+running_guard::~running_guard()
+{
+    --m_record->running;
+    if (m_model && --m_record->running_models[*m_model] == 0)
+    {
+        m_record->running_models.erase(*m_model);
+    }
+}
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/waiting_room.cpp
@@ -0,0 +1,67 @@
+#include "entry/waiting_room.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace cicadahub::entry
+{
+
+waiting_room::waiter_pointer waiting_room::make_waiter() const
+{
+    return std::make_shared<waiter>(m_context);
+}
+
+net::awaitable<void> waiting_room::wait(waiter_pointer it, milliseconds limit)
+{
+    const auto comes_first = [](const waiter& a, const waiter& b)
+    { return std::pair(a.rank, a.arrived) < std::pair(b.rank, b.arrived); };
+    const auto place =
+        std::find_if(m_waiters.begin(), m_waiters.end(),
+                     [&](const waiter_pointer& other)
+                     { return comes_first(*it, *other); });
+    const auto position = m_waiters.insert(place, it);
+    if (it->copy && m_on_change)
+    {
+        m_on_change();
+    }
+    it->timer.expires_after(limit);
+    co_await it->timer.async_wait(net::as_tuple(net::use_awaitable));
+    m_waiters.erase(position);
+}
+
+void waiting_room::wake_all()
+{
+    for (const waiter_pointer& it : m_waiters)
+    {
+        it->timer.cancel();
+    }
+}
+
+std::vector<replicas::want> waiting_room::wants(time_point now) const
+{
+    std::map<replicas::copy_name, replicas::want> by_copy;
+    for (const waiter_pointer& it : m_waiters)
+    {
+        if (!it->copy)
+        {
+            continue;
+        }
+        const auto slack =
+            std::chrono::duration_cast<milliseconds>(it->deadline - now);
+        auto& want = by_copy[*it->copy];
+        want.copy = *it->copy;
+        want.slack = want.waiting == 0 ? slack : std::min(want.slack, slack);
+        ++want.waiting;
+    }
+    std::vector<replicas::want> wants;
+    for (auto& [copy, want] : by_copy)
+    {
+        wants.push_back(want);
+    }
+    return wants;
+}
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/fleet/digest.thrift
@@ -0,0 +1,63 @@
+// What each daemon tells all others by datagram, whole and again and again, so
+// that a lost datagram needs no repair. Compact protocol.
+namespace cpp cicadahub.fleet.wire
+
+struct WantedCopy {
+  1: string model
+  2: string adapter
+  3: i32 waiting
+  4: i32 slack_ms
+}
+
+struct ModelUsage {
+  1: string model
+  2: double requests_per_second
+}
+
+struct ServerWork {
+  1: string server
+  2: i32 running
+  /// Running requests by model; empty for a plain service.
+  3: map<string, i32> models
+}
+
+struct HeldModels {
+  1: string server
+  2: i64 incarnation
+  3: i64 orders_accepted
+  4: map<string, list<string>> models
+  /// Model that is being loaded, and the time until it is there.
+  5: string loading
+  6: i32 loading_ms
+}
+
+struct OrganisationDemand {
+  1: string organisation
+  2: double per_second
+}
+
+struct CrashNotice {
+  1: string fingerprint
+  2: i32 crashes
+}
+
+struct Digest {
+  1: string sender
+  2: i64 incarnation
+  3: i64 number
+  4: string data_centre
+  5: i64 configuration_revision
+  6: i64 directory_revision
+  7: list<WantedCopy> wants
+  8: list<ModelUsage> usage
+  9: list<ServerWork> work
+  10: list<OrganisationDemand> demand
+  11: list<CrashNotice> crashes
+  /// Fleet addresses of the daemons that the sender hears.
+  12: list<string> peers
+  /// Set by the holder of the placement lease.
+  13: optional i64 placement_epoch
+  14: optional i64 lease_version
+  15: list<HeldModels> holdings
+  16: bool is_leaving
+}
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -75,7 +75,8 @@
         char byte = 0;
         socket.receive(net::buffer(&byte, 1), net::socket_base::message_peek,
                        ec);
-        if (ec == net::error::would_block)
+        if (ec == net::error::would_block &&
+            monotonic_clock::now() < connection->reusable_until)
         {
             co_return connection;
         }
@@ -112,9 +113,15 @@
 }
 
 net::awaitable<response> fetch(client_pool& pool, endpoint address,
-                               request message, milliseconds timeout)
+                               request message, milliseconds timeout,
+                               std::function<bool()> may_send)
 {
     auto connection = co_await pool.acquire(address);
+    if (may_send && !may_send())
+    {
+        pool.release(address, std::move(connection));
+        throw boost::system::system_error(net::error::operation_aborted);
+    }
     response answer;
     try
     {
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -23,6 +24,8 @@
     boost::beast::flat_buffer buf;
     /// False until a whole exchange has gone over the connection.
     bool is_proven = false;
+    /// The server may close it, idle, from then on.
+    time_point reusable_until = time_point::max();
 };
 
 /// Connections of one io_context, kept for reuse. Not shared among threads.
@@ -57,8 +60,11 @@
 
 /// Sends one request and reads the whole response, within `timeout`. A
 /// connection that fails is closed, never reused.
+/// `may_send` is asked immediately before the first byte goes out; if it says
+/// no, nothing is sent and `operation_aborted` is thrown.
 net::awaitable<response> fetch(client_pool& pool, endpoint address,
-                               request message, milliseconds timeout);
+                               request message, milliseconds timeout,
+                               std::function<bool()> may_send = {});
 
 /// A request with the given body, ready to send.
 request make_request(verb method, std::string_view target,
--- a/libraries/http/reply_writer.cpp
+++ b/libraries/http/reply_writer.cpp
@@ -54,10 +54,15 @@
 net::awaitable<void> reply_writer::begin_stream(status code,
                                                 std::string_view content_type)
 {
-    m_has_started = true;
     response start{code, 11};
     start.set(field::content_type, content_type);
     start.set(field::cache_control, "no-cache");
+    co_await begin_stream(std::move(start));
+}
+
+net::awaitable<void> reply_writer::begin_stream(response start)
+{
+    m_has_started = true;
     start.chunked(true);
     start.keep_alive(m_is_keep_alive);
     const std::string head = flat_head(start);
--- a/libraries/http/reply_writer.hpp
+++ b/libraries/http/reply_writer.hpp
@@ -25,6 +25,9 @@
     net::awaitable<void> begin_stream(status code,
                                       std::string_view content_type);
 
+    /// Sends the head of a chunked response whose fields are given.
+    net::awaitable<void> begin_stream(response start);
+
     /// Sends one chunk of a stream that was begun.
     net::awaitable<void> write_chunk(std::string_view data);
 
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -96,6 +96,10 @@
     /// Stops keeping connections alive; requests are still served.
     void begin_drain() { m_is_draining = true; }
 
+    /// Takes effect with the next request of each connection. For servers
+    /// with one lane, to be called on its thread.
+    void set_limits(server_limits limits) { m_limits = limits; }
+
     /// Stops taking connections.
     void stop_accepting();
 
--- /dev/null
+++ b/libraries/platform/kubernetes_dialect.cpp
@@ -0,0 +1,201 @@
+#include "platform/kubernetes_dialect.hpp"
+
+#include "core/json_reader.hpp"
+#include "http/client.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace cicadahub::platform
+{
+
+namespace
+{
+
+constexpr std::string_view api_prefix = "/apis/cicadahub.example/v1/";
+constexpr std::string_view marks_annotation = "cicadahub.example/write-marks";
+
+std::string path_to(collection where, std::string_view name = {})
+{
+    std::string path = std::string(api_prefix) + std::string(name_of(where));
+    if (!name.empty())
+    {
+        path += "/" + std::string(name);
+    }
+    return path;
+}
+
+object_version version_from(const std::string& text)
+{
+    std::uint64_t n = 0;
+    const auto [end, ec] =
+        std::from_chars(text.data(), text.data() + text.size(), n);
+    if (ec != std::errc{} || end != text.data() + text.size())
+    {
+        throw malformed_document("resourceVersion is not a number");
+    }
+    return object_version(n);
+}
+
+std::string joined(const std::vector<std::string>& marks)
+{
+    std::string text;
+    for (const std::string& it : marks)
+    {
+        text += text.empty() ? it : "," + it;
+    }
+    return text;
+}
+
+std::vector<std::string> parted(std::string_view text)
+{
+    std::vector<std::string> marks;
+    while (!text.empty())
+    {
+        const std::size_t comma = std::min(text.find(','), text.size());
+        marks.emplace_back(text.substr(0, comma));
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return marks;
+}
+
+stored_object object_from(const boost::json::object& json)
+{
+    const json_reader reader(json);
+    const json_reader metadata(reader.object("metadata"));
+    stored_object it;
+    it.name = metadata.text("name");
+    it.version = version_from(metadata.text("resourceVersion"));
+    it.spec = reader.object("spec");
+    const auto* annotations =
+        reader.object("metadata").if_contains("annotations");
+    if (annotations != nullptr && annotations->is_object())
+    {
+        const json_reader notes(annotations->get_object());
+        it.write_marks = parted(notes.text_or(marks_annotation, ""));
+    }
+    return it;
+}
+
+boost::json::object object_to_json(collection where, const stored_object& it)
+{
+    boost::json::object metadata;
+    metadata["name"] = it.name;
+    if (it.version.value() > 0)
+    {
+        metadata["resourceVersion"] = std::to_string(it.version.value());
+    }
+    metadata["annotations"] = {{marks_annotation, joined(it.write_marks)}};
+    boost::json::object json;
+    json["apiVersion"] = "cicadahub.example/v1";
+    json["kind"] = name_of(where);
+    json["metadata"] = std::move(metadata);
+    json["spec"] = it.spec;
+    return json;
+}
+
+void read_event(std::string_view line, listing& changes)
+{
+    const boost::json::object event = parse_json_object(line);
+    const json_reader reader(event);
+    const std::string type = reader.text("type");
+    if (type == "ERROR")
+    {
+        throw watch_expired();
+    }
+    if (type == "BOOKMARK")
+    {
+        const json_reader object(reader.object("object"));
+        const json_reader metadata(object.object("metadata"));
+        changes.version = std::max(
+            changes.version, version_from(metadata.text("resourceVersion")));
+        return;
+    }
+    stored_object it = object_from(reader.object("object"));
+    if (type == "DELETED")
+    {
+        it.spec = {{"deleted", true}};
+        it.is_deleted = true;
+    }
+    changes.version = std::max(changes.version, it.version);
+    changes.objects.push_back(std::move(it));
+}
+
+http::request list_request(collection where, const std::string&)
+{
+    return http::make_request(http::verb::get, path_to(where));
+}
+
+list_page read_list(collection, const std::string& body)
+{
+    const boost::json::object json = parse_json_object(body);
+    const json_reader reader(json);
+    list_page result;
+    const json_reader metadata(reader.object("metadata"));
+    result.content.version = version_from(metadata.text("resourceVersion"));
+    for (const boost::json::value& it : reader.array("items"))
+    {
+        result.content.objects.push_back(object_from(it.as_object()));
+    }
+    return result;
+}
+
+http::request read_request(collection where, const std::string& name)
+{
+    return http::make_request(http::verb::get, path_to(where, name));
+}
+
+stored_object read_object(const std::string& body)
+{
+    return object_from(parse_json_object(body));
+}
+
+http::request write_request(collection where, const stored_object& it)
+{
+    const bool is_new = it.version.value() == 0;
+    return http::make_request(
+        is_new ? http::verb::post : http::verb::put,
+        is_new ? path_to(where) : path_to(where, it.name),
+        boost::json::serialize(object_to_json(where, it)));
+}
+
+http::request watch_request(collection where, object_version since,
+                            milliseconds wait)
+{
+    const auto limit = std::chrono::duration_cast<seconds>(wait).count();
+    return http::make_request(
+        http::verb::get, path_to(where) + "?watch=true&resourceVersion=" +
+                             std::to_string(since.value()) +
+                             "&timeoutSeconds=" + std::to_string(limit));
+}
+
+listing read_watch(collection, object_version since, const std::string& body)
+{
+    listing changes;
+    changes.version = since;
+    std::string_view rest = body;
+    while (!rest.empty())
+    {
+        const std::size_t end = std::min(rest.find('\n'), rest.size());
+        if (end > 0)
+        {
+            read_event(rest.substr(0, end), changes);
+        }
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+    }
+    return changes;
+}
+
+http::request remove_request(collection where, const std::string& name)
+{
+    return http::make_request(http::verb::delete_, path_to(where, name));
+}
+
+} // namespace
+
+const object_dialect kubernetes_dialect{
+    list_request,  read_list,     read_request, read_object,
+    write_request, watch_request, read_watch,   remove_request};
+
+} // namespace cicadahub::platform
--- a/libraries/platform/object_client.hpp
+++ b/libraries/platform/object_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/client.hpp"
+#include "platform/kubernetes_dialect.hpp"
 #include "platform/object_store.hpp"
 
 namespace cicadahub::platform
@@ -16,14 +17,14 @@
     milliseconds settle_limit{3'000};
 };
 
-/// Client of an object API that follows the Kubernetes conventions:
-/// `/apis/GROUP/VERSION/COLLECTION/NAME`, `metadata.resourceVersion`,
-/// conditional PUT, `?watch=true` with one JSON event a line.
+/// Client of the platform's object API, whatever its dialect: versions,
+/// conditional updates, watches, and writes whose answers were lost.
 class object_client
 {
 public:
     object_client(http::client_pool& pool, http::endpoint address,
-                  client_timing timing);
+                  client_timing timing,
+                  const object_dialect& dialect = kubernetes_dialect);
 
     /// Throws `platform_error` if the platform does not answer.
     net::awaitable<listing> list(collection where);
@@ -60,6 +61,7 @@
     http::client_pool& m_pool;
     http::endpoint m_address;
     client_timing m_timing;
+    const object_dialect& m_dialect;
 };
 
 } // namespace cicadahub::platform
--- a/libraries/platform/stored_object.hpp
+++ b/libraries/platform/stored_object.hpp
@@ -21,6 +21,8 @@
     members,
     intents,
     audits,
+    /// The backend servers, as they register themselves.
+    servers,
 };
 
 std::string_view name_of(collection it);
@@ -31,6 +33,7 @@
     std::string name;
     object_version version;
     boost::json::object spec;
+    bool is_deleted = false;
     /// Marks of the last writes, newest last, by which a writer whose answer
     /// was lost finds out whether its write took effect.
     std::vector<std::string> write_marks;
--- /dev/null
+++ b/libraries/serving/configuration.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/units.hpp"
+#include "decision/quota/types.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cicadahub::serving
+{
+
+/// What may be repeated.
+enum class request_kind
+{
+    /// May run more than once.
+    repeatable,
+    /// Runs at most once.
+    once,
+    /// Answered by a series of events; repeatable only from the last event on,
+    /// and only where the route says so.
+    stream,
+};
+
+struct service_share
+{
+    service_id service;
+    std::uint32_t weight = 1;
+};
+
+/// Work that shares a target and goes to the same services.
+struct route
+{
+    route_id name;
+    std::string host;
+    std::string path_prefix;
+    request_kind kind = request_kind::once;
+    milliseconds timeout{0};
+    milliseconds target_latency{0};
+    milliseconds target_gap{0};
+    /// 0 is the most urgent.
+    std::int64_t rank = 0;
+    std::vector<service_share> services;
+    std::uint32_t server_limit = 1;
+    bool is_public = false;
+    bool is_resumable = false;
+};
+
+struct model_spec
+{
+    double megabytes = 0;
+    milliseconds load_from_store{0};
+    milliseconds load_from_disk{0};
+    milliseconds load_from_memory{0};
+    double adapter_megabytes = 0;
+};
+
+/// What the engines of one service have in common.
+struct engine_spec
+{
+    std::uint32_t slots = 1;
+    std::int64_t cache_tokens = 0;
+    /// Room for weights and adapters together.
+    double megabytes = 0;
+    std::uint32_t adapter_places = 0;
+    double store_loads_per_second = 0;
+    std::map<model_id, model_spec> models;
+};
+
+struct service
+{
+    service_id name;
+    std::uint32_t connection_limit = 0;
+    /// None for a plain service.
+    std::optional<engine_spec> engine;
+};
+
+struct organisation
+{
+    organisation_id name;
+    /// None if the organisation has no limit.
+    std::optional<quota::rate_limit> rate;
+    /// What a request without token counts is charged.
+    std::int64_t plain_cost = 1;
+    /// False if every request is charged one.
+    bool counts_tokens = false;
+    /// Goes before the rank of the route.
+    std::optional<std::int64_t> rank;
+};
+
+struct caller_limits
+{
+    std::uint32_t header_bytes = 16 * 1024;
+    std::uint64_t body_bytes = 4 * 1024 * 1024;
+    milliseconds read_timeout{3'000};
+    milliseconds idle_timeout{15'000};
+};
+
+/// One version of all that operators have decided; never changed once made.
+struct configuration
+{
+    std::uint64_t version = 0;
+    /// Version of the object in the platform's store.
+    object_version revision;
+    std::vector<route> routes;
+    std::map<service_id, service> services;
+    std::map<organisation_id, organisation> organisations;
+    std::unordered_map<key_hash, organisation_id> keys;
+    caller_limits limits;
+
+    /// The route of that host with the longest prefix of the path.
+    const route* find_route(std::string_view host, std::string_view path) const;
+    const service* find_service(const service_id& name) const;
+    const organisation* find_holder(const key_hash& key) const;
+};
+
+} // namespace cicadahub::serving
--- /dev/null
+++ b/libraries/serving/request.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/units.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicadahub::serving
+{
+
+struct token_counts
+{
+    std::int64_t prompt = 0;
+    std::int64_t output_limit = 0;
+};
+
+/// A part of a prompt that other requests may share.
+struct prompt_part
+{
+    std::string id;
+    std::int64_t tokens = 0;
+};
+
+/// What the system decides by; the message itself is passed on as it came.
+struct request
+{
+    request_id id;
+    std::string host;
+    std::string path;
+    std::optional<key_hash> key;
+    /// How long the caller waits.
+    std::optional<milliseconds> patience;
+    std::optional<model_id> model;
+    std::optional<adapter_id> adapter;
+    std::optional<token_counts> tokens;
+    /// In the order of the prompt; the last part belongs to this request.
+    std::vector<prompt_part> prompt;
+};
+
+} // namespace cicadahub::serving
--- /dev/null
+++ b/services/cicada-entry/main.cpp
@@ -0,0 +1,89 @@
+#include "core/structured_log.hpp"
+#include "documents.hpp"
+#include "entry/entry_daemon.hpp"
+#include "object_store_dialect.hpp"
+#include "requests.hpp"
+#include "servers.hpp"
+#include "settings/program.hpp"
+#include "settings_file.hpp"
+
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace
+{
+
+using namespace cicadahub;
+
+constexpr const char* settings_variable = "CICADAHUB_SETTINGS";
+
+int report_faults(const std::vector<settings::settings_fault>& faults)
+{
+    for (const settings::settings_fault& it : faults)
+    {
+        std::cerr << settings::to_string(it) << "\n";
+    }
+    return faults.empty() ? settings::exit_ok : settings::exit_usage;
+}
+
+int serve(const std::string& file)
+{
+    const adapter::settings_file given = adapter::read_settings_file(file);
+    if (!given.faults.empty())
+    {
+        return report_faults(given.faults);
+    }
+    // A write to a connection that the other end has closed is an error code.
+    std::signal(SIGPIPE, SIG_IGN);
+    open_structured_log(given.settings.name.value());
+    entry::entry_daemon daemon(
+        given.settings,
+        {adapter::object_store_dialect, adapter::documents, adapter::requests,
+         adapter::servers},
+        [file]() -> std::optional<entry::entry_settings>
+        {
+            const adapter::settings_file next =
+                adapter::read_settings_file(file);
+            report_faults(next.faults);
+            return next.faults.empty() ? std::optional(next.settings)
+                                       : std::nullopt;
+        });
+    daemon.run();
+    close_structured_log();
+    return settings::exit_ok;
+}
+
+int run(int argc, char** argv)
+{
+    TCLAP::CmdLine line("cicada-entry, the entry daemon of cicadahub on the "
+                        "users' platform.",
+                        ' ', CICADAHUB_VERSION);
+    line.setExceptionHandling(false);
+    const char* given = std::getenv(settings_variable);
+    TCLAP::ValueArg<std::string> settings_file(
+        "s", "settings", "Settings to serve with; CICADAHUB_SETTINGS if unset.",
+        false, given == nullptr ? "" : given, "FILE");
+    TCLAP::ValueArg<std::string> checked_file(
+        "c", "check-settings", "Settings to check, without serving.", false, "",
+        "FILE");
+    line.add(settings_file);
+    line.add(checked_file);
+    line.parse(argc, argv);
+    if (checked_file.isSet())
+    {
+        return report_faults(
+            adapter::read_settings_file(checked_file.getValue()).faults);
+    }
+    return serve(settings_file.getValue());
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    return cicadahub::settings::run_program("cicada-entry",
+                                            [&] { return run(argc, argv); });
+}
