Placement: Order loads by demand without a written decision

Change: a report speaks of the models only if it was asked for after the last change; an adapter's unload counts as one order, and a wrong count is refused by the server; adapters go by their use over all hosts; rates use half of the allowed excess.

--- a/libraries/daemon/collection_follower.cpp
+++ b/libraries/daemon/collection_follower.cpp
@@ -55,9 +55,18 @@
             note_failure(reason.what());
             has_failed = true;
         }
+        milliseconds wait{0};
+        if (m_pace)
+        {
+            wait = m_pace();
+        }
         if (has_failed)
         {
-            co_await pause(m_context, retry_pause);
+            wait = retry_pause;
+        }
+        if (wait.count() > 0)
+        {
+            co_await pause(m_context, wait);
         }
     }
 }
--- a/libraries/daemon/collection_follower.hpp
+++ b/libraries/daemon/collection_follower.hpp
@@ -25,6 +25,11 @@
                         platform::collection where, object_handler on_object,
                         batch_handler on_batch);
 
+    /// Least time between two watches; changes that come together are then
+    /// fetched together.
+    using pace_handler = std::function<milliseconds()>;
+    void set_pace(pace_handler pace) { m_pace = std::move(pace); }
+
     void start();
     void stop() { m_is_stopped = true; }
 
@@ -44,6 +49,7 @@
     platform::collection m_where;
     object_handler m_on_object;
     batch_handler m_on_batch;
+    pace_handler m_pace;
     object_version m_version;
     bool m_needs_list = true;
     bool m_is_in_contact = false;
--- a/libraries/decision/replicas/replica_planner.cpp
+++ b/libraries/decision/replicas/replica_planner.cpp
@@ -255,22 +255,61 @@
     }
 }
 
+std::optional<order>
+replica_planner::adapter_order(const planner_view& view, server_state& server,
+                               const copy_name& copy) const
+{
+    order it;
+    it.server = server.id();
+    it.incarnation = server.entry().incarnation;
+    it.expected = server.orders_accepted();
+    it.copy = copy;
+    const double size = view.engine.models.at(copy.model).adapter_megabytes;
+    if (server.adapter_count() < view.engine.adapter_places &&
+        server.used_megabytes(view.engine) + size <= view.engine.megabytes)
+    {
+        return it;
+    }
+    std::optional<copy_name> victim;
+    double least = 0;
+    for (const auto& [model, adapters] : server.models())
+    {
+        for (const adapter_id& adapter : adapters)
+        {
+            const copy_name held{model, adapter};
+            const bool is_waited_for = std::any_of(
+                view.wants.begin(), view.wants.end(),
+                [&](const want& other) { return other.copy == held; });
+            const auto rate = view.adapter_rates.find(held);
+            const double use =
+                rate == view.adapter_rates.end() ? 0 : rate->second;
+            if (!is_waited_for && (!victim || use < least))
+            {
+                victim = held;
+                least = use;
+            }
+        }
+    }
+    if (!victim)
+    {
+        return std::nullopt;
+    }
+    it.kind = order_kind::unload;
+    it.copy = *victim;
+    return it;
+}
+
 void replica_planner::plan_adapters(const planner_view& view, time_point now,
                                     std::vector<planned_order>& orders) const
 {
     for (const want& it : view.wants)
     {
-        if (!it.copy.adapter)
-        {
-            continue;
-        }
-        const auto spec = view.engine.models.find(it.copy.model);
-        if (spec == view.engine.models.end())
+        if (!it.copy.adapter || !view.engine.models.contains(it.copy.model))
         {
             continue;
         }
         server_state* best = nullptr;
-        std::uint32_t least = 0;
+        std::pair<bool, std::uint32_t> least;
         bool is_held = false;
         for (auto& [id, server] : view.servers)
         {
@@ -279,59 +318,24 @@
                 continue;
             }
             is_held = is_held || server.holds(it.copy);
-            const std::uint32_t running =
-                running_at(view, id, it.copy.model);
-            if (!server.is_engaged() && (best == nullptr || running < least))
+            const std::pair cost{
+                server.adapter_count() >= view.engine.adapter_places,
+                running_at(view, id, it.copy.model)};
+            if (!server.is_engaged() && (best == nullptr || cost < least))
             {
                 best = &server;
-                least = running;
+                least = cost;
             }
         }
         if (is_held || best == nullptr)
         {
             continue;
         }
-        planned_order next;
-        next.what.server = best->id();
-        next.what.incarnation = best->entry().incarnation;
-        next.what.expected = best->orders_accepted();
-        next.what.copy = it.copy;
-        const bool has_room =
-            best->adapter_count() < view.engine.adapter_places &&
-            best->used_megabytes(view.engine) +
-                    spec->second.adapter_megabytes <=
-                view.engine.megabytes;
-        if (!has_room)
+        if (auto next = adapter_order(view, *best, it.copy))
         {
-            const copy_name* oldest = nullptr;
-            copy_name held;
-            time_point oldest_use = now;
-            for (const auto& [model, adapters] : best->models())
-            {
-                for (const adapter_id& adapter : adapters)
-                {
-                    const copy_name name{model, adapter};
-                    const auto used = view.last_used.find(name);
-                    const time_point at = used == view.last_used.end()
-                                              ? time_point{}
-                                              : used->second;
-                    if (oldest == nullptr || at < oldest_use)
-                    {
-                        held = name;
-                        oldest = &held;
-                        oldest_use = at;
-                    }
-                }
-            }
-            if (oldest == nullptr)
-            {
-                continue;
-            }
-            next.what.kind = order_kind::unload;
-            next.what.copy = held;
+            best->on_order_sent(*next, {}, std::nullopt, now);
+            orders.push_back({std::move(*next), {}, std::nullopt});
         }
-        best->on_order_sent(next.what, {}, std::nullopt, now);
-        orders.push_back(std::move(next));
     }
 }
 
--- a/libraries/decision/replicas/replica_planner.hpp
+++ b/libraries/decision/replicas/replica_planner.hpp
@@ -31,6 +31,8 @@
     /// Requests that run of each model at each server, fleet-wide.
     std::map<std::pair<server_id, model_id>, std::uint32_t> running;
     std::map<copy_name, time_point> last_used;
+    /// Requests a second for each adapter, fleet-wide.
+    std::map<copy_name, double> adapter_rates;
 };
 
 struct planned_order
@@ -59,6 +61,9 @@
                       std::vector<planned_order>& orders) const;
     void plan_adapters(const planner_view& view, time_point now,
                        std::vector<planned_order>& orders) const;
+    std::optional<order> adapter_order(const planner_view& view,
+                                       server_state& server,
+                                       const copy_name& copy) const;
     void plan_more_replicas(const planner_view& view, time_point now,
                             std::vector<planned_order>& orders) const;
     void plan_staging(const planner_view& view, time_point now,
--- a/libraries/decision/replicas/server_state.cpp
+++ b/libraries/decision/replicas/server_state.cpp
@@ -12,47 +12,88 @@
 } // namespace
 
 server_state::server_state(const serving::server_entry& entry)
-    : m_entry(entry), m_models(entry.models),
-      m_orders_accepted(entry.orders_accepted)
+    : m_entry(entry), m_models(entry.models)
 {
 }
 
-bool server_state::on_told(const serving::holdings& models,
-                           const std::set<model_id>& in_memory,
-                           const std::set<model_id>& on_disk,
-                           std::uint64_t orders_accepted, bool is_busy,
-                           time_point now)
+bool server_state::on_report(const serving::server_report& report,
+                             time_point asked_at, time_point now)
 {
-    if (orders_accepted < m_orders_accepted)
+    if (report.orders_accepted < m_orders_accepted)
     {
         // Older than what this daemon has ordered itself.
         return false;
     }
-    m_orders_accepted = orders_accepted;
-    m_entry.in_memory = in_memory;
-    m_entry.on_disk = on_disk;
-    bool has_changed = models != m_models;
-    if (m_pending && orders_accepted > m_pending->what.expected)
+    m_orders_accepted = report.orders_accepted;
+    m_entry.in_memory = report.in_memory;
+    m_entry.on_disk = report.on_disk;
+    if (m_pending && report.orders_accepted > m_pending->what.expected)
     {
-        const bool is_there = models.contains(m_pending->what.copy.model);
+        const bool is_there =
+            report.models.contains(m_pending->what.copy.model);
         const bool wants_there = m_pending->what.kind == order_kind::load;
-        if (!is_busy && (is_there == wants_there || now >= m_pending->due_at))
+        if (report.is_busy ||
+            (is_there != wants_there && now < m_pending->due_at + report_lag))
         {
-            m_pending.reset();
-            has_changed = true;
+            return false;
         }
+        m_pending.reset();
+        m_models = report.models;
+        m_changed_at = now;
+        m_is_confirmed = true;
+        return true;
+    }
+    if (asked_at < m_changed_at + report_lag)
+    {
+        return false;
     }
-    m_models = models;
+    drop_unaccepted();
+    m_is_confirmed = true;
+    const bool has_changed = report.models != m_models;
+    m_models = report.models;
     return has_changed;
 }
 
-void server_state::on_entry(const serving::server_entry& entry)
+void server_state::drop_unaccepted()
+{
+    // Should the order still arrive, it is carried out only in the state that
+    // it was made for, and excludes what is ordered now.
+    if (m_pending && m_pending->is_uncertain)
+    {
+        m_pending.reset();
+    }
+}
+
+bool server_state::on_entry(const serving::server_entry& entry, time_point now)
 {
-    const auto in_memory = std::move(m_entry.in_memory);
-    const auto on_disk = std::move(m_entry.on_disk);
+    if (entry.revision == m_entry.revision)
+    {
+        return false;
+    }
     m_entry = entry;
-    m_entry.in_memory = in_memory;
-    m_entry.on_disk = on_disk;
+    if (!m_pending || !m_pending->is_accepted)
+    {
+        return false;
+    }
+    // The entry may have been written before the order. Should it mislead, the
+    // server refuses the next order as long as this one is in progress.
+    const model_id& model = m_pending->what.copy.model;
+    const bool wants_there = m_pending->what.kind == order_kind::load;
+    if (entry.models.contains(model) != wants_there)
+    {
+        return false;
+    }
+    if (wants_there)
+    {
+        m_models[model];
+    }
+    else
+    {
+        m_models.erase(model);
+    }
+    m_pending.reset();
+    m_changed_at = now;
+    return true;
 }
 
 void server_state::on_order_sent(const order& it, milliseconds expected_time,
@@ -67,14 +108,22 @@
     }
 }
 
-void server_state::on_answer(const order& it, order_answer answer)
+void server_state::on_answer(const order& it, order_answer answer,
+                             time_point now)
 {
     m_awaits_answer = false;
+    m_changed_at = now;
+    const bool is_adapter_unload =
+        it.copy.adapter && it.kind == order_kind::unload;
     if (answer == order_answer::accepted || answer == order_answer::holds)
     {
-        m_orders_accepted =
-            std::max(m_orders_accepted,
-                     it.expected + (answer == order_answer::accepted ? 1 : 0));
+        // An adapter is unloaded at once, which is told like an order that
+        // changed nothing. Should it have changed nothing, the next order finds
+        // its number taken for too high and is refused.
+        if (answer == order_answer::accepted || is_adapter_unload)
+        {
+            m_orders_accepted = std::max(m_orders_accepted, it.expected + 1);
+        }
         if (it.copy.adapter && it.kind == order_kind::load)
         {
             m_models[it.copy.model].insert(*it.copy.adapter);
@@ -109,25 +158,11 @@
     {
         m_pending.reset();
     }
+    // Whatever number was believed in, the next report tells the right one.
+    m_orders_accepted = 0;
     m_is_confirmed = false;
 }
 
-void server_state::confirm(time_point asked_at)
-{
-    if (m_pending && m_pending->is_uncertain &&
-        m_orders_accepted == m_pending->what.expected)
-    {
-        if (asked_at < m_pending->sent_at + report_lag)
-        {
-            return;
-        }
-        // Not accepted so far. Should it still arrive, it is carried out only
-        // in the state that it was made for, and excludes what is ordered now.
-        m_pending.reset();
-    }
-    m_is_confirmed = true;
-}
-
 bool server_state::holds(const copy_name& copy) const
 {
     const auto it = m_models.find(copy.model);
--- a/libraries/decision/replicas/server_state.hpp
+++ b/libraries/decision/replicas/server_state.hpp
@@ -25,17 +25,17 @@
 public:
     explicit server_state(const serving::server_entry& entry);
 
-    /// Takes what the server tells in the platform's list or in a report.
-    /// Returns true if an order is seen to have ended or the models changed.
-    bool on_told(const serving::holdings& models,
-                 const std::set<model_id>& in_memory,
-                 const std::set<model_id>& on_disk,
-                 std::uint64_t orders_accepted, bool is_busy, time_point now);
+    /// Takes the report that was asked for at `asked_at`. Returns true if an
+    /// order is seen to have ended or the models changed.
+    bool on_report(const serving::server_report& report, time_point asked_at,
+                   time_point now);
 
-    void on_entry(const serving::server_entry& entry);
+    /// Takes the platform's list, which tells the end of orders for models.
+    /// Returns true if an order is seen to have ended.
+    bool on_entry(const serving::server_entry& entry, time_point now);
     void on_order_sent(const order& it, milliseconds expected_time,
                        std::optional<model_id> makes_room_for, time_point now);
-    void on_answer(const order& it, order_answer answer);
+    void on_answer(const order& it, order_answer answer, time_point now);
 
     const server_id& id() const { return m_entry.id; }
     const serving::server_entry& entry() const { return m_entry; }
@@ -46,8 +46,6 @@
     bool is_confirmed() const { return m_is_confirmed; }
     /// Nothing is ordered until the server has been asked again.
     void require_report() { m_is_confirmed = false; }
-    /// A report that was asked for at `asked_at` has been taken.
-    void confirm(time_point asked_at);
 
     bool holds(const copy_name& copy) const;
     /// Serves the model now and is not about to drop it.
@@ -72,10 +70,15 @@
     bool has_near_copy(const model_id& model) const;
 
 private:
+    void drop_unaccepted();
+
     serving::server_entry m_entry;
     serving::holdings m_models;
     std::uint64_t m_orders_accepted = 0;
     bool m_is_confirmed = false;
+    /// Last time at which an order is known to have changed the server, or may
+    /// have; a report asked for soon after may still tell of the time before.
+    time_point m_changed_at{};
     bool m_awaits_answer = false;
     std::optional<pending_order> m_pending;
 };
--- a/libraries/decision/sharing/host_rate.cpp
+++ b/libraries/decision/sharing/host_rate.cpp
@@ -15,24 +15,26 @@
 } // namespace
 
 quota::rate_limit host_rate::part_of(const quota::rate_limit& whole,
-                                     double share)
+                                     double share, std::int64_t slack)
 {
     const double burst = static_cast<double>(whole.burst.value()) * share;
     return {whole.tokens_per_second * share,
-            token_count(static_cast<std::int64_t>(std::floor(burst)))};
+            token_count(static_cast<std::int64_t>(std::floor(burst)) + slack)};
 }
 
-host_rate::host_rate(quota::rate_limit whole, double share, time_point now)
-    : m_bucket(part_of(whole, share))
+host_rate::host_rate(quota::rate_limit whole, double share,
+                     std::int64_t slack, time_point now)
+    : m_bucket(part_of(whole, share, slack))
 {
     m_bucket.start_empty(now);
     m_bucket.put_back(m_bucket.limit().burst);
 }
 
-void host_rate::set(quota::rate_limit whole, double share, time_point now)
+void host_rate::set(quota::rate_limit whole, double share, std::int64_t slack,
+                    time_point now)
 {
     m_bucket.refill(now, m_bucket.limit().burst);
-    m_bucket.set_limit(part_of(whole, share));
+    m_bucket.set_limit(part_of(whole, share, slack));
     m_bucket.limit_to(m_bucket.limit().burst);
 }
 
--- a/libraries/decision/sharing/host_rate.hpp
+++ b/libraries/decision/sharing/host_rate.hpp
@@ -13,9 +13,13 @@
 class host_rate
 {
 public:
-    host_rate(quota::rate_limit whole, double share, time_point now);
+    /// `slack` is this host's part of the tokens by which all hosts together
+    /// may pass the rate; it adds to the burst.
+    host_rate(quota::rate_limit whole, double share, std::int64_t slack,
+              time_point now);
 
-    void set(quota::rate_limit whole, double share, time_point now);
+    void set(quota::rate_limit whole, double share, std::int64_t slack,
+             time_point now);
 
     /// Takes the tokens; otherwise the time until there are as many.
     std::optional<milliseconds> charge(std::int64_t tokens, time_point now);
@@ -25,7 +29,7 @@
 
 private:
     static quota::rate_limit part_of(const quota::rate_limit& whole,
-                                     double share);
+                                     double share, std::int64_t slack);
 
     quota::token_bucket m_bucket;
 };
--- a/libraries/entry/demand_table.cpp
+++ b/libraries/entry/demand_table.cpp
@@ -13,10 +13,11 @@
 
 void demand_table::on_request(const replicas::copy_name& copy, time_point now)
 {
-    m_models[copy.model].add(1, now);
+    m_copies[{copy.model, std::nullopt}].add(1, now);
     m_last_used[{copy.model, std::nullopt}] = now;
     if (copy.adapter)
     {
+        m_copies[copy].add(1, now);
         m_last_used[copy] = now;
     }
 }
@@ -27,15 +28,15 @@
     m_organisations[organisation].add(static_cast<double>(tokens), now);
 }
 
-std::map<model_id, double> demand_table::model_rates(time_point now)
+std::map<replicas::copy_name, double> demand_table::copy_rates(time_point now)
 {
-    std::map<model_id, double> rates;
-    for (auto it = m_models.begin(); it != m_models.end();)
+    std::map<replicas::copy_name, double> rates;
+    for (auto it = m_copies.begin(); it != m_copies.end();)
     {
         const double rate = it->second.per_second(now);
         if (rate < least_rate)
         {
-            it = m_models.erase(it);
+            it = m_copies.erase(it);
             continue;
         }
         rates[it->first] = rate;
--- a/libraries/entry/demand_table.hpp
+++ b/libraries/entry/demand_table.hpp
@@ -16,8 +16,9 @@
     void on_tokens(const organisation_id& organisation, std::int64_t tokens,
                    time_point now);
 
-    /// Models asked for lately, with their rate.
-    std::map<model_id, double> model_rates(time_point now);
+    /// Models and adapters asked for lately, with their rates. That of a model
+    /// includes those of its adapters.
+    std::map<replicas::copy_name, double> copy_rates(time_point now);
     double tokens_per_second(const organisation_id& organisation,
                              time_point now);
     std::map<organisation_id, double> organisation_rates(time_point now);
@@ -27,7 +28,7 @@
     }
 
 private:
-    std::map<model_id, sharing::rate_estimate> m_models;
+    std::map<replicas::copy_name, sharing::rate_estimate> m_copies;
     std::map<organisation_id, sharing::rate_estimate> m_organisations;
     std::map<replicas::copy_name, time_point> m_last_used;
 };
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -40,8 +40,10 @@
 } // namespace
 
 digest_exchange::digest_exchange(entry_state& state, fill_handler fill,
-                                 heard_handler on_heard)
+                                 heard_handler on_heard,
+                                 std::function<bool()> is_holder)
     : m_state(state), m_fill(std::move(fill)), m_on_heard(std::move(on_heard)),
+      m_is_holder(std::move(is_holder)),
       m_socket(state.context, datagram_endpoint(state.settings.fleet)),
       m_timer(state.context), m_incarnation(new_incarnation())
 {
@@ -98,10 +100,11 @@
         wanted.slack_ms = static_cast<std::int32_t>(want.slack.count());
         it.wants.push_back(std::move(wanted));
     }
-    for (const auto& [model, rate] : m_state.demand.model_rates(now))
+    for (const auto& [copy, rate] : m_state.demand.copy_rates(now))
     {
-        fleet::wire::ModelUsage usage;
-        usage.model = model.value();
+        fleet::wire::CopyUsage usage;
+        usage.model = copy.model.value();
+        usage.adapter = copy.adapter ? copy.adapter->value() : std::string();
         usage.requests_per_second = rate;
         it.usage.push_back(std::move(usage));
     }
@@ -150,12 +153,25 @@
     }
 }
 
+void digest_exchange::forget_silent(time_point now)
+{
+    if (!m_state.fleet.drop_silent(now))
+    {
+        return;
+    }
+    m_state.servers.set_running_elsewhere(m_state.fleet.running_by_server());
+    if (m_state.fleet.placement_holder() == nullptr && !m_is_holder())
+    {
+        m_state.servers.forget_ordered();
+    }
+}
+
 net::awaitable<void> digest_exchange::send_loop()
 {
     while (true)
     {
         m_is_urgent = false;
-        m_state.fleet.drop_silent(monotonic_clock::now());
+        forget_silent(monotonic_clock::now());
         m_state.share_rates(monotonic_clock::now());
         tell_now();
         m_timer.expires_after(digest_period);
--- a/libraries/entry/digest_exchange.hpp
+++ b/libraries/entry/digest_exchange.hpp
@@ -21,7 +21,7 @@
 
     /// Binds the fleet's address; throws `boost::system::system_error`.
     digest_exchange(entry_state& state, fill_handler fill,
-                    heard_handler on_heard);
+                    heard_handler on_heard, std::function<bool()> is_holder);
 
     void start();
     /// Something changed that others wait for.
@@ -33,6 +33,7 @@
 private:
     net::awaitable<void> send_loop();
     net::awaitable<void> receive_loop();
+    void forget_silent(time_point now);
     void on_datagram(std::string_view datagram,
                      const net::ip::udp::endpoint& from);
     fleet::wire::Digest make_digest(time_point now);
@@ -40,6 +41,8 @@
     entry_state& m_state;
     fill_handler m_fill;
     heard_handler m_on_heard;
+    /// True while this daemon holds the placement lease itself.
+    std::function<bool()> m_is_holder;
     net::ip::udp::socket m_socket;
     net::steady_timer m_timer;
     std::set<net::ip::udp::endpoint> m_addresses;
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -16,10 +16,14 @@
 
 constexpr milliseconds connect_timeout{500};
 constexpr std::size_t idle_connections = 4;
-/// A call and a watch together stay under the time in which a configuration
-/// and a leaving server must be known, should a connection go silent.
+/// A watch on a connection that has gone silent is ended by the kernel's
+/// probes; each call counts against the platform's rate, so it may be long.
 constexpr platform::client_timing store_timing{
-    milliseconds(600), milliseconds(1'000), milliseconds(3'000)};
+    milliseconds(600), milliseconds(10'000), milliseconds(3'000)};
+/// A leaving server must be known within two seconds; the others learn of
+/// loads from the holder of the placement lease at once.
+constexpr milliseconds list_pace{500};
+constexpr milliseconds holder_list_pace{40};
 constexpr milliseconds member_period{5'000};
 constexpr milliseconds retry_pause{300};
 /// The balancer asks each second and takes a daemon out after two misses.
@@ -61,7 +65,8 @@
           m_state,
           [this](fleet::wire::Digest& it, time_point now)
           { m_placement.fill(it, now); },
-          [this](const peer& it) { on_heard(it); }),
+          [this](const peer& it) { on_heard(it); },
+          [this] { return m_placement.is_held(); }),
       m_requests(m_state, dialects.callers, dialects.servers),
       m_readiness([this] { return is_ready(); }),
       m_caller_server(m_settings.callers, limits_of({}),
@@ -80,6 +85,9 @@
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
       m_started(monotonic_clock::now())
 {
+    m_servers.set_pace(
+        [this]
+        { return m_placement.is_held() ? holder_list_pace : list_pace; });
     m_state.waiting.set_change_handler(
         [this]
         {
@@ -184,7 +192,6 @@
     {
         ordered_holdings told;
         told.incarnation = it.incarnation;
-        told.orders_accepted = static_cast<std::uint64_t>(it.orders_accepted);
         for (const auto& [model, adapters] : it.models)
         {
             auto& names = told.models[model_id(model)];
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -8,6 +8,9 @@
 
 constexpr milliseconds connect_timeout{500};
 constexpr std::size_t idle_connections_per_server = 32;
+/// Part of the allowed excess that the hosts use to even out that requests
+/// reach them unevenly; the rest is for hosts that do not hear one another.
+constexpr double used_slack = 0.5;
 
 } // namespace
 
@@ -25,6 +28,9 @@
         return;
     }
     const std::size_t hosts = fleet.peers().size() + 1;
+    const auto slack = static_cast<std::int64_t>(
+        used_slack * static_cast<double>(settings.rate_slack) /
+        static_cast<double>(hosts));
     for (const auto& [name, it] : configuration->organisations)
     {
         if (!it.rate)
@@ -38,11 +44,11 @@
         const auto known = rates.find(name);
         if (known == rates.end())
         {
-            rates.emplace(name, sharing::host_rate(*it.rate, share, now));
+            rates.emplace(name, sharing::host_rate(*it.rate, share, slack, now));
         }
         else
         {
-            known->second.set(*it.rate, share, now);
+            known->second.set(*it.rate, share, slack, now);
         }
     }
 }
--- a/libraries/entry/placement_duty.cpp
+++ b/libraries/entry/placement_duty.cpp
@@ -66,6 +66,17 @@
     return "unknown";
 }
 
+replicas::copy_name copy_from(const std::string& model,
+                              const std::string& adapter)
+{
+    replicas::copy_name it{model_id(model), std::nullopt};
+    if (!adapter.empty())
+    {
+        it.adapter = adapter_id(adapter);
+    }
+    return it;
+}
+
 std::string adapter_name(const replicas::copy_name& it)
 {
     return it.adapter ? it.adapter->value() : std::string();
@@ -173,14 +184,12 @@
             servers.emplace(id, replicas::server_state(record->entry));
             continue;
         }
-        known->second.on_entry(record->entry);
-        const auto& entry = record->entry;
-        const bool is_told_busy = false;
-        if (entry.orders_accepted >= known->second.orders_accepted() &&
-            known->second.pending() && !entry.models.empty() &&
-            known->second.on_told(entry.models, entry.in_memory, entry.on_disk,
-                                  entry.orders_accepted, is_told_busy, now))
+        if (known->second.on_entry(record->entry, now))
         {
+            log_event(severity::info, event_number::order_ended,
+                      {{"server", id.value()},
+                       {"seen_in", "list"},
+                       {"revision", record->entry.revision.value()}});
             publish(id, now);
         }
     }
@@ -191,10 +200,20 @@
                         server_map& servers, time_point now)
 {
     replicas::planner_view view{engine, servers, m_inputs.waiting.wants(now),
-                                {},     {},      m_inputs.demand.last_used()};
-    for (const auto& [model, rate] : m_inputs.demand.model_rates(now))
+                                {},     {},      m_inputs.demand.last_used(),
+                                {}};
+    const auto add_use = [&](const replicas::copy_name& copy, double rate)
     {
-        view.use[model].requests_per_second += rate;
+        if (copy.adapter)
+        {
+            view.adapter_rates[copy] += rate;
+            return;
+        }
+        view.use[copy.model].requests_per_second += rate;
+    };
+    for (const auto& [copy, rate] : m_inputs.demand.copy_rates(now))
+    {
+        add_use(copy, rate);
     }
     for (const auto& [id, state] : servers)
     {
@@ -212,19 +231,14 @@
         for (const auto& it : peer.digest.wants)
         {
             replicas::want want;
-            want.copy.model = model_id(it.model);
-            if (!it.adapter.empty())
-            {
-                want.copy.adapter = adapter_id(it.adapter);
-            }
+            want.copy = copy_from(it.model, it.adapter);
             want.waiting = static_cast<std::uint32_t>(it.waiting);
             want.slack = milliseconds(it.slack_ms);
             view.wants.push_back(std::move(want));
         }
         for (const auto& it : peer.digest.usage)
         {
-            const model_id model(it.model);
-            view.use[model].requests_per_second += it.requests_per_second;
+            add_use(copy_from(it.model, it.adapter), it.requests_per_second);
         }
         for (const auto& work : peer.digest.work)
         {
@@ -321,7 +335,7 @@
     auto* state = find(it.server);
     if (state != nullptr && state->entry().incarnation == it.incarnation)
     {
-        state->on_answer(it, answer);
+        state->on_answer(it, answer, monotonic_clock::now());
         publish(it.server, monotonic_clock::now());
     }
     kick();
@@ -372,14 +386,12 @@
         if (report.orders_accepted >= state->orders_accepted())
         {
             const bool was_pending = state->pending().has_value();
-            const bool has_changed = state->on_told(
-                report.models, report.in_memory, report.on_disk,
-                report.orders_accepted, report.is_busy, now);
-            state->confirm(asked_at);
+            const bool has_changed = state->on_report(report, asked_at, now);
             if (was_pending && !state->pending())
             {
                 log_event(severity::info, event_number::order_ended,
                           {{"server", id.value()},
+                           {"seen_in", "report"},
                            {"orders_accepted", report.orders_accepted}});
             }
             if (has_changed)
@@ -405,7 +417,6 @@
     }
     ordered_holdings it;
     it.incarnation = state->entry().incarnation;
-    it.orders_accepted = state->orders_accepted();
     for (const auto& [model, adapters] : state->models())
     {
         if (state->serves(model))
@@ -443,8 +454,6 @@
         fleet::wire::HeldModels held;
         held.server = id.value();
         held.incarnation = told.incarnation;
-        held.orders_accepted =
-            static_cast<std::int64_t>(told.orders_accepted);
         for (const auto& [model, adapters] : told.models)
         {
             auto& names = held.models[model.value()];
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -7,10 +7,9 @@
 
 const serving::holdings& server_record::models() const
 {
-    const bool is_newer =
-        ordered && ordered->incarnation == entry.incarnation &&
-        ordered->orders_accepted >= entry.orders_accepted;
-    return is_newer ? ordered->models : entry.models;
+    const bool is_told =
+        ordered && ordered->incarnation == entry.incarnation;
+    return is_told ? ordered->models : entry.models;
 }
 
 bool server_record::holds(const replicas::copy_name& copy) const
@@ -135,6 +134,14 @@
     }
 }
 
+void server_table::forget_ordered()
+{
+    for (const auto& [id, record] : m_records)
+    {
+        record->ordered.reset();
+    }
+}
+
 server_table::record_pointer server_table::find(const server_id& id) const
 {
     const auto it = m_records.find(id);
--- a/libraries/entry/server_table.hpp
+++ b/libraries/entry/server_table.hpp
@@ -11,12 +11,11 @@
 namespace cicadahub::entry
 {
 
-/// What the holder of the placement lease tells of a server, which is newer
-/// than the platform's list for as long as the server has had no more orders.
+/// What the holder of the placement lease tells of a server. It is newer than
+/// the platform's list, which is told nothing of adapters.
 struct ordered_holdings
 {
     std::int64_t incarnation = 0;
-    std::uint64_t orders_accepted = 0;
     serving::holdings models;
     std::optional<model_id> loading;
     time_point loaded_at{};
@@ -55,6 +54,8 @@
     void end_of_list(bool is_whole);
 
     void on_ordered(const server_id& server, ordered_holdings holdings);
+    /// Nobody holds the placement lease as far as this daemon knows.
+    void forget_ordered();
     void set_running_elsewhere(
         const std::unordered_map<std::string, std::uint32_t>& running);
 
--- a/libraries/entry/settings.hpp
+++ b/libraries/entry/settings.hpp
@@ -31,6 +31,8 @@
     milliseconds order_lease{3'000};
     /// Repeats that the fleet may send a service in a window.
     double repeat_ratio = 0.2;
+    /// Tokens by which an organisation may pass its rate over all hosts.
+    std::int64_t rate_slack = 0;
     double repeat_extra = 0;
     milliseconds repeat_window{10'000};
 };
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -9,9 +9,11 @@
   4: i32 slack_ms
 }
 
-struct ModelUsage {
+struct CopyUsage {
   1: string model
-  2: double requests_per_second
+  /// Empty for the model as a whole.
+  2: string adapter
+  3: double requests_per_second
 }
 
 struct ServerWork {
@@ -24,11 +26,10 @@
 struct HeldModels {
   1: string server
   2: i64 incarnation
-  3: i64 orders_accepted
-  4: map<string, list<string>> models
+  3: map<string, list<string>> models
   /// Model that is being loaded, and the time until it is there.
-  5: string loading
-  6: i32 loading_ms
+  4: string loading
+  5: i32 loading_ms
 }
 
 struct OrganisationDemand {
@@ -49,7 +50,7 @@
   5: i64 configuration_revision
   6: i64 directory_revision
   7: list<WantedCopy> wants
-  8: list<ModelUsage> usage
+  8: list<CopyUsage> usage
   9: list<ServerWork> work
   10: list<OrganisationDemand> demand
   11: list<CrashNotice> crashes
--- a/libraries/serving/server_entry.hpp
+++ b/libraries/serving/server_entry.hpp
@@ -32,13 +32,14 @@
     /// Weights that load faster than from the store.
     std::set<model_id> in_memory;
     std::set<model_id> on_disk;
-    /// Orders that the server has accepted since its start.
-    std::uint64_t orders_accepted = 0;
+    /// Version of the object in the platform's store.
+    object_version revision;
 };
 
 /// What a server answers when it is asked for its state.
 struct server_report
 {
+    /// Orders that the server has accepted since its start.
     std::uint64_t orders_accepted = 0;
     bool is_busy = false;
     std::uint32_t running = 0;
