--- a/libraries/decision/replicas/server_state.cpp
+++ b/libraries/decision/replicas/server_state.cpp
@@ -11,8 +11,8 @@
 
 } // namespace
 
-server_state::server_state(const serving::server_entry& entry)
-    : m_entry(entry), m_models(entry.models)
+server_state::server_state(const serving::server_entry& entry, time_point now)
+    : m_entry(entry), m_models(entry.models), m_changed_at(now)
 {
 }
 
@@ -43,7 +43,9 @@
         m_is_confirmed = true;
         return true;
     }
-    if (asked_at < m_changed_at + report_lag)
+    // While an order of an earlier holder runs, what it will have changed is
+    // not in the report.
+    if (report.is_busy || asked_at < m_changed_at + report_lag)
     {
         return false;
     }
--- a/libraries/decision/replicas/server_state.hpp
+++ b/libraries/decision/replicas/server_state.hpp
@@ -23,7 +23,7 @@
 class server_state
 {
 public:
-    explicit server_state(const serving::server_entry& entry);
+    server_state(const serving::server_entry& entry, time_point now);
 
     /// Takes the report that was asked for at `asked_at`. Returns true if an
     /// order is seen to have ended or the models changed.
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -29,6 +29,9 @@
 /// The balancer asks each second and takes a daemon out after two misses.
 constexpr milliseconds balancer_notice{2'600};
 constexpr milliseconds drain_poll{20};
+/// Requests that still wait are turned away this long before the end, so that
+/// their answers get out.
+constexpr milliseconds waiting_reserve{300};
 /// Left of the grace for the process to end by itself.
 constexpr milliseconds exit_reserve{700};
 
@@ -327,6 +330,8 @@
     const time_point began = monotonic_clock::now();
     const time_point limit = began + m_settings.stop_grace - exit_reserve;
     m_state.is_draining = true;
+    m_state.last_taken_at = began + balancer_notice;
+    m_state.last_waiting_at = limit - waiting_reserve;
     m_caller_server.begin_drain();
     co_await m_placement.release();
     m_digests.tell_now();
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -33,6 +33,10 @@
     std::map<organisation_id, sharing::host_rate> rates;
     std::map<service_id, sharing::repeat_budget> repeats;
     bool is_draining = false;
+    /// While draining: requests that come after the first are turned away, and
+    /// those that still wait at the second.
+    time_point last_taken_at = time_point::max();
+    time_point last_waiting_at = time_point::max();
     bool has_servers = false;
     /// Mean of the prompt tokens of recent requests.
     double mean_prompt_tokens = 500;
--- a/libraries/entry/placement_duty.cpp
+++ b/libraries/entry/placement_duty.cpp
@@ -181,7 +181,7 @@
         const auto known = servers.find(id);
         if (known == servers.end())
         {
-            servers.emplace(id, replicas::server_state(record->entry));
+            servers.emplace(id, replicas::server_state(record->entry, now));
             continue;
         }
         if (known->second.on_entry(record->entry, now))
--- a/libraries/entry/request_run.cpp
+++ b/libraries/entry/request_run.cpp
@@ -89,7 +89,8 @@
 
 net::awaitable<void> request_run::serve()
 {
-    if (!m_configuration || !m_state.has_servers)
+    if (!m_configuration || !m_state.has_servers ||
+        m_arrived >= m_state.last_taken_at)
     {
         refuse(refusal_kind::not_ready, starting_retry);
     }
@@ -279,6 +280,10 @@
 {
     const milliseconds estimate = estimated_wait(now);
     const milliseconds left = time_left(now);
+    if (now >= m_state.last_waiting_at)
+    {
+        refuse(refusal_kind::not_ready, full_retry);
+    }
     if (m_copy && estimate + least_work > left)
     {
         refuse(refusal_kind::target_unreachable, estimate);
