Entry: Learn from peers what the store denies, and stop requests that crash servers

Change: digests carry the revision of the newest change known; a host that stays behind fetches the collection from a peer. Crashes are counted by fingerprint and told in digests; a request that was on three lost connections in a row is refused.

--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -46,6 +46,7 @@
     CICADAHUB_ROW(peer_connected),
     CICADAHUB_ROW(peer_lost),
     CICADAHUB_ROW(peer_frame_malformed),
+    CICADAHUB_ROW(learnt_from_peer),
     CICADAHUB_ROW(caller_vanished),
     CICADAHUB_ROW(request_suspected),
     CICADAHUB_ROW(request_waits),
--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -43,6 +43,7 @@
     peer_connected = 600,
     peer_lost = 601,
     peer_frame_malformed = 602,
+    learnt_from_peer = 603,
     caller_vanished = 701,
     request_suspected = 702,
     request_waits = 710,
--- a/libraries/decision/suspicion/suspect_table.cpp
+++ b/libraries/decision/suspicion/suspect_table.cpp
@@ -11,6 +11,7 @@
     drop_old(now);
     suspect& it = m_suspects[request];
     it.seen = now;
+    it.crashed = now;
     return ++it.crashes;
 }
 
@@ -33,6 +34,20 @@
     m_suspects.erase(request);
 }
 
+std::vector<std::pair<fingerprint, std::uint32_t>>
+suspect_table::crashed_since(time_point since) const
+{
+    std::vector<std::pair<fingerprint, std::uint32_t>> found;
+    for (const auto& [request, it] : m_suspects)
+    {
+        if (it.crashed >= since)
+        {
+            found.emplace_back(request, it.crashes);
+        }
+    }
+    return found;
+}
+
 bool suspect_table::is_suspect(const fingerprint& request) const
 {
     return m_suspects.contains(request);
--- a/libraries/decision/suspicion/suspect_table.hpp
+++ b/libraries/decision/suspicion/suspect_table.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cicadahub::suspicion
 {
@@ -39,6 +40,10 @@
     /// The request ran to its end: it is not the culprit.
     void on_completed(const fingerprint& request);
 
+    /// Requests that crashed a server since a time, with their crashes.
+    std::vector<std::pair<fingerprint, std::uint32_t>>
+    crashed_since(time_point since) const;
+
     bool is_suspect(const fingerprint& request) const;
     bool is_refused(const fingerprint& request) const;
 
@@ -53,6 +58,8 @@
     {
         std::uint32_t crashes = 0;
         time_point seen{};
+        /// When it last crashed a server of this daemon's requests.
+        time_point crashed{};
     };
 
     void drop_old(time_point now);
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t largest_datagram_bytes = 60'000;
 /// So that a digest never names more hosts than a datagram holds.
 constexpr std::size_t told_addresses = 64;
+/// Long enough that a daemon that missed some digests still hears of it.
+constexpr milliseconds crash_told_for{3'000};
+constexpr std::size_t told_crashes = 64;
 constexpr auto no_throw = net::as_tuple(net::use_awaitable);
 
 net::ip::udp::endpoint datagram_endpoint(const http::endpoint& it)
@@ -85,11 +88,6 @@
     it.number = ++m_number;
     it.data_centre = m_state.settings.data_centre.value();
     it.is_leaving = m_state.is_draining;
-    if (m_state.configuration)
-    {
-        it.configuration_revision = static_cast<std::int64_t>(
-            m_state.configuration->revision.value());
-    }
     for (const replicas::want& want : m_state.waiting.wants(now))
     {
         fleet::wire::WantedCopy wanted;
@@ -130,6 +128,17 @@
         demand.per_second = rate;
         it.demand.push_back(std::move(demand));
     }
+    for (const auto& [request, crashes] :
+         m_state.suspects.crashed_since(now - crash_told_for))
+    {
+        if (it.crashes.size() < told_crashes)
+        {
+            fleet::wire::CrashNotice notice;
+            notice.fingerprint = request.value();
+            notice.crashes = static_cast<std::int32_t>(crashes);
+            it.crashes.push_back(std::move(notice));
+        }
+    }
     for (const auto& [name, peer] : m_state.fleet.peers())
     {
         if (it.peers.size() < told_addresses)
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -25,6 +25,11 @@
 constexpr milliseconds list_pace{500};
 constexpr milliseconds holder_list_pace{40};
 constexpr milliseconds member_period{5'000};
+constexpr milliseconds peer_timeout{500};
+/// A daemon that the store does not tell of a change asks its peers after
+/// this many looks: longer than the pace of the list of servers.
+constexpr milliseconds peer_look_period{200};
+constexpr int looks_behind = 4;
 constexpr milliseconds retry_pause{300};
 /// The balancer asks each second and takes a daemon out after two misses.
 constexpr milliseconds balancer_notice{2'600};
@@ -54,6 +59,7 @@
       m_state(m_context, m_settings, dialects.documents),
       m_platform_pool(m_context, connect_timeout, idle_connections),
       m_order_pool(m_context, connect_timeout, idle_connections),
+      m_peer_pool(m_context, connect_timeout, 1),
       m_store(m_platform_pool, m_settings.store, store_timing, dialects.store),
       m_placement(m_context, m_order_pool, m_store,
                   {m_settings, dialects.servers, m_state.servers, m_state.fleet,
@@ -67,7 +73,14 @@
       m_digests(
           m_state,
           [this](fleet::wire::Digest& it, time_point now)
-          { m_placement.fill(it, now); },
+          {
+              it.configuration_revision = static_cast<std::int64_t>(
+                  m_relay.revision(platform::collection::configurations)
+                      .value());
+              it.directory_revision = static_cast<std::int64_t>(
+                  m_relay.revision(platform::collection::servers).value());
+              m_placement.fill(it, now);
+          },
           [this](const peer& it) { on_heard(it); },
           [this] { return m_placement.is_held(); }),
       m_requests(m_state, dialects.callers, dialects.servers),
@@ -76,18 +89,24 @@
                       {{m_context, m_requests}}),
       m_readiness_server(m_settings.readiness, http::server_limits{},
                          {{m_context, m_readiness}}),
+      m_relay_server(m_settings.fleet, http::server_limits{},
+                     {{m_context, m_relay}}),
       m_configurations(
           m_context, m_store, platform::collection::configurations,
-          [this](const platform::stored_object& it) { on_configuration(it); },
-          [this](bool) { note_readiness(); }),
+          [this](const platform::stored_object& it)
+          { take_object(platform::collection::configurations, it); },
+          [this](bool is_whole)
+          { end_batch(platform::collection::configurations, is_whole); }),
       m_servers(
           m_context, m_store, platform::collection::servers,
           [this](const platform::stored_object& it)
-          { m_state.servers.apply(it); },
-          [this](bool is_whole) { on_servers_changed(is_whole); }),
+          { take_object(platform::collection::servers, it); },
+          [this](bool is_whole)
+          { end_batch(platform::collection::servers, is_whole); }),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
       m_started(monotonic_clock::now())
 {
+    m_state.tell_soon = [this] { m_digests.tell_soon(); };
     m_servers.set_pace(
         [this]
         { return m_placement.is_held() ? holder_list_pace : list_pace; });
@@ -174,6 +193,13 @@
 
 void entry_daemon::on_heard(const peer& it)
 {
+    for (const auto& notice : it.digest.crashes)
+    {
+        m_state.suspects.on_notice(
+            suspicion::fingerprint(notice.fingerprint),
+            static_cast<std::uint32_t>(std::max(0, notice.crashes)),
+            it.heard_at);
+    }
     m_state.servers.set_running_elsewhere(m_state.fleet.running_by_server());
     if (it.digest.__isset.placement_epoch)
     {
@@ -274,6 +300,102 @@
     }
 }
 
+void entry_daemon::take_object(platform::collection where,
+                               const platform::stored_object& it)
+{
+    m_relay.on_object(where, it);
+    if (where == platform::collection::servers)
+    {
+        m_state.servers.apply(it);
+        return;
+    }
+    on_configuration(it);
+}
+
+void entry_daemon::end_batch(platform::collection where, bool is_whole)
+{
+    m_relay.end_of_batch(where, is_whole);
+    if (where == platform::collection::servers)
+    {
+        on_servers_changed(is_whole);
+    }
+    note_readiness();
+}
+
+std::optional<http::endpoint>
+entry_daemon::better_informed(platform::collection where) const
+{
+    const auto own =
+        static_cast<std::int64_t>(m_relay.revision(where).value());
+    std::optional<http::endpoint> best;
+    std::int64_t newest = own;
+    for (const auto& [name, it] : m_state.fleet.peers())
+    {
+        const std::int64_t known =
+            where == platform::collection::servers
+                ? it.digest.directory_revision
+                : it.digest.configuration_revision;
+        if (known > newest)
+        {
+            newest = known;
+            best = it.address;
+        }
+    }
+    return best;
+}
+
+net::awaitable<void> entry_daemon::fetch_from(http::endpoint peer,
+                                              platform::collection where)
+{
+    try
+    {
+        http::request message = object_relay::make_request(where);
+        const http::response answer = co_await http::fetch(
+            m_peer_pool, peer, std::move(message), peer_timeout);
+        const platform::listing all = object_relay::read_answer(answer);
+        if (all.version <= m_relay.revision(where))
+        {
+            co_return;
+        }
+        for (const platform::stored_object& it : all.objects)
+        {
+            take_object(where, it);
+        }
+        end_batch(where, true);
+        log_event(severity::info, event_number::learnt_from_peer,
+                  {{"collection", platform::name_of(where)},
+                   {"peer", http::to_string(peer)},
+                   {"revision", all.version.value()}});
+    }
+    catch (const std::exception& reason)
+    {
+        log_event(severity::warning, event_number::peer_lost,
+                  {{"address", http::to_string(peer)},
+                   {"reason", reason.what()}});
+    }
+}
+
+net::awaitable<void> entry_daemon::follow_peers()
+{
+    std::map<platform::collection, int> behind;
+    while (!m_state.is_draining)
+    {
+        co_await pause(m_context, peer_look_period);
+        for (const platform::collection where :
+             {platform::collection::configurations,
+              platform::collection::servers})
+        {
+            const auto peer = better_informed(where);
+            behind[where] = peer ? behind[where] + 1 : 0;
+            // The store itself usually tells within a few looks.
+            if (peer && behind[where] >= looks_behind)
+            {
+                co_await fetch_from(*peer, where);
+            }
+        }
+    }
+}
+
 void entry_daemon::wait_for_signal()
 {
     m_signals.async_wait(
@@ -311,6 +433,8 @@
     m_placement.start();
     m_digests.start();
     net::co_spawn(m_context, follow_members(), net::detached);
+    net::co_spawn(m_context, follow_peers(), net::detached);
+    m_relay_server.start();
     m_caller_server.start();
     m_readiness_server.start();
     log_event(severity::info, event_number::daemon_started,
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -2,6 +2,7 @@
 
 #include "daemon/collection_follower.hpp"
 #include "entry/digest_exchange.hpp"
+#include "entry/object_relay.hpp"
 #include "entry/placement_duty.hpp"
 #include "entry/request_handler.hpp"
 #include "http/server.hpp"
@@ -54,6 +55,15 @@
     net::awaitable<void> drain();
     net::awaitable<void> register_member();
     net::awaitable<void> follow_members();
+    net::awaitable<void> follow_peers();
+    /// A peer that knows of newer changes in a collection.
+    std::optional<http::endpoint>
+    better_informed(platform::collection where) const;
+    net::awaitable<void> fetch_from(http::endpoint peer,
+                                    platform::collection where);
+    void take_object(platform::collection where,
+                     const platform::stored_object& it);
+    void end_batch(platform::collection where, bool is_whole);
     void wait_for_signal();
     void on_configuration(const platform::stored_object& it);
     void on_servers_changed(bool is_whole);
@@ -70,13 +80,16 @@
     entry_state m_state;
     http::client_pool m_platform_pool;
     http::client_pool m_order_pool;
+    http::client_pool m_peer_pool;
     platform::store m_store;
     placement_duty m_placement;
     digest_exchange m_digests;
+    object_relay m_relay;
     request_handler m_requests;
     readiness_handler m_readiness;
     http::server<request_handler> m_caller_server;
     http::server<readiness_handler> m_readiness_server;
+    http::server<object_relay> m_relay_server;
     daemon::collection_follower m_configurations;
     daemon::collection_follower m_servers;
     net::signal_set m_signals;
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -8,6 +8,11 @@
 
 constexpr milliseconds connect_timeout{500};
 constexpr std::size_t idle_connections_per_server = 32;
+/// Requests that ran beside the culprit are blamed with it: two crashes in a
+/// row can be chance, three hardly.
+constexpr std::uint32_t crashes_allowed = 3;
+constexpr milliseconds suspects_kept_for{600'000};
+constexpr std::size_t suspects_kept = 10'000;
 /// Part of the allowed excess that the hosts use to even out that requests
 /// reach them unevenly; the rest is for hosts that do not hear one another.
 constexpr double used_slack = 0.5;
@@ -17,6 +22,8 @@
 entry_state::entry_state(net::io_context& io, const entry_settings& given,
                          const document_dialect& documents)
     : context(io), settings(given), servers(documents), waiting(io),
+      suspects(suspicion::suspicion_limits{crashes_allowed, suspects_kept_for,
+                                           suspects_kept}),
       pool(io, connect_timeout, idle_connections_per_server)
 {
 }
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -2,6 +2,7 @@
 
 #include "decision/sharing/host_rate.hpp"
 #include "decision/sharing/repeat_budget.hpp"
+#include "decision/suspicion/suspect_table.hpp"
 #include "entry/demand_table.hpp"
 #include "entry/fleet_view.hpp"
 #include "entry/server_table.hpp"
@@ -28,6 +29,7 @@
     fleet_view fleet;
     demand_table demand;
     waiting_room waiting;
+    suspicion::suspect_table suspects;
     /// Connections to backend servers that carry callers' requests.
     http::client_pool pool;
     std::map<organisation_id, sharing::host_rate> rates;
@@ -41,6 +43,9 @@
     /// Mean of the prompt tokens of recent requests.
     double mean_prompt_tokens = 500;
 
+    /// Something changed that other daemons wait for.
+    std::function<void()> tell_soon;
+
     /// Parts the rates among the hosts anew by the latest demand.
     void share_rates(time_point now);
     sharing::repeat_budget& repeats_of(const service_id& service);
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -55,6 +55,13 @@
     return head;
 }
 
+bool is_lost_connection(const boost::system::error_code& ec)
+{
+    using http::beast_http::error;
+    return ec == error::end_of_stream || ec == error::partial_message ||
+           ec == net::error::connection_reset || ec == net::error::eof;
+}
+
 /// When a connection may no longer be used again, by its Keep-Alive field.
 time_point reusable_until(std::string_view keep_alive)
 {
@@ -194,6 +201,8 @@
         {
             m_result.end =
                 m_has_sent ? exchange_end::failed : exchange_end::not_sent;
+            m_result.is_connection_lost =
+                m_has_sent && is_lost_connection(reason.code());
         }
     }
     m_connection = nullptr;
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -44,6 +44,9 @@
     exchange_end end = exchange_end::not_sent;
     std::optional<http::response> answer;
     std::optional<server_load> load;
+    /// The server ended the connection while it had the request, as when its
+    /// process dies.
+    bool is_connection_lost = false;
     std::string reason;
 };
 
--- /dev/null
+++ b/libraries/entry/object_relay.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "http/reply_writer.hpp"
+#include "platform/stored_object.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+
+namespace cicadahub::entry
+{
+
+namespace net = boost::asio;
+
+/// The configuration and the servers as this daemon last knew them, for
+/// daemons that the platform's store turns away. Models
+/// `http::request_handler` for their requests.
+class object_relay
+{
+public:
+    void on_object(platform::collection where,
+                   const platform::stored_object& it);
+    /// What was handed over since the last call is the whole collection.
+    void end_of_batch(platform::collection where, bool is_whole);
+
+    /// Version of the newest change; 0 before the first list.
+    object_version revision(platform::collection where) const;
+
+    net::awaitable<void> serve(http::request& message,
+                               http::reply_writer& reply);
+
+    static http::request make_request(platform::collection where);
+    /// Throws `malformed_document`.
+    static platform::listing read_answer(const http::response& answer);
+
+private:
+    struct relayed
+    {
+        std::map<std::string, platform::stored_object> objects;
+        std::map<std::string, platform::stored_object> batch;
+        object_version revision;
+    };
+
+    std::string document_of(const relayed& it) const;
+
+    std::map<platform::collection, relayed> m_collections;
+};
+
+} // namespace cicadahub::entry
--- a/libraries/entry/request_run.cpp
+++ b/libraries/entry/request_run.cpp
@@ -1,5 +1,6 @@
 #include "entry/request_run.hpp"
 
+#include "core/digest.hpp"
 #include "core/errors.hpp"
 #include "core/structured_log.hpp"
 
@@ -21,6 +22,8 @@
 constexpr milliseconds load_overhead{300};
 /// Weight of one request in the mean of the prompt tokens.
 constexpr double mean_weight = 0.02;
+/// Enough that two requests of a deployment never share a fingerprint.
+constexpr std::size_t fingerprint_digits = 24;
 constexpr milliseconds starting_retry{500};
 constexpr milliseconds full_retry{250};
 
@@ -99,6 +102,7 @@
     choose_service();
     const auto patience = m_request.patience.value_or(m_route->timeout);
     m_deadline = m_arrived + std::min(patience, m_route->timeout);
+    refuse_suspect();
     charge();
     m_reply.watch_caller(
         [this]
@@ -158,7 +162,42 @@
     {
         refuse(refusal_kind::over_rate, *wait);
     }
-    m_charged = cost;
+}
+
+void request_run::refuse_suspect()
+{
+    std::string text(m_message.method_string());
+    text.append(" ").append(m_message.target()).append(" ");
+    text += m_organisation == nullptr ? std::string()
+                                      : m_organisation->name.value();
+    text.append(" ").append(m_message.body());
+    m_fingerprint = suspicion::fingerprint(
+        sha256_hex(text).substr(0, fingerprint_digits));
+    if (m_state.suspects.is_refused(m_fingerprint))
+    {
+        refuse(refusal_kind::suspect_request, {});
+    }
+}
+
+void request_run::note_crash(const exchange_result& result)
+{
+    if (result.end == exchange_end::answered ||
+        result.end == exchange_end::streamed)
+    {
+        m_state.suspects.on_completed(m_fingerprint);
+        return;
+    }
+    if (!result.is_connection_lost)
+    {
+        return;
+    }
+    const std::uint32_t crashes = m_state.suspects.on_crash(
+        m_fingerprint, monotonic_clock::now());
+    m_state.tell_soon();
+    log_event(severity::warning, event_number::request_suspected,
+              {{"request", m_request.id.value()},
+               {"fingerprint", m_fingerprint.value()},
+               {"crashes", crashes}});
 }
 
 void request_run::choose_service()
@@ -437,8 +476,9 @@
     {
         ++m_runs;
     }
-    const bool may =
-        is_unrun ? m_sends - m_runs < unrun_limit : may_repeat(result);
+    const bool may = is_unrun ? m_sends - m_runs < unrun_limit
+                              : may_repeat(result) &&
+                                    !m_state.suspects.is_refused(m_fingerprint);
     if (!may || time_left(now) < least_work)
     {
         return false;
@@ -461,6 +501,7 @@
         }
         exchange_result result = co_await attempt(record);
         judge(result, *record);
+        note_crash(result);
         if (m_state.waiting.size() > 0)
         {
             m_state.waiting.wake_all();
--- a/libraries/entry/request_run.hpp
+++ b/libraries/entry/request_run.hpp
@@ -30,6 +30,8 @@
     void find_route();
     void authenticate();
     void charge();
+    void refuse_suspect();
+    void note_crash(const exchange_result& result);
     void choose_service();
     net::awaitable<void> attempt_until_answered();
     net::awaitable<server_table::record_pointer> wait_for_server();
@@ -63,7 +65,7 @@
     const serving::service* m_service = nullptr;
     std::optional<replicas::copy_name> m_copy;
     routing::prompt_affinity m_affinity;
-    std::int64_t m_charged = 0;
+    suspicion::fingerprint m_fingerprint;
     time_point m_arrived{};
     time_point m_deadline{};
     std::set<server_id> m_passed_over;
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -48,7 +48,12 @@
     m_seen_in_list.insert(id);
     if (it.is_deleted)
     {
-        remove(id);
+        const auto known = m_records.find(id);
+        if (known != m_records.end() &&
+            known->second->entry.revision < it.version)
+        {
+            remove(id);
+        }
         return;
     }
     serving::server_entry entry;
@@ -67,6 +72,11 @@
         return;
     }
     auto& record = m_records[id];
+    if (record && record->entry.revision > it.version)
+    {
+        // A peer has told of a newer one meanwhile.
+        return;
+    }
     const bool is_new =
         !record || record->entry.incarnation != entry.incarnation;
     if (is_new)
