Placement: Add replicas of overloaded models, from the store if need be

Change: waiting requests count towards the need of another replica, which may come from the weight store; catch_up keeps hosts from asking peers while changes come without a pause.

--- a/libraries/decision/replicas/replica_planner.cpp
+++ b/libraries/decision/replicas/replica_planner.cpp
@@ -192,9 +192,9 @@
     return best;
 }
 
-void replica_planner::emit(const planner_view& view, const candidate& to,
-                           const model_id& model, time_point now,
-                           std::vector<planned_order>& orders) const
+void replica_planner::emit(const candidate& to, const model_id& model,
+                           time_point now,
+                           std::vector<planned_order>& orders)
 {
     server_state& server = *to.server;
     planned_order it;
@@ -215,7 +215,6 @@
         it.makes_room_for = model;
     }
     server.on_order_sent(it.what, it.expected_time, it.makes_room_for, now);
-    (void)view;
     orders.push_back(std::move(it));
 }
 
@@ -250,7 +249,7 @@
             !has_near_copy && store_loads(view) < m_limits.store_loads_at_once;
         if (const auto to = best_server(view, model, may_use_store, now))
         {
-            emit(view, *to, model, now, orders);
+            emit(*to, model, now, orders);
         }
     }
 }
@@ -343,22 +342,40 @@
     const planner_view& view, time_point now,
     std::vector<planned_order>& orders) const
 {
+    std::map<model_id, double> pressure;
     for (const auto& [model, use] : view.use)
     {
-        const std::size_t replicas = replica_count(view, model);
-        if (replicas == 0 || !view.engine.models.contains(model) ||
-            static_cast<double>(use.running) <=
-                m_limits.running_per_replica * static_cast<double>(replicas) ||
-            is_room_being_made(view, model))
+        pressure[model] += use.running;
+    }
+    for (const want& it : view.wants)
+    {
+        pressure[it.copy.model] += it.waiting;
+    }
+    std::vector<std::pair<double, model_id>> overloaded;
+    for (const auto& [model, requests] : pressure)
+    {
+        const auto replicas =
+            static_cast<double>(replica_count(view, model));
+        if (replicas > 0 && view.engine.models.contains(model) &&
+            requests > m_limits.running_per_replica * replicas)
+        {
+            overloaded.emplace_back(requests / replicas, model);
+        }
+    }
+    std::sort(overloaded.rbegin(), overloaded.rend());
+    for (const auto& [per_replica, model] : overloaded)
+    {
+        if (is_room_being_made(view, model))
         {
             continue;
         }
-        const auto to = best_server(view, model, false, now);
+        const bool may_use_store =
+            store_loads(view) < m_limits.store_loads_at_once;
+        const auto to = best_server(view, model, may_use_store, now);
         // Worth it only if it takes less from others than it gives.
-        if (to && to->cost_ms <
-                      static_cast<double>(use.running) * running_wait_ms)
+        if (to && to->cost_ms < per_replica * running_wait_ms)
         {
-            emit(view, *to, model, now, orders);
+            emit(*to, model, now, orders);
         }
     }
 }
@@ -393,7 +410,7 @@
         const auto to = best_server(view, model, true, now);
         if (to)
         {
-            emit(view, *to, model, now, orders);
+            emit(*to, model, now, orders);
         }
     }
 }
--- a/libraries/decision/replicas/replica_planner.hpp
+++ b/libraries/decision/replicas/replica_planner.hpp
@@ -76,9 +76,8 @@
                                    const server_state& server,
                                    const model_id& model,
                                    time_point now) const;
-    void emit(const planner_view& view, const candidate& to,
-              const model_id& model, time_point now,
-              std::vector<planned_order>& orders) const;
+    static void emit(const candidate& to, const model_id& model,
+                     time_point now, std::vector<planned_order>& orders);
 
     planner_limits m_limits;
 };
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -26,10 +26,11 @@
 constexpr milliseconds holder_list_pace{40};
 constexpr milliseconds member_period{5'000};
 constexpr milliseconds peer_timeout{500};
-/// A daemon that the store does not tell of a change asks its peers after
-/// this many looks: longer than the pace of the list of servers.
 constexpr milliseconds peer_look_period{200};
-constexpr int looks_behind = 4;
+/// A daemon that the store does not tell of a change for this long asks its
+/// peers: longer than the pace of the list, and well under the two seconds in
+/// which a change must be known.
+constexpr milliseconds store_patience{800};
 constexpr milliseconds retry_pause{300};
 /// The balancer asks each second and takes a daemon out after two misses.
 constexpr milliseconds balancer_notice{2'600};
@@ -322,23 +323,23 @@
     note_readiness();
 }
 
-std::optional<http::endpoint>
-entry_daemon::better_informed(platform::collection where) const
+object_version entry_daemon::known_by(const peer& it,
+                                      platform::collection where)
 {
-    const auto own =
-        static_cast<std::int64_t>(m_relay.revision(where).value());
-    std::optional<http::endpoint> best;
-    std::int64_t newest = own;
+    const std::int64_t revision = where == platform::collection::servers
+                                      ? it.digest.directory_revision
+                                      : it.digest.configuration_revision;
+    return object_version(static_cast<std::uint64_t>(revision));
+}
+
+const peer* entry_daemon::best_informed(platform::collection where) const
+{
+    const peer* best = nullptr;
     for (const auto& [name, it] : m_state.fleet.peers())
     {
-        const std::int64_t known =
-            where == platform::collection::servers
-                ? it.digest.directory_revision
-                : it.digest.configuration_revision;
-        if (known > newest)
+        if (best == nullptr || known_by(it, where) > known_by(*best, where))
         {
-            newest = known;
-            best = it.address;
+            best = &it;
         }
     }
     return best;
@@ -377,20 +378,21 @@
 
 net::awaitable<void> entry_daemon::follow_peers()
 {
-    std::map<platform::collection, int> behind;
+    std::map<platform::collection, sharing::catch_up> lags{
+        {platform::collection::configurations,
+         sharing::catch_up(store_patience)},
+        {platform::collection::servers, sharing::catch_up(store_patience)}};
     while (!m_state.is_draining)
     {
         co_await pause(m_context, peer_look_period);
-        for (const platform::collection where :
-             {platform::collection::configurations,
-              platform::collection::servers})
+        for (auto& [where, lag] : lags)
         {
-            const auto peer = better_informed(where);
-            behind[where] = peer ? behind[where] + 1 : 0;
-            // The store itself usually tells within a few looks.
-            if (peer && behind[where] >= looks_behind)
+            const peer* best = best_informed(where);
+            if (best != nullptr &&
+                lag.is_behind(m_relay.revision(where), known_by(*best, where),
+                              monotonic_clock::now()))
             {
-                co_await fetch_from(*peer, where);
+                co_await fetch_from(best->address, where);
             }
         }
     }
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/collection_follower.hpp"
+#include "decision/sharing/catch_up.hpp"
 #include "entry/digest_exchange.hpp"
 #include "entry/object_relay.hpp"
 #include "entry/placement_duty.hpp"
@@ -56,9 +57,9 @@
     net::awaitable<void> register_member();
     net::awaitable<void> follow_members();
     net::awaitable<void> follow_peers();
-    /// A peer that knows of newer changes in a collection.
-    std::optional<http::endpoint>
-    better_informed(platform::collection where) const;
+    /// The peer that knows of the newest change in a collection.
+    const peer* best_informed(platform::collection where) const;
+    static object_version known_by(const peer& it, platform::collection where);
     net::awaitable<void> fetch_from(http::endpoint peer,
                                     platform::collection where);
     void take_object(platform::collection where,
--- a/libraries/entry/request_run.cpp
+++ b/libraries/entry/request_run.cpp
@@ -364,7 +364,7 @@
                        {"estimate_ms", estimated_wait(now).count()},
                        {"left_ms", time_left(now).count()}});
         }
-        m_waiter->copy = choice.is_any_there ? std::nullopt : m_copy;
+        m_waiter->copy = m_copy;
         m_waiter->rank = m_organisation != nullptr && m_organisation->rank
                              ? *m_organisation->rank
                              : m_route->rank;
