Quota: Keep the part of a host that falls silent

Cause (found by reading): a host that hears nobody took the whole rate, as all hosts do after a restart of all; cut off from each other, both sides would pass the rate. The same held for the repeats. Change: silent hosts count for 20 s with their last demand, hosts not heard yet as the mean; a daemon starts with a quarter of its burst. Tests: fleet_view.*, host_rate.a_daemon_that_starts_has_no_whole_burst_to_spend. tells_when_to_come_back now lets the bucket fill first, since a daemon starts with a part.

--- a/libraries/decision/sharing/host_rate.cpp
+++ b/libraries/decision/sharing/host_rate.cpp
@@ -11,6 +11,8 @@
 
 /// Part of an even share that a host keeps without any demand.
 constexpr double idle_part = 0.25;
+/// Part of the burst that a daemon has when it starts.
+constexpr double starting_part = 0.25;
 
 } // namespace
 
@@ -27,7 +29,10 @@
     : m_bucket(part_of(whole, share, slack))
 {
     m_bucket.start_empty(now);
-    m_bucket.put_back(m_bucket.limit().burst);
+    // What this host spent before a restart is not known.
+    const auto burst = static_cast<double>(m_bucket.limit().burst.value());
+    m_bucket.put_back(
+        token_count(static_cast<std::int64_t>(burst * starting_part)));
 }
 
 void host_rate::set(quota::rate_limit whole, double share, std::int64_t slack,
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -68,6 +68,7 @@
     if (address != m_state.settings.fleet)
     {
         m_addresses.insert(datagram_endpoint(address));
+        m_state.fleet.note_address(address, monotonic_clock::now());
     }
 }
 
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t suspects_kept = 10'000;
 /// Part of the allowed excess that the hosts use to even out that requests
 /// reach them unevenly; the rest is for hosts that do not hear one another.
-constexpr double used_slack = 0.5;
+constexpr double used_slack = 0.7;
 
 } // namespace
 
@@ -34,7 +34,11 @@
     {
         return;
     }
-    const std::size_t hosts = fleet.peers().size() + 1;
+    const std::size_t hosts = fleet.host_count(now);
+    for (auto& [name, budget] : repeats)
+    {
+        budget.set_extra(settings.repeat_extra / static_cast<double>(hosts));
+    }
     const auto slack = static_cast<std::int64_t>(
         used_slack * static_cast<double>(settings.rate_slack) /
         static_cast<double>(hosts));
@@ -47,7 +51,7 @@
         }
         const double own = demand.tokens_per_second(name, now);
         const double share = sharing::share_of_demand(
-            own, own + fleet.demand_of(name), hosts);
+            own, own + fleet.demand_of(name, own, now), hosts);
         const auto known = rates.find(name);
         if (known == rates.end())
         {
@@ -71,7 +75,7 @@
     limits.ratio = settings.repeat_ratio;
     limits.window = settings.repeat_window;
     limits.extra = settings.repeat_extra /
-                   static_cast<double>(fleet.peers().size() + 1);
+                   static_cast<double>(fleet.host_count(monotonic_clock::now()));
     return repeats.emplace(service, sharing::repeat_budget(limits))
         .first->second;
 }
--- a/libraries/entry/fleet_view.cpp
+++ b/libraries/entry/fleet_view.cpp
@@ -2,6 +2,8 @@
 
 #include "core/structured_log.hpp"
 
+#include <algorithm>
+
 namespace cicadahub::entry
 {
 
@@ -24,25 +26,64 @@
                   {{"peer", it.sender}, {"address", http::to_string(from)}});
     }
     std::string name = it.sender;
+    m_silent.erase(name);
     m_peers[std::move(name)] = {std::move(it), from, now};
     return true;
 }
 
+void fleet_view::note_address(const http::endpoint& address, time_point now)
+{
+    m_noted.emplace(address, now);
+}
+
 bool fleet_view::drop_silent(time_point now)
 {
-    return std::erase_if(
-               m_peers,
-               [&](const auto& it)
-               {
-                   const bool is_silent =
-                       it.second.heard_at + silence_limit < now;
-                   if (is_silent)
-                   {
-                       log_event(severity::info, event_number::peer_lost,
-                                 {{"peer", it.first}});
-                   }
-                   return is_silent;
-               }) > 0;
+    std::erase_if(m_silent,
+                  [&](const auto& it)
+                  {
+                      const auto limit = it.second.digest.is_leaving
+                                             ? leaving_limit
+                                             : cut_limit;
+                      return it.second.heard_at + limit < now;
+                  });
+    bool has_dropped = false;
+    for (auto it = m_peers.begin(); it != m_peers.end();)
+    {
+        if (it->second.heard_at + silence_limit >= now)
+        {
+            ++it;
+            continue;
+        }
+        log_event(severity::info, event_number::peer_lost,
+                  {{"peer", it->first}});
+        m_silent[it->first] = std::move(it->second);
+        it = m_peers.erase(it);
+        has_dropped = true;
+    }
+    return has_dropped;
+}
+
+std::size_t fleet_view::unheard_count(time_point now) const
+{
+    const auto is_known = [](const auto& peers, const http::endpoint& address)
+    {
+        return std::any_of(peers.begin(), peers.end(),
+                           [&](const auto& it)
+                           { return it.second.address == address; });
+    };
+    return static_cast<std::size_t>(
+        std::count_if(m_noted.begin(), m_noted.end(),
+                      [&](const auto& it)
+                      {
+                          return it.second + cut_limit >= now &&
+                                 !is_known(m_peers, it.first) &&
+                                 !is_known(m_silent, it.first);
+                      }));
+}
+
+std::size_t fleet_view::host_count(time_point now) const
+{
+    return 1 + m_peers.size() + m_silent.size() + unheard_count(now);
 }
 
 const peer* fleet_view::placement_holder() const
@@ -74,20 +115,27 @@
     return sum;
 }
 
-double fleet_view::demand_of(const organisation_id& organisation) const
+double fleet_view::demand_of(const organisation_id& organisation, double own,
+                             time_point now) const
 {
     double sum = 0;
-    for (const auto& [name, it] : m_peers)
+    for (const auto* peers : {&m_peers, &m_silent})
     {
-        for (const auto& demand : it.digest.demand)
+        for (const auto& [name, it] : *peers)
         {
-            if (demand.organisation == organisation.value())
+            for (const auto& demand : it.digest.demand)
             {
-                sum += demand.per_second;
+                if (demand.organisation == organisation.value())
+                {
+                    sum += demand.per_second;
+                }
             }
         }
     }
-    return sum;
+    const auto heard =
+        static_cast<double>(1 + m_peers.size() + m_silent.size());
+    return sum + (sum + own) / heard *
+                     static_cast<double>(unheard_count(now));
 }
 
 } // namespace cicadahub::entry
--- a/libraries/entry/fleet_view.hpp
+++ b/libraries/entry/fleet_view.hpp
@@ -27,11 +27,19 @@
 public:
     /// A peer that was silent for this long is not counted: four digests.
     static constexpr milliseconds silence_limit{1'000};
+    /// A host that nobody hears may be cut off and still serve its callers.
+    /// Longer than cuts usually last; after it, its part goes to the others.
+    static constexpr milliseconds cut_limit{20'000};
+    /// A host that said that it leaves serves for as long as a stop may take.
+    static constexpr milliseconds leaving_limit{3'000};
 
     /// False if the digest is older than one that is known.
     bool on_digest(fleet::wire::Digest it, const http::endpoint& from,
                    time_point now);
 
+    /// A host that may be one of the fleet, heard or not.
+    void note_address(const http::endpoint& address, time_point now);
+
     /// Forgets peers that have been silent; true if there were any.
     bool drop_silent(time_point now);
 
@@ -39,10 +47,24 @@
     /// The peer that holds the placement lease, as it tells itself.
     const peer* placement_holder() const;
     std::unordered_map<std::string, std::uint32_t> running_by_server() const;
-    double demand_of(const organisation_id& organisation) const;
+
+    /// Hosts that may be serving, this one included: those heard, those that
+    /// fell silent lately and may only be cut off, and those not heard yet.
+    std::size_t host_count(time_point now) const;
+
+    /// Demand at all other hosts. That of a host that fell silent counts as it
+    /// was; one that was not heard yet counts as the mean of the others and
+    /// `own`.
+    double demand_of(const organisation_id& organisation, double own,
+                     time_point now) const;
 
 private:
+    std::size_t unheard_count(time_point now) const;
+
     std::map<std::string, peer> m_peers;
+    /// Peers that fell silent, as last heard.
+    std::map<std::string, peer> m_silent;
+    std::map<http::endpoint, time_point> m_noted;
 };
 
 } // namespace cicadahub::entry
--- a/tests/decision/sharing_test.cpp
+++ b/tests/decision/sharing_test.cpp
@@ -91,7 +91,8 @@
 
 TEST(host_rate, tells_when_to_come_back)
 {
-    host_rate rate({1'000, token_count(100)}, 1.0, 0, start);
+    // A second fills the bucket of a daemon that has just started.
+    host_rate rate({1'000, token_count(100)}, 1.0, 0, start - seconds(1));
     EXPECT_FALSE(rate.charge(100, start));
     const auto wait = rate.charge(50, start);
     ASSERT_TRUE(wait);
@@ -99,6 +100,13 @@
     EXPECT_FALSE(rate.charge(50, start + *wait));
 }
 
+TEST(host_rate, a_daemon_that_starts_has_no_whole_burst_to_spend)
+{
+    host_rate rate({1'000, token_count(100)}, 1.0, 0, start);
+    EXPECT_FALSE(rate.charge(25, start));
+    EXPECT_TRUE(rate.charge(25, start));
+}
+
 TEST(repeat_budget, repeats_follow_the_requests_of_the_window)
 {
     repeat_budget budget({0.2, 0, milliseconds(10'000), 0.5});
--- /dev/null
+++ b/tests/entry/fleet_view_test.cpp
@@ -0,0 +1,81 @@
+#include "entry/fleet_view.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cicadahub::entry
+{
+namespace
+{
+
+constexpr time_point start{std::chrono::seconds(100)};
+const organisation_id trust("trust");
+
+http::endpoint address(unsigned char host)
+{
+    return {boost::asio::ip::address_v4({127, 0, 0, host}), 7000};
+}
+
+fleet::wire::Digest digest(const std::string& sender, std::int64_t number,
+                           double demand)
+{
+    fleet::wire::Digest it;
+    it.sender = sender;
+    it.incarnation = 1;
+    it.number = number;
+    fleet::wire::OrganisationDemand told;
+    told.organisation = trust.value();
+    told.per_second = demand;
+    it.demand.push_back(told);
+    return it;
+}
+
+TEST(fleet_view, passes_over_digests_out_of_order)
+{
+    fleet_view view;
+    EXPECT_TRUE(view.on_digest(digest("a", 5, 10), address(2), start));
+    EXPECT_FALSE(view.on_digest(digest("a", 4, 99), address(2), start));
+    EXPECT_DOUBLE_EQ(view.demand_of(trust, 0, start), 10);
+    fleet::wire::Digest restarted = digest("a", 1, 7);
+    restarted.incarnation = 2;
+    EXPECT_TRUE(view.on_digest(restarted, address(2), start));
+    EXPECT_DOUBLE_EQ(view.demand_of(trust, 0, start), 7);
+}
+
+// A host cut off from the others serves its callers on: if the rest took its
+// part of the rate, both together would pass the rate.
+TEST(fleet_view, a_silent_host_keeps_its_part_of_the_demand)
+{
+    fleet_view view;
+    view.note_address(address(2), start);
+    view.on_digest(digest("a", 1, 30), address(2), start);
+    const time_point later = start + seconds(5);
+    EXPECT_TRUE(view.drop_silent(later));
+    EXPECT_TRUE(view.peers().empty());
+    EXPECT_DOUBLE_EQ(view.demand_of(trust, 10, later), 30);
+    EXPECT_EQ(view.host_count(later), 2U);
+}
+
+TEST(fleet_view, a_host_that_stays_silent_is_gone)
+{
+    fleet_view view;
+    view.note_address(address(2), start);
+    view.on_digest(digest("a", 1, 30), address(2), start);
+    view.drop_silent(start + seconds(5));
+    const time_point end = start + seconds(21);
+    view.drop_silent(end);
+    EXPECT_DOUBLE_EQ(view.demand_of(trust, 10, end), 0);
+    EXPECT_EQ(view.host_count(end), 1U);
+}
+
+// After a restart of all hosts none has heard another yet.
+TEST(fleet_view, hosts_not_heard_yet_count_as_the_mean)
+{
+    fleet_view view;
+    view.note_address(address(2), start);
+    view.note_address(address(3), start);
+    EXPECT_EQ(view.host_count(start), 3U);
+    EXPECT_DOUBLE_EQ(view.demand_of(trust, 10, start), 20);
+}
+
+} // namespace
+} // namespace cicadahub::entry
