Placement: Load again what is only refused, and bound every watch

Change: demand counts without a waiting request, loads from the store go by the requests they come for, busy models are kept on several servers; a watch waits 1 s, so that it and its limit stay under the two seconds in which a change must be known. Tests: planner_fixture.*; the stand-ins for the store and the workers of the platform come with it.

--- a/libraries/decision/replicas/replica_planner.cpp
+++ b/libraries/decision/replicas/replica_planner.cpp
@@ -17,6 +17,14 @@
 /// A victim that others wait for would only be loaded again.
 constexpr double wanted_victim_ms = 60'000;
 
+/// A copy fetched ahead of demand may cost others this much.
+constexpr double staging_cost_ms = 300;
+
+/// Requests that the loss of the last copy would miss, for the time of a load
+/// from the store, from which on a model is kept on several servers.
+constexpr double busy_miss = 8;
+constexpr std::int64_t busy_copies = 3;
+
 std::uint32_t running_at(const planner_view& view, const server_id& server,
                          const model_id& model)
 {
@@ -48,6 +56,15 @@
                       }));
 }
 
+bool is_served(const planner_view& view, const model_id& model)
+{
+    return std::any_of(view.servers.begin(), view.servers.end(),
+                       [&](const auto& it) {
+                           return it.second.is_usable() &&
+                                  it.second.serves(model);
+                       });
+}
+
 std::uint32_t store_loads(const planner_view& view)
 {
     return static_cast<std::uint32_t>(std::count_if(
@@ -120,6 +137,8 @@
 {
     server_state* server = nullptr;
     double cost_ms = 0;
+    /// What of it comes from dropping models that others use.
+    double victims_cost_ms = 0;
     std::vector<model_id> victims;
     bool is_store_load = false;
     milliseconds load_time{0};
@@ -157,6 +176,7 @@
                     ? view.engine.megabytes
                     : held_spec->second.megabytes;
         it.cost_ms += cost;
+        it.victims_cost_ms += cost;
         it.victims.push_back(held);
     }
     if (free < spec.megabytes)
@@ -218,38 +238,82 @@
     orders.push_back(std::move(it));
 }
 
-void replica_planner::plan_waiting(const planner_view& view, time_point now,
-                                   std::vector<planned_order>& orders) const
+std::vector<replica_planner::need>
+replica_planner::unmet_needs(const planner_view& view)
 {
-    std::vector<const want*> sorted;
+    std::map<model_id, need> needs;
     for (const want& it : view.wants)
     {
-        sorted.push_back(&it);
+        need& sum = needs[it.copy.model];
+        sum.slack = sum.waiting == 0 ? it.slack : std::min(sum.slack, it.slack);
+        sum.waiting += it.waiting;
+    }
+    for (const auto& [model, use] : view.use)
+    {
+        needs[model].rate += use.requests_per_second;
     }
-    std::stable_sort(sorted.begin(), sorted.end(),
-                     [](const want* a, const want* b)
-                     { return a->slack < b->slack; });
-    for (const want* it : sorted)
+    std::vector<need> unmet;
+    for (auto& [model, it] : needs)
     {
-        const model_id& model = it->copy.model;
-        if (!view.engine.models.contains(model) ||
+        const auto spec = view.engine.models.find(model);
+        if (spec == view.engine.models.end() ||
             replica_count(view, model) > 0 || is_room_being_made(view, model))
         {
             continue;
         }
-        const bool has_near_copy = std::any_of(
+        it.model = model;
+        it.has_near_copy = std::any_of(
             view.servers.begin(), view.servers.end(),
             [&](const auto& server)
             {
                 return server.second.is_usable() &&
                        server.second.has_near_copy(model);
             });
-        // Waiting for the server that has a copy is shorter than a fetch.
-        const bool may_use_store =
-            !has_near_copy && store_loads(view) < m_limits.store_loads_at_once;
-        if (const auto to = best_server(view, model, may_use_store, now))
+        const std::chrono::duration<double> load = spec->second.load_from_store;
+        it.requests_until_loaded = it.waiting + it.rate * load.count();
+        unmet.push_back(it);
+    }
+    return unmet;
+}
+
+void replica_planner::plan_needed(const planner_view& view, time_point now,
+                                  std::vector<planned_order>& orders) const
+{
+    std::vector<need> needs = unmet_needs(view);
+    // Loads from near are short and many: the most urgent goes first. Waiting
+    // for the server that has a copy is shorter than a fetch from the store.
+    std::stable_sort(needs.begin(), needs.end(),
+                     [](const need& a, const need& b)
+                     { return a.slack < b.slack; });
+    for (const need& it : needs)
+    {
+        if (it.has_near_copy && it.waiting > 0)
         {
-            emit(*to, model, now, orders);
+            if (const auto to = best_server(view, it.model, false, now))
+            {
+                emit(*to, it.model, now, orders);
+            }
+        }
+    }
+    // Loads from the store are few and long: those that serve the most go
+    // first, also for requests that were refused since they could not wait.
+    std::stable_sort(needs.begin(), needs.end(),
+                     [](const need& a, const need& b) {
+                         return a.requests_until_loaded >
+                                b.requests_until_loaded;
+                     });
+    for (const need& it : needs)
+    {
+        if (it.has_near_copy ||
+            store_loads(view) >= m_limits.store_loads_at_once)
+        {
+            continue;
+        }
+        const auto to = best_server(view, it.model, true, now);
+        if (to && to->victims_cost_ms <=
+                      it.requests_until_loaded * running_wait_ms)
+        {
+            emit(*to, it.model, now, orders);
         }
     }
 }
@@ -349,7 +413,11 @@
     }
     for (const want& it : view.wants)
     {
-        pressure[it.copy.model] += it.waiting;
+        // Those that wait for the first replica wait for no place.
+        if (is_served(view, it.copy.model))
+        {
+            pressure[it.copy.model] += it.waiting;
+        }
     }
     std::vector<std::pair<double, model_id>> overloaded;
     for (const auto& [model, requests] : pressure)
@@ -380,6 +448,50 @@
     }
 }
 
+std::vector<model_id>
+replica_planner::models_to_stage(const planner_view& view)
+{
+    std::vector<std::pair<double, model_id>> ranked;
+    for (const auto& [model, spec] : view.engine.models)
+    {
+        const auto copies = std::count_if(
+            view.servers.begin(), view.servers.end(),
+            [&, name = &model](const auto& it)
+            {
+                return it.second.is_usable() &&
+                       (it.second.has_near_copy(*name) ||
+                        it.second.models().contains(*name) ||
+                        it.second.is_loading(*name));
+            });
+        const std::chrono::duration<double> load = spec.load_from_store;
+        const double missed =
+            use_of(view, model).requests_per_second * load.count();
+        std::int64_t wanted = 1;
+        if (missed >= busy_miss)
+        {
+            wanted = busy_copies;
+        }
+        else if (missed >= 1)
+        {
+            wanted = 2;
+        }
+        if (copies < wanted && !is_room_being_made(view, model))
+        {
+            ranked.emplace_back(missed / static_cast<double>(copies + 1),
+                                model);
+        }
+    }
+    std::stable_sort(ranked.begin(), ranked.end(),
+                     [](const auto& a, const auto& b)
+                     { return a.first > b.first; });
+    std::vector<model_id> models;
+    for (auto& [missed, model] : ranked)
+    {
+        models.push_back(std::move(model));
+    }
+    return models;
+}
+
 void replica_planner::plan_staging(const planner_view& view, time_point now,
                                    std::vector<planned_order>& orders) const
 {
@@ -388,27 +500,15 @@
         has_demand
             ? m_limits.store_loads_at_once - m_limits.store_loads_kept_free
             : m_limits.store_loads_at_once;
-    for (const auto& [model, spec] : view.engine.models)
+    for (const model_id& model : models_to_stage(view))
     {
         if (store_loads(view) >= limit)
         {
             return;
         }
-        const bool has_copy = std::any_of(
-            view.servers.begin(), view.servers.end(),
-            [&](const auto& it)
-            {
-                return it.second.is_usable() &&
-                       (it.second.has_near_copy(model) ||
-                        it.second.models().contains(model) ||
-                        it.second.is_loading(model));
-            });
-        if (has_copy || is_room_being_made(view, model))
-        {
-            continue;
-        }
         const auto to = best_server(view, model, true, now);
-        if (to)
+        if (to && to->is_store_load &&
+            to->victims_cost_ms <= staging_cost_ms)
         {
             emit(*to, model, now, orders);
         }
@@ -419,7 +519,7 @@
                                                  time_point now) const
 {
     std::vector<planned_order> orders;
-    plan_waiting(view, now, orders);
+    plan_needed(view, now, orders);
     plan_adapters(view, now, orders);
     plan_more_replicas(view, now, orders);
     plan_staging(view, now, orders);
--- a/libraries/decision/replicas/replica_planner.hpp
+++ b/libraries/decision/replicas/replica_planner.hpp
@@ -14,7 +14,7 @@
     std::uint32_t store_loads_at_once = 4;
     /// Copies of weights that are fetched ahead of demand while requests come
     /// leave this many of the above to requests that wait.
-    std::uint32_t store_loads_kept_free = 2;
+    std::uint32_t store_loads_kept_free = 3;
     /// Adapters that one server takes from the store at once (published).
     std::uint32_t adapters_in_transit = 4;
     /// Requests that a replica runs before another replica is worth a load.
@@ -57,8 +57,21 @@
 private:
     struct candidate;
 
-    void plan_waiting(const planner_view& view, time_point now,
-                      std::vector<planned_order>& orders) const;
+    /// A model that is asked for and in no server's memory.
+    struct need
+    {
+        model_id model;
+        std::uint32_t waiting = 0;
+        milliseconds slack = milliseconds::max();
+        double rate = 0;
+        bool has_near_copy = false;
+        /// Requests that a load from the store would come for.
+        double requests_until_loaded = 0;
+    };
+
+    static std::vector<need> unmet_needs(const planner_view& view);
+    void plan_needed(const planner_view& view, time_point now,
+                     std::vector<planned_order>& orders) const;
     void plan_adapters(const planner_view& view, time_point now,
                        std::vector<planned_order>& orders) const;
     std::optional<order> adapter_order(const planner_view& view,
@@ -66,6 +79,8 @@
                                        const copy_name& copy) const;
     void plan_more_replicas(const planner_view& view, time_point now,
                             std::vector<planned_order>& orders) const;
+    /// Models with too few copies for their demand, the worst off first.
+    static std::vector<model_id> models_to_stage(const planner_view& view);
     void plan_staging(const planner_view& view, time_point now,
                       std::vector<planned_order>& orders) const;
     std::optional<candidate> best_server(const planner_view& view,
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -16,10 +16,11 @@
 
 constexpr milliseconds connect_timeout{500};
 constexpr std::size_t idle_connections = 4;
-/// A watch on a connection that has gone silent is ended by the kernel's
-/// probes; each call counts against the platform's rate, so it may be long.
+/// The store may lose a watch without a word while its connection lives on. A
+/// watch and the limit of its answer together stay under the two seconds in
+/// which a change must be known.
 constexpr platform::client_timing store_timing{
-    milliseconds(600), milliseconds(10'000), milliseconds(3'000)};
+    milliseconds(600), milliseconds(1'000), milliseconds(3'000)};
 /// A leaving server must be known within two seconds; the others learn of
 /// loads from the holder of the placement lease at once.
 constexpr milliseconds list_pace{500};
--- a/libraries/entry/request_run.cpp
+++ b/libraries/entry/request_run.cpp
@@ -102,6 +102,8 @@
     choose_service();
     const auto patience = m_request.patience.value_or(m_route->timeout);
     m_deadline = m_arrived + std::min(patience, m_route->timeout);
+    m_first_byte_by =
+        std::min(m_deadline, m_arrived + m_route->first_byte_patience);
     refuse_suspect();
     charge();
     m_reply.watch_caller(
@@ -318,7 +320,8 @@
 void request_run::refuse_if_hopeless(time_point now)
 {
     const milliseconds estimate = estimated_wait(now);
-    const milliseconds left = time_left(now);
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(m_first_byte_by - now);
     if (now >= m_state.last_waiting_at)
     {
         refuse(refusal_kind::not_ready, full_retry);
@@ -369,7 +372,7 @@
                              ? *m_organisation->rank
                              : m_route->rank;
         m_waiter->arrived = m_arrived;
-        m_waiter->deadline = m_deadline;
+        m_waiter->deadline = m_first_byte_by;
         m_passed_over.clear();
         co_await m_state.waiting.wait(m_waiter,
                                       std::min(look_period, time_left(now)));
--- a/libraries/entry/request_run.hpp
+++ b/libraries/entry/request_run.hpp
@@ -68,6 +68,8 @@
     suspicion::fingerprint m_fingerprint;
     time_point m_arrived{};
     time_point m_deadline{};
+    /// The caller leaves if nothing has come by then.
+    time_point m_first_byte_by{};
     std::set<server_id> m_passed_over;
     std::uint32_t m_runs = 0;
     std::uint32_t m_sends = 0;
--- a/libraries/serving/configuration.hpp
+++ b/libraries/serving/configuration.hpp
@@ -41,6 +41,8 @@
     milliseconds timeout{0};
     milliseconds target_latency{0};
     milliseconds target_gap{0};
+    /// How long a caller waits for the first byte of its answer.
+    milliseconds first_byte_patience{0};
     /// 0 is the most urgent.
     std::int64_t rank = 0;
     std::vector<service_share> services;
--- /dev/null
+++ b/tests/decision/replica_planner_test.cpp
@@ -0,0 +1,227 @@
+#include "decision/replicas/replica_planner.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cicadahub::replicas
+{
+namespace
+{
+
+constexpr time_point start{std::chrono::seconds(100)};
+constexpr time_point now = start + seconds(10);
+
+/// Engines of 100 MB each; models of 40 MB.
+class planner_fixture : public testing::Test
+{
+protected:
+    planner_fixture()
+    {
+        m_engine.megabytes = 100;
+        m_engine.adapter_places = 2;
+        m_engine.slots = 8;
+        for (const char* name : {"a", "b", "c", "d", "e"})
+        {
+            serving::model_spec spec;
+            spec.megabytes = 40;
+            spec.load_from_store = milliseconds(6'000);
+            spec.load_from_disk = milliseconds(800);
+            spec.load_from_memory = milliseconds(300);
+            spec.adapter_megabytes = 1;
+            m_engine.models[model_id(name)] = spec;
+        }
+    }
+
+    void add_server(const char* name, const std::set<std::string>& models,
+                    const std::set<std::string>& on_disk = {})
+    {
+        serving::server_entry entry;
+        entry.id = server_id(name);
+        serving::server_report report;
+        for (const std::string& it : models)
+        {
+            entry.models[model_id(it)];
+            report.on_disk.insert(model_id(it));
+        }
+        for (const std::string& it : on_disk)
+        {
+            report.on_disk.insert(model_id(it));
+        }
+        report.models = entry.models;
+        server_state state(entry, start);
+        state.on_report(report, start + seconds(1), start + seconds(1));
+        m_servers.emplace(entry.id, std::move(state));
+    }
+
+    void add_want(const char* model, std::uint32_t waiting = 1,
+                  milliseconds slack = milliseconds(2'000),
+                  const char* adapter = nullptr)
+    {
+        want it;
+        it.copy.model = model_id(model);
+        if (adapter != nullptr)
+        {
+            it.copy.adapter = adapter_id(adapter);
+        }
+        it.waiting = waiting;
+        it.slack = slack;
+        m_wants.push_back(it);
+    }
+
+    void use(const char* model, double rate, std::uint32_t running = 0)
+    {
+        m_use[model_id(model)] = {rate, running};
+    }
+
+    std::vector<planned_order> plan()
+    {
+        const planner_view view{m_engine, m_servers, m_wants, m_use,
+                                m_running, {},       {}};
+        return replica_planner(planner_limits{}).plan(view, now);
+    }
+
+    static std::string text_of(const planned_order& it)
+    {
+        return std::string(it.what.kind == order_kind::load ? "load "
+                                                            : "unload ") +
+               it.what.copy.model.value() +
+               (it.what.copy.adapter ? ":" + it.what.copy.adapter->value()
+                                     : "") +
+               " " + it.what.server.value();
+    }
+
+    std::vector<std::string> planned()
+    {
+        std::vector<std::string> texts;
+        for (const planned_order& it : plan())
+        {
+            texts.push_back(text_of(it));
+        }
+        return texts;
+    }
+
+    serving::engine_spec m_engine;
+    std::map<server_id, server_state> m_servers;
+    std::vector<want> m_wants;
+    std::map<model_id, model_use> m_use;
+    std::map<std::pair<server_id, model_id>, std::uint32_t> m_running;
+};
+
+using texts = std::vector<std::string>;
+
+TEST_F(planner_fixture, a_burst_for_one_model_becomes_one_load)
+{
+    m_engine.models.erase(model_id("d"));
+    m_engine.models.erase(model_id("e"));
+    add_server("s1", {"a"}, {"b", "c"});
+    add_server("s2", {"c"}, {"b"});
+    add_want("b", 5);
+    add_want("b", 7);
+    EXPECT_EQ(planned(), texts{"load b s1"});
+}
+
+TEST_F(planner_fixture, a_load_goes_where_a_copy_is_near)
+{
+    m_engine.models.erase(model_id("d"));
+    m_engine.models.erase(model_id("e"));
+    add_server("s1", {}, {"a", "c"});
+    add_server("s2", {"a", "c"}, {"b"});
+    add_want("b");
+    // Making room costs less than six seconds.
+    const texts orders = planned();
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_TRUE(orders.front() == "unload a s2" ||
+                orders.front() == "unload c s2");
+}
+
+TEST_F(planner_fixture, what_others_wait_for_is_not_dropped)
+{
+    m_engine.models.erase(model_id("d"));
+    m_engine.models.erase(model_id("e"));
+    add_server("s1", {"a", "c"}, {"b"});
+    add_want("b");
+    add_want("a");
+    EXPECT_EQ(planned(), texts{"unload c s1"});
+}
+
+// The day that found it: the engines of a service were replaced by empty ones,
+// and every request for the busiest model was refused as hopeless, so that
+// none waited and the model was never loaded again.
+TEST_F(planner_fixture, a_model_that_is_only_refused_is_loaded_again)
+{
+    add_server("new", {});
+    use("a", 12.0);
+    use("b", 0.1);
+    const texts orders = planned();
+    ASSERT_FALSE(orders.empty());
+    EXPECT_EQ(orders.front(), "load a new");
+}
+
+TEST_F(planner_fixture, loads_from_the_store_stay_within_their_limit)
+{
+    for (const char* name : {"s1", "s2", "s3", "s4", "s5", "s6"})
+    {
+        add_server(name, {});
+    }
+    for (const char* model : {"a", "b", "c", "d", "e"})
+    {
+        add_want(model);
+    }
+    EXPECT_EQ(plan().size(), planner_limits{}.store_loads_at_once);
+}
+
+// A release replaces the servers one by one: the busy model must be on a new
+// one before the last old one leaves.
+TEST_F(planner_fixture, a_busy_model_is_copied_before_its_last_server_leaves)
+{
+    add_server("old", {"a", "b"}, {"c", "d", "e"});
+    add_server("new", {});
+    use("a", 12.0, 4);
+    use("b", 0.05);
+    const texts orders = planned();
+    ASSERT_FALSE(orders.empty());
+    EXPECT_EQ(orders.front(), "load a new");
+}
+
+TEST_F(planner_fixture, an_overloaded_model_gets_another_replica)
+{
+    add_server("s1", {"a", "b"});
+    add_server("s2", {"c"}, {"a", "d", "e"});
+    use("a", 40, 30);
+    EXPECT_EQ(planned(), texts{"load a s2"});
+}
+
+TEST_F(planner_fixture, an_adapter_takes_the_place_of_the_least_used)
+{
+    m_engine.models = {{model_id("a"), m_engine.models.at(model_id("a"))}};
+    serving::server_entry entry;
+    entry.id = server_id("s1");
+    serving::server_report report;
+    report.models = {
+        {model_id("a"), {adapter_id("x"), adapter_id("y")}}};
+    report.on_disk = {model_id("a")};
+    server_state state(entry, start);
+    state.on_report(report, start + seconds(1), start + seconds(1));
+    m_servers.emplace(entry.id, std::move(state));
+    add_want("a", 1, milliseconds(500), "z");
+    const std::map<copy_name, double> rates{
+        {{model_id("a"), adapter_id("x")}, 3.0}};
+    const planner_view view{m_engine, m_servers, m_wants, m_use,
+                            m_running, {},       rates};
+    const auto orders = replica_planner(planner_limits{}).plan(view, now);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(text_of(orders.front()), "unload a:y s1");
+}
+
+TEST_F(planner_fixture, nothing_is_ordered_from_a_server_that_is_engaged)
+{
+    m_engine.models.erase(model_id("d"));
+    m_engine.models.erase(model_id("e"));
+    add_server("s1", {"a"}, {"b", "c"});
+    add_want("b");
+    EXPECT_EQ(plan().size(), 1U);
+    add_want("c");
+    EXPECT_TRUE(plan().empty());
+}
+
+} // namespace
+} // namespace cicadahub::replicas
--- a/utilities/cicada-standin/main.cpp
+++ b/utilities/cicada-standin/main.cpp
@@ -1,7 +1,9 @@
 #include "engine_standin.hpp"
+#include "object_store_standin.hpp"
 #include "platform_standin.hpp"
 #include "service_standin.hpp"
 #include "weight_store_standin.hpp"
+#include "worker_standin.hpp"
 
 #include "core/errors.hpp"
 
@@ -90,7 +92,8 @@
                         "cicadahub serves.",
                         ' ', CICADAHUB_VERSION);
     line.setExceptionHandling(false);
-    std::vector<std::string> roles{"platform", "weights", "engine", "service"};
+    std::vector<std::string> roles{"platform", "weights", "engine",
+                                   "service",  "objects", "worker"};
     TCLAP::ValuesConstraint<std::string> is_role(roles);
     TCLAP::UnlabeledValueArg<std::string> role("role", "What to stand in for.",
                                                true, "", &is_role);
@@ -126,9 +129,21 @@
     TCLAP::ValueArg<double> bandwidth("", "bytes-per-second",
                                       "Weight store: speed of one transfer.",
                                       false, 1e9, "BYTES");
+    TCLAP::ValueArg<std::string> store("", "store",
+                                       "Worker: the metadata store.", false, "",
+                                       "ADDRESS:PORT");
+    TCLAP::ValueArg<std::string> id("", "id", "Worker: its id.", false,
+                                    "worker", "ID");
+    TCLAP::ValueArg<std::string> service("", "service",
+                                         "Worker: the service it belongs to.",
+                                         false, "engines", "NAME");
+    TCLAP::ValueArg<std::int64_t> megabytes(
+        "", "megabytes", "Worker: room for weights; 0 for a plain service.",
+        false, 0, "MB");
     const std::vector<TCLAP::Arg*> arguments{
         &bandwidth, &full_speed, &rate,    &preloaded, &threads, &weights,
-        &token_gap, &prefill,    &fencing, &slots,     &memory,  &listen};
+        &token_gap, &prefill,    &fencing, &slots,     &memory,  &listen,
+        &store,     &id,         &service, &megabytes};
     for (TCLAP::Arg* it : arguments)
     {
         line.add(it);
@@ -150,6 +165,25 @@
     {
         serve_on_one_thread<standin::service_standin>(listen.getValue());
     }
+    else if (role.getValue() == "objects")
+    {
+        serve_on_one_thread<standin::object_store_standin>(listen.getValue());
+    }
+    else if (role.getValue() == "worker")
+    {
+        standin::worker_settings settings;
+        settings.id = id.getValue();
+        settings.service = service.getValue();
+        settings.data_centre = "dc-1";
+        settings.address = listen.getValue();
+        settings.store = http::parse_endpoint(store.getValue());
+        settings.slots = slots.getValue();
+        settings.megabytes = megabytes.getValue();
+        settings.models.insert(preloaded.getValue().begin(),
+                               preloaded.getValue().end());
+        serve_on_one_thread<standin::worker_standin>(listen.getValue(),
+                                                     settings);
+    }
     else
     {
         standin::engine_settings settings;
--- /dev/null
+++ b/utilities/cicada-standin/object_store_standin.cpp
@@ -0,0 +1,294 @@
+#include "object_store_standin.hpp"
+
+#include "core/json_reader.hpp"
+
+#include <charconv>
+
+namespace cicadahub::standin
+{
+
+namespace
+{
+
+constexpr std::string_view objects_prefix = "/v1/objects/";
+constexpr milliseconds outage_poll{20};
+/// Smaller than the real one, so that tests see lists of several pages.
+constexpr std::size_t page_items = 20;
+/// Stands for "no answer": the connection is closed instead.
+constexpr auto dropped_status = static_cast<http::status>(599);
+
+std::uint64_t number_in(std::string_view text)
+{
+    std::uint64_t n = 0;
+    std::from_chars(text.data(), text.data() + text.size(), n);
+    return n;
+}
+
+http::response json_answer(http::status code, const boost::json::object& json)
+{
+    return http::json_response(code, boost::json::serialize(json));
+}
+
+std::uint64_t revision_of(const boost::json::object& object)
+{
+    return static_cast<std::uint64_t>(
+        object.at("metadata").as_object().at("revision").to_number<std::int64_t>());
+}
+
+} // namespace
+
+object_store_standin::object_store_standin(net::io_context& context)
+    : m_context(context)
+{
+}
+
+net::awaitable<void> object_store_standin::serve(http::request& message,
+                                                 http::reply_writer& reply)
+{
+    const std::string_view path = http::path_of(message.target());
+    http::response answer{http::status::not_found, 11};
+    if (path == "/faults")
+    {
+        answer = answer_faults(message);
+    }
+    else if (path == "/stats")
+    {
+        answer = answer_stats();
+    }
+    else if (path.starts_with(objects_prefix))
+    {
+        ++m_calls;
+        while (m_has_outage)
+        {
+            net::steady_timer timer(m_context, outage_poll);
+            co_await timer.async_wait(net::use_awaitable);
+        }
+        answer = co_await answer_objects(message,
+                                         path.substr(objects_prefix.size()));
+    }
+    answer.prepare_payload();
+    if (answer.result() == dropped_status)
+    {
+        reply.abort_stream();
+        throw boost::system::system_error(net::error::connection_aborted);
+    }
+    co_await reply.send(std::move(answer));
+}
+
+http::response object_store_standin::answer_faults(const http::request& message)
+{
+    const boost::json::object json = parse_json_object(message.body());
+    const json_reader reader(json);
+    m_has_outage = reader.flag_or("outage", m_has_outage);
+    m_lost_answers = reader.whole_or("lose_answers", m_lost_answers);
+    if (json.contains("refused"))
+    {
+        m_refused.clear();
+        for (const auto& it : reader.array("refused"))
+        {
+            m_refused.insert(std::string(it.as_string()));
+        }
+    }
+    if (reader.flag_or("lose_watches", false))
+    {
+        ++m_lost_watches;
+    }
+    if (reader.flag_or("forget", false))
+    {
+        for (auto& [name, it] : m_kinds)
+        {
+            it.changes.clear();
+            it.forgotten_until = m_revision;
+            it.changed->cancel();
+        }
+    }
+    return json_answer(http::status::ok, {});
+}
+
+http::response object_store_standin::answer_stats() const
+{
+    return json_answer(http::status::ok,
+                       {{"calls", m_calls}, {"writes", m_writes}});
+}
+
+net::awaitable<http::response>
+object_store_standin::answer_objects(const http::request& message,
+                                     std::string_view rest)
+{
+    // Clients name themselves in tests, since all of them share one address.
+    if (m_refused.contains(std::string(message["User-Agent"])))
+    {
+        co_return json_answer(http::status::service_unavailable, {});
+    }
+    const std::size_t slash = std::min(rest.find('/'), rest.size());
+    kind& it = m_kinds[std::string(rest.substr(0, slash))];
+    if (!it.changed)
+    {
+        it.changed = std::make_shared<net::steady_timer>(m_context);
+    }
+    const std::string name(rest.substr(std::min(slash + 1, rest.size())));
+    if (message.method() == http::verb::get && name.empty())
+    {
+        if (!http::query_value(message.target(), "watch").empty())
+        {
+            co_return co_await watch(it, message.target());
+        }
+        co_return list(it, message.target());
+    }
+    if (message.method() == http::verb::get)
+    {
+        const auto found = it.objects.find(name);
+        if (found == it.objects.end())
+        {
+            co_return json_answer(http::status::not_found, {});
+        }
+        co_return json_answer(http::status::ok, found->second);
+    }
+    ++m_writes;
+    http::response answer;
+    switch (message.method())
+    {
+    case http::verb::post:
+        answer = create(it, message);
+        break;
+    case http::verb::put:
+        answer = replace(it, name, message);
+        break;
+    default:
+        answer = remove(it, name);
+        break;
+    }
+    if (m_lost_answers > 0)
+    {
+        --m_lost_answers;
+        answer.result(dropped_status);
+    }
+    co_return answer;
+}
+
+http::response object_store_standin::list(const kind& from,
+                                          std::string_view target) const
+{
+    const std::string after(http::query_value(target, "after"));
+    boost::json::array items;
+    auto it = from.objects.upper_bound(after);
+    for (; it != from.objects.end() && items.size() < page_items; ++it)
+    {
+        items.push_back(it->second);
+    }
+    return json_answer(http::status::ok,
+                       {{"items", std::move(items)},
+                        {"hasMore", it != from.objects.end()},
+                        {"currentRev", m_revision}});
+}
+
+net::awaitable<http::response>
+object_store_standin::watch(kind& from, std::string_view target)
+{
+    const std::uint64_t since = number_in(http::query_value(target, "watch"));
+    const milliseconds wait(static_cast<std::int64_t>(
+        number_in(http::query_value(target, "waitMs"))));
+    const time_point end = monotonic_clock::now() + wait;
+    const std::uint64_t losses = m_lost_watches;
+    const auto has_news = [&]
+    {
+        return since < from.forgotten_until ||
+               (!from.changes.empty() && from.changes.back().revision > since);
+    };
+    while ((!has_news() && monotonic_clock::now() < end) ||
+           losses != m_lost_watches)
+    {
+        if (losses != m_lost_watches)
+        {
+            net::steady_timer never(m_context, std::chrono::hours(1));
+            co_await never.async_wait(net::use_awaitable);
+        }
+        from.changed->expires_at(
+            std::chrono::steady_clock::now() +
+            std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+                end - monotonic_clock::now()));
+        co_await from.changed->async_wait(net::as_tuple(net::use_awaitable));
+    }
+    if (since < from.forgotten_until)
+    {
+        co_return json_answer(http::status::gone, {});
+    }
+    boost::json::array events;
+    for (const change& it : from.changes)
+    {
+        if (it.revision > since)
+        {
+            events.push_back(
+                {{"tombstone", it.is_deletion}, {"object", it.object}});
+        }
+    }
+    co_return json_answer(
+        http::status::ok,
+        {{"events", std::move(events)}, {"currentRev", m_revision}});
+}
+
+http::response object_store_standin::create(kind& to,
+                                            const http::request& message)
+{
+    boost::json::object object = parse_json_object(message.body());
+    const std::string name =
+        json_reader(json_reader(object).object("metadata")).text("name");
+    const auto found = to.objects.find(name);
+    if (found != to.objects.end())
+    {
+        return json_answer(http::status::conflict, found->second);
+    }
+    return store(to, std::move(object), http::status::created);
+}
+
+http::response object_store_standin::replace(kind& to, const std::string& name,
+                                             const http::request& message)
+{
+    boost::json::object object = parse_json_object(message.body());
+    const auto found = to.objects.find(name);
+    if (found == to.objects.end())
+    {
+        return json_answer(http::status::not_found, {});
+    }
+    const auto& metadata = object["metadata"].as_object();
+    if (metadata.contains("revision") &&
+        revision_of(object) != revision_of(found->second))
+    {
+        return json_answer(http::status::conflict, found->second);
+    }
+    return store(to, std::move(object), http::status::ok);
+}
+
+http::response object_store_standin::remove(kind& from, const std::string& name)
+{
+    const auto found = from.objects.find(name);
+    if (found == from.objects.end())
+    {
+        return json_answer(http::status::not_found, {});
+    }
+    boost::json::object object = std::move(found->second);
+    from.objects.erase(found);
+    object["metadata"].as_object()["revision"] = ++m_revision;
+    record(from, true, object);
+    return json_answer(http::status::ok, object);
+}
+
+http::response object_store_standin::store(kind& to, boost::json::object object,
+                                           http::status code)
+{
+    const std::string name(
+        object["metadata"].as_object()["name"].as_string());
+    object["metadata"].as_object()["revision"] = ++m_revision;
+    to.objects[name] = object;
+    record(to, false, object);
+    return json_answer(code, object);
+}
+
+void object_store_standin::record(kind& to, bool is_deletion,
+                                  boost::json::object object)
+{
+    to.changes.push_back({m_revision, is_deletion, std::move(object)});
+    to.changed->cancel();
+}
+
+} // namespace cicadahub::standin
--- /dev/null
+++ b/utilities/cicada-standin/object_store_standin.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/units.hpp"
+#include "http/server.hpp"
+
+#include <boost/json/object.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace cicadahub::standin
+{
+
+namespace net = boost::asio;
+
+/// Stand-in for the metadata store of the users' platform. `PUT /faults` sets
+/// `outage` (calls are not answered), `lose_answers` (how many writes take
+/// effect without an answer), `refused` (addresses whose calls get 503) and
+/// `forget` (drops the history, so that watches get 410) and `lose_watches`
+/// (those that wait now are never answered). `GET /stats` counts the calls.
+class object_store_standin
+{
+public:
+    explicit object_store_standin(net::io_context& context);
+
+    net::awaitable<void> serve(http::request& message,
+                               http::reply_writer& reply);
+
+private:
+    struct change
+    {
+        std::uint64_t revision = 0;
+        bool is_deletion = false;
+        boost::json::object object;
+    };
+
+    struct kind
+    {
+        std::map<std::string, boost::json::object> objects;
+        std::deque<change> changes;
+        std::uint64_t forgotten_until = 0;
+        std::shared_ptr<net::steady_timer> changed;
+    };
+
+    http::response answer_faults(const http::request& message);
+    http::response answer_stats() const;
+    net::awaitable<http::response> answer_objects(const http::request& message,
+                                                  std::string_view rest);
+    http::response list(const kind& from, std::string_view target) const;
+    net::awaitable<http::response> watch(kind& from, std::string_view target);
+    http::response create(kind& to, const http::request& message);
+    http::response replace(kind& to, const std::string& name,
+                           const http::request& message);
+    http::response remove(kind& from, const std::string& name);
+    http::response store(kind& to, boost::json::object object,
+                         http::status code);
+    void record(kind& to, bool is_deletion, boost::json::object object);
+
+    net::io_context& m_context;
+    std::map<std::string, kind, std::less<>> m_kinds;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_lost_watches = 0;
+    bool m_has_outage = false;
+    std::int64_t m_lost_answers = 0;
+    std::set<std::string> m_refused;
+    std::int64_t m_calls = 0;
+    std::int64_t m_writes = 0;
+};
+
+} // namespace cicadahub::standin
--- /dev/null
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -0,0 +1,405 @@
+#include "worker_standin.hpp"
+
+#include "core/json_reader.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <charconv>
+
+namespace cicadahub::standin
+{
+
+namespace
+{
+
+constexpr milliseconds heartbeat{400};
+constexpr milliseconds store_timeout{500};
+constexpr milliseconds plain_work{10};
+constexpr int events_of_a_stream = 8;
+constexpr int events_before_a_break = 2;
+
+std::int64_t now_ms()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+http::response json_answer(http::status code, const boost::json::object& json)
+{
+    return http::json_response(code, boost::json::serialize(json));
+}
+
+int number_in(std::string_view text)
+{
+    int n = 0;
+    std::from_chars(text.data(), text.data() + text.size(), n);
+    return n;
+}
+
+} // namespace
+
+worker_standin::worker_standin(net::io_context& context,
+                               worker_settings settings)
+    : m_context(context), m_settings(std::move(settings)),
+      m_pool(context, store_timeout, 1), m_born(now_ms())
+{
+    for (const std::string& it : m_settings.models)
+    {
+        m_models[it];
+        m_on_disk.insert(it);
+    }
+    m_most_megabytes = used_megabytes();
+    net::co_spawn(m_context, register_entry(), net::detached);
+}
+
+net::awaitable<void> worker_standin::pause(milliseconds time)
+{
+    net::steady_timer timer(m_context, time);
+    co_await timer.async_wait(net::use_awaitable);
+}
+
+boost::json::array worker_standin::models_json() const
+{
+    boost::json::array models;
+    for (const auto& [model, names] : m_models)
+    {
+        boost::json::array adapters;
+        for (const std::string& it : names)
+        {
+            adapters.emplace_back(it);
+        }
+        models.push_back({{"name", model},
+                          {"version", 1},
+                          {"adapters", std::move(adapters)}});
+    }
+    return models;
+}
+
+boost::json::object worker_standin::at_hand_json() const
+{
+    boost::json::array on_disk;
+    for (const std::string& it : m_on_disk)
+    {
+        on_disk.emplace_back(it);
+    }
+    return {{"inMemory", boost::json::array()}, {"onDisk", std::move(on_disk)}};
+}
+
+std::int64_t worker_standin::used_megabytes() const
+{
+    return static_cast<std::int64_t>(m_models.size()) *
+           m_settings.model_megabytes;
+}
+
+net::awaitable<void> worker_standin::register_entry()
+{
+    const std::string kind = "/v1/objects/servers";
+    while (true)
+    {
+        boost::json::object spec{{"service", m_settings.service},
+                                 {"address", m_settings.address},
+                                 {"zone", m_settings.data_centre},
+                                 {"version", "v1"},
+                                 {"slots", m_settings.slots},
+                                 {"state", m_is_draining ? "draining" : "ready"},
+                                 {"coldLeftMs", 0},
+                                 {"born", m_born},
+                                 {"seq", ++m_heartbeats}};
+        if (m_settings.megabytes > 0)
+        {
+            spec["models"] = models_json();
+            spec["available"] = at_hand_json();
+        }
+        const boost::json::object object{
+            {"metadata", {{"name", m_settings.id}}}, {"spec", std::move(spec)}};
+        const std::string body = boost::json::serialize(object);
+        try
+        {
+            auto put = http::make_request(http::verb::put,
+                                          kind + "/" + m_settings.id, body);
+            const http::response answer = co_await http::fetch(
+                m_pool, m_settings.store, std::move(put), store_timeout);
+            if (answer.result() == http::status::not_found)
+            {
+                auto post = http::make_request(http::verb::post, kind, body);
+                co_await http::fetch(m_pool, m_settings.store, std::move(post),
+                                     store_timeout);
+            }
+        }
+        catch (const boost::system::system_error&)
+        {
+            // The next heartbeat tries again.
+        }
+        co_await pause(heartbeat);
+    }
+}
+
+net::awaitable<void> worker_standin::serve(http::request& message,
+                                           http::reply_writer& reply)
+{
+    const std::string_view path = http::path_of(message.target());
+    if (path == "/faults")
+    {
+        const boost::json::object json = parse_json_object(message.body());
+        const json_reader reader(json);
+        m_lost_answers = reader.whole_or("lose_answers", m_lost_answers);
+        m_broken_streams = reader.whole_or("break_streams", m_broken_streams);
+        m_silent_orders = reader.whole_or("silent_orders", m_silent_orders);
+        m_is_draining = reader.flag_or("draining", m_is_draining);
+        co_await reply.send(json_answer(http::status::ok, {}));
+        co_return;
+    }
+    if (path == "/stats")
+    {
+        co_await reply.send(answer_stats());
+        co_return;
+    }
+    const auto expected = message["Expect-Instance"];
+    if (!expected.empty() && expected != m_settings.id)
+    {
+        co_await reply.send(refusal(http::status::misdirected_request));
+        co_return;
+    }
+    if (path == "/v1/report")
+    {
+        co_await reply.send(answer_report());
+        co_return;
+    }
+    if (path == "/v1/order")
+    {
+        http::response answer = answer_order(message);
+        if (m_silent_orders > 0)
+        {
+            --m_silent_orders;
+            reply.abort_stream();
+            throw boost::system::system_error(net::error::connection_aborted);
+        }
+        co_await reply.send(std::move(answer));
+        co_return;
+    }
+    co_await run(message, reply);
+}
+
+http::response worker_standin::refusal(http::status code) const
+{
+    http::response answer{code, 11};
+    answer.set("Instance-Id", m_settings.id);
+    answer.set("Not-Run", "1");
+    answer.prepare_payload();
+    return answer;
+}
+
+http::response worker_standin::answer_report() const
+{
+    return json_answer(http::status::ok, {{"stage", "both"},
+                                          {"models", models_json()},
+                                          {"available", at_hand_json()},
+                                          {"busy", m_is_busy},
+                                          {"seq", m_orders},
+                                          {"numWaiting", 0},
+                                          {"numRunning", m_running}});
+}
+
+http::response worker_standin::answer_stats() const
+{
+    std::int64_t runs = 0;
+    std::int64_t most_runs = 0;
+    for (const auto& [id, n] : m_runs)
+    {
+        runs += n;
+        most_runs = std::max(most_runs, n);
+    }
+    std::string organisations;
+    for (const std::string& it : m_organisations)
+    {
+        organisations += it + " ";
+    }
+    return json_answer(http::status::ok,
+                       {{"runs", runs},
+                        {"most_runs_of_one", most_runs},
+                        {"running", m_running},
+                        {"organisations", organisations},
+                        {"keys_seen", m_keys_seen},
+                        {"orders", m_orders},
+                        {"old_fences", m_old_fences},
+                        {"megabytes", m_settings.megabytes},
+                        {"most_megabytes", m_most_megabytes}});
+}
+
+http::response worker_standin::answer_order(const http::request& message)
+{
+    const boost::json::object json = parse_json_object(message.body());
+    const json_reader reader(json);
+    const std::int64_t fence = reader.whole("fence");
+    m_old_fences += fence < m_fence ? 1 : 0;
+    m_fence = std::max(m_fence, fence);
+    if (m_is_busy || reader.whole_or("expected", m_orders) != m_orders)
+    {
+        return json_answer(http::status::conflict, {});
+    }
+    const bool is_load = reader.text("opType") == "load";
+    const std::string model = reader.text("model");
+    return json.contains("adapter")
+               ? accept_adapter(model, reader.text("adapter"), is_load)
+               : accept_model(model, is_load);
+}
+
+http::response worker_standin::accept_adapter(const std::string& model,
+                                              const std::string& adapter,
+                                              bool is_load)
+{
+    const auto held = m_models.find(model);
+    if (held == m_models.end())
+    {
+        return json_answer(http::status::bad_request, {});
+    }
+    ++m_orders;
+    if (is_load)
+    {
+        held->second.insert(adapter);
+        return json_answer(http::status::accepted, {});
+    }
+    held->second.erase(adapter);
+    return json_answer(http::status::ok, {});
+}
+
+http::response worker_standin::accept_model(const std::string& model,
+                                            bool is_load)
+{
+    if (m_models.contains(model) == is_load)
+    {
+        return json_answer(http::status::ok, {});
+    }
+    ++m_orders;
+    m_is_busy = true;
+    milliseconds time = m_on_disk.contains(model) ? m_settings.load_from_disk
+                                                  : m_settings.load_from_store;
+    if (is_load)
+    {
+        m_most_megabytes = std::max(
+            m_most_megabytes, used_megabytes() + m_settings.model_megabytes);
+    }
+    else
+    {
+        time = milliseconds(0);
+    }
+    net::co_spawn(m_context, carry_out(model, is_load, time), net::detached);
+    return json_answer(http::status::accepted, {});
+}
+
+net::awaitable<void> worker_standin::carry_out(std::string model, bool is_load,
+                                               milliseconds time)
+{
+    while (!is_load && m_running > 0)
+    {
+        co_await pause(plain_work);
+    }
+    co_await pause(time);
+    if (is_load)
+    {
+        m_models[model];
+        m_on_disk.insert(model);
+    }
+    else
+    {
+        m_models.erase(model);
+    }
+    m_is_busy = false;
+}
+
+net::awaitable<void> worker_standin::run(http::request& message,
+                                         http::reply_writer& reply)
+{
+    std::string model(message["Model"]);
+    std::string adapter;
+    const std::size_t slash = model.find('/');
+    if (slash != std::string::npos)
+    {
+        adapter = model.substr(slash + 1);
+        model.resize(slash);
+    }
+    const auto held = m_models.find(model);
+    const bool is_absent =
+        !model.empty() &&
+        (held == m_models.end() ||
+         (!adapter.empty() && !held->second.contains(adapter)));
+    if (is_absent)
+    {
+        co_await reply.send(refusal(http::status::misdirected_request));
+        co_return;
+    }
+    if (m_running >= m_settings.slots)
+    {
+        co_await reply.send(refusal(http::status::service_unavailable));
+        co_return;
+    }
+    ++m_runs[std::string(message["Request-Id"])];
+    m_keys_seen += message.count(http::field::authorization) > 0 ? 1 : 0;
+    m_organisations.insert(std::string(message["Tenant"]));
+    ++m_running;
+    try
+    {
+        if (model.empty())
+        {
+            co_await answer_plain(message, reply);
+        }
+        else
+        {
+            co_await stream(message, reply);
+        }
+    }
+    catch (...)
+    {
+        --m_running;
+        throw;
+    }
+    --m_running;
+}
+
+net::awaitable<void> worker_standin::answer_plain(const http::request& message,
+                                                  http::reply_writer& reply)
+{
+    co_await pause(plain_work);
+    if (m_lost_answers > 0)
+    {
+        --m_lost_answers;
+        reply.abort_stream();
+        throw boost::system::system_error(net::error::connection_aborted);
+    }
+    http::response answer = json_answer(
+        http::status::ok, {{"path", http::path_of(message.target())},
+                           {"server", m_settings.id}});
+    answer.set("Request-Id", message["Request-Id"]);
+    answer.set("Response-Seal", "seal-" + m_settings.id);
+    co_await reply.send(std::move(answer));
+}
+
+net::awaitable<void> worker_standin::stream(const http::request& message,
+                                            http::reply_writer& reply)
+{
+    http::response head{http::status::ok, 11};
+    head.set(http::field::content_type, "text/event-stream");
+    head.set("Request-Id", message["Request-Id"]);
+    head.set("Response-Seal", "seal-" + m_settings.id);
+    co_await reply.begin_stream(std::move(head));
+    const bool is_broken = m_broken_streams > 0;
+    m_broken_streams -= is_broken ? 1 : 0;
+    const int first = number_in(message["Last-Event-Id"]) + 1;
+    for (int n = first; n <= events_of_a_stream; ++n)
+    {
+        if (is_broken && n == first + events_before_a_break)
+        {
+            co_await reply.write_chunk("id: " + std::to_string(n) + "\nda");
+            reply.abort_stream();
+            throw boost::system::system_error(net::error::connection_aborted);
+        }
+        co_await pause(m_settings.event_gap);
+        co_await reply.write_chunk("id: " + std::to_string(n) +
+                                   "\ndata: piece\n\n");
+    }
+    co_await reply.end_stream();
+}
+
+} // namespace cicadahub::standin
--- /dev/null
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "core/units.hpp"
+#include "http/client.hpp"
+#include "http/server.hpp"
+
+#include <boost/json/object.hpp>
+
+#include <map>
+#include <set>
+
+namespace cicadahub::standin
+{
+
+namespace net = boost::asio;
+
+struct worker_settings
+{
+    std::string id;
+    std::string service;
+    std::string data_centre;
+    std::string address;
+    http::endpoint store;
+    std::int64_t slots = 8;
+    /// Room for weights; 0 for a plain service.
+    std::int64_t megabytes = 0;
+    std::int64_t model_megabytes = 100;
+    milliseconds load_from_store{600};
+    milliseconds load_from_disk{150};
+    milliseconds event_gap{20};
+    std::set<std::string> models;
+};
+
+/// Stand-in for a backend server of the users' platform: an engine if it has
+/// room for weights, else a plain service. It registers itself in the store.
+/// `PUT /faults` sets `lose_answers`, `break_streams` (how many are cut after
+/// two events), `silent_orders` (how many are carried out without an answer)
+/// and `draining`. `GET /stats` tells what it has seen.
+class worker_standin
+{
+public:
+    worker_standin(net::io_context& context, worker_settings settings);
+
+    net::awaitable<void> serve(http::request& message,
+                               http::reply_writer& reply);
+
+private:
+    net::awaitable<void> register_entry();
+    net::awaitable<void> carry_out(std::string model, bool is_load,
+                                   milliseconds time);
+    net::awaitable<void> run(http::request& message, http::reply_writer& reply);
+    net::awaitable<void> stream(const http::request& message,
+                                http::reply_writer& reply);
+    net::awaitable<void> answer_plain(const http::request& message,
+                                      http::reply_writer& reply);
+    http::response answer_order(const http::request& message);
+    http::response accept_model(const std::string& model, bool is_load);
+    http::response accept_adapter(const std::string& model,
+                                  const std::string& adapter, bool is_load);
+    http::response answer_report() const;
+    http::response answer_stats() const;
+    http::response refusal(http::status code) const;
+    boost::json::array models_json() const;
+    boost::json::object at_hand_json() const;
+    std::int64_t used_megabytes() const;
+    net::awaitable<void> pause(milliseconds time);
+
+    net::io_context& m_context;
+    worker_settings m_settings;
+    http::client_pool m_pool;
+    std::int64_t m_born;
+    std::map<std::string, std::set<std::string>> m_models;
+    std::set<std::string> m_on_disk;
+    std::int64_t m_orders = 0;
+    std::int64_t m_heartbeats = 0;
+    bool m_is_busy = false;
+    bool m_is_draining = false;
+    std::int64_t m_running = 0;
+    std::int64_t m_lost_answers = 0;
+    std::int64_t m_broken_streams = 0;
+    std::int64_t m_silent_orders = 0;
+    std::map<std::string, std::int64_t> m_runs;
+    std::set<std::string> m_organisations;
+    std::int64_t m_keys_seen = 0;
+    std::int64_t m_most_megabytes = 0;
+    std::int64_t m_fence = 0;
+    std::int64_t m_old_fences = 0;
+};
+
+} // namespace cicadahub::standin
