Tests: Walk the platform's path with real processes

Sixteen process tests with the stand-ins of the store and the workers: each kind of request, refusals, a cold burst, adapters, configuration and withdrawn key, lost watches, forgotten history, a leaving server, a broken stream, lost answers, the store down, a start without the store, a killed lease holder, a lost order's answer, a stop, a faulty settings file. Found by them: a resumable stream was given up when its only server had broken it off; it goes on there.

--- a/libraries/entry/request_run.cpp
+++ b/libraries/entry/request_run.cpp
@@ -347,6 +347,14 @@
             co_return choice.record;
         }
         const time_point now = monotonic_clock::now();
+        if (!m_passed_over.empty() && choice.is_any_there && m_runs > 0 &&
+            !m_has_returned)
+        {
+            // The only server that has the model may well run it again.
+            m_has_returned = true;
+            m_passed_over.clear();
+            continue;
+        }
         if (!m_passed_over.empty() && choice.is_any_there)
         {
             // Every server that could run it has been tried.
--- a/libraries/entry/request_run.hpp
+++ b/libraries/entry/request_run.hpp
@@ -76,6 +76,7 @@
     stream_progress m_progress;
     exchange m_exchange;
     waiting_room::waiter_pointer m_waiter;
+    bool m_has_returned = false;
     bool m_is_caller_gone = false;
 };
 
--- /dev/null
+++ b/tests/system/platform_fleet.cpp
@@ -0,0 +1,229 @@
+#include "platform_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <thread>
+
+namespace cicadahub::system_tests
+{
+
+namespace
+{
+
+boost::json::object route(const std::string& name, const std::string& prefix,
+                          const std::string& kind, const std::string& service)
+{
+    return {{"name", name},          {"host", "trust.example"},
+            {"pathPrefix", prefix},  {"kind", kind},
+            {"timeoutMs", 8000},     {"targetLatencyMs", 600},
+            {"targetGapMs", 400},    {"priority", 0},
+            {"service", service},    {"maxAttempts", 2},
+            {"public", false},       {"sessionAffinity", false},
+            {"resumable", kind == "stream"}};
+}
+
+boost::json::object engine_spec()
+{
+    boost::json::array models;
+    for (const char* name : {"m1", "m2", "m3", "m4"})
+    {
+        models.push_back({{"name", name},
+                          {"weightsSize", 100.0},
+                          {"loadS", 0.6},
+                          {"warmS", 0.1},
+                          {"diskS", 0.15},
+                          {"adapters", 4},
+                          {"adapterMb", 1.0}});
+    }
+    return {{"slots", 8},          {"kvCapacity", 100000},
+            {"weightsSize", 250.0}, {"adapterSlots", 2},
+            {"loadsPerS", 10.0},   {"models", std::move(models)}};
+}
+
+} // namespace
+
+platform_fleet::platform_fleet(int daemon_count)
+{
+    store = free_address();
+    m_store_program = std::make_unique<process>(
+        "utilities/cicada-standin",
+        std::vector<std::string>{"objects", "--listen", store});
+    EXPECT_TRUE(eventually(
+        [&] { return call(store, http::verb::get, "/stats").status == 200; }));
+    write_configuration(1, {"key-of-trust"});
+    add_worker("engines", "e1", {"--megabytes", "250", "--preload", "m1"});
+    add_worker("engines", "e2", {"--megabytes", "250", "--preload", "m2"});
+    add_worker("ledger", "l1", {});
+    add_worker("ledger", "l2", {});
+    const std::string port = free_address().substr(std::string("127.0.0.1:").size());
+    for (int n = 0; n < daemon_count; ++n)
+    {
+        daemon it;
+        it.name = "entry-" + std::to_string(n);
+        // Each host has an address of its own and the fleet's port is shared.
+        const std::string host = "127.0.0." + std::to_string(n + 2) + ":";
+        it.callers =
+            host + free_address().substr(std::string("127.0.0.1:").size());
+        it.readiness =
+            host + free_address().substr(std::string("127.0.0.1:").size());
+        it.settings_file = m_folder + "/" + it.name + ".toml";
+        std::ofstream(it.settings_file)
+            << "node = \"" << it.name << "\"\nzone = \"dc-1\"\n"
+            << "portRange = [" << port << "," << port << "]\n"
+            << "seeds = [\"127.0.0.2:9\",\"127.0.0.3:9\"]\n"
+            << "something_new = 3\n[listen]\nfront = \"" << it.callers
+            << "\"\nready = \"" << it.readiness << "\"\n[bounds]\ngraceS = 8\n"
+            << "leaseMs = 1500\nbudgetRatio = 0.2\nbudgetExtra = 50\n"
+            << "[platform]\naddress = \"" << store << "\"\n";
+        daemons.push_back(std::move(it));
+    }
+    for (std::size_t n = 0; n < daemons.size(); ++n)
+    {
+        start_daemon(n);
+    }
+    for (std::size_t n = 0; n < daemons.size(); ++n)
+    {
+        EXPECT_TRUE(eventually([&] { return is_ready(n); }))
+            << daemons[n].program->output();
+    }
+}
+
+void platform_fleet::start_daemon(std::size_t n)
+{
+    daemon& it = daemons[n];
+    it.program.reset();
+    it.program = std::make_unique<process>(
+        "services/cicada-entry",
+        std::vector<std::string>{"--settings", it.settings_file});
+}
+
+bool platform_fleet::is_ready(std::size_t n) const
+{
+    return call(daemons[n].readiness, http::verb::get, "/v1/ready").status ==
+           200;
+}
+
+std::size_t platform_fleet::add_worker(const std::string& service,
+                                       const std::string& id,
+                                       const std::vector<std::string>& more)
+{
+    auto& group = service == "engines" ? engines : services;
+    worker it;
+    it.id = id;
+    it.address = free_address();
+    std::vector<std::string> arguments{"worker", "--listen", it.address,
+                                       "--store", store,     "--id",
+                                       id,        "--service", service};
+    arguments.insert(arguments.end(), more.begin(), more.end());
+    it.program =
+        std::make_unique<process>("utilities/cicada-standin", arguments);
+    EXPECT_TRUE(eventually(
+        [&]
+        { return call(it.address, http::verb::get, "/stats").status == 200; }));
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            return call(store, http::verb::get, "/v1/objects/servers/" + id)
+                       .status == 200;
+        }));
+    group.push_back(std::move(it));
+    return group.size() - 1;
+}
+
+void platform_fleet::write_configuration(
+    int version, const std::vector<std::string>& keys,
+    const std::vector<std::string>& prefixes)
+{
+    boost::json::array routes{
+        route("stream", "/stream/", "stream", "engines"),
+        route("post", "/post/", "unsafe", "ledger"),
+        route("read", "/read/", "safe", "ledger")};
+    for (const std::string& it : prefixes)
+    {
+        routes.push_back(route("more-" + it, it, "safe", "ledger"));
+    }
+    boost::json::array names;
+    for (const std::string& it : keys)
+    {
+        names.emplace_back(it);
+    }
+    const boost::json::object spec{
+        {"version", version},
+        {"routes", std::move(routes)},
+        {"services",
+         {{{"name", "engines"}, {"maxConns", 100}, {"engine", engine_spec()}},
+          {{"name", "ledger"}, {"maxConns", 100}}}},
+        {"limits",
+         {{"maxHeaderBytes", 4096},
+          {"maxBodyBytes", 65536},
+          {"headerTimeoutMs", 1000},
+          {"idleTimeoutMs", 5000}}},
+        {"tenants",
+         {{{"name", "trust"},
+           {"apiKeys", std::move(names)},
+           {"unit", "token_stream"},
+           {"plainTokens", 10},
+           {"ratePerS", 100000},
+           {"burst", 100000}}}}};
+    const std::string body = boost::json::serialize(boost::json::object{
+        {"metadata", {{"name", "main"}}}, {"spec", spec}});
+    const std::string kind = "/v1/objects/config";
+    if (call(store, http::verb::put, kind + "/main", body).status == 404)
+    {
+        EXPECT_EQ(call(store, http::verb::post, kind, body).status, 201U);
+    }
+}
+
+answer platform_fleet::stream(std::size_t n, const std::string& id,
+                              const std::string& model, const std::string& key,
+                              const std::string& path) const
+{
+    return call(daemons[n].callers, http::verb::post, path, "prompt",
+                {{"Host", "trust.example"},
+                 {"Request-Id", id},
+                 {"Authorization", "Bearer " + key},
+                 {"Model", model},
+                 {"Token-Count", "20,16"},
+                 {"Prompt-Prefix", "aa:10,bb:10"},
+                 {"Deadline-Ms", "8000"}});
+}
+
+answer platform_fleet::plain(std::size_t n, const std::string& id,
+                             http::verb method, const std::string& path,
+                             const std::string& key) const
+{
+    return call(daemons[n].callers, method, path,
+                method == http::verb::get ? "" : "entry",
+                {{"Host", "trust.example"},
+                 {"Request-Id", id},
+                 {"Authorization", "Bearer " + key},
+                 {"Deadline-Ms", "3000"}});
+}
+
+void platform_fleet::fault(const std::string& address,
+                           const std::string& json) const
+{
+    EXPECT_EQ(call(address, http::verb::put, "/faults", json).status, 200U);
+}
+
+std::int64_t platform_fleet::engine_total(const std::string& member) const
+{
+    std::int64_t sum = 0;
+    for (const worker& it : engines)
+    {
+        sum += stat(it.address, member);
+    }
+    return sum;
+}
+
+bool platform_fleet::is_memory_respected() const
+{
+    return std::all_of(engines.begin(), engines.end(),
+                       [](const worker& it) {
+                           return stat(it.address, "most_megabytes") <=
+                                  stat(it.address, "megabytes");
+                       });
+}
+
+} // namespace cicadahub::system_tests
--- /dev/null
+++ b/tests/system/platform_fleet.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "fleet.hpp"
+
+namespace cicadahub::system_tests
+{
+
+/// Entry daemons on the users' platform: its store, engines with models of 100
+/// MB in 250 MB, a plain service, and a configuration with one organisation.
+class platform_fleet
+{
+public:
+    struct daemon
+    {
+        std::unique_ptr<process> program;
+        std::string name;
+        std::string callers;
+        std::string readiness;
+        std::string settings_file;
+    };
+
+    struct worker
+    {
+        std::unique_ptr<process> program;
+        std::string id;
+        std::string address;
+    };
+
+    explicit platform_fleet(int daemon_count);
+
+    void start_daemon(std::size_t n);
+    bool is_ready(std::size_t n) const;
+    std::size_t add_worker(const std::string& service, const std::string& id,
+                           const std::vector<std::string>& more);
+
+    /// Writes a configuration of that version; `keys` are the organisation's.
+    void write_configuration(int version,
+                             const std::vector<std::string>& keys,
+                             const std::vector<std::string>& prefixes = {});
+
+    answer stream(std::size_t n, const std::string& id,
+                  const std::string& model,
+                  const std::string& key = "key-of-trust",
+                  const std::string& path = "/stream/x") const;
+    answer plain(std::size_t n, const std::string& id, http::verb method,
+                 const std::string& path,
+                 const std::string& key = "key-of-trust") const;
+
+    void fault(const std::string& address, const std::string& json) const;
+    /// Sum of a member of the engines' statistics.
+    std::int64_t engine_total(const std::string& member) const;
+    bool is_memory_respected() const;
+
+    std::string store;
+    std::vector<daemon> daemons;
+    std::vector<worker> engines;
+    std::vector<worker> services;
+
+private:
+    void write_settings(const daemon& it) const;
+
+    std::string m_folder = make_folder();
+    std::unique_ptr<process> m_store_program;
+};
+
+} // namespace cicadahub::system_tests
--- /dev/null
+++ b/tests/system/platform_path_test.cpp
@@ -0,0 +1,271 @@
+#include "platform_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <future>
+#include <thread>
+
+namespace cicadahub::system_tests
+{
+namespace
+{
+
+constexpr int events_of_a_stream = 8;
+
+std::size_t count_of(const std::string& text, const std::string& part)
+{
+    std::size_t n = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos;
+         at = text.find(part, at + part.size()))
+    {
+        ++n;
+    }
+    return n;
+}
+
+bool is_whole_stream(const answer& it)
+{
+    return it.status == 200 &&
+           count_of(it.body, "data: piece") == events_of_a_stream &&
+           count_of(it.body, "id: 1\n") == 1;
+}
+
+TEST(platform_path, serves_each_kind_of_request)
+{
+    platform_fleet fleet(2);
+    EXPECT_TRUE(is_whole_stream(fleet.stream(0, "r1", "m1")));
+    EXPECT_EQ(fleet.plain(1, "r2", http::verb::post, "/post/1").status, 200U);
+    EXPECT_EQ(fleet.plain(0, "r3", http::verb::get, "/read/1").status, 200U);
+    EXPECT_EQ(fleet.engine_total("keys_seen"), 0);
+    EXPECT_EQ(stat(fleet.services[0].address, "keys_seen") +
+                  stat(fleet.services[1].address, "keys_seen"),
+              0);
+}
+
+TEST(platform_path, refuses_what_the_configuration_does_not_allow)
+{
+    platform_fleet fleet(1);
+    EXPECT_EQ(fleet.plain(0, "r1", http::verb::get, "/read/1", "wrong").status,
+              401U);
+    EXPECT_EQ(fleet.plain(0, "r2", http::verb::get, "/elsewhere/1").status,
+              404U);
+    EXPECT_EQ(call(fleet.daemons[0].callers, http::verb::post, "/post/1",
+                   std::string(70'000, 'x'), {{"Host", "trust.example"}})
+                  .status,
+              413U);
+    EXPECT_EQ(call(fleet.daemons[0].callers, http::verb::get, "/read/1", "",
+                   {{"Host", "trust.example"},
+                    {"X-Large", std::string(5'000, 'x')}})
+                  .status,
+              431U);
+}
+
+TEST(platform_path, a_burst_for_a_cold_model_is_served_by_one_load)
+{
+    platform_fleet fleet(2);
+    std::vector<std::future<answer>> answers;
+    for (int n = 0; n < 6; ++n)
+    {
+        answers.push_back(std::async(
+            std::launch::async,
+            [&, n] {
+                return fleet.stream(static_cast<std::size_t>(n % 2),
+                                    "cold-" + std::to_string(n), "m3");
+            }));
+    }
+    for (auto& it : answers)
+    {
+        EXPECT_TRUE(is_whole_stream(it.get()));
+    }
+    EXPECT_EQ(fleet.engine_total("most_runs_of_one"), 1);
+    EXPECT_TRUE(fleet.is_memory_respected());
+}
+
+TEST(platform_path, an_adapter_is_loaded_for_the_request_that_needs_it)
+{
+    platform_fleet fleet(2);
+    EXPECT_TRUE(is_whole_stream(fleet.stream(0, "r1", "m1/a1")));
+    EXPECT_TRUE(is_whole_stream(fleet.stream(1, "r2", "m1/a2")));
+    EXPECT_TRUE(is_whole_stream(fleet.stream(0, "r3", "m1/a3")));
+}
+
+TEST(platform_path, a_new_configuration_and_a_withdrawn_key_take_effect)
+{
+    platform_fleet fleet(2);
+    EXPECT_EQ(fleet.plain(0, "r1", http::verb::get, "/new/1").status, 404U);
+    fleet.write_configuration(2, {"another-key"}, {"/new/"});
+    for (const std::size_t n : {0U, 1U})
+    {
+        EXPECT_TRUE(eventually(
+            [&]
+            {
+                return fleet.plain(n, "r2", http::verb::get, "/new/1",
+                                   "another-key")
+                           .status == 200;
+            }));
+        EXPECT_EQ(fleet.plain(n, "r3", http::verb::get, "/read/1").status,
+                  401U);
+    }
+}
+
+// A hunted day found it: the store had lost the watches that waited, while
+// their connections lived on.
+TEST(platform_path, a_configuration_is_learnt_though_the_store_lost_the_watch)
+{
+    platform_fleet fleet(1);
+    fleet.fault(fleet.store, R"({"lose_watches":true})");
+    fleet.write_configuration(2, {"key-of-trust"}, {"/new/"});
+    EXPECT_TRUE(eventually(
+        [&] {
+            return fleet.plain(0, "r", http::verb::get, "/new/1").status == 200;
+        },
+        milliseconds(4'000)));
+}
+
+TEST(platform_path, a_history_that_is_gone_is_made_up_for_by_a_list)
+{
+    platform_fleet fleet(1);
+    fleet.write_configuration(2, {"key-of-trust"}, {"/new/"});
+    fleet.fault(fleet.store, R"({"forget":true})");
+    EXPECT_TRUE(eventually(
+        [&] {
+            return fleet.plain(0, "r", http::verb::get, "/new/1").status == 200;
+        }));
+}
+
+TEST(platform_path, a_leaving_server_gets_nothing_new)
+{
+    platform_fleet fleet(1);
+    fleet.fault(fleet.services[0].address, R"({"draining":true})");
+    const auto runs = [&]
+    { return stat(fleet.services[0].address, "runs"); };
+    std::int64_t before = -1;
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            const std::int64_t last = std::exchange(before, runs());
+            for (int n = 0; n < 6; ++n)
+            {
+                fleet.plain(0, "r" + std::to_string(n), http::verb::get,
+                            "/read/1");
+            }
+            return last == runs();
+        }));
+}
+
+TEST(platform_path, a_stream_that_breaks_off_goes_on_after_its_last_event)
+{
+    platform_fleet fleet(1);
+    EXPECT_TRUE(is_whole_stream(fleet.stream(0, "warm", "m1")));
+    for (const auto& it : fleet.engines)
+    {
+        fleet.fault(it.address, R"({"break_streams":1})");
+    }
+    const answer it = fleet.stream(0, "broken", "m1");
+    EXPECT_EQ(it.status, 200U);
+    for (int n = 1; n <= events_of_a_stream; ++n)
+    {
+        EXPECT_EQ(count_of(it.body, "id: " + std::to_string(n) + "\n"), 1U)
+            << it.body;
+    }
+}
+
+TEST(platform_path, a_lost_answer_is_repeated_only_where_it_may_be)
+{
+    platform_fleet fleet(1);
+    for (const auto& it : fleet.services)
+    {
+        fleet.fault(it.address, R"({"lose_answers":1})");
+    }
+    EXPECT_EQ(fleet.plain(0, "posted", http::verb::post, "/post/1").status,
+              502U);
+    for (const auto& it : fleet.services)
+    {
+        EXPECT_LE(stat(it.address, "most_runs_of_one"), 1);
+    }
+    EXPECT_EQ(fleet.plain(0, "read", http::verb::get, "/read/1").status, 200U);
+}
+
+TEST(platform_path, serving_goes_on_while_the_store_is_down)
+{
+    platform_fleet fleet(2);
+    EXPECT_TRUE(is_whole_stream(fleet.stream(0, "r1", "m1")));
+    fleet.fault(fleet.store, R"({"outage":true})");
+    std::this_thread::sleep_for(milliseconds(2'500));
+    EXPECT_TRUE(is_whole_stream(fleet.stream(1, "r2", "m1")));
+    EXPECT_EQ(fleet.plain(0, "r3", http::verb::get, "/read/1").status, 200U);
+}
+
+TEST(platform_path, a_daemon_that_starts_without_the_store_learns_from_peers)
+{
+    platform_fleet fleet(2);
+    fleet.daemons[1].program->kill();
+    fleet.daemons[1].program->wait();
+    fleet.fault(fleet.store, R"({"outage":true})");
+    fleet.start_daemon(1);
+    EXPECT_TRUE(eventually([&] { return fleet.is_ready(1); }));
+    EXPECT_EQ(fleet.plain(1, "r", http::verb::get, "/read/1").status, 200U);
+}
+
+TEST(platform_path, another_daemon_takes_the_orders_over)
+{
+    platform_fleet fleet(2);
+    EXPECT_TRUE(is_whole_stream(fleet.stream(0, "r1", "m3")));
+    // Whichever holds the lease: one of the two is always left.
+    for (const std::size_t n : {0U, 1U})
+    {
+        fleet.daemons[n].program->kill();
+        fleet.daemons[n].program->wait();
+        EXPECT_TRUE(eventually(
+            [&, m = 1 - n] {
+                return is_whole_stream(
+                    fleet.stream(m, "after", n == 0 ? "m4" : "m2"));
+            }));
+        fleet.start_daemon(n);
+        EXPECT_TRUE(eventually([&] { return fleet.is_ready(n); }));
+    }
+    EXPECT_EQ(fleet.engine_total("old_fences"), 0);
+    EXPECT_TRUE(fleet.is_memory_respected());
+}
+
+TEST(platform_path, an_order_without_an_answer_is_found_out)
+{
+    platform_fleet fleet(1);
+    for (const auto& it : fleet.engines)
+    {
+        fleet.fault(it.address, R"({"silent_orders":1})");
+    }
+    EXPECT_TRUE(eventually([&]
+                           { return is_whole_stream(
+                                 fleet.stream(0, "r", "m4")); }));
+    EXPECT_TRUE(fleet.is_memory_respected());
+}
+
+TEST(platform_path, a_stop_cuts_no_stream)
+{
+    platform_fleet fleet(2);
+    EXPECT_TRUE(is_whole_stream(fleet.stream(0, "warm", "m1")));
+    auto running = std::async(std::launch::async,
+                              [&] { return fleet.stream(0, "r", "m1"); });
+    std::this_thread::sleep_for(milliseconds(60));
+    fleet.daemons[0].program->signal(SIGTERM);
+    EXPECT_TRUE(is_whole_stream(running.get()));
+    EXPECT_TRUE(eventually([&] { return !fleet.is_ready(0); }));
+    EXPECT_EQ(fleet.daemons[0].program->wait(), 0);
+}
+
+TEST(platform_path, a_faulty_settings_file_is_told_with_its_field)
+{
+    const std::string file = make_folder() + "/bad.toml";
+    std::ofstream(file) << "node = 7\n[listen]\nfront = \"nowhere\"\n";
+    process it("services/cicada-entry", {"--check-settings", file});
+    EXPECT_EQ(it.wait(), 2);
+    const std::string output = it.output();
+    EXPECT_NE(output.find("node"), std::string::npos) << output;
+    EXPECT_NE(output.find("listen.front"), std::string::npos) << output;
+    EXPECT_NE(output.find("platform.address"), std::string::npos) << output;
+}
+
+} // namespace
+} // namespace cicadahub::system_tests
