Placement: Keep an order that is on its way in writing when it is undone

The next owner unloaded, dropped the record, and the order arrived. Ruled out: models (they are not undone while ordered), the wait after a lost answer, fencing servers (they refuse the late order). Change: the document counts a load order in flight as one that may arrive for its whole lifetime.

--- a/libraries/daemon/shard_keeper.hpp
+++ b/libraries/daemon/shard_keeper.hpp
@@ -26,9 +26,8 @@
     using rank_handler = std::function<std::optional<std::uint32_t>()>;
 
     shard_keeper(net::io_context& context, platform::store& store,
-                 daemon_id self, shard_id shard,
-                 ownership::lease_timing timing, rank_handler rank,
-                 won_handler on_won, lost_handler on_lost);
+                 daemon_id self, shard_id shard, ownership::lease_timing timing,
+                 rank_handler rank, won_handler on_won, lost_handler on_lost);
 
     void start();
 
--- a/libraries/decision/placement/placement_machine.cpp
+++ b/libraries/decision/placement/placement_machine.cpp
@@ -44,8 +44,9 @@
         replica_record& record = m_replicas.add(it);
         record.committed = it.state;
         record.last_used = now;
-        // A former owner may have sent an order that is still on its way; once
-        // a replica is no longer to be loaded, none has followed.
+        // A former owner may have sent an order that is still on its way. What
+        // was still to be loaded may have been ordered after this was written;
+        // of the rest the document says how long an order may take.
         const bool may_be_ordered = it.state == replica_state::loading;
         record.late_order_until =
             now + (may_be_ordered ? m_timing.order_lifetime : it.unsettled);
@@ -182,6 +183,7 @@
         return actions;
     }
     record->has_order_in_flight = false;
+    record->has_load_in_flight = false;
     record->retry_at = now + m_timing.order_retry;
     if (result == order_result::unknown && kind == order_kind::load)
     {
@@ -361,6 +363,7 @@
                                            time_point now)
 {
     record.has_order_in_flight = true;
+    record.has_load_in_flight = record.it.state == replica_state::loading;
     record.ordered_at = now;
     order_action order;
     order.kind = record.it.state == replica_state::loading ? order_kind::load
@@ -387,14 +390,25 @@
         content.replicas.push_back(record.it);
         // Kept in writing while an order may still arrive, so that the next
         // owner knows of it too.
-        content.replicas.back().unsettled =
-            std::chrono::ceil<milliseconds>(std::max(
-                record.late_order_until - now, monotonic_clock::duration(0)));
+        const time_point until = unsettled_until(record);
+        content.replicas.back().unsettled = std::chrono::ceil<milliseconds>(
+            std::max(until - now, monotonic_clock::duration(0)));
         m_commit_states[generation] = record.it.state;
     }
     actions.push_back(commit_action{std::move(content), m_sequence});
 }
 
+time_point
+placement_machine::unsettled_until(const replica_record& record) const
+{
+    if (!record.has_load_in_flight)
+    {
+        return record.late_order_until;
+    }
+    return std::max(record.late_order_until,
+                    record.ordered_at + m_timing.order_lifetime);
+}
+
 void placement_machine::answer_wakes(const replica& it, action_list& actions)
 {
     for (const wake& waiting : m_wakes.take(it.model))
--- a/libraries/decision/placement/placement_machine.hpp
+++ b/libraries/decision/placement/placement_machine.hpp
@@ -105,6 +105,8 @@
     bool is_order_due(const replica_record& record, time_point now) const;
     order_action make_order(replica_record& record, time_point now);
     void emit_commit(time_point now, action_list& actions);
+    /// Until then a load order may reach the record's server.
+    time_point unsettled_until(const replica_record& record) const;
     void answer_wakes(const replica& it, action_list& actions);
     void refuse(const wake& it, refusal_kind kind, action_list& actions);
     void on_load_done(replica_record& record, time_point now,
--- a/libraries/decision/placement/replica_table.hpp
+++ b/libraries/decision/placement/replica_table.hpp
@@ -14,6 +14,8 @@
     /// State in the last document that is known to be written.
     std::optional<replica_state> committed;
     bool has_order_in_flight = false;
+    /// The order in flight is a load, whatever was decided since.
+    bool has_load_in_flight = false;
     /// True if the weights come from the weight store.
     bool is_remote_load = true;
     /// Until then an earlier load order may still reach the server.
--- a/libraries/decision/replicas/replica_planner.cpp
+++ b/libraries/decision/replicas/replica_planner.cpp
@@ -46,14 +46,13 @@
 
 std::size_t replica_count(const planner_view& view, const model_id& model)
 {
-    return static_cast<std::size_t>(
-        std::count_if(view.servers.begin(), view.servers.end(),
-                      [&](const auto& it)
-                      {
-                          return it.second.is_usable() &&
-                                 (it.second.serves(model) ||
-                                  it.second.is_loading(model));
-                      }));
+    return static_cast<std::size_t>(std::count_if(
+        view.servers.begin(), view.servers.end(),
+        [&](const auto& it)
+        {
+            return it.second.is_usable() &&
+                   (it.second.serves(model) || it.second.is_loading(model));
+        }));
 }
 
 bool is_served(const planner_view& view, const model_id& model)
@@ -107,12 +106,12 @@
         cost += wanted_victim_ms;
     }
     const model_use use = use_of(view, model);
-    const auto replicas =
-        static_cast<double>(std::max<std::size_t>(1, replica_count(view, model)));
-    const double reload = static_cast<double>(
-        std::max(server.load_time(model, spec->second),
-                 spec->second.load_from_memory)
-            .count());
+    const auto replicas = static_cast<double>(
+        std::max<std::size_t>(1, replica_count(view, model)));
+    const double reload =
+        static_cast<double>(std::max(server.load_time(model, spec->second),
+                                     spec->second.load_from_memory)
+                                .count());
     // What this replica serves in the time that a reload would take.
     cost += use.requests_per_second / replicas * reload;
     cost += running_wait_ms * static_cast<double>(running);
@@ -153,8 +152,7 @@
     it.load_time = server.load_time(model, spec);
     it.is_store_load = !server.has_near_copy(model);
     it.cost_ms = static_cast<double>(it.load_time.count());
-    double free =
-        view.engine.megabytes - server.used_megabytes(view.engine);
+    double free = view.engine.megabytes - server.used_megabytes(view.engine);
     std::vector<std::pair<double, model_id>> ranked;
     if (free < spec.megabytes)
     {
@@ -213,8 +211,7 @@
 }
 
 void replica_planner::emit(const candidate& to, const model_id& model,
-                           time_point now,
-                           std::vector<planned_order>& orders)
+                           time_point now, std::vector<planned_order>& orders)
 {
     server_state& server = *to.server;
     planned_order it;
@@ -262,13 +259,12 @@
             continue;
         }
         it.model = model;
-        it.has_near_copy = std::any_of(
-            view.servers.begin(), view.servers.end(),
-            [&](const auto& server)
-            {
-                return server.second.is_usable() &&
-                       server.second.has_near_copy(model);
-            });
+        it.has_near_copy =
+            std::any_of(view.servers.begin(), view.servers.end(),
+                        [&](const auto& server) {
+                            return server.second.is_usable() &&
+                                   server.second.has_near_copy(model);
+                        });
         const std::chrono::duration<double> load = spec->second.load_from_store;
         it.requests_until_loaded = it.waiting + it.rate * load.count();
         unmet.push_back(it);
@@ -297,11 +293,10 @@
     }
     // Loads from the store are few and long: those that serve the most go
     // first, also for requests that were refused since they could not wait.
-    std::stable_sort(needs.begin(), needs.end(),
-                     [](const need& a, const need& b) {
-                         return a.requests_until_loaded >
-                                b.requests_until_loaded;
-                     });
+    std::stable_sort(
+        needs.begin(), needs.end(),
+        [](const need& a, const need& b)
+        { return a.requests_until_loaded > b.requests_until_loaded; });
     for (const need& it : needs)
     {
         if (it.has_near_copy ||
@@ -310,17 +305,17 @@
             continue;
         }
         const auto to = best_server(view, it.model, true, now);
-        if (to && to->victims_cost_ms <=
-                      it.requests_until_loaded * running_wait_ms)
+        if (to &&
+            to->victims_cost_ms <= it.requests_until_loaded * running_wait_ms)
         {
             emit(*to, it.model, now, orders);
         }
     }
 }
 
-std::optional<order>
-replica_planner::adapter_order(const planner_view& view, server_state& server,
-                               const copy_name& copy) const
+std::optional<order> replica_planner::adapter_order(const planner_view& view,
+                                                    server_state& server,
+                                                    const copy_name& copy) const
 {
     order it;
     it.server = server.id();
@@ -381,9 +376,9 @@
                 continue;
             }
             is_held = is_held || server.holds(it.copy);
-            const std::pair cost{
-                server.adapter_count() >= view.engine.adapter_places,
-                running_at(view, id, it.copy.model)};
+            const std::pair cost{server.adapter_count() >=
+                                     view.engine.adapter_places,
+                                 running_at(view, id, it.copy.model)};
             if (!server.is_engaged() && (best == nullptr || cost < least))
             {
                 best = &server;
@@ -422,8 +417,7 @@
     std::vector<std::pair<double, model_id>> overloaded;
     for (const auto& [model, requests] : pressure)
     {
-        const auto replicas =
-            static_cast<double>(replica_count(view, model));
+        const auto replicas = static_cast<double>(replica_count(view, model));
         if (replicas > 0 && view.engine.models.contains(model) &&
             requests > m_limits.running_per_replica * replicas)
         {
@@ -448,21 +442,20 @@
     }
 }
 
-std::vector<model_id>
-replica_planner::models_to_stage(const planner_view& view)
+std::vector<model_id> replica_planner::models_to_stage(const planner_view& view)
 {
     std::vector<std::pair<double, model_id>> ranked;
     for (const auto& [model, spec] : view.engine.models)
     {
-        const auto copies = std::count_if(
-            view.servers.begin(), view.servers.end(),
-            [&, name = &model](const auto& it)
-            {
-                return it.second.is_usable() &&
-                       (it.second.has_near_copy(*name) ||
-                        it.second.models().contains(*name) ||
-                        it.second.is_loading(*name));
-            });
+        const auto copies =
+            std::count_if(view.servers.begin(), view.servers.end(),
+                          [&, name = &model](const auto& it)
+                          {
+                              return it.second.is_usable() &&
+                                     (it.second.has_near_copy(*name) ||
+                                      it.second.models().contains(*name) ||
+                                      it.second.is_loading(*name));
+                          });
         const std::chrono::duration<double> load = spec.load_from_store;
         const double missed =
             use_of(view, model).requests_per_second * load.count();
@@ -496,10 +489,9 @@
                                    std::vector<planned_order>& orders) const
 {
     const bool has_demand = !view.use.empty();
-    const std::uint32_t limit =
-        has_demand
-            ? m_limits.store_loads_at_once - m_limits.store_loads_kept_free
-            : m_limits.store_loads_at_once;
+    const std::uint32_t limit = has_demand ? m_limits.store_loads_at_once -
+                                                 m_limits.store_loads_kept_free
+                                           : m_limits.store_loads_at_once;
     for (const model_id& model : models_to_stage(view))
     {
         if (store_loads(view) >= limit)
@@ -507,8 +499,7 @@
             return;
         }
         const auto to = best_server(view, model, true, now);
-        if (to && to->is_store_load &&
-            to->victims_cost_ms <= staging_cost_ms)
+        if (to && to->is_store_load && to->victims_cost_ms <= staging_cost_ms)
         {
             emit(*to, model, now, orders);
         }
--- a/libraries/decision/replicas/replica_planner.hpp
+++ b/libraries/decision/replicas/replica_planner.hpp
@@ -89,10 +89,9 @@
                                          time_point now) const;
     std::optional<candidate> weigh(const planner_view& view,
                                    const server_state& server,
-                                   const model_id& model,
-                                   time_point now) const;
-    static void emit(const candidate& to, const model_id& model,
-                     time_point now, std::vector<planned_order>& orders);
+                                   const model_id& model, time_point now) const;
+    static void emit(const candidate& to, const model_id& model, time_point now,
+                     std::vector<planned_order>& orders);
 
     planner_limits m_limits;
 };
--- a/libraries/decision/routing/server_choice.cpp
+++ b/libraries/decision/routing/server_choice.cpp
@@ -18,8 +18,8 @@
     return std::hash<std::string>{}(key + '|' + server.value());
 }
 
-std::optional<std::size_t>
-preferred_for(std::span<const choice_candidate> from, const std::string& key)
+std::optional<std::size_t> preferred_for(std::span<const choice_candidate> from,
+                                         const std::string& key)
 {
     std::optional<std::size_t> best;
     std::size_t highest = 0;
@@ -36,8 +36,8 @@
 }
 
 template<class Cost>
-std::optional<std::size_t>
-cheapest(std::span<const choice_candidate> from, Cost cost_of)
+std::optional<std::size_t> cheapest(std::span<const choice_candidate> from,
+                                    Cost cost_of)
 {
     std::optional<std::size_t> best;
     double least = 0;
--- a/libraries/decision/routing/server_choice.hpp
+++ b/libraries/decision/routing/server_choice.hpp
@@ -36,7 +36,6 @@
                                          double mean_prompt_tokens);
 
 /// The server of a plain service: the least loaded, a near one among equals.
-std::optional<std::size_t>
-choose_plain(std::span<const choice_candidate> from);
+std::optional<std::size_t> choose_plain(std::span<const choice_candidate> from);
 
 } // namespace cicadahub::routing
--- a/libraries/decision/sharing/host_rate.cpp
+++ b/libraries/decision/sharing/host_rate.cpp
@@ -24,8 +24,8 @@
             token_count(static_cast<std::int64_t>(std::floor(burst)) + slack)};
 }
 
-host_rate::host_rate(quota::rate_limit whole, double share,
-                     std::int64_t slack, time_point now)
+host_rate::host_rate(quota::rate_limit whole, double share, std::int64_t slack,
+                     time_point now)
     : m_bucket(part_of(whole, share, slack))
 {
     m_bucket.start_empty(now);
@@ -49,8 +49,7 @@
     m_bucket.refill(now, m_bucket.limit().burst);
     // A request larger than the part of the burst passes when the part is
     // full; the bucket then owes the rest.
-    const token_count needed(
-        std::min(tokens, m_bucket.limit().burst.value()));
+    const token_count needed(std::min(tokens, m_bucket.limit().burst.value()));
     if (m_bucket.level() < needed)
     {
         return m_bucket.time_to(needed);
@@ -68,8 +67,8 @@
 
 double share_of_demand(double own, double all, std::size_t host_count)
 {
-    const double even = 1.0 / static_cast<double>(std::max<std::size_t>(
-                                  1, host_count));
+    const double even =
+        1.0 / static_cast<double>(std::max<std::size_t>(1, host_count));
     if (all <= 0)
     {
         return even;
--- a/libraries/decision/sharing/server_health.cpp
+++ b/libraries/decision/sharing/server_health.cpp
@@ -31,8 +31,7 @@
 bool server_health::on_failure(time_point now)
 {
     ++m_samples;
-    m_failure_share =
-        m_failure_share * (1 - newest_weight) + newest_weight;
+    m_failure_share = m_failure_share * (1 - newest_weight) + newest_weight;
     if (m_samples < least_samples || m_failure_share < suspect_failure_share)
     {
         return false;
@@ -49,8 +48,8 @@
 void server_health::suspend(time_point now)
 {
     m_suspended_until =
-        now + first_suspension *
-                  (1U << std::min(m_suspensions, longest_doublings));
+        now +
+        first_suspension * (1U << std::min(m_suspensions, longest_doublings));
     ++m_suspensions;
     // The next trial counts as much as all that came before it.
     m_samples = least_samples / 2;
--- a/libraries/entry/dialects.hpp
+++ b/libraries/entry/dialects.hpp
@@ -63,9 +63,8 @@
 {
     std::string (*forward_head)(const http::request& message,
                                 const forwarding& added);
-    answer_head (*read_answer)(
-        const http::beast_http::response_header<>& head,
-        const request_id& expected);
+    answer_head (*read_answer)(const http::beast_http::response_header<>& head,
+                               const request_id& expected);
     http::request (*make_order)(const replicas::order& it,
                                 const daemon_id& holder, epoch_number epoch);
     replicas::order_answer (*read_order_answer)(const http::response& answer);
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -93,8 +93,8 @@
     {
         fleet::wire::WantedCopy wanted;
         wanted.model = want.copy.model.value();
-        wanted.adapter = want.copy.adapter ? want.copy.adapter->value()
-                                           : std::string();
+        wanted.adapter =
+            want.copy.adapter ? want.copy.adapter->value() : std::string();
         wanted.waiting = static_cast<std::int32_t>(want.waiting);
         wanted.slack_ms = static_cast<std::int32_t>(want.slack.count());
         it.wants.push_back(std::move(wanted));
@@ -219,9 +219,9 @@
     }
     catch (const fleet::malformed_frame& reason)
     {
-        log_event(severity::warning, event_number::peer_frame_malformed,
-                  {{"from", from.address().to_string()},
-                   {"reason", reason.what()}});
+        log_event(
+            severity::warning, event_number::peer_frame_malformed,
+            {{"from", from.address().to_string()}, {"reason", reason.what()}});
         return;
     }
     const std::string sender = digest.sender;
@@ -243,8 +243,7 @@
                       {{"peer", sender}, {"reason", reason.what()}});
         }
     }
-    if (m_state.fleet.on_digest(std::move(digest), address,
-                                monotonic_clock::now()))
+    if (m_state.fleet.on_digest(digest, address, monotonic_clock::now()))
     {
         m_on_heard(m_state.fleet.peers().at(sender));
     }
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -66,7 +66,10 @@
       m_placement(m_context, m_order_pool, m_store,
                   {m_settings, dialects.servers, m_state.servers, m_state.fleet,
                    m_state.demand, m_state.waiting,
-                   [this] { return m_state.configuration; }},
+                   [this]
+                   {
+                       return m_state.configuration;
+                   }},
                   [this]
                   {
                       m_digests.tell_soon();
@@ -108,7 +111,10 @@
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
       m_started(monotonic_clock::now())
 {
-    m_state.tell_soon = [this] { m_digests.tell_soon(); };
+    m_state.tell_soon = [this]
+    {
+        m_digests.tell_soon();
+    };
     m_servers.set_pace(
         [this]
         { return m_placement.is_held() ? holder_list_pace : list_pace; });
@@ -371,9 +377,9 @@
     }
     catch (const std::exception& reason)
     {
-        log_event(severity::warning, event_number::peer_lost,
-                  {{"address", http::to_string(peer)},
-                   {"reason", reason.what()}});
+        log_event(
+            severity::warning, event_number::peer_lost,
+            {{"address", http::to_string(peer)}, {"reason", reason.what()}});
     }
 }
 
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -55,7 +55,8 @@
         const auto known = rates.find(name);
         if (known == rates.end())
         {
-            rates.emplace(name, sharing::host_rate(*it.rate, share, slack, now));
+            rates.emplace(name,
+                          sharing::host_rate(*it.rate, share, slack, now));
         }
         else
         {
@@ -74,8 +75,9 @@
     sharing::repeat_limits limits;
     limits.ratio = settings.repeat_ratio;
     limits.window = settings.repeat_window;
-    limits.extra = settings.repeat_extra /
-                   static_cast<double>(fleet.host_count(monotonic_clock::now()));
+    limits.extra =
+        settings.repeat_extra /
+        static_cast<double>(fleet.host_count(monotonic_clock::now()));
     return repeats.emplace(service, sharing::repeat_budget(limits))
         .first->second;
 }
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -78,8 +78,8 @@
     {
         return time_point::max();
     }
-    const auto part = std::chrono::duration<double>(timeout) *
-                      reused_part_of_timeout;
+    const auto part =
+        std::chrono::duration<double>(timeout) * reused_part_of_timeout;
     return monotonic_clock::now() +
            std::chrono::duration_cast<monotonic_clock::duration>(part);
 }
@@ -110,8 +110,8 @@
         if (line.starts_with(mark))
         {
             line.remove_prefix(mark.size());
-            line.remove_prefix(std::min(line.find_first_not_of(' '),
-                                        line.size()));
+            line.remove_prefix(
+                std::min(line.find_first_not_of(' '), line.size()));
             if (!line.empty() && line.back() == '\r')
             {
                 line.remove_suffix(1);
@@ -242,8 +242,7 @@
     }
 }
 
-net::awaitable<void> exchange::receive(connection& server,
-                                       const request_id& id,
+net::awaitable<void> exchange::receive(connection& server, const request_id& id,
                                        http::reply_writer& reply,
                                        stream_progress& progress)
 {
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -59,13 +59,11 @@
     exchange(http::client_pool& pool, const server_dialect& dialect);
 
     /// `time_limit` covers the whole exchange.
-    net::awaitable<exchange_result> run(const http::endpoint& address,
-                                        const http::request& message,
-                                        const forwarding& added,
-                                        const request_id& id,
-                                        http::reply_writer& reply,
-                                        stream_progress& progress,
-                                        time_point time_limit);
+    net::awaitable<exchange_result>
+    run(const http::endpoint& address, const http::request& message,
+        const forwarding& added, const request_id& id,
+        http::reply_writer& reply, stream_progress& progress,
+        time_point time_limit);
 
     /// The caller has gone: ends the server's work.
     void cancel();
--- a/libraries/entry/fleet_view.cpp
+++ b/libraries/entry/fleet_view.cpp
@@ -7,8 +7,8 @@
 namespace cicadahub::entry
 {
 
-bool fleet_view::on_digest(fleet::wire::Digest it, const http::endpoint& from,
-                           time_point now)
+bool fleet_view::on_digest(const fleet::wire::Digest& it,
+                           const http::endpoint& from, time_point now)
 {
     const auto known = m_peers.find(it.sender);
     if (known != m_peers.end())
@@ -25,9 +25,8 @@
         log_event(severity::info, event_number::peer_connected,
                   {{"peer", it.sender}, {"address", http::to_string(from)}});
     }
-    std::string name = it.sender;
-    m_silent.erase(name);
-    m_peers[std::move(name)] = {std::move(it), from, now};
+    m_silent.erase(it.sender);
+    m_peers[it.sender] = {it, from, now};
     return true;
 }
 
@@ -92,8 +91,8 @@
     for (const auto& [name, it] : m_peers)
     {
         if (it.digest.__isset.placement_epoch &&
-            (newest == nullptr || it.digest.placement_epoch >
-                                      newest->digest.placement_epoch))
+            (newest == nullptr ||
+             it.digest.placement_epoch > newest->digest.placement_epoch))
         {
             newest = &it;
         }
@@ -134,8 +133,7 @@
     }
     const auto heard =
         static_cast<double>(1 + m_peers.size() + m_silent.size());
-    return sum + (sum + own) / heard *
-                     static_cast<double>(unheard_count(now));
+    return sum + (sum + own) / heard * static_cast<double>(unheard_count(now));
 }
 
 } // namespace cicadahub::entry
--- a/libraries/entry/fleet_view.hpp
+++ b/libraries/entry/fleet_view.hpp
@@ -34,7 +34,7 @@
     static constexpr milliseconds leaving_limit{3'000};
 
     /// False if the digest is older than one that is known.
-    bool on_digest(fleet::wire::Digest it, const http::endpoint& from,
+    bool on_digest(const fleet::wire::Digest& it, const http::endpoint& from,
                    time_point now);
 
     /// A host that may be one of the fleet, heard or not.
--- a/libraries/entry/object_relay.cpp
+++ b/libraries/entry/object_relay.cpp
@@ -77,8 +77,7 @@
 {
     for (const platform::collection where : relayed_collections)
     {
-        if (message.target() == path_of(where) &&
-            revision(where).value() > 0)
+        if (message.target() == path_of(where) && revision(where).value() > 0)
         {
             co_await reply.send(http::json_response(
                 http::status::ok, document_of(m_collections[where])));
@@ -102,8 +101,8 @@
     const boost::json::object json = parse_json_object(answer.body());
     const json_reader reader(json);
     platform::listing it;
-    it.version = object_version(
-        static_cast<std::uint64_t>(reader.whole("revision")));
+    it.version =
+        object_version(static_cast<std::uint64_t>(reader.whole("revision")));
     for (const boost::json::value& part : reader.array("objects"))
     {
         if (!part.is_object())
@@ -113,8 +112,8 @@
         const json_reader object(part.get_object());
         platform::stored_object stored;
         stored.name = object.text("name");
-        stored.version = object_version(
-            static_cast<std::uint64_t>(object.whole("version")));
+        stored.version =
+            object_version(static_cast<std::uint64_t>(object.whole("version")));
         stored.spec = object.object("spec");
         it.objects.push_back(std::move(stored));
     }
--- a/libraries/entry/placement_duty.cpp
+++ b/libraries/entry/placement_duty.cpp
@@ -102,8 +102,7 @@
               }
               return rank_of(m_inputs.settings.name, m_inputs.fleet);
           },
-          [this](epoch_number) { on_won(); },
-          [this] { m_servers.clear(); }),
+          [this](epoch_number) { on_won(); }, [this] { m_servers.clear(); }),
       m_planner(replicas::planner_limits{}), m_timer(context)
 {
 }
@@ -124,12 +123,11 @@
 {
     if (holder.digest.__isset.lease_version)
     {
-        m_shard.on_holder_heard(
-            daemon_id(holder.digest.sender),
-            epoch_number(
-                static_cast<std::uint64_t>(holder.digest.placement_epoch)),
-            object_version(
-                static_cast<std::uint64_t>(holder.digest.lease_version)));
+        m_shard.on_holder_heard(daemon_id(holder.digest.sender),
+                                epoch_number(static_cast<std::uint64_t>(
+                                    holder.digest.placement_epoch)),
+                                object_version(static_cast<std::uint64_t>(
+                                    holder.digest.lease_version)));
     }
 }
 
@@ -196,8 +194,8 @@
 }
 
 replicas::planner_view
-placement_duty::view_of(const serving::engine_spec& engine,
-                        server_map& servers, time_point now)
+placement_duty::view_of(const serving::engine_spec& engine, server_map& servers,
+                        time_point now)
 {
     replicas::planner_view view{engine, servers, m_inputs.waiting.wants(now),
                                 {},     {},      m_inputs.demand.last_used(),
@@ -248,8 +246,7 @@
                 const auto running = static_cast<std::uint32_t>(n);
                 view.running[{server, model_id(model)}] += running;
                 view.use[model_id(model)].running += running;
-                view.last_used[{model_id(model), std::nullopt}] =
-                    peer.heard_at;
+                view.last_used[{model_id(model), std::nullopt}] = peer.heard_at;
             }
         }
     }
@@ -372,9 +369,8 @@
     try
     {
         http::request message = m_inputs.dialect.make_report_request(id);
-        const http::response response =
-            co_await http::fetch(m_pool, record->entry.address,
-                                 std::move(message), report_timeout);
+        const http::response response = co_await http::fetch(
+            m_pool, record->entry.address, std::move(message), report_timeout);
         const auto report = m_inputs.dialect.read_report(response);
         auto* state = find(id);
         if (state == nullptr ||
--- a/libraries/entry/request_run.cpp
+++ b/libraries/entry/request_run.cpp
@@ -74,19 +74,17 @@
 
 void request_run::refuse(refusal_kind kind, milliseconds retry_after)
 {
-    log_event(severity::warning, event_number::request_refused,
-              {{"request", m_request.id.value()},
-               {"route", m_route == nullptr ? std::string()
-                                            : m_route->name.value()},
-               {"model", m_request.model ? m_request.model->value()
-                                         : std::string()},
-               {"reason", cicadahub::name_of(kind)},
-               {"sends", m_sends},
-               {"runs", m_runs},
-               {"after_ms", waited_ms(m_arrived)},
-               {"retry_after_ms", retry_after.count()},
-               {"configuration",
-                m_configuration ? m_configuration->version : 0}});
+    log_event(
+        severity::warning, event_number::request_refused,
+        {{"request", m_request.id.value()},
+         {"route", m_route == nullptr ? std::string() : m_route->name.value()},
+         {"model", m_request.model ? m_request.model->value() : std::string()},
+         {"reason", cicadahub::name_of(kind)},
+         {"sends", m_sends},
+         {"runs", m_runs},
+         {"after_ms", waited_ms(m_arrived)},
+         {"retry_after_ms", retry_after.count()},
+         {"configuration", m_configuration ? m_configuration->version : 0}});
     throw refused_error({kind, m_runs == 0, retry_after});
 }
 
@@ -150,9 +148,9 @@
     std::int64_t cost = 1;
     if (m_organisation->counts_tokens)
     {
-        cost = m_request.tokens ? m_request.tokens->prompt +
-                                      m_request.tokens->output_limit
-                                : m_organisation->plain_cost;
+        cost = m_request.tokens
+                   ? m_request.tokens->prompt + m_request.tokens->output_limit
+                   : m_organisation->plain_cost;
     }
     m_state.demand.on_tokens(m_organisation->name, cost, m_arrived);
     const auto rate = m_state.rates.find(m_organisation->name);
@@ -173,8 +171,8 @@
     text += m_organisation == nullptr ? std::string()
                                       : m_organisation->name.value();
     text.append(" ").append(m_message.body());
-    m_fingerprint = suspicion::fingerprint(
-        sha256_hex(text).substr(0, fingerprint_digits));
+    m_fingerprint =
+        suspicion::fingerprint(sha256_hex(text).substr(0, fingerprint_digits));
     if (m_state.suspects.is_refused(m_fingerprint))
     {
         refuse(refusal_kind::suspect_request, {});
@@ -193,8 +191,8 @@
     {
         return;
     }
-    const std::uint32_t crashes = m_state.suspects.on_crash(
-        m_fingerprint, monotonic_clock::now());
+    const std::uint32_t crashes =
+        m_state.suspects.on_crash(m_fingerprint, monotonic_clock::now());
     m_state.tell_soon();
     log_event(severity::warning, event_number::request_suspected,
               {{"request", m_request.id.value()},
@@ -261,17 +259,16 @@
         }
         const std::uint32_t slots =
             m_service->engine ? m_service->engine->slots : entry.slots;
-        candidates.push_back({&record->entry.id,
-                              record->running + record->running_elsewhere,
-                              slots,
-                              entry.data_centre == m_state.settings.data_centre,
-                              record->health.is_trusted(now)});
+        candidates.push_back(
+            {&record->entry.id, record->running + record->running_elsewhere,
+             slots, entry.data_centre == m_state.settings.data_centre,
+             record->health.is_trusted(now)});
         records.push_back(record);
     }
-    const auto choice =
-        m_copy ? routing::choose_engine(candidates, m_affinity,
-                                        m_state.mean_prompt_tokens)
-               : routing::choose_plain(candidates);
+    const auto choice = m_copy
+                            ? routing::choose_engine(candidates, m_affinity,
+                                                     m_state.mean_prompt_tokens)
+                            : routing::choose_plain(candidates);
     if (choice)
     {
         result.record = records[*choice];
@@ -302,8 +299,8 @@
         {
             const auto left = std::chrono::duration_cast<milliseconds>(
                 record->ordered->loaded_at - now);
-            least = std::min(least, std::max(left, milliseconds(0)) +
-                                        load_overhead);
+            least = std::min(least,
+                             std::max(left, milliseconds(0)) + load_overhead);
         }
         else if (record->entry.in_memory.contains(m_copy->model))
         {
@@ -364,16 +361,16 @@
         if (!is_told)
         {
             is_told = true;
-            log_event(severity::info, event_number::request_waits,
-                      {{"request", m_request.id.value()},
-                       {"model",
-                        m_copy ? m_copy->model.value() : std::string()},
-                       {"adapter", m_copy && m_copy->adapter
-                                       ? m_copy->adapter->value()
-                                       : std::string()},
-                       {"is_any_there", choice.is_any_there},
-                       {"estimate_ms", estimated_wait(now).count()},
-                       {"left_ms", time_left(now).count()}});
+            log_event(
+                severity::info, event_number::request_waits,
+                {{"request", m_request.id.value()},
+                 {"model", m_copy ? m_copy->model.value() : std::string()},
+                 {"adapter", m_copy && m_copy->adapter
+                                 ? m_copy->adapter->value()
+                                 : std::string()},
+                 {"is_any_there", choice.is_any_there},
+                 {"estimate_ms", estimated_wait(now).count()},
+                 {"left_ms", time_left(now).count()}});
         }
         m_waiter->copy = m_copy;
         m_waiter->rank = m_organisation != nullptr && m_organisation->rank
@@ -391,8 +388,8 @@
 net::awaitable<exchange_result>
 request_run::attempt(const server_table::record_pointer& record)
 {
-    const running_guard guard(
-        record, m_copy ? std::optional(m_copy->model) : std::nullopt);
+    const running_guard guard(record, m_copy ? std::optional(m_copy->model)
+                                             : std::nullopt);
     const time_point now = monotonic_clock::now();
     forwarding added;
     added.server = record->entry.id;
@@ -403,9 +400,9 @@
     added.time_left = std::max(time_left(now), milliseconds(1));
     added.after_event = m_progress.last_event;
     ++m_sends;
-    exchange_result result = co_await m_exchange.run(
-        record->entry.address, m_message, added, m_request.id, m_reply,
-        m_progress, m_deadline);
+    exchange_result result =
+        co_await m_exchange.run(record->entry.address, m_message, added,
+                                m_request.id, m_reply, m_progress, m_deadline);
     log_attempt(result, *record, now);
     co_return result;
 }
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -7,8 +7,7 @@
 
 const serving::holdings& server_record::models() const
 {
-    const bool is_told =
-        ordered && ordered->incarnation == entry.incarnation;
+    const bool is_told = ordered && ordered->incarnation == entry.incarnation;
     return is_told ? ordered->models : entry.models;
 }
 
--- a/libraries/entry/waiting_room.cpp
+++ b/libraries/entry/waiting_room.cpp
@@ -17,11 +17,12 @@
 net::awaitable<void> waiting_room::wait(waiter_pointer it, milliseconds limit)
 {
     const auto comes_first = [](const waiter& a, const waiter& b)
-    { return std::pair(a.rank, a.arrived) < std::pair(b.rank, b.arrived); };
-    const auto place =
-        std::find_if(m_waiters.begin(), m_waiters.end(),
-                     [&](const waiter_pointer& other)
-                     { return comes_first(*it, *other); });
+    {
+        return std::pair(a.rank, a.arrived) < std::pair(b.rank, b.arrived);
+    };
+    const auto place = std::find_if(m_waiters.begin(), m_waiters.end(),
+                                    [&](const waiter_pointer& other)
+                                    { return comes_first(*it, *other); });
     const auto position = m_waiters.insert(place, it);
     if (it->copy && m_on_change)
     {
@@ -57,6 +58,7 @@
         ++want.waiting;
     }
     std::vector<replicas::want> wants;
+    wants.reserve(by_copy.size());
     for (auto& [copy, want] : by_copy)
     {
         wants.push_back(want);
--- a/libraries/platform/kubernetes_dialect.cpp
+++ b/libraries/platform/kubernetes_dialect.cpp
@@ -164,10 +164,10 @@
                             milliseconds wait)
 {
     const auto limit = std::chrono::duration_cast<seconds>(wait).count();
-    return http::make_request(
-        http::verb::get, path_to(where) + "?watch=true&resourceVersion=" +
-                             std::to_string(since.value()) +
-                             "&timeoutSeconds=" + std::to_string(limit));
+    return http::make_request(http::verb::get,
+                              path_to(where) + "?watch=true&resourceVersion=" +
+                                  std::to_string(since.value()) +
+                                  "&timeoutSeconds=" + std::to_string(limit));
 }
 
 listing read_watch(collection, object_version since, const std::string& body)
--- a/libraries/platform/object_client.cpp
+++ b/libraries/platform/object_client.cpp
@@ -70,8 +70,8 @@
     std::optional<std::string> after = std::string();
     while (after)
     {
-        const auto answer = co_await call(m_dialect.list(where, *after),
-                                          m_timing.call_timeout);
+        const auto answer =
+            co_await call(m_dialect.list(where, *after), m_timing.call_timeout);
         expect_ok(answer);
         list_page page = m_dialect.read_list(where, answer.body());
         // Changes made between two pages come again with the watch.
--- a/libraries/serving/configuration.cpp
+++ b/libraries/serving/configuration.cpp
@@ -13,8 +13,7 @@
         {
             continue;
         }
-        if (best == nullptr ||
-            it.path_prefix.size() > best->path_prefix.size())
+        if (best == nullptr || it.path_prefix.size() > best->path_prefix.size())
         {
             best = &it;
         }
--- /dev/null
+++ b/tests/decision/placement_adoption_test.cpp
@@ -0,0 +1,146 @@
+#include "decision/placement/placement_machine.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace cicadahub::placement
+{
+namespace
+{
+
+const model_id base("m");
+const model_id adapter("m:a");
+const server_id server("s");
+constexpr time_point start{std::chrono::seconds(100)};
+
+std::vector<item_spec> items()
+{
+    return {{base, byte_count(10), std::nullopt},
+            {adapter, byte_count(1), base}};
+}
+
+std::vector<server_spec> servers()
+{
+    server_spec it;
+    it.id = server;
+    it.memory = byte_count(40);
+    return {it};
+}
+
+template<class Action>
+std::vector<Action> pick(const action_list& actions)
+{
+    std::vector<Action> found;
+    for (const action& it : actions)
+    {
+        if (const auto* wanted = std::get_if<Action>(&it))
+        {
+            found.push_back(*wanted);
+        }
+    }
+    return found;
+}
+
+/// Drives one owner and keeps the last document that it wrote.
+class owner
+{
+public:
+    owner(const document& adopted, std::uint64_t epoch, time_point now)
+        : written(adopted), m_machine(load_limits{}, placement_timing{})
+    {
+        m_machine.on_items(items());
+        take(m_machine.on_servers(servers(), now), now);
+        take(m_machine.on_adopted(adopted, epoch_number(epoch), now), now);
+    }
+
+    void take(const action_list& actions, time_point now)
+    {
+        for (const order_action& it : pick<order_action>(actions))
+        {
+            orders.push_back(it);
+        }
+        for (const commit_action& it : pick<commit_action>(actions))
+        {
+            written = it.content;
+            take(m_machine.on_committed(it.sequence, now), now);
+        }
+    }
+
+    void ask(const model_id& model, time_point now)
+    {
+        take(m_machine.on_wake({++m_ticket, model, now + seconds(60)}, now),
+             now);
+    }
+
+    void answer(const order_action& it, order_result result, time_point now)
+    {
+        take(m_machine.on_order_result(it.target.generation, it.kind, result,
+                                       now),
+             now);
+    }
+
+    void report(const std::set<model_id>& loaded, time_point now)
+    {
+        server_report it;
+        it.loaded = loaded;
+        take(m_machine.on_report(server, it, now), now);
+    }
+
+    void tick(time_point now) { take(m_machine.on_tick(now), now); }
+
+    bool is_written(const model_id& model) const
+    {
+        return std::any_of(written.replicas.begin(), written.replicas.end(),
+                           [&](const replica& it)
+                           { return it.model == model; });
+    }
+
+    document written;
+    std::vector<order_action> orders;
+
+private:
+    placement_machine m_machine;
+    std::uint64_t m_ticket = 0;
+};
+
+// Offsets 338709, 501552 and others of the randomised runs found it: the server
+// restarts while an adapter's load order is on its way, so that both are
+// decided to go; then the owner changes. The next owner must not forget the
+// order, which may still arrive.
+TEST(placement_adoption, a_load_on_its_way_is_kept_in_writing_when_it_is_undone)
+{
+    owner first({}, 1, start);
+    first.ask(base, start);
+    // A new owner's part of the weight store's rate begins at nothing.
+    first.tick(start + milliseconds(900));
+    ASSERT_EQ(first.orders.size(), 1U);
+    first.answer(first.orders[0], order_result::done, start + seconds(1));
+    first.ask(adapter, start + seconds(1));
+    ASSERT_EQ(first.orders.size(), 2U);
+    ASSERT_EQ(first.orders[1].target.model, adapter);
+    // No answer yet; the server has lost the base meanwhile.
+    first.report({}, start + seconds(4));
+    const time_point taken_over = start + seconds(5);
+
+    owner second(first.written, 2, taken_over);
+    second.tick(taken_over + seconds(1));
+    ASSERT_FALSE(second.orders.empty());
+    ASSERT_EQ(second.orders[0].kind, order_kind::unload);
+    ASSERT_EQ(second.orders[0].target.model, adapter);
+    second.answer(second.orders[0], order_result::done,
+                  taken_over + seconds(1));
+    EXPECT_TRUE(second.is_written(adapter));
+    // After its lifetime the order can no longer arrive.
+    const time_point late =
+        start + seconds(1) + placement_timing{}.order_lifetime + seconds(2);
+    second.tick(late);
+    const auto last = std::find_if(second.orders.rbegin(), second.orders.rend(),
+                                   [](const order_action& it)
+                                   { return it.target.model == adapter; });
+    second.answer(*last, order_result::done, late);
+    EXPECT_FALSE(second.is_written(adapter));
+}
+
+} // namespace
+} // namespace cicadahub::placement
--- a/tests/decision/replica_planner_test.cpp
+++ b/tests/decision/replica_planner_test.cpp
@@ -74,8 +74,8 @@
 
     std::vector<planned_order> plan()
     {
-        const planner_view view{m_engine, m_servers, m_wants, m_use,
-                                m_running, {},       {}};
+        const planner_view view{m_engine,  m_servers, m_wants, m_use,
+                                m_running, {},        {}};
         return replica_planner(planner_limits{}).plan(view, now);
     }
 
@@ -196,8 +196,7 @@
     serving::server_entry entry;
     entry.id = server_id("s1");
     serving::server_report report;
-    report.models = {
-        {model_id("a"), {adapter_id("x"), adapter_id("y")}}};
+    report.models = {{model_id("a"), {adapter_id("x"), adapter_id("y")}}};
     report.on_disk = {model_id("a")};
     server_state state(entry, start);
     state.on_report(report, start + seconds(1), start + seconds(1));
@@ -205,8 +204,8 @@
     add_want("a", 1, milliseconds(500), "z");
     const std::map<copy_name, double> rates{
         {{model_id("a"), adapter_id("x")}, 3.0}};
-    const planner_view view{m_engine, m_servers, m_wants, m_use,
-                            m_running, {},       rates};
+    const planner_view view{m_engine,  m_servers, m_wants, m_use,
+                            m_running, {},        rates};
     const auto orders = replica_planner(planner_limits{}).plan(view, now);
     ASSERT_EQ(orders.size(), 1U);
     EXPECT_EQ(text_of(orders.front()), "unload a:y s1");
--- a/tests/decision/sharing_test.cpp
+++ b/tests/decision/sharing_test.cpp
@@ -18,7 +18,7 @@
     for (int n = 0; n < 50; ++n)
     {
         const time_point now = start + n * milliseconds(200);
-        const auto newest = static_cast<std::uint64_t>(n + 2);
+        const auto newest = static_cast<std::uint64_t>(n) + 2;
         EXPECT_FALSE(lag.is_behind(object_version(newest - 1),
                                    object_version(newest), now));
     }
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -14,12 +14,18 @@
 boost::json::object route(const std::string& name, const std::string& prefix,
                           const std::string& kind, const std::string& service)
 {
-    return {{"name", name},          {"host", "trust.example"},
-            {"pathPrefix", prefix},  {"kind", kind},
-            {"timeoutMs", 8000},     {"targetLatencyMs", 600},
-            {"targetGapMs", 400},    {"priority", 0},
-            {"service", service},    {"maxAttempts", 2},
-            {"public", false},       {"sessionAffinity", false},
+    return {{"name", name},
+            {"host", "trust.example"},
+            {"pathPrefix", prefix},
+            {"kind", kind},
+            {"timeoutMs", 8000},
+            {"targetLatencyMs", 600},
+            {"targetGapMs", 400},
+            {"priority", 0},
+            {"service", service},
+            {"maxAttempts", 2},
+            {"public", false},
+            {"sessionAffinity", false},
             {"resumable", kind == "stream"}};
 }
 
@@ -36,9 +42,9 @@
                           {"adapters", 4},
                           {"adapterMb", 1.0}});
     }
-    return {{"slots", 8},          {"kvCapacity", 100000},
+    return {{"slots", 8},           {"kvCapacity", 100000},
             {"weightsSize", 250.0}, {"adapterSlots", 2},
-            {"loadsPerS", 10.0},   {"models", std::move(models)}};
+            {"loadsPerS", 10.0},    {"models", std::move(models)}};
 }
 
 } // namespace
@@ -56,7 +62,8 @@
     add_worker("engines", "e2", {"--megabytes", "250", "--preload", "m2"});
     add_worker("ledger", "l1", {});
     add_worker("ledger", "l2", {});
-    const std::string port = free_address().substr(std::string("127.0.0.1:").size());
+    const std::string port =
+        free_address().substr(std::string("127.0.0.1:").size());
     for (int n = 0; n < daemon_count; ++n)
     {
         daemon it;
@@ -112,8 +119,8 @@
     worker it;
     it.id = id;
     it.address = free_address();
-    std::vector<std::string> arguments{"worker", "--listen", it.address,
-                                       "--store", store,     "--id",
+    std::vector<std::string> arguments{"worker",  "--listen",  it.address,
+                                       "--store", store,       "--id",
                                        id,        "--service", service};
     arguments.insert(arguments.end(), more.begin(), more.end());
     it.program =
@@ -135,10 +142,9 @@
     int version, const std::vector<std::string>& keys,
     const std::vector<std::string>& prefixes)
 {
-    boost::json::array routes{
-        route("stream", "/stream/", "stream", "engines"),
-        route("post", "/post/", "unsafe", "ledger"),
-        route("read", "/read/", "safe", "ledger")};
+    boost::json::array routes{route("stream", "/stream/", "stream", "engines"),
+                              route("post", "/post/", "unsafe", "ledger"),
+                              route("read", "/read/", "safe", "ledger")};
     for (const std::string& it : prefixes)
     {
         routes.push_back(route("more-" + it, it, "safe", "ledger"));
@@ -166,8 +172,8 @@
            {"plainTokens", 10},
            {"ratePerS", 100000},
            {"burst", 100000}}}}};
-    const std::string body = boost::json::serialize(boost::json::object{
-        {"metadata", {{"name", "main"}}}, {"spec", spec}});
+    const std::string body = boost::json::serialize(
+        boost::json::object{{"metadata", {{"name", "main"}}}, {"spec", spec}});
     const std::string kind = "/v1/objects/config";
     if (call(store, http::verb::put, kind + "/main", body).status == 404)
     {
@@ -220,7 +226,8 @@
 bool platform_fleet::is_memory_respected() const
 {
     return std::all_of(engines.begin(), engines.end(),
-                       [](const worker& it) {
+                       [](const worker& it)
+                       {
                            return stat(it.address, "most_megabytes") <=
                                   stat(it.address, "megabytes");
                        });
--- a/tests/system/platform_fleet.hpp
+++ b/tests/system/platform_fleet.hpp
@@ -34,8 +34,7 @@
                            const std::vector<std::string>& more);
 
     /// Writes a configuration of that version; `keys` are the organisation's.
-    void write_configuration(int version,
-                             const std::vector<std::string>& keys,
+    void write_configuration(int version, const std::vector<std::string>& keys,
                              const std::vector<std::string>& prefixes = {});
 
     answer stream(std::size_t n, const std::string& id,
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -54,11 +54,11 @@
                    std::string(70'000, 'x'), {{"Host", "trust.example"}})
                   .status,
               413U);
-    EXPECT_EQ(call(fleet.daemons[0].callers, http::verb::get, "/read/1", "",
-                   {{"Host", "trust.example"},
-                    {"X-Large", std::string(5'000, 'x')}})
-                  .status,
-              431U);
+    EXPECT_EQ(
+        call(fleet.daemons[0].callers, http::verb::get, "/read/1", "",
+             {{"Host", "trust.example"}, {"X-Large", std::string(5'000, 'x')}})
+            .status,
+        431U);
 }
 
 TEST(platform_path, a_burst_for_a_cold_model_is_served_by_one_load)
@@ -67,12 +67,13 @@
     std::vector<std::future<answer>> answers;
     for (int n = 0; n < 6; ++n)
     {
-        answers.push_back(std::async(
-            std::launch::async,
-            [&, n] {
-                return fleet.stream(static_cast<std::size_t>(n % 2),
-                                    "cold-" + std::to_string(n), "m3");
-            }));
+        answers.push_back(std::async(std::launch::async,
+                                     [&, n]
+                                     {
+                                         return fleet.stream(
+                                             static_cast<std::size_t>(n % 2),
+                                             "cold-" + std::to_string(n), "m3");
+                                     }));
     }
     for (auto& it : answers)
     {
@@ -100,8 +101,9 @@
         EXPECT_TRUE(eventually(
             [&]
             {
-                return fleet.plain(n, "r2", http::verb::get, "/new/1",
-                                   "another-key")
+                return fleet
+                           .plain(n, "r2", http::verb::get, "/new/1",
+                                  "another-key")
                            .status == 200;
             }));
         EXPECT_EQ(fleet.plain(n, "r3", http::verb::get, "/read/1").status,
@@ -139,7 +141,9 @@
     platform_fleet fleet(1);
     fleet.fault(fleet.services[0].address, R"({"draining":true})");
     const auto runs = [&]
-    { return stat(fleet.services[0].address, "runs"); };
+    {
+        return stat(fleet.services[0].address, "runs");
+    };
     std::int64_t before = -1;
     EXPECT_TRUE(eventually(
         [&]
@@ -236,9 +240,8 @@
     {
         fleet.fault(it.address, R"({"silent_orders":1})");
     }
-    EXPECT_TRUE(eventually([&]
-                           { return is_whole_stream(
-                                 fleet.stream(0, "r", "m4")); }));
+    EXPECT_TRUE(eventually(
+        [&] { return is_whole_stream(fleet.stream(0, "r", "m4")); }));
     EXPECT_TRUE(fleet.is_memory_respected());
 }
 
--- a/utilities/cicada-standin/main.cpp
+++ b/utilities/cicada-standin/main.cpp
@@ -129,9 +129,8 @@
     TCLAP::ValueArg<double> bandwidth("", "bytes-per-second",
                                       "Weight store: speed of one transfer.",
                                       false, 1e9, "BYTES");
-    TCLAP::ValueArg<std::string> store("", "store",
-                                       "Worker: the metadata store.", false, "",
-                                       "ADDRESS:PORT");
+    TCLAP::ValueArg<std::string> store(
+        "", "store", "Worker: the metadata store.", false, "", "ADDRESS:PORT");
     TCLAP::ValueArg<std::string> id("", "id", "Worker: its id.", false,
                                     "worker", "ID");
     TCLAP::ValueArg<std::string> service("", "service",
--- a/utilities/cicada-standin/object_store_standin.cpp
+++ b/utilities/cicada-standin/object_store_standin.cpp
@@ -31,8 +31,10 @@
 
 std::uint64_t revision_of(const boost::json::object& object)
 {
-    return static_cast<std::uint64_t>(
-        object.at("metadata").as_object().at("revision").to_number<std::int64_t>());
+    return static_cast<std::uint64_t>(object.at("metadata")
+                                          .as_object()
+                                          .at("revision")
+                                          .to_number<std::int64_t>());
 }
 
 } // namespace
@@ -176,10 +178,9 @@
     {
         items.push_back(it->second);
     }
-    return json_answer(http::status::ok,
-                       {{"items", std::move(items)},
-                        {"hasMore", it != from.objects.end()},
-                        {"currentRev", m_revision}});
+    return json_answer(http::status::ok, {{"items", std::move(items)},
+                                          {"hasMore", it != from.objects.end()},
+                                          {"currentRev", m_revision}});
 }
 
 net::awaitable<http::response>
@@ -222,9 +223,8 @@
                 {{"tombstone", it.is_deletion}, {"object", it.object}});
         }
     }
-    co_return json_answer(
-        http::status::ok,
-        {{"events", std::move(events)}, {"currentRev", m_revision}});
+    co_return json_answer(http::status::ok, {{"events", std::move(events)},
+                                             {"currentRev", m_revision}});
 }
 
 http::response object_store_standin::create(kind& to,
@@ -276,8 +276,7 @@
 http::response object_store_standin::store(kind& to, boost::json::object object,
                                            http::status code)
 {
-    const std::string name(
-        object["metadata"].as_object()["name"].as_string());
+    const std::string name(object["metadata"].as_object()["name"].as_string());
     object["metadata"].as_object()["revision"] = ++m_revision;
     to.objects[name] = object;
     record(to, false, object);
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -98,15 +98,16 @@
     const std::string kind = "/v1/objects/servers";
     while (true)
     {
-        boost::json::object spec{{"service", m_settings.service},
-                                 {"address", m_settings.address},
-                                 {"zone", m_settings.data_centre},
-                                 {"version", "v1"},
-                                 {"slots", m_settings.slots},
-                                 {"state", m_is_draining ? "draining" : "ready"},
-                                 {"coldLeftMs", 0},
-                                 {"born", m_born},
-                                 {"seq", ++m_heartbeats}};
+        boost::json::object spec{
+            {"service", m_settings.service},
+            {"address", m_settings.address},
+            {"zone", m_settings.data_centre},
+            {"version", "v1"},
+            {"slots", m_settings.slots},
+            {"state", m_is_draining ? "draining" : "ready"},
+            {"coldLeftMs", 0},
+            {"born", m_born},
+            {"seq", ++m_heartbeats}};
         if (m_settings.megabytes > 0)
         {
             spec["models"] = models_json();
@@ -369,8 +370,8 @@
         throw boost::system::system_error(net::error::connection_aborted);
     }
     http::response answer = json_answer(
-        http::status::ok, {{"path", http::path_of(message.target())},
-                           {"server", m_settings.id}});
+        http::status::ok,
+        {{"path", http::path_of(message.target())}, {"server", m_settings.id}});
     answer.set("Request-Id", message["Request-Id"]);
     answer.set("Response-Seal", "seal-" + m_settings.id);
     co_await reply.send(std::move(answer));
