--- a/libraries/decision/replicas/replica_planner.cpp
+++ b/libraries/decision/replicas/replica_planner.cpp
@@ -261,9 +261,9 @@
         it.model = model;
         it.has_near_copy =
             std::any_of(view.servers.begin(), view.servers.end(),
-                        [&](const auto& server) {
+                        [name = &model](const auto& server) {
                             return server.second.is_usable() &&
-                                   server.second.has_near_copy(model);
+                                   server.second.has_near_copy(*name);
                         });
         const std::chrono::duration<double> load = spec->second.load_from_store;
         it.requests_until_loaded = it.waiting + it.rate * load.count();
