Entry: Serve metrics, and explain one request from the logs

cicadactl explain tells a request's story from structured lines of any daemons, with the orders for its model while it waited; counters and histograms are served beside readiness. Tests: explain.* replays the three ways of docs/OPERATIONS.md, metrics.agree_with_their_page.

--- a/libraries/decision/replicas/replica_planner.cpp
+++ b/libraries/decision/replicas/replica_planner.cpp
@@ -478,6 +478,7 @@
                      [](const auto& a, const auto& b)
                      { return a.first > b.first; });
     std::vector<model_id> models;
+    models.reserve(ranked.size());
     for (auto& [missed, model] : ranked)
     {
         models.push_back(std::move(model));
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -25,6 +25,7 @@
 /// loads from the holder of the placement lease at once.
 constexpr milliseconds list_pace{500};
 constexpr milliseconds holder_list_pace{40};
+constexpr std::string_view metrics_path = "/metrics";
 constexpr milliseconds member_period{5'000};
 constexpr milliseconds peer_timeout{500};
 constexpr milliseconds peer_look_period{200};
@@ -44,9 +45,18 @@
 
 } // namespace
 
-net::awaitable<void> readiness_handler::serve(http::request&,
+net::awaitable<void> readiness_handler::serve(http::request& message,
                                               http::reply_writer& reply)
 {
+    if (message.target() == metrics_path)
+    {
+        http::response metrics{http::status::ok, 11};
+        metrics.set(http::field::content_type, "text/plain; version=0.0.4");
+        metrics.body() = m_metrics.text();
+        metrics.prepare_payload();
+        co_await reply.send(std::move(metrics));
+        co_return;
+    }
     http::response answer{m_is_ready() ? http::status::ok
                                        : http::status::service_unavailable,
                           11};
@@ -65,7 +75,7 @@
       m_store(m_platform_pool, m_settings.store, store_timing, dialects.store),
       m_placement(m_context, m_order_pool, m_store,
                   {m_settings, dialects.servers, m_state.servers, m_state.fleet,
-                   m_state.demand, m_state.waiting,
+                   m_state.demand, m_state.waiting, m_state.metrics,
                    [this]
                    {
                        return m_state.configuration;
@@ -89,7 +99,7 @@
           [this](const peer& it) { on_heard(it); },
           [this] { return m_placement.is_held(); }),
       m_requests(m_state, dialects.callers, dialects.servers),
-      m_readiness([this] { return is_ready(); }),
+      m_readiness([this] { return is_ready(); }, m_state.metrics),
       m_caller_server(m_settings.callers, limits_of({}),
                       {{m_context, m_requests}}),
       m_readiness_server(m_settings.readiness, http::server_limits{},
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -22,12 +22,13 @@
     const server_dialect& servers;
 };
 
-/// Tells the balancer whether this daemon takes new connections.
+/// Tells the balancer whether this daemon takes new connections, and operators
+/// its metrics.
 class readiness_handler
 {
 public:
-    explicit readiness_handler(std::function<bool()> is_ready)
-        : m_is_ready(std::move(is_ready))
+    readiness_handler(std::function<bool()> is_ready, entry_metrics& metrics)
+        : m_is_ready(std::move(is_ready)), m_metrics(metrics)
     {
     }
 
@@ -36,6 +37,7 @@
 
 private:
     std::function<bool()> m_is_ready;
+    entry_metrics& m_metrics;
 };
 
 /// A whole entry daemon on a platform that keeps all that must last. One
--- /dev/null
+++ b/libraries/entry/entry_metrics.cpp
@@ -0,0 +1,116 @@
+#include "entry/entry_metrics.hpp"
+
+#include "core/structured_log.hpp"
+
+#include <prometheus/text_serializer.h>
+
+#include <cstdlib>
+
+namespace cicadahub::entry
+{
+
+namespace
+{
+
+/// Upper bounds in seconds, from a plain answer to a load from the store.
+const prometheus::Histogram::BucketBoundaries time_buckets{
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2.5, 5, 10, 20};
+
+prometheus::Family<prometheus::Counter>&
+counters(prometheus::Registry& registry, const char* name, const char* help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Histogram& times(prometheus::Registry& registry, const char* name,
+                             const char* help)
+{
+    return prometheus::BuildHistogram()
+        .Name(name)
+        .Help(help)
+        .Register(registry)
+        .Add({}, time_buckets);
+}
+
+double in_seconds(milliseconds it)
+{
+    return std::chrono::duration<double>(it).count();
+}
+
+} // namespace
+
+entry_metrics::entry_metrics()
+    : m_requests(counters(m_registry, "cicadahub_entry_requests_total",
+                          "Requests that were taken, by outcome.")),
+      m_refusals(counters(m_registry, "cicadahub_entry_refusals_total",
+                          "Requests that were refused, by reason.")),
+      m_attempts(counters(m_registry, "cicadahub_entry_attempts_total",
+                          "Sends to backend servers, by how they ended.")),
+      m_orders(counters(m_registry, "cicadahub_entry_orders_total",
+                        "Orders to backend servers, by their answer.")),
+      m_request_time(times(m_registry, "cicadahub_entry_request_seconds",
+                           "Time from a request's arrival to its end.")),
+      m_attempt_time(times(m_registry, "cicadahub_entry_attempt_seconds",
+                           "Time of one send to a backend server.")),
+      m_wait(times(m_registry, "cicadahub_entry_wait_seconds",
+                   "Wait for a copy of the model or a place.")),
+      m_wait_error(times(m_registry, "cicadahub_entry_wait_error_seconds",
+                         "Difference of the wait from its first estimate.")),
+      m_first_event(times(m_registry, "cicadahub_entry_first_event_seconds",
+                          "Time from arrival to a stream's first event.")),
+      m_load_time(times(m_registry, "cicadahub_entry_load_seconds",
+                        "Time from a load's order to its end.")),
+      m_dropped_lines(prometheus::BuildGauge()
+                          .Name("cicadahub_entry_log_lines_dropped")
+                          .Help("Log lines dropped since the start.")
+                          .Register(m_registry)
+                          .Add({}))
+{
+}
+
+void entry_metrics::count_answer(std::string_view outcome, milliseconds took)
+{
+    m_requests.Add({{"outcome", std::string(outcome)}}).Increment();
+    m_request_time.Observe(in_seconds(took));
+}
+
+void entry_metrics::count_refusal(refusal_kind kind)
+{
+    m_refusals.Add({{"reason", std::string(name_of(kind))}}).Increment();
+}
+
+void entry_metrics::count_attempt(std::string_view end, milliseconds took)
+{
+    m_attempts.Add({{"end", std::string(end)}}).Increment();
+    m_attempt_time.Observe(in_seconds(took));
+}
+
+void entry_metrics::observe_wait(milliseconds waited, milliseconds estimate)
+{
+    m_wait.Observe(in_seconds(waited));
+    m_wait_error.Observe(
+        in_seconds(milliseconds(std::abs((waited - estimate).count()))));
+}
+
+void entry_metrics::observe_first_event(milliseconds after)
+{
+    m_first_event.Observe(in_seconds(after));
+}
+
+void entry_metrics::count_order(std::string_view answer)
+{
+    m_orders.Add({{"answer", std::string(answer)}}).Increment();
+}
+
+void entry_metrics::observe_load(milliseconds took)
+{
+    m_load_time.Observe(in_seconds(took));
+}
+
+std::string entry_metrics::text()
+{
+    m_dropped_lines.Set(static_cast<double>(dropped_log_lines()));
+    return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/entry_metrics.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "core/refusal.hpp"
+#include "core/units.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace cicadahub::entry
+{
+
+/// Metrics of an entry daemon, described in docs/METRICS.md. No label names a
+/// model, an organisation or a server, so that the sets stay small.
+class entry_metrics
+{
+public:
+    entry_metrics();
+
+    void count_answer(std::string_view outcome, milliseconds took);
+    void count_refusal(refusal_kind kind);
+    void count_attempt(std::string_view end, milliseconds took);
+    /// A request had a server after this wait; `estimate` was told at its
+    /// start.
+    void observe_wait(milliseconds waited, milliseconds estimate);
+    void observe_first_event(milliseconds after);
+    void count_order(std::string_view answer);
+    void observe_load(milliseconds took);
+
+    /// In the Prometheus text format.
+    std::string text();
+
+private:
+    prometheus::Registry m_registry;
+    prometheus::Family<prometheus::Counter>& m_requests;
+    prometheus::Family<prometheus::Counter>& m_refusals;
+    prometheus::Family<prometheus::Counter>& m_attempts;
+    prometheus::Family<prometheus::Counter>& m_orders;
+    prometheus::Histogram& m_request_time;
+    prometheus::Histogram& m_attempt_time;
+    prometheus::Histogram& m_wait;
+    prometheus::Histogram& m_wait_error;
+    prometheus::Histogram& m_first_event;
+    prometheus::Histogram& m_load_time;
+    prometheus::Gauge& m_dropped_lines;
+};
+
+} // namespace cicadahub::entry
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -4,6 +4,7 @@
 #include "decision/sharing/repeat_budget.hpp"
 #include "decision/suspicion/suspect_table.hpp"
 #include "entry/demand_table.hpp"
+#include "entry/entry_metrics.hpp"
 #include "entry/fleet_view.hpp"
 #include "entry/server_table.hpp"
 #include "entry/settings.hpp"
@@ -30,6 +31,7 @@
     demand_table demand;
     waiting_room waiting;
     suspicion::suspect_table suspects;
+    entry_metrics metrics;
     /// Connections to backend servers that carry callers' requests.
     http::client_pool pool;
     std::map<organisation_id, sharing::host_rate> rates;
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -305,6 +305,10 @@
                                        http::reply_writer& reply,
                                        stream_progress& progress)
 {
+    if (!progress.first_event_at)
+    {
+        progress.first_event_at = monotonic_clock::now();
+    }
     m_is_writing_to_caller = true;
     co_await reply.write_chunk(events);
     m_is_writing_to_caller = false;
--- a/libraries/entry/placement_duty.cpp
+++ b/libraries/entry/placement_duty.cpp
@@ -182,8 +182,10 @@
             servers.emplace(id, replicas::server_state(record->entry, now));
             continue;
         }
+        const auto pending = known->second.pending();
         if (known->second.on_entry(record->entry, now))
         {
+            note_ended(*pending, now);
             log_event(severity::info, event_number::order_ended,
                       {{"server", id.value()},
                        {"seen_in", "list"},
@@ -193,6 +195,16 @@
     }
 }
 
+void placement_duty::note_ended(const replicas::pending_order& it,
+                                time_point now)
+{
+    if (it.what.kind == replicas::order_kind::load)
+    {
+        m_inputs.metrics.observe_load(
+            std::chrono::duration_cast<milliseconds>(now - it.sent_at));
+    }
+}
+
 replicas::planner_view
 placement_duty::view_of(const serving::engine_spec& engine, server_map& servers,
                         time_point now)
@@ -319,6 +331,7 @@
             reason = failure.code().message();
         }
     }
+    m_inputs.metrics.count_order(name_of(answer));
     log_event(answer == replicas::order_answer::unknown ? severity::warning
                                                         : severity::info,
               event_number::order_answered,
@@ -381,10 +394,11 @@
         const time_point now = monotonic_clock::now();
         if (report.orders_accepted >= state->orders_accepted())
         {
-            const bool was_pending = state->pending().has_value();
+            const auto pending = state->pending();
             const bool has_changed = state->on_report(report, asked_at, now);
-            if (was_pending && !state->pending())
+            if (pending && !state->pending())
             {
+                note_ended(*pending, now);
                 log_event(severity::info, event_number::order_ended,
                           {{"server", id.value()},
                            {"seen_in", "report"},
--- a/libraries/entry/placement_duty.hpp
+++ b/libraries/entry/placement_duty.hpp
@@ -3,6 +3,7 @@
 #include "daemon/shard_keeper.hpp"
 #include "decision/replicas/replica_planner.hpp"
 #include "entry/demand_table.hpp"
+#include "entry/entry_metrics.hpp"
 #include "entry/fleet_view.hpp"
 #include "entry/server_table.hpp"
 #include "entry/settings.hpp"
@@ -23,6 +24,7 @@
     fleet_view& fleet;
     demand_table& demand;
     waiting_room& waiting;
+    entry_metrics& metrics;
     std::function<std::shared_ptr<const serving::configuration>()>
         configuration;
 };
@@ -56,6 +58,7 @@
     void plan(time_point now);
     replicas::planner_view view_of(const serving::engine_spec& engine,
                                    server_map& servers, time_point now);
+    void note_ended(const replicas::pending_order& it, time_point now);
     void ask_reports(time_point now);
     net::awaitable<void> ask_report(server_id id);
     net::awaitable<void> send(replicas::order it);
--- a/libraries/entry/request_run.cpp
+++ b/libraries/entry/request_run.cpp
@@ -27,11 +27,10 @@
 constexpr milliseconds starting_retry{500};
 constexpr milliseconds full_retry{250};
 
-std::int64_t waited_ms(time_point since)
+milliseconds waited(time_point since)
 {
     return std::chrono::duration_cast<milliseconds>(monotonic_clock::now() -
-                                                    since)
-        .count();
+                                                    since);
 }
 
 std::size_t pick_by_weight(const std::vector<serving::service_share>& shares)
@@ -74,6 +73,7 @@
 
 void request_run::refuse(refusal_kind kind, milliseconds retry_after)
 {
+    m_state.metrics.count_refusal(kind);
     log_event(
         severity::warning, event_number::request_refused,
         {{"request", m_request.id.value()},
@@ -82,7 +82,7 @@
          {"reason", cicadahub::name_of(kind)},
          {"sends", m_sends},
          {"runs", m_runs},
-         {"after_ms", waited_ms(m_arrived)},
+         {"after_ms", waited(m_arrived).count()},
          {"retry_after_ms", retry_after.count()},
          {"configuration", m_configuration ? m_configuration->version : 0}});
     throw refused_error({kind, m_runs == 0, retry_after});
@@ -336,11 +336,17 @@
 net::awaitable<server_table::record_pointer> request_run::wait_for_server()
 {
     bool is_told = false;
+    const time_point began = monotonic_clock::now();
+    milliseconds estimate{0};
     while (!m_is_caller_gone)
     {
         const picked choice = pick();
         if (choice.record)
         {
+            if (is_told)
+            {
+                m_state.metrics.observe_wait(waited(began), estimate);
+            }
             co_return choice.record;
         }
         const time_point now = monotonic_clock::now();
@@ -361,6 +367,7 @@
         if (!is_told)
         {
             is_told = true;
+            estimate = estimated_wait(now);
             log_event(
                 severity::info, event_number::request_waits,
                 {{"request", m_request.id.value()},
@@ -369,7 +376,7 @@
                                  ? m_copy->adapter->value()
                                  : std::string()},
                  {"is_any_there", choice.is_any_there},
-                 {"estimate_ms", estimated_wait(now).count()},
+                 {"estimate_ms", estimate.count()},
                  {"left_ms", time_left(now).count()}});
         }
         m_waiter->copy = m_copy;
@@ -411,6 +418,7 @@
                               const server_record& record,
                               time_point sent_at) const
 {
+    m_state.metrics.count_attempt(name_of(result.end), waited(sent_at));
     log_event(severity::info, event_number::request_attempted,
               {{"request", m_request.id.value()},
                {"server", record.entry.id.value()},
@@ -418,7 +426,7 @@
                {"status", result.answer ? result.answer->result_int() : 0},
                {"running", record.running},
                {"running_elsewhere", record.running_elsewhere},
-               {"took_ms", waited_ms(sent_at)},
+               {"took_ms", waited(sent_at).count()},
                {"reason", result.reason}});
 }
 
@@ -504,7 +512,7 @@
         const auto record = co_await wait_for_server();
         if (!record)
         {
-            log_end("caller-gone");
+            note_end("caller-gone");
             co_return;
         }
         exchange_result result = co_await attempt(record);
@@ -528,18 +536,18 @@
     switch (result.end)
     {
     case exchange_end::streamed:
-        log_end("streamed");
+        note_end("streamed");
         co_return;
     case exchange_end::answered:
         if (!m_progress.has_head)
         {
-            log_end("answered");
+            note_end("answered");
             co_await m_reply.send(std::move(*result.answer));
             co_return;
         }
         refuse(refusal_kind::backend_failed, {});
     case exchange_end::caller_gone:
-        log_end("caller-gone");
+        note_end("caller-gone");
         m_reply.abort_stream();
         co_return;
     case exchange_end::not_sent:
@@ -557,15 +565,22 @@
     }
 }
 
-void request_run::log_end(std::string_view outcome) const
+void request_run::note_end(std::string_view outcome) const
 {
+    m_state.metrics.count_answer(outcome, waited(m_arrived));
+    if (m_progress.first_event_at)
+    {
+        m_state.metrics.observe_first_event(
+            std::chrono::duration_cast<milliseconds>(
+                *m_progress.first_event_at - m_arrived));
+    }
     log_event(severity::info, event_number::request_answered,
               {{"request", m_request.id.value()},
                {"route", m_route->name.value()},
                {"outcome", outcome},
                {"sends", m_sends},
                {"runs", m_runs},
-               {"took_ms", waited_ms(m_arrived)},
+               {"took_ms", waited(m_arrived).count()},
                {"configuration", m_configuration->version}});
 }
 
--- a/libraries/entry/request_run.hpp
+++ b/libraries/entry/request_run.hpp
@@ -50,7 +50,7 @@
     milliseconds time_left(time_point now) const;
     void log_attempt(const exchange_result& result, const server_record& record,
                      time_point sent_at) const;
-    void log_end(std::string_view outcome) const;
+    void note_end(std::string_view outcome) const;
     bool is_stream() const;
 
     entry_state& m_state;
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -258,6 +258,93 @@
     EXPECT_EQ(fleet.daemons[0].program->wait(), 0);
 }
 
+/// Output of `cicadactl explain` on the logs of all daemons.
+std::string explained(const platform_fleet& fleet, const std::string& request)
+{
+    const std::string file = make_folder() + "/logs";
+    std::ofstream logs(file);
+    for (const auto& it : fleet.daemons)
+    {
+        logs << it.program->output();
+    }
+    logs.close();
+    process it("utilities/cicadactl", {"explain", request, file});
+    EXPECT_EQ(it.wait(), 0);
+    return it.output();
+}
+
+// The three ways of docs/OPERATIONS.md from a request's id to its cause.
+TEST(explain, a_refusal_that_is_doubted)
+{
+    platform_fleet fleet(1);
+    EXPECT_EQ(
+        fleet.plain(0, "doubted", http::verb::get, "/read/1", "wrong").status,
+        401U);
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            const std::string text = explained(fleet, "doubted");
+            return text.find("request_refused") != std::string::npos &&
+                   text.find("reason=unauthenticated") != std::string::npos &&
+                   text.find("configuration=1") != std::string::npos;
+        }));
+}
+
+TEST(explain, an_answer_that_broke_off)
+{
+    platform_fleet fleet(1);
+    EXPECT_TRUE(is_whole_stream(fleet.stream(0, "warm", "m1")));
+    fleet.fault(fleet.engines[0].address, R"({"break_streams":1})");
+    fleet.stream(0, "broke", "m1");
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            const std::string text = explained(fleet, "broke");
+            return text.find("request_attempted server=e1 end=failed") !=
+                       std::string::npos &&
+                   text.find("request_suspected") != std::string::npos &&
+                   text.find("request_answered") != std::string::npos;
+        }));
+}
+
+TEST(explain, a_late_cold_start)
+{
+    platform_fleet fleet(2);
+    EXPECT_TRUE(is_whole_stream(fleet.stream(0, "late", "m3")));
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            const std::string text = explained(fleet, "late");
+            return text.find("request_waits") != std::string::npos &&
+                   text.find("order_sent") != std::string::npos &&
+                   text.find("from_store=true") != std::string::npos;
+        }));
+}
+
+TEST(metrics, agree_with_their_page)
+{
+    platform_fleet fleet(1);
+    EXPECT_TRUE(is_whole_stream(fleet.stream(0, "late", "m3")));
+    EXPECT_EQ(fleet.plain(0, "r", http::verb::get, "/read/1", "wrong").status,
+              401U);
+    const std::string text =
+        call(fleet.daemons[0].readiness, http::verb::get, "/metrics").body;
+    std::ifstream in(std::string(CICADAHUB_SOURCE_DIR) + "/docs/METRICS.md");
+    std::size_t rows = 0;
+    const std::string start = "| `cicadahub_entry_";
+    for (std::string line; std::getline(in, line);)
+    {
+        if (line.starts_with(start))
+        {
+            ++rows;
+            const std::string name = line.substr(3, line.find('`', 3) - 3);
+            EXPECT_NE(text.find("# TYPE " + name + " "), std::string::npos)
+                << name;
+        }
+    }
+    EXPECT_EQ(count_of(text, "# TYPE cicadahub_entry_"), rows);
+}
+
 TEST(platform_path, a_faulty_settings_file_is_told_with_its_field)
 {
     const std::string file = make_folder() + "/bad.toml";
--- a/utilities/cicadactl/main.cpp
+++ b/utilities/cicadactl/main.cpp
@@ -1,9 +1,11 @@
 #include "commands.hpp"
+#include "explain.hpp"
 
 #include "settings/program.hpp"
 
 #include <tclap/CmdLine.h>
 
+#include <fstream>
 #include <iostream>
 
 namespace
@@ -19,16 +21,46 @@
         text += "\n  " + std::string(it.name) + " " +
                 std::string(it.arguments) + ": " + std::string(it.meaning);
     }
+    text += "\n  explain REQUEST [LOG-FILE...]: the story of one request from "
+            "daemons' logs; standard input without a file; needs no daemon.";
     return text;
 }
 
+int explain_request(const std::vector<std::string>& words)
+{
+    if (words.size() < 2)
+    {
+        throw ctl::usage_error("explain takes a request's id");
+    }
+    std::stringstream lines;
+    if (words.size() == 2)
+    {
+        lines << std::cin.rdbuf();
+    }
+    for (std::size_t n = 2; n < words.size(); ++n)
+    {
+        const std::ifstream file(words[n]);
+        if (!file)
+        {
+            throw ctl::usage_error("cannot read " + words[n]);
+        }
+        lines << file.rdbuf() << "\n";
+    }
+    if (ctl::explain(lines, words[1], std::cout) == 0)
+    {
+        std::cerr << "no line of request " << words[1] << "\n";
+        return settings::exit_failure;
+    }
+    return settings::exit_ok;
+}
+
 int run(int argc, char** argv)
 {
     TCLAP::CmdLine line(command_help(), ' ', CICADAHUB_VERSION);
     line.setExceptionHandling(false);
     TCLAP::ValueArg<std::string> daemon("d", "daemon",
                                         "Operators' address of any daemon.",
-                                        true, "", "ADDRESS:PORT");
+                                        false, "", "ADDRESS:PORT");
     std::vector<std::string> outputs{"table", "json"};
     TCLAP::ValuesConstraint<std::string> is_output(outputs);
     TCLAP::ValueArg<std::string> output("o", "output", "Form of the output.",
@@ -46,6 +78,14 @@
     line.add(wait);
     line.add(words);
     line.parse(argc, argv);
+    if (words.getValue().front() == "explain")
+    {
+        return explain_request(words.getValue());
+    }
+    if (!daemon.isSet())
+    {
+        throw ctl::usage_error("the command needs --daemon");
+    }
     ctl::operator_client client(http::parse_endpoint(daemon.getValue()),
                                 name.getValue());
     ctl::command_options options;
