--- a/libraries/decision/replicas/replica_planner.cpp
+++ b/libraries/decision/replicas/replica_planner.cpp
@@ -186,7 +186,7 @@
 
 std::optional<replica_planner::candidate>
 replica_planner::best_server(const planner_view& view, const model_id& model,
-                             bool may_use_store, time_point now) const
+                             load_scope scope, time_point now) const
 {
     std::optional<candidate> best;
     for (auto& [id, server] : view.servers)
@@ -197,7 +197,10 @@
             continue;
         }
         auto it = weigh(view, server, model, now);
-        if (!it || (it->is_store_load && !may_use_store))
+        const bool is_in_scope =
+            (scope != load_scope::near_copy || (it && !it->is_store_load)) &&
+            (scope != load_scope::empty_server || server.models().empty());
+        if (!it || !is_in_scope)
         {
             continue;
         }
@@ -285,7 +288,8 @@
     {
         if (it.has_near_copy && it.waiting > 0)
         {
-            if (const auto to = best_server(view, it.model, false, now))
+            if (const auto to =
+                    best_server(view, it.model, load_scope::near_copy, now))
             {
                 emit(*to, it.model, now, orders);
             }
@@ -304,7 +308,7 @@
         {
             continue;
         }
-        const auto to = best_server(view, it.model, true, now);
+        const auto to = best_server(view, it.model, load_scope::any, now);
         if (to &&
             to->victims_cost_ms <= it.requests_until_loaded * running_wait_ms)
         {
@@ -431,9 +435,10 @@
         {
             continue;
         }
-        const bool may_use_store =
-            store_loads(view) < m_limits.store_loads_at_once;
-        const auto to = best_server(view, model, may_use_store, now);
+        const auto scope = store_loads(view) < m_limits.store_loads_at_once
+                               ? load_scope::any
+                               : load_scope::near_copy;
+        const auto to = best_server(view, model, scope, now);
         // Worth it only if it takes less from others than it gives.
         if (to && to->cost_ms < per_replica * running_wait_ms)
         {
@@ -499,7 +504,11 @@
         {
             return;
         }
-        const auto to = best_server(view, model, true, now);
+        // While requests come, a load of seconds would hold up a server that
+        // others swap models on.
+        const auto to = best_server(
+            view, model,
+            has_demand ? load_scope::empty_server : load_scope::any, now);
         if (to && to->is_store_load && to->victims_cost_ms <= staging_cost_ms)
         {
             emit(*to, model, now, orders);
--- a/libraries/decision/replicas/replica_planner.hpp
+++ b/libraries/decision/replicas/replica_planner.hpp
@@ -14,7 +14,7 @@
     std::uint32_t store_loads_at_once = 4;
     /// Copies of weights that are fetched ahead of demand while requests come
     /// leave this many of the above to requests that wait.
-    std::uint32_t store_loads_kept_free = 3;
+    std::uint32_t store_loads_kept_free = 2;
     /// Adapters that one server takes from the store at once (published).
     std::uint32_t adapters_in_transit = 4;
     /// Requests that a replica runs before another replica is worth a load.
@@ -83,9 +83,20 @@
     static std::vector<model_id> models_to_stage(const planner_view& view);
     void plan_staging(const planner_view& view, time_point now,
                       std::vector<planned_order>& orders) const;
+    /// Where a load may come from and go to.
+    enum class load_scope
+    {
+        /// Weights that the server has in memory or on disk.
+        near_copy,
+        any,
+        /// Only to a server that holds nothing yet, as one that has just
+        /// joined.
+        empty_server,
+    };
+
     std::optional<candidate> best_server(const planner_view& view,
                                          const model_id& model,
-                                         bool may_use_store,
+                                         load_scope scope,
                                          time_point now) const;
     std::optional<candidate> weigh(const planner_view& view,
                                    const server_state& server,
