Fleet: Send most of a digest to the lease holder alone

Change: wants, usage and models of the work go to the holder alone; a change is an update; the holder tells of changed servers at once and of the others by turns; the period grows with the hosts.

--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -15,13 +15,15 @@
 namespace
 {
 
-/// Time between two digests without news.
-constexpr milliseconds digest_period{250};
+/// Time between two whole digests: what all hosts together send grows with
+/// their number rather than with its square.
+constexpr milliseconds least_period{250};
+constexpr milliseconds period_per_peer{10};
 /// Changes that come together are told together.
 constexpr milliseconds gather_time{5};
 constexpr std::size_t largest_datagram_bytes = 60'000;
-/// So that a digest never names more hosts than a datagram holds.
-constexpr std::size_t told_addresses = 64;
+/// Peers that one digest names, by turns; most hosts are known from the store.
+constexpr std::size_t told_addresses = 4;
 /// Long enough that a daemon that missed some digests still hears of it.
 constexpr milliseconds crash_told_for{3'000};
 constexpr std::size_t told_crashes = 64;
@@ -81,7 +83,8 @@
     }
 }
 
-fleet::wire::Digest digest_exchange::make_digest(time_point now)
+fleet::wire::Digest digest_exchange::begin_digest(time_point now,
+                                                  bool is_update)
 {
     fleet::wire::Digest it;
     it.sender = m_state.settings.name.value();
@@ -89,6 +92,24 @@
     it.number = ++m_number;
     it.data_centre = m_state.settings.data_centre.value();
     it.is_leaving = m_state.is_draining;
+    it.is_update = is_update;
+    for (const auto& [request, crashes] :
+         m_state.suspects.crashed_since(now - crash_told_for))
+    {
+        if (it.crashes.size() < told_crashes)
+        {
+            fleet::wire::CrashNotice notice;
+            notice.fingerprint = request.value();
+            notice.crashes = static_cast<std::int32_t>(crashes);
+            it.crashes.push_back(std::move(notice));
+        }
+    }
+    m_fill(it, now);
+    return it;
+}
+
+void digest_exchange::add_wants(fleet::wire::Digest& to, time_point now) const
+{
     for (const replicas::want& want : m_state.waiting.wants(now))
     {
         fleet::wire::WantedCopy wanted;
@@ -97,16 +118,25 @@
             want.copy.adapter ? want.copy.adapter->value() : std::string();
         wanted.waiting = static_cast<std::int32_t>(want.waiting);
         wanted.slack_ms = static_cast<std::int32_t>(want.slack.count());
-        it.wants.push_back(std::move(wanted));
+        to.wants.push_back(std::move(wanted));
     }
+}
+
+void digest_exchange::add_usage(fleet::wire::Digest& to, time_point now)
+{
     for (const auto& [copy, rate] : m_state.demand.copy_rates(now))
     {
         fleet::wire::CopyUsage usage;
         usage.model = copy.model.value();
         usage.adapter = copy.adapter ? copy.adapter->value() : std::string();
         usage.requests_per_second = rate;
-        it.usage.push_back(std::move(usage));
+        to.usage.push_back(std::move(usage));
     }
+}
+
+void digest_exchange::add_work(fleet::wire::Digest& to, bool has_models) const
+{
+    to.__isset.work = true;
     for (const auto& [id, record] : m_state.servers.records())
     {
         if (record->running == 0)
@@ -116,46 +146,48 @@
         fleet::wire::ServerWork work;
         work.server = id.value();
         work.running = static_cast<std::int32_t>(record->running);
-        for (const auto& [model, n] : record->running_models)
+        if (has_models)
         {
-            work.models[model.value()] = static_cast<std::int32_t>(n);
+            for (const auto& [model, n] : record->running_models)
+            {
+                work.models[model.value()] = static_cast<std::int32_t>(n);
+            }
         }
-        it.work.push_back(std::move(work));
+        to.work.push_back(std::move(work));
     }
+}
+
+void digest_exchange::add_demand(fleet::wire::Digest& to, time_point now)
+{
     for (const auto& [name, rate] : m_state.demand.organisation_rates(now))
     {
         fleet::wire::OrganisationDemand demand;
         demand.organisation = name.value();
         demand.per_second = rate;
-        it.demand.push_back(std::move(demand));
+        to.demand.push_back(std::move(demand));
     }
-    for (const auto& [request, crashes] :
-         m_state.suspects.crashed_since(now - crash_told_for))
-    {
-        if (it.crashes.size() < told_crashes)
-        {
-            fleet::wire::CrashNotice notice;
-            notice.fingerprint = request.value();
-            notice.crashes = static_cast<std::int32_t>(crashes);
-            it.crashes.push_back(std::move(notice));
-        }
-    }
-    for (const auto& [name, peer] : m_state.fleet.peers())
+}
+
+void digest_exchange::add_peers(fleet::wire::Digest& to)
+{
+    const auto& peers = m_state.fleet.peers();
+    std::size_t n = std::min(told_addresses, peers.size());
+    for (auto it = peers.upper_bound(m_last_told); n > 0; --n, ++it)
     {
-        if (it.peers.size() < told_addresses)
+        if (it == peers.end())
         {
-            it.peers.push_back(http::to_string(peer.address));
+            it = peers.begin();
         }
+        to.peers.push_back(http::to_string(it->second.address));
+        m_last_told = it->first;
     }
-    m_fill(it, now);
-    return it;
 }
 
-void digest_exchange::tell_now()
+void digest_exchange::send(const fleet::wire::Digest& digest,
+                           const std::set<net::ip::udp::endpoint>& to)
 {
-    const std::string datagram =
-        fleet::encode_digest(make_digest(monotonic_clock::now()));
-    for (const auto& it : m_addresses)
+    const std::string datagram = fleet::encode_digest(digest);
+    for (const auto& it : to)
     {
         boost::system::error_code ec;
         // A digest that is lost is made up for by the next.
@@ -163,6 +195,59 @@
     }
 }
 
+std::set<net::ip::udp::endpoint> digest_exchange::holder_address() const
+{
+    const peer* holder = m_state.fleet.placement_holder();
+    if (holder == nullptr || m_is_holder())
+    {
+        return {};
+    }
+    return {datagram_endpoint(holder->address)};
+}
+
+void digest_exchange::tell_now()
+{
+    const time_point now = monotonic_clock::now();
+    const auto holder = holder_address();
+    fleet::wire::Digest brief = begin_digest(now, false);
+    add_demand(brief, now);
+    add_peers(brief);
+    fleet::wire::Digest full = brief;
+    add_work(brief, false);
+    auto others = m_addresses;
+    for (const auto& it : holder)
+    {
+        others.erase(it);
+    }
+    send(brief, others);
+    if (!holder.empty())
+    {
+        add_work(full, true);
+        add_usage(full, now);
+        add_wants(full, now);
+        send(full, holder);
+    }
+}
+
+void digest_exchange::tell_changes()
+{
+    const time_point now = monotonic_clock::now();
+    fleet::wire::Digest update = begin_digest(now, true);
+    if (m_is_holder() || !update.crashes.empty())
+    {
+        send(update, m_addresses);
+    }
+    const auto holder = holder_address();
+    if (!holder.empty())
+    {
+        // A digest that is no newer than the last would be passed over.
+        update.number = ++m_number;
+        add_work(update, true);
+        add_wants(update, now);
+        send(update, holder);
+    }
+}
+
 void digest_exchange::forget_silent(time_point now)
 {
     if (!m_state.fleet.drop_silent(now))
@@ -176,15 +261,32 @@
     }
 }
 
+milliseconds digest_exchange::period() const
+{
+    return least_period +
+           period_per_peer * static_cast<int>(m_state.fleet.peers().size());
+}
+
 net::awaitable<void> digest_exchange::send_loop()
 {
+    time_point next_whole{};
     while (true)
     {
+        const time_point now = monotonic_clock::now();
         m_is_urgent = false;
-        forget_silent(monotonic_clock::now());
-        m_state.share_rates(monotonic_clock::now());
-        tell_now();
-        m_timer.expires_after(digest_period);
+        if (now >= next_whole)
+        {
+            forget_silent(now);
+            m_state.share_rates(now);
+            tell_now();
+            next_whole = now + period();
+        }
+        else
+        {
+            tell_changes();
+        }
+        m_timer.expires_after(std::max<monotonic_clock::duration>(
+            next_whole - monotonic_clock::now(), milliseconds(1)));
         co_await m_timer.async_wait(no_throw);
         if (m_is_urgent)
         {
--- a/libraries/entry/digest_exchange.hpp
+++ b/libraries/entry/digest_exchange.hpp
@@ -11,8 +11,9 @@
 namespace cicadahub::entry
 {
 
-/// Tells all other daemons again and again what this one knows, by datagram,
-/// and takes what they tell.
+/// Tells the other daemons again and again what this one knows, by datagram,
+/// and takes what they tell. What only the holder of the placement lease needs
+/// goes to that one alone; changes go out at once, as updates.
 class digest_exchange
 {
 public:
@@ -36,7 +37,18 @@
     void forget_silent(time_point now);
     void on_datagram(std::string_view datagram,
                      const net::ip::udp::endpoint& from);
-    fleet::wire::Digest make_digest(time_point now);
+    fleet::wire::Digest begin_digest(time_point now, bool is_update);
+    void add_wants(fleet::wire::Digest& to, time_point now) const;
+    void add_usage(fleet::wire::Digest& to, time_point now);
+    void add_work(fleet::wire::Digest& to, bool has_models) const;
+    void add_demand(fleet::wire::Digest& to, time_point now);
+    void add_peers(fleet::wire::Digest& to);
+    void tell_changes();
+    void send(const fleet::wire::Digest& digest,
+              const std::set<net::ip::udp::endpoint>& to);
+    /// None if it is not known, or is this daemon.
+    std::set<net::ip::udp::endpoint> holder_address() const;
+    milliseconds period() const;
 
     entry_state& m_state;
     fill_handler m_fill;
@@ -48,6 +60,8 @@
     std::set<net::ip::udp::endpoint> m_addresses;
     std::int64_t m_incarnation;
     std::int64_t m_number = 0;
+    /// Name of the peer that a digest named last.
+    std::string m_last_told;
     bool m_is_urgent = false;
 };
 
--- a/libraries/entry/fleet_view.cpp
+++ b/libraries/entry/fleet_view.cpp
@@ -19,8 +19,18 @@
         {
             return false;
         }
+        if (it.is_update && it.incarnation == former.incarnation)
+        {
+            merge(known->second.digest, it);
+            known->second.heard_at = now;
+            return true;
+        }
     }
-    else
+    if (it.is_update)
+    {
+        return false;
+    }
+    if (known == m_peers.end())
     {
         log_event(severity::info, event_number::peer_connected,
                   {{"peer", it.sender}, {"address", http::to_string(from)}});
@@ -30,6 +40,26 @@
     return true;
 }
 
+void fleet_view::merge(fleet::wire::Digest& known,
+                       const fleet::wire::Digest& update)
+{
+    known.number = update.number;
+    known.is_leaving = update.is_leaving;
+    known.configuration_revision = update.configuration_revision;
+    known.directory_revision = update.directory_revision;
+    known.wants = update.wants;
+    if (update.__isset.work)
+    {
+        known.work = update.work;
+    }
+    known.crashes = update.crashes;
+    known.holdings = update.holdings;
+    known.__isset.placement_epoch = update.__isset.placement_epoch;
+    known.placement_epoch = update.placement_epoch;
+    known.__isset.lease_version = update.__isset.lease_version;
+    known.lease_version = update.lease_version;
+}
+
 void fleet_view::note_address(const http::endpoint& address, time_point now)
 {
     m_noted.emplace(address, now);
--- a/libraries/entry/fleet_view.hpp
+++ b/libraries/entry/fleet_view.hpp
@@ -25,15 +25,17 @@
 class fleet_view
 {
 public:
-    /// A peer that was silent for this long is not counted: four digests.
-    static constexpr milliseconds silence_limit{1'000};
+    /// A peer that was silent for this long is not counted: several digests,
+    /// and less than a placement lease lasts.
+    static constexpr milliseconds silence_limit{1'500};
     /// A host that nobody hears may be cut off and still serve its callers.
     /// Longer than cuts usually last; after it, its part goes to the others.
     static constexpr milliseconds cut_limit{20'000};
     /// A host that said that it leaves serves for as long as a stop may take.
     static constexpr milliseconds leaving_limit{3'000};
 
-    /// False if the digest is older than one that is known.
+    /// False if the digest is older than one that is known, or an update of
+    /// one that is not.
     bool on_digest(const fleet::wire::Digest& it, const http::endpoint& from,
                    time_point now);
 
@@ -59,6 +61,8 @@
                      time_point now) const;
 
 private:
+    static void merge(fleet::wire::Digest& known,
+                      const fleet::wire::Digest& update);
     std::size_t unheard_count(time_point now) const;
 
     std::map<std::string, peer> m_peers;
--- a/libraries/entry/placement_duty.cpp
+++ b/libraries/entry/placement_duty.cpp
@@ -21,6 +21,10 @@
 /// An order that a server has not answered by then counts as unanswered.
 constexpr milliseconds order_timeout{1'000};
 constexpr milliseconds report_timeout{1'000};
+/// Whole digests in which every server is told of again, with or without a
+/// change, and servers that each of them tells of at least.
+constexpr std::size_t rounds_of_telling = 8;
+constexpr std::size_t least_told = 4;
 /// Rank of daemons that are not the first in the order of names is their
 /// place; it parts their tries for a free lease.
 constexpr std::string_view placement_shard = "placement";
@@ -441,10 +445,34 @@
         it.loaded_at = state->pending()->due_at;
     }
     m_inputs.servers.on_ordered(id, std::move(it));
+    m_untold.insert(id);
     m_on_holdings_changed();
 }
 
-void placement_duty::fill(fleet::wire::Digest& digest, time_point now) const
+std::set<server_id> placement_duty::servers_to_tell(bool is_update)
+{
+    std::set<server_id> servers = std::exchange(m_untold, {});
+    const auto& records = m_inputs.servers.records();
+    if (is_update || records.empty())
+    {
+        return servers;
+    }
+    const std::size_t part =
+        std::max(least_told, records.size() / rounds_of_telling);
+    auto it = records.upper_bound(m_last_told);
+    for (std::size_t n = std::min(part, records.size()); n > 0; --n, ++it)
+    {
+        if (it == records.end())
+        {
+            it = records.begin();
+        }
+        servers.insert(it->first);
+        m_last_told = it->first;
+    }
+    return servers;
+}
+
+void placement_duty::fill(fleet::wire::Digest& digest, time_point now)
 {
     if (!is_held())
     {
@@ -454,9 +482,10 @@
         static_cast<std::int64_t>(m_shard.epoch().value()));
     digest.__set_lease_version(
         static_cast<std::int64_t>(m_shard.version().value()));
-    for (const auto& [id, record] : m_inputs.servers.records())
+    for (const server_id& id : servers_to_tell(digest.is_update))
     {
-        if (!record->ordered)
+        const auto record = m_inputs.servers.find(id);
+        if (!record || !record->ordered)
         {
             continue;
         }
--- a/libraries/entry/placement_duty.hpp
+++ b/libraries/entry/placement_duty.hpp
@@ -46,8 +46,10 @@
 
     void on_holder_heard(const peer& holder);
     bool is_held() const { return m_shard.is_held(); }
-    /// Adds what the holder tells the others.
-    void fill(fleet::wire::Digest& digest, time_point now) const;
+    /// Adds what the holder tells the others: the servers that have changed
+    /// since it last told and, unless it is an update, some of the rest by
+    /// turns.
+    void fill(fleet::wire::Digest& digest, time_point now);
 
 private:
     using server_map = std::map<server_id, replicas::server_state>;
@@ -64,6 +66,7 @@
     net::awaitable<void> send(replicas::order it);
     replicas::server_state* find(const server_id& id);
     void publish(const server_id& id, time_point now);
+    std::set<server_id> servers_to_tell(bool is_update);
 
     net::io_context& m_context;
     http::client_pool& m_pool;
@@ -74,6 +77,9 @@
     net::steady_timer m_timer;
     std::map<service_id, server_map> m_servers;
     std::map<server_id, time_point> m_asked;
+    std::set<server_id> m_untold;
+    /// The last server that was told by turns.
+    server_id m_last_told;
     bool m_is_stopped = false;
 };
 
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -1,5 +1,6 @@
-// What each daemon tells all others by datagram, whole and again and again, so
-// that a lost datagram needs no repair. Compact protocol.
+// What each daemon tells the others by datagram, again and again, so that a lost
+// datagram needs no repair. Compact protocol. Wants, usage and the models of the
+// work go to the holder of the placement lease only.
 namespace cpp cicadahub.fleet.wire
 
 struct WantedCopy {
@@ -51,7 +52,7 @@
   6: i64 directory_revision
   7: list<WantedCopy> wants
   8: list<CopyUsage> usage
-  9: list<ServerWork> work
+  9: optional list<ServerWork> work
   10: list<OrganisationDemand> demand
   11: list<CrashNotice> crashes
   /// Fleet addresses of the daemons that the sender hears.
@@ -61,4 +62,7 @@
   14: optional i64 lease_version
   15: list<HeldModels> holdings
   16: bool is_leaving
+  /// Carries only wants, crashes, holdings and, for the holder, work; the rest
+  /// stays as it was told.
+  17: bool is_update
 }
