--- a/libraries/daemon/shard_keeper.cpp
+++ b/libraries/daemon/shard_keeper.cpp
@@ -69,6 +69,11 @@
     note_change();
 }
 
+void shard_keeper::on_holder_silent()
+{
+    net::co_spawn(m_context, read_back(), net::detached);
+}
+
 net::awaitable<void> shard_keeper::first_read()
 {
     while (!m_is_stopped)
--- a/libraries/daemon/shard_keeper.hpp
+++ b/libraries/daemon/shard_keeper.hpp
@@ -41,6 +41,10 @@
     void on_holder_heard(const daemon_id& holder, epoch_number epoch,
                          object_version version);
 
+    /// The holder no longer says that it holds the lease: it may have given it
+    /// up, which only the platform tells.
+    void on_holder_silent();
+
     object_version version() const { return m_lease.version(); }
     const shard_id& shard() const { return m_shard; }
     bool is_held() const { return m_lease.is_held(monotonic_clock::now()); }
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -219,8 +219,14 @@
             it.heard_at);
     }
     m_state.servers.set_running_elsewhere(m_state.fleet.running_by_server());
+    if (m_holder == it.digest.sender && !it.digest.__isset.placement_epoch)
+    {
+        m_holder.clear();
+        m_placement.on_holder_gone();
+    }
     if (it.digest.__isset.placement_epoch)
     {
+        m_holder = it.digest.sender;
         m_placement.on_holder_heard(it);
         if (!m_placement.is_held())
         {
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -96,6 +96,8 @@
     daemon::collection_follower m_configurations;
     daemon::collection_follower m_servers;
     net::signal_set m_signals;
+    /// The peer that last told that it holds the placement lease.
+    std::string m_holder;
     time_point m_started;
     bool m_was_ready = false;
 };
--- a/libraries/entry/placement_duty.hpp
+++ b/libraries/entry/placement_duty.hpp
@@ -45,6 +45,8 @@
     void kick() { m_timer.cancel(); }
 
     void on_holder_heard(const peer& holder);
+    /// A peer that held the lease tells that it does no longer.
+    void on_holder_gone() { m_shard.on_holder_silent(); }
     bool is_held() const { return m_shard.is_held(); }
     /// Adds what the holder tells the others: the servers that have changed
     /// since it last told and, unless it is an update, some of the rest by
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -233,6 +233,27 @@
     EXPECT_TRUE(fleet.is_memory_respected());
 }
 
+TEST(platform_path, a_stopped_holder_hands_the_orders_over)
+{
+    platform_fleet fleet(2);
+    EXPECT_TRUE(is_whole_stream(fleet.stream(0, "r1", "m3")));
+    // One of the two stops holds the lease.
+    for (const std::size_t n : {0U, 1U})
+    {
+        fleet.daemons[n].program->signal(SIGTERM);
+        EXPECT_TRUE(eventually(
+            [&, m = 1 - n] {
+                return is_whole_stream(
+                    fleet.stream(m, "after", n == 0 ? "m4" : "m2"));
+            }));
+        EXPECT_EQ(fleet.daemons[n].program->wait(), 0);
+        fleet.start_daemon(n);
+        EXPECT_TRUE(eventually([&] { return fleet.is_ready(n); }));
+    }
+    EXPECT_EQ(fleet.engine_total("old_fences"), 0);
+    EXPECT_TRUE(fleet.is_memory_respected());
+}
+
 TEST(platform_path, an_order_without_an_answer_is_found_out)
 {
     platform_fleet fleet(1);
