--- a/libraries/entry/request_run.cpp
+++ b/libraries/entry/request_run.cpp
@@ -102,6 +102,9 @@
     m_deadline = m_arrived + std::min(patience, m_route->timeout);
     m_first_byte_by =
         std::min(m_deadline, m_arrived + m_route->first_byte_patience);
+    // A connection that takes no more bytes must not hold the request longer
+    // than its caller waits.
+    m_reply.limit_writes(time_left(m_arrived));
     refuse_suspect();
     charge();
     m_reply.watch_caller(
