Entry: Part long files by job

request_run keeps a request's life; what it may do is in request_admission, where it goes in request_placing. No behaviour changes.

--- /dev/null
+++ b/libraries/decision/replicas/planner_view.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "decision/replicas/server_state.hpp"
+
+#include <map>
+
+namespace cicadahub::replicas
+{
+
+/// All that the planner decides by.
+struct planner_view
+{
+    const serving::engine_spec& engine;
+    std::map<server_id, server_state>& servers;
+    std::vector<want> wants;
+    std::map<model_id, model_use> use;
+    /// Requests that run of each model at each server, fleet-wide.
+    std::map<std::pair<server_id, model_id>, std::uint32_t> running;
+    std::map<copy_name, time_point> last_used;
+    /// Requests a second for each adapter, fleet-wide.
+    std::map<copy_name, double> adapter_rates;
+};
+
+} // namespace cicadahub::replicas
--- a/libraries/decision/replicas/replica_planner.cpp
+++ b/libraries/decision/replicas/replica_planner.cpp
@@ -1,5 +1,7 @@
 #include "decision/replicas/replica_planner.hpp"
 
+#include "decision/replicas/planner_costs.hpp"
+
 #include <algorithm>
 
 namespace cicadahub::replicas
@@ -8,15 +10,6 @@
 namespace
 {
 
-/// An unload waits for the requests that run; a usual one takes this long.
-constexpr double running_wait_ms = 300;
-
-/// A model that was just used is likely to be asked for again soon.
-constexpr milliseconds recent_use{1'000};
-
-/// A victim that others wait for would only be loaded again.
-constexpr double wanted_victim_ms = 60'000;
-
 /// A copy fetched ahead of demand may cost others this much.
 constexpr double staging_cost_ms = 300;
 
@@ -25,111 +18,6 @@
 constexpr double busy_miss = 8;
 constexpr std::int64_t busy_copies = 3;
 
-std::uint32_t running_at(const planner_view& view, const server_id& server,
-                         const model_id& model)
-{
-    const auto it = view.running.find({server, model});
-    return it == view.running.end() ? 0 : it->second;
-}
-
-model_use use_of(const planner_view& view, const model_id& model)
-{
-    const auto it = view.use.find(model);
-    return it == view.use.end() ? model_use{} : it->second;
-}
-
-bool is_wanted(const planner_view& view, const model_id& model)
-{
-    return std::any_of(view.wants.begin(), view.wants.end(),
-                       [&](const want& it) { return it.copy.model == model; });
-}
-
-std::size_t replica_count(const planner_view& view, const model_id& model)
-{
-    return static_cast<std::size_t>(std::count_if(
-        view.servers.begin(), view.servers.end(),
-        [&](const auto& it)
-        {
-            return it.second.is_usable() &&
-                   (it.second.serves(model) || it.second.is_loading(model));
-        }));
-}
-
-bool is_served(const planner_view& view, const model_id& model)
-{
-    return std::any_of(view.servers.begin(), view.servers.end(),
-                       [&](const auto& it) {
-                           return it.second.is_usable() &&
-                                  it.second.serves(model);
-                       });
-}
-
-std::uint32_t store_loads(const planner_view& view)
-{
-    return static_cast<std::uint32_t>(std::count_if(
-        view.servers.begin(), view.servers.end(),
-        [](const auto& it)
-        {
-            const auto& pending = it.second.pending();
-            return pending && pending->what.kind == order_kind::load &&
-                   pending->what.is_store_load;
-        }));
-}
-
-bool is_room_being_made(const planner_view& view, const model_id& model)
-{
-    return std::any_of(view.servers.begin(), view.servers.end(),
-                       [&](const auto& it)
-                       {
-                           const auto& pending = it.second.pending();
-                           return pending && pending->makes_room_for == model;
-                       });
-}
-
-/// What it costs, in milliseconds of waiting, to drop a model from a server.
-double cost_of_dropping(const planner_view& view, const server_state& server,
-                        const model_id& model, time_point now)
-{
-    const auto spec = view.engine.models.find(model);
-    if (spec == view.engine.models.end())
-    {
-        return 0;
-    }
-    double cost = 0;
-    const std::uint32_t running = running_at(view, server.id(), model);
-    if (running > 0)
-    {
-        cost += running_wait_ms;
-    }
-    if (is_wanted(view, model))
-    {
-        cost += wanted_victim_ms;
-    }
-    const model_use use = use_of(view, model);
-    const auto replicas = static_cast<double>(
-        std::max<std::size_t>(1, replica_count(view, model)));
-    const double reload =
-        static_cast<double>(std::max(server.load_time(model, spec->second),
-                                     spec->second.load_from_memory)
-                                .count());
-    // What this replica serves in the time that a reload would take.
-    cost += use.requests_per_second / replicas * reload;
-    cost += running_wait_ms * static_cast<double>(running);
-    const auto used = view.last_used.find({model, std::nullopt});
-    if (used != view.last_used.end())
-    {
-        const auto age =
-            std::chrono::duration_cast<milliseconds>(now - used->second);
-        if (age < recent_use)
-        {
-            cost += static_cast<double>((recent_use - age).count()) / 2;
-        }
-        // Among equals the one unused for longest goes.
-        cost += 100.0 / (1.0 + static_cast<double>(age.count()) / 1000.0);
-    }
-    return cost;
-}
-
 } // namespace
 
 struct replica_planner::candidate
--- /dev/null
+++ b/libraries/entry/request_admission.cpp
@@ -0,0 +1,139 @@
+#include "entry/request_run.hpp"
+
+#include "core/digest.hpp"
+
+#include <random>
+
+namespace cicadahub::entry
+{
+
+namespace
+{
+
+/// Weight of one request in the mean of the prompt tokens.
+constexpr double mean_weight = 0.02;
+/// Enough that two requests of a deployment never share a fingerprint.
+constexpr std::size_t fingerprint_digits = 24;
+
+std::size_t pick_by_weight(const std::vector<serving::service_share>& shares)
+{
+    std::uint32_t sum = 0;
+    for (const serving::service_share& it : shares)
+    {
+        sum += it.weight;
+    }
+    thread_local std::mt19937 random{std::random_device{}()};
+    std::uint32_t at = std::uniform_int_distribution<std::uint32_t>(
+        0, std::max(1U, sum) - 1)(random);
+    for (std::size_t n = 0; n < shares.size(); ++n)
+    {
+        if (at < shares[n].weight)
+        {
+            return n;
+        }
+        at -= shares[n].weight;
+    }
+    return 0;
+}
+
+} // namespace
+
+void request_run::find_route()
+{
+    m_route = m_configuration->find_route(m_request.host, m_request.path);
+    if (m_route == nullptr)
+    {
+        refuse(refusal_kind::unknown_route, {});
+    }
+}
+
+void request_run::authenticate()
+{
+    if (m_configuration->organisations.empty() || m_route->is_public)
+    {
+        return;
+    }
+    if (m_request.key)
+    {
+        m_organisation = m_configuration->find_holder(*m_request.key);
+    }
+    if (m_organisation == nullptr)
+    {
+        refuse(refusal_kind::unauthenticated, {});
+    }
+}
+
+void request_run::charge()
+{
+    if (m_organisation == nullptr)
+    {
+        return;
+    }
+    std::int64_t cost = 1;
+    if (m_organisation->counts_tokens)
+    {
+        cost = m_request.tokens
+                   ? m_request.tokens->prompt + m_request.tokens->output_limit
+                   : m_organisation->plain_cost;
+    }
+    m_state.demand.on_tokens(m_organisation->name, cost, m_arrived);
+    const auto rate = m_state.rates.find(m_organisation->name);
+    if (rate == m_state.rates.end())
+    {
+        return;
+    }
+    if (const auto wait = rate->second.charge(cost, m_arrived))
+    {
+        refuse(refusal_kind::over_rate, *wait);
+    }
+}
+
+void request_run::refuse_suspect()
+{
+    std::string text(m_message.method_string());
+    text.append(" ").append(m_message.target()).append(" ");
+    text += m_organisation == nullptr ? std::string()
+                                      : m_organisation->name.value();
+    text.append(" ").append(m_message.body());
+    m_fingerprint =
+        suspicion::fingerprint(sha256_hex(text).substr(0, fingerprint_digits));
+    if (m_state.suspects.is_refused(m_fingerprint))
+    {
+        refuse(refusal_kind::suspect_request, {});
+    }
+}
+
+void request_run::choose_service()
+{
+    const auto& share = m_route->services[pick_by_weight(m_route->services)];
+    m_service = m_configuration->find_service(share.service);
+    if (m_service == nullptr)
+    {
+        refuse(refusal_kind::no_capacity, starting_retry);
+    }
+    m_state.repeats_of(m_service->name).on_request(m_arrived);
+    if (!m_service->engine || !m_request.model)
+    {
+        return;
+    }
+    m_copy = replicas::copy_name{*m_request.model, m_request.adapter};
+    if (!m_service->engine->models.contains(m_copy->model))
+    {
+        refuse(refusal_kind::no_capacity, starting_retry);
+    }
+    m_state.demand.on_request(*m_copy, m_arrived);
+    m_affinity.key = m_request.model->value();
+    for (std::size_t n = 0; n + 1 < m_request.prompt.size(); ++n)
+    {
+        m_affinity.key += '/' + m_request.prompt[n].id;
+        m_affinity.shared_tokens += m_request.prompt[n].tokens;
+    }
+    if (m_request.tokens)
+    {
+        m_state.mean_prompt_tokens +=
+            mean_weight * (static_cast<double>(m_request.tokens->prompt) -
+                           m_state.mean_prompt_tokens);
+    }
+}
+
+} // namespace cicadahub::entry
--- a/libraries/entry/request_run.hpp
+++ b/libraries/entry/request_run.hpp
@@ -9,7 +9,21 @@
 namespace cicadahub::entry
 {
 
-/// One caller's request from its arrival to its end.
+/// Times to return that are told where no estimate says more.
+inline constexpr milliseconds starting_retry{500};
+inline constexpr milliseconds full_retry{250};
+/// What a request needs at least, once it has a server, to be worth sending.
+inline constexpr milliseconds least_work{50};
+
+/// Time since a moment on this daemon's clock.
+inline milliseconds time_since(time_point moment)
+{
+    return std::chrono::duration_cast<milliseconds>(monotonic_clock::now() -
+                                                    moment);
+}
+
+/// One caller's request from its arrival to its end. What it may do is decided
+/// in request_admission.cpp, where it goes in request_placing.cpp.
 class request_run
 {
 public:
