HTTP: Refuse requests whose end readers may differ about

Two equal lengths and an unknown transfer coding were taken (tried by hand); they get 400 and their connection ends. Test: cases/raw_requests, of which these two failed before.

--- a/libraries/http/server.cpp
+++ b/libraries/http/server.cpp
@@ -33,6 +33,12 @@
     }
 }
 
+bool has_ambiguous_end(const request& message)
+{
+    return message.count(field::content_length) > 1 ||
+           (message.count(field::transfer_encoding) > 0 && !message.chunked());
+}
+
 std::optional<refusal> refusal_of_read_error(boost::system::error_code ec)
 {
     using beast_http::error;
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -123,6 +123,10 @@
     std::atomic<std::size_t> m_busy{0};
 };
 
+/// True if readers may differ about where the message ends: two lengths, even
+/// equal ones, or a transfer coding that is none of ours.
+bool has_ambiguous_end(const request& message);
+
 /// Refusal of a request that could not be read; none if nothing was sent.
 std::optional<refusal> refusal_of_read_error(boost::system::error_code ec);
 
@@ -251,6 +255,12 @@
         co_return false;
     }
     request message = parser.release();
+    if (has_ambiguous_end(message))
+    {
+        co_await refuse_unread(stream,
+                               refusal{refusal_kind::malformed_request});
+        co_return false;
+    }
     const bool keep_alive = message.keep_alive() && !m_is_draining;
     reply_writer reply(stream, keep_alive, m_limits.write_timeout);
     std::optional<refusal> refused;
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -1,5 +1,6 @@
 #include "platform_fleet.hpp"
 
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <fstream>
@@ -61,6 +62,61 @@
         431U);
 }
 
+/// Status of the answer to these bytes; 0 if there is none.
+unsigned status_of_raw(const std::string& address, const std::string& bytes)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect(http::parse_endpoint(address));
+    boost::asio::write(socket, boost::asio::buffer(bytes));
+    boost::beast::flat_buffer buf;
+    http::response answer;
+    boost::system::error_code ec;
+    http::beast_http::read(socket, buf, answer, ec);
+    return ec ? 0 : answer.result_int();
+}
+
+struct raw_case
+{
+    const char* name;
+    const char* fields_and_body;
+    unsigned status;
+};
+
+class raw_requests : public testing::TestWithParam<raw_case>
+{
+};
+
+TEST_P(raw_requests, end_where_every_reader_says_so)
+{
+    const platform_fleet fleet(1);
+    const std::string bytes =
+        "POST /post/1 HTTP/1.1\r\nHost: trust.example\r\nRequest-Id: r\r\n"
+        "Authorization: Bearer key-of-trust\r\n" +
+        std::string(GetParam().fields_and_body);
+    EXPECT_EQ(status_of_raw(fleet.daemons[0].callers, bytes),
+              GetParam().status);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, raw_requests,
+    testing::Values(
+        raw_case{"one_length", "Content-Length: 2\r\n\r\nhi", 200},
+        raw_case{"chunks",
+                 "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", 200},
+        raw_case{"two_lengths",
+                 "Content-Length: 2\r\nContent-Length: 3\r\n\r\nhix", 400},
+        raw_case{"two_equal_lengths",
+                 "Content-Length: 2\r\nContent-Length: 2\r\n\r\nhi", 400},
+        raw_case{"length_and_chunks",
+                 "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "0\r\n\r\n",
+                 400},
+        raw_case{"unknown_coding",
+                 "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", 400},
+        raw_case{"signed_length", "Content-Length: +2\r\n\r\nhi", 400}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 TEST(platform_path, a_burst_for_a_cold_model_is_served_by_one_load)
 {
     platform_fleet fleet(2);
