--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -120,8 +120,10 @@
 TEST(platform_path, a_burst_for_a_cold_model_is_served_by_one_load)
 {
     platform_fleet fleet(2);
+    constexpr int burst = 6;
     std::vector<std::future<answer>> answers;
-    for (int n = 0; n < 6; ++n)
+    answers.reserve(burst);
+    for (int n = 0; n < burst; ++n)
     {
         answers.push_back(std::async(std::launch::async,
                                      [&, n]
