--- a/libraries/decision/replicas/types.hpp
+++ b/libraries/decision/replicas/types.hpp
@@ -66,10 +66,4 @@
     unknown,
 };
 
-/// Where loads of one model stand, for those that wait for it.
-struct load_estimate
-{
-    milliseconds time{0};
-};
-
 } // namespace cicadahub::replicas
--- a/libraries/decision/sharing/host_rate.cpp
+++ b/libraries/decision/sharing/host_rate.cpp
@@ -58,13 +58,6 @@
     return std::nullopt;
 }
 
-void host_rate::give_back(std::int64_t tokens, time_point now)
-{
-    m_bucket.refill(now, m_bucket.limit().burst);
-    m_bucket.put_back(token_count(tokens));
-    m_bucket.limit_to(m_bucket.limit().burst);
-}
-
 double share_of_demand(double own, double all, std::size_t host_count)
 {
     const double even =
--- a/libraries/decision/sharing/host_rate.hpp
+++ b/libraries/decision/sharing/host_rate.hpp
@@ -24,9 +24,6 @@
     /// Takes the tokens; otherwise the time until there are as many.
     std::optional<milliseconds> charge(std::int64_t tokens, time_point now);
 
-    /// Gives back what was charged for a request that did not run.
-    void give_back(std::int64_t tokens, time_point now);
-
 private:
     static quota::rate_limit part_of(const quota::rate_limit& whole,
                                      double share, std::int64_t slack);
--- a/libraries/entry/request_run.cpp
+++ b/libraries/entry/request_run.cpp
@@ -12,6 +12,13 @@
 /// Sends that ended without a run, after which a request is refused.
 constexpr std::uint32_t unrun_limit = 3;
 
+/// The server failed on its own account; running out of time is none.
+bool is_server_error(const exchange_result& result)
+{
+    return result.answer && result.answer->result_int() >= 500 &&
+           result.answer->result() != http::status::gateway_timeout;
+}
+
 } // namespace
 
 request_run::request_run(entry_state& state, const server_dialect& servers,
@@ -93,13 +100,13 @@
     exchange_result result =
         co_await m_exchange.run(record->entry.address, m_message, added,
                                 m_request.id, m_reply, m_progress, m_deadline);
-    log_attempt(result, *record, now);
+    note_attempt(result, *record, now);
     co_return result;
 }
 
-void request_run::log_attempt(const exchange_result& result,
-                              const server_record& record,
-                              time_point sent_at) const
+void request_run::note_attempt(const exchange_result& result,
+                               const server_record& record,
+                               time_point sent_at) const
 {
     m_state.metrics.count_attempt(name_of(result.end), time_since(sent_at));
     log_event(severity::info, event_number::request_attempted,
@@ -141,16 +148,13 @@
     {
         record.on_absent(*m_copy);
     }
-    const bool is_server_error =
-        result.answer && result.answer->result_int() >= 500 &&
-        result.answer->result() != http::status::gateway_timeout;
     bool is_suspended = false;
     if (result.end == exchange_end::not_sent)
     {
         record.health.on_unreachable(now);
         is_suspended = true;
     }
-    else if (result.end == exchange_end::failed || is_server_error)
+    else if (result.end == exchange_end::failed || is_server_error(result))
     {
         is_suspended = record.health.on_failure(now);
     }
@@ -172,10 +176,7 @@
 
 bool request_run::may_repeat(const exchange_result& result) const
 {
-    const bool is_server_error =
-        result.answer && result.answer->result_int() >= 500 &&
-        result.answer->result() != http::status::gateway_timeout;
-    if (result.end != exchange_end::failed && !is_server_error)
+    if (result.end != exchange_end::failed && !is_server_error(result))
     {
         return false;
     }
--- a/libraries/entry/request_run.hpp
+++ b/libraries/entry/request_run.hpp
@@ -62,8 +62,8 @@
     void refuse_if_hopeless(time_point now);
     milliseconds estimated_wait(time_point now) const;
     milliseconds time_left(time_point now) const;
-    void log_attempt(const exchange_result& result, const server_record& record,
-                     time_point sent_at) const;
+    void note_attempt(const exchange_result& result,
+                      const server_record& record, time_point sent_at) const;
     void note_end(std::string_view outcome) const;
     bool is_stream() const;
 
--- a/libraries/entry/settings.hpp
+++ b/libraries/entry/settings.hpp
@@ -25,8 +25,6 @@
 
     /// Time from the signal to stop until the process is killed.
     milliseconds stop_grace{8'000};
-    /// A server that leaves gets nothing new after this time.
-    milliseconds leaving_notice{2'000};
     /// Holders of the order lease that take turns must be this far apart.
     milliseconds order_lease{3'000};
     /// Repeats that the fleet may send a service in a window.
