Entry: Let two hosts watch the store for all

Ruled out: longer watches alone, since a watch may be lost without a word; the change handed on by peers alone, since a large configuration would leave one small host 61 times. Change: the lease holder and the first two hosts by name that reach the store watch closely and tell the others, which then ask for the changes; only a change of which servers there are and serve is told so. Following moves out of entry_daemon into store_mirror. A late list no longer removes newer servers.

--- a/libraries/daemon/collection_follower.cpp
+++ b/libraries/daemon/collection_follower.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace cicadahub::daemon
 {
 
@@ -13,6 +15,11 @@
 {
 
 constexpr milliseconds retry_pause{200};
+/// Least time between two refreshes: the platform answers in milliseconds, and
+/// whoever asks for one asks again.
+constexpr milliseconds refresh_pause{100};
+/// A watch that is to answer at once.
+constexpr milliseconds no_wait{1};
 
 } // namespace
 
@@ -20,9 +27,11 @@
                                          platform::store& store,
                                          platform::collection where,
                                          object_handler on_object,
-                                         batch_handler on_batch)
+                                         batch_handler on_batch,
+                                         pace_handler pace)
     : m_context(context), m_store(store), m_where(where),
-      m_on_object(std::move(on_object)), m_on_batch(std::move(on_batch))
+      m_on_object(std::move(on_object)), m_on_batch(std::move(on_batch)),
+      m_pace(std::move(pace))
 {
 }
 
@@ -31,43 +40,60 @@
     net::co_spawn(m_context, run(), net::detached);
 }
 
+void collection_follower::refresh()
+{
+    const time_point now = monotonic_clock::now();
+    if (m_is_refreshing || now < m_refreshed_at + refresh_pause)
+    {
+        return;
+    }
+    m_is_refreshing = true;
+    m_refreshed_at = now;
+    net::co_spawn(m_context, refresh_once(), net::detached);
+}
+
+net::awaitable<void> collection_follower::refresh_once()
+{
+    co_await ask(no_wait);
+    m_is_refreshing = false;
+}
+
 net::awaitable<void> collection_follower::run()
 {
     while (!m_is_stopped)
     {
-        bool has_failed = false;
-        try
-        {
-            if (m_needs_list)
-            {
-                co_await list_all();
-            }
-            co_await watch_once();
-        }
-        catch (const platform::watch_expired&)
+        const follow_pace pace = m_pace();
+        const bool is_answered = co_await ask(std::max(pace.wait, no_wait));
+        const milliseconds rest = is_answered ? pace.pause : retry_pause;
+        if (rest.count() > 0)
         {
-            CICADAHUB_EVENT(INFO, watch_restarted)
-                << "collection=" << platform::name_of(m_where);
-            m_needs_list = true;
+            co_await pause(m_context, rest);
         }
-        catch (const error& reason)
-        {
-            note_failure(reason.what());
-            has_failed = true;
-        }
-        milliseconds wait{0};
-        if (m_pace)
-        {
-            wait = m_pace();
-        }
-        if (has_failed)
-        {
-            wait = retry_pause;
-        }
-        if (wait.count() > 0)
+    }
+}
+
+net::awaitable<bool> collection_follower::ask(milliseconds wait)
+{
+    try
+    {
+        if (m_needs_list)
         {
-            co_await pause(m_context, wait);
+            co_await list_all();
         }
+        co_await watch_once(wait);
+        co_return true;
+    }
+    catch (const platform::watch_expired&)
+    {
+        CICADAHUB_EVENT(INFO, watch_restarted)
+            << "collection=" << platform::name_of(m_where);
+        m_needs_list = true;
+        co_return true;
+    }
+    catch (const error& reason)
+    {
+        note_failure(reason.what());
+        co_return false;
     }
 }
 
@@ -79,21 +105,21 @@
     {
         m_on_object(it);
     }
-    m_version = all.version;
+    m_version = std::max(m_version, all.version);
     m_needs_list = false;
     m_on_batch(true);
 }
 
-net::awaitable<void> collection_follower::watch_once()
+net::awaitable<void> collection_follower::watch_once(milliseconds wait)
 {
     const platform::listing changes =
-        co_await m_store.watch(m_where, m_version);
+        co_await m_store.watch(m_where, m_version, wait);
     note_contact();
     for (const platform::stored_object& it : changes.objects)
     {
         m_on_object(it);
     }
-    m_version = changes.version;
+    m_version = std::max(m_version, changes.version);
     if (!changes.objects.empty())
     {
         m_on_batch(false);
@@ -102,7 +128,6 @@
 
 void collection_follower::note_contact()
 {
-    m_last_contact = monotonic_clock::now();
     if (!m_is_in_contact)
     {
         m_is_in_contact = true;
--- a/libraries/daemon/collection_follower.hpp
+++ b/libraries/daemon/collection_follower.hpp
@@ -11,8 +11,19 @@
 
 namespace net = boost::asio;
 
+/// How often a follower asks.
+struct follow_pace
+{
+    /// Time that the platform is asked to wait for a change.
+    milliseconds wait{0};
+    /// Time between two watches; changes that come together are then fetched
+    /// together.
+    milliseconds pause{0};
+};
+
 /// Keeps up with one collection in the platform: a list, then watches, and a
-/// list again whenever the watch cannot go on.
+/// list again whenever the watch cannot go on. An object may be handed over
+/// more than once; its version tells.
 class collection_follower
 {
 public:
@@ -20,27 +31,30 @@
     /// Called after each list or batch of changes. `is_whole` tells that the
     /// objects handed over since the last call are the whole collection.
     using batch_handler = std::function<void(bool is_whole)>;
+    using pace_handler = std::function<follow_pace()>;
 
     collection_follower(net::io_context& context, platform::store& store,
                         platform::collection where, object_handler on_object,
-                        batch_handler on_batch);
-
-    /// Least time between two watches; changes that come together are then
-    /// fetched together.
-    using pace_handler = std::function<milliseconds()>;
-    void set_pace(pace_handler pace) { m_pace = std::move(pace); }
+                        batch_handler on_batch, pace_handler pace);
 
     void start();
     void stop() { m_is_stopped = true; }
 
-    /// Time of the last answer of the platform; none before the first.
-    std::optional<time_point> last_contact() const { return m_last_contact; }
+    /// Asks at once for what has changed, beside a watch that still waits.
+    /// Does nothing if it was called a moment ago.
+    void refresh();
+
+    /// All changes up to this version were handed over.
+    object_version version() const { return m_version; }
     bool is_in_contact() const { return m_is_in_contact; }
 
 private:
     net::awaitable<void> run();
+    net::awaitable<void> refresh_once();
+    /// Asks once; false if the platform did not answer.
+    net::awaitable<bool> ask(milliseconds wait);
     net::awaitable<void> list_all();
-    net::awaitable<void> watch_once();
+    net::awaitable<void> watch_once(milliseconds wait);
     void note_contact();
     void note_failure(const char* reason);
 
@@ -54,7 +68,8 @@
     bool m_needs_list = true;
     bool m_is_in_contact = false;
     bool m_is_stopped = false;
-    std::optional<time_point> m_last_contact;
+    bool m_is_refreshing = false;
+    time_point m_refreshed_at{};
 };
 
 } // namespace cicadahub::daemon
--- a/libraries/daemon/control_plane.cpp
+++ b/libraries/daemon/control_plane.cpp
@@ -108,7 +108,8 @@
               publish_configuration();
               m_lists_missing -= is_whole ? 1 : 0;
               update_readiness();
-          }),
+          },
+          watch_pace_of(settings)),
       m_host_follower(
           context, m_store, platform::collection::hosts,
           [this](const auto& it) { m_hosts.apply(it); },
@@ -123,7 +124,8 @@
               m_placement.on_hosts_changed();
               publish_routes();
               update_readiness();
-          }),
+          },
+          watch_pace_of(settings)),
       m_member_follower(
           context, m_store, platform::collection::members,
           [this](const auto& it) { m_members.apply(it); },
@@ -134,7 +136,8 @@
                   m_members.end_list();
                   m_members.begin_list();
               }
-          }),
+          },
+          watch_pace_of(settings)),
       m_lease_follower(
           context, m_store, platform::collection::leases,
           [this](const auto& it)
@@ -144,7 +147,7 @@
               m_once_shard.apply(it);
               m_slot.apply(it);
           },
-          [this](bool) { m_slot.start(); }),
+          [this](bool) { m_slot.start(); }, watch_pace_of(settings)),
       m_placement_follower(
           context, m_store, platform::collection::placements,
           [this](const auto& it) { on_placement_object(it); },
@@ -153,7 +156,8 @@
               publish_routes();
               m_lists_missing -= is_whole ? 1 : 0;
               update_readiness();
-          }),
+          },
+          watch_pace_of(settings)),
       m_receiver(*this)
 {
 }
--- a/libraries/daemon/settings_parts.cpp
+++ b/libraries/daemon/settings_parts.cpp
@@ -20,10 +20,18 @@
 {
     platform::client_timing timing;
     timing.call_timeout = it.platform_call_timeout;
-    timing.watch_timeout = it.platform_watch_timeout;
     return timing;
 }
 
+collection_follower::pace_handler
+watch_pace_of(const settings::daemon_settings& it)
+{
+    return [wait = it.platform_watch_timeout]
+    {
+        return follow_pace{wait, {}};
+    };
+}
+
 member self_of(const settings::daemon_settings& it)
 {
     member self;
--- a/libraries/daemon/settings_parts.hpp
+++ b/libraries/daemon/settings_parts.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/collection_follower.hpp"
 #include "daemon/member_directory.hpp"
 #include "decision/once/intent_ledger.hpp"
 #include "decision/ownership/shard_lease.hpp"
@@ -14,6 +15,9 @@
 // What each part of the control plane takes from the settings.
 
 platform::client_timing timing_of(const settings::daemon_settings& it);
+/// One watch after the other.
+collection_follower::pace_handler
+watch_pace_of(const settings::daemon_settings& it);
 member self_of(const settings::daemon_settings& it);
 placement::load_limits limits_of(const settings::daemon_settings& it);
 placement::placement_timing
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -83,6 +83,12 @@
     }
 }
 
+void digest_exchange::tell_all_soon()
+{
+    m_is_for_all = true;
+    tell_soon();
+}
+
 fleet::wire::Digest digest_exchange::begin_digest(time_point now,
                                                   bool is_update)
 {
@@ -233,7 +239,8 @@
 {
     const time_point now = monotonic_clock::now();
     fleet::wire::Digest update = begin_digest(now, true);
-    if (m_is_holder() || !update.crashes.empty())
+    if (std::exchange(m_is_for_all, false) || m_is_holder() ||
+        !update.crashes.empty())
     {
         send(update, m_addresses);
     }
--- a/libraries/entry/digest_exchange.hpp
+++ b/libraries/entry/digest_exchange.hpp
@@ -27,6 +27,8 @@
     void start();
     /// Something changed that others wait for.
     void tell_soon();
+    /// The same, for what not only the holder of the placement lease needs.
+    void tell_all_soon();
     void add_address(const http::endpoint& address);
     /// Tells everybody at once, as before the daemon stops.
     void tell_now();
@@ -63,6 +65,7 @@
     /// Name of the peer that a digest named last.
     std::string m_last_told;
     bool m_is_urgent = false;
+    bool m_is_for_all = false;
 };
 
 } // namespace cicadahub::entry
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -16,23 +16,14 @@
 
 constexpr milliseconds connect_timeout{500};
 constexpr std::size_t idle_connections = 4;
-/// The store may lose a watch without a word while its connection lives on. A
-/// watch and the limit of its answer together stay under the two seconds in
-/// which a change must be known.
-constexpr platform::client_timing store_timing{
-    milliseconds(600), milliseconds(1'000), milliseconds(3'000)};
-/// A leaving server must be known within two seconds; the others learn of
-/// loads from the holder of the placement lease at once.
-constexpr milliseconds list_pace{500};
-constexpr milliseconds holder_list_pace{40};
+/// The store answers in milliseconds; a call that is not answered by then is
+/// made again well within the two seconds in which a change must be known.
+constexpr platform::client_timing store_timing{milliseconds(600),
+                                               milliseconds(3'000)};
 constexpr std::string_view metrics_path = "/metrics";
-constexpr milliseconds member_period{5'000};
-constexpr milliseconds peer_timeout{500};
-constexpr milliseconds peer_look_period{200};
-/// A daemon that the store does not tell of a change for this long asks its
-/// peers: longer than the pace of the list, and well under the two seconds in
-/// which a change must be known.
-constexpr milliseconds store_patience{800};
+/// Hosts that start tell the others themselves; the list makes up for what was
+/// lost.
+constexpr milliseconds member_period{30'000};
 constexpr milliseconds retry_pause{300};
 /// The balancer asks each second and takes a daemon out after two misses.
 constexpr milliseconds balancer_notice{2'600};
@@ -89,11 +80,7 @@
           m_state,
           [this](fleet::wire::Digest& it, time_point now)
           {
-              it.configuration_revision = static_cast<std::int64_t>(
-                  m_relay.revision(platform::collection::configurations)
-                      .value());
-              it.directory_revision = static_cast<std::int64_t>(
-                  m_relay.revision(platform::collection::servers).value());
+              m_mirror.fill(it);
               m_placement.fill(it, now);
           },
           [this](const peer& it) { on_heard(it); },
@@ -106,18 +93,15 @@
                          {{m_context, m_readiness}}),
       m_relay_server(m_settings.fleet, http::server_limits{},
                      {{m_context, m_relay}}),
-      m_configurations(
-          m_context, m_store, platform::collection::configurations,
-          [this](const platform::stored_object& it)
-          { take_object(platform::collection::configurations, it); },
-          [this](bool is_whole)
-          { end_batch(platform::collection::configurations, is_whole); }),
-      m_servers(
-          m_context, m_store, platform::collection::servers,
-          [this](const platform::stored_object& it)
-          { take_object(platform::collection::servers, it); },
-          [this](bool is_whole)
-          { end_batch(platform::collection::servers, is_whole); }),
+      m_mirror(m_state, m_store, m_peer_pool, m_relay,
+               {[this](const platform::stored_object& it)
+                { on_configuration(it); },
+                [this] { on_servers_changed(); },
+                [this] { m_digests.tell_all_soon(); },
+                [this]
+                {
+                    return m_placement.is_held();
+                }}),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
       m_started(monotonic_clock::now())
 {
@@ -125,9 +109,6 @@
     {
         m_digests.tell_soon();
     };
-    m_servers.set_pace(
-        [this]
-        { return m_placement.is_held() ? holder_list_pace : list_pace; });
     m_state.waiting.set_change_handler(
         [this]
         {
@@ -189,6 +170,7 @@
         m_state.configuration = std::move(next);
         m_state.share_rates(monotonic_clock::now());
         m_state.waiting.wake_all();
+        note_readiness();
     }
     catch (const std::exception& reason)
     {
@@ -200,9 +182,8 @@
     }
 }
 
-void entry_daemon::on_servers_changed(bool is_whole)
+void entry_daemon::on_servers_changed()
 {
-    m_state.servers.end_of_list(is_whole);
     m_state.has_servers = true;
     note_readiness();
     m_placement.kick();
@@ -211,6 +192,7 @@
 
 void entry_daemon::on_heard(const peer& it)
 {
+    m_mirror.on_heard(it);
     for (const auto& notice : it.digest.crashes)
     {
         m_state.suspects.on_notice(
@@ -304,10 +286,12 @@
     co_await register_member();
     while (!m_state.is_draining)
     {
+        bool is_known = false;
         try
         {
             const auto all =
                 co_await m_store.list(platform::collection::members);
+            is_known = true;
             for (const platform::stored_object& it : all.objects)
             {
                 const json_reader reader(it.spec);
@@ -320,104 +304,7 @@
             log_event(severity::warning, event_number::platform_unreachable,
                       {{"collection", "members"}, {"reason", reason.what()}});
         }
-        co_await pause(m_context, member_period);
-    }
-}
-
-void entry_daemon::take_object(platform::collection where,
-                               const platform::stored_object& it)
-{
-    m_relay.on_object(where, it);
-    if (where == platform::collection::servers)
-    {
-        m_state.servers.apply(it);
-        return;
-    }
-    on_configuration(it);
-}
-
-void entry_daemon::end_batch(platform::collection where, bool is_whole)
-{
-    m_relay.end_of_batch(where, is_whole);
-    if (where == platform::collection::servers)
-    {
-        on_servers_changed(is_whole);
-    }
-    note_readiness();
-}
-
-object_version entry_daemon::known_by(const peer& it,
-                                      platform::collection where)
-{
-    const std::int64_t revision = where == platform::collection::servers
-                                      ? it.digest.directory_revision
-                                      : it.digest.configuration_revision;
-    return object_version(static_cast<std::uint64_t>(revision));
-}
-
-const peer* entry_daemon::best_informed(platform::collection where) const
-{
-    const peer* best = nullptr;
-    for (const auto& [name, it] : m_state.fleet.peers())
-    {
-        if (best == nullptr || known_by(it, where) > known_by(*best, where))
-        {
-            best = &it;
-        }
-    }
-    return best;
-}
-
-net::awaitable<void> entry_daemon::fetch_from(http::endpoint peer,
-                                              platform::collection where)
-{
-    try
-    {
-        http::request message = object_relay::make_request(where);
-        const http::response answer = co_await http::fetch(
-            m_peer_pool, peer, std::move(message), peer_timeout);
-        const platform::listing all = object_relay::read_answer(answer);
-        if (all.version <= m_relay.revision(where))
-        {
-            co_return;
-        }
-        for (const platform::stored_object& it : all.objects)
-        {
-            take_object(where, it);
-        }
-        end_batch(where, true);
-        log_event(severity::info, event_number::learnt_from_peer,
-                  {{"collection", platform::name_of(where)},
-                   {"peer", http::to_string(peer)},
-                   {"revision", all.version.value()}});
-    }
-    catch (const std::exception& reason)
-    {
-        log_event(
-            severity::warning, event_number::peer_lost,
-            {{"address", http::to_string(peer)}, {"reason", reason.what()}});
-    }
-}
-
-net::awaitable<void> entry_daemon::follow_peers()
-{
-    std::map<platform::collection, sharing::catch_up> lags{
-        {platform::collection::configurations,
-         sharing::catch_up(store_patience)},
-        {platform::collection::servers, sharing::catch_up(store_patience)}};
-    while (!m_state.is_draining)
-    {
-        co_await pause(m_context, peer_look_period);
-        for (auto& [where, lag] : lags)
-        {
-            const peer* best = best_informed(where);
-            if (best != nullptr &&
-                lag.is_behind(m_relay.revision(where), known_by(*best, where),
-                              monotonic_clock::now()))
-            {
-                co_await fetch_from(best->address, where);
-            }
-        }
+        co_await pause(m_context, is_known ? member_period : retry_pause);
     }
 }
 
@@ -453,12 +340,10 @@
 void entry_daemon::run()
 {
     wait_for_signal();
-    m_configurations.start();
-    m_servers.start();
+    m_mirror.start();
     m_placement.start();
     m_digests.start();
     net::co_spawn(m_context, follow_members(), net::detached);
-    net::co_spawn(m_context, follow_peers(), net::detached);
     m_relay_server.start();
     m_caller_server.start();
     m_readiness_server.start();
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -1,11 +1,10 @@
 #pragma once
 
-#include "daemon/collection_follower.hpp"
-#include "decision/sharing/catch_up.hpp"
 #include "entry/digest_exchange.hpp"
 #include "entry/object_relay.hpp"
 #include "entry/placement_duty.hpp"
 #include "entry/request_handler.hpp"
+#include "entry/store_mirror.hpp"
 #include "http/server.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -58,18 +57,9 @@
     net::awaitable<void> drain();
     net::awaitable<void> register_member();
     net::awaitable<void> follow_members();
-    net::awaitable<void> follow_peers();
-    /// The peer that knows of the newest change in a collection.
-    const peer* best_informed(platform::collection where) const;
-    static object_version known_by(const peer& it, platform::collection where);
-    net::awaitable<void> fetch_from(http::endpoint peer,
-                                    platform::collection where);
-    void take_object(platform::collection where,
-                     const platform::stored_object& it);
-    void end_batch(platform::collection where, bool is_whole);
     void wait_for_signal();
     void on_configuration(const platform::stored_object& it);
-    void on_servers_changed(bool is_whole);
+    void on_servers_changed();
     void on_heard(const peer& it);
     void take_holdings(const peer& holder);
     void note_readiness();
@@ -93,8 +83,7 @@
     http::server<request_handler> m_caller_server;
     http::server<readiness_handler> m_readiness_server;
     http::server<object_relay> m_relay_server;
-    daemon::collection_follower m_configurations;
-    daemon::collection_follower m_servers;
+    store_mirror m_mirror;
     net::signal_set m_signals;
     /// The peer that last told that it holds the placement lease.
     std::string m_holder;
--- a/libraries/entry/fleet_view.cpp
+++ b/libraries/entry/fleet_view.cpp
@@ -45,8 +45,9 @@
 {
     known.number = update.number;
     known.is_leaving = update.is_leaving;
-    known.configuration_revision = update.configuration_revision;
-    known.directory_revision = update.directory_revision;
+    known.configuration_version = update.configuration_version;
+    known.servers_changed_version = update.servers_changed_version;
+    known.reaches_store = update.reaches_store;
     known.wants = update.wants;
     if (update.__isset.work)
     {
--- a/libraries/entry/object_relay.cpp
+++ b/libraries/entry/object_relay.cpp
@@ -31,16 +31,23 @@
     m_collections[where].batch[it.name] = it;
 }
 
-void object_relay::end_of_batch(platform::collection where, bool is_whole)
+void object_relay::end_of_batch(platform::collection where, bool is_whole,
+                                object_version version)
 {
     relayed& known = m_collections[where];
+    known.revision = std::max(known.revision, version);
     if (is_whole)
     {
-        known.objects.clear();
+        std::erase_if(known.objects, [&](const auto& it)
+                      { return it.second.version <= version; });
     }
     for (auto& [name, it] : known.batch)
     {
-        known.revision = std::max(known.revision, it.version);
+        const auto newer = known.objects.find(name);
+        if (newer != known.objects.end() && newer->second.version > it.version)
+        {
+            continue;
+        }
         if (it.is_deleted)
         {
             known.objects.erase(name);
--- a/libraries/entry/object_relay.hpp
+++ b/libraries/entry/object_relay.hpp
@@ -20,10 +20,12 @@
 public:
     void on_object(platform::collection where,
                    const platform::stored_object& it);
-    /// What was handed over since the last call is the whole collection.
-    void end_of_batch(platform::collection where, bool is_whole);
+    /// What was handed over since the last call is complete; if `is_whole`, it
+    /// is the whole collection as of `version`.
+    void end_of_batch(platform::collection where, bool is_whole,
+                      object_version version);
 
-    /// Version of the newest change; 0 before the first list.
+    /// What is known here is complete up to it; 0 before the first list.
     object_version revision(platform::collection where) const;
 
     net::awaitable<void> serve(http::request& message,
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -51,7 +51,7 @@
         if (known != m_records.end() &&
             known->second->entry.revision < it.version)
         {
-            remove(id);
+            remove(id, it.version);
         }
         return;
     }
@@ -67,7 +67,7 @@
                    {"object", it.name},
                    {"version", it.version.value()},
                    {"reason", reason.what()}});
-        remove(id);
+        remove(id, it.version);
         return;
     }
     auto& record = m_records[id];
@@ -87,6 +87,11 @@
                    {"incarnation", entry.incarnation},
                    {"version", it.version.value()}});
     }
+    if (is_new || entry.is_leaving != record->entry.is_leaving ||
+        entry.address != record->entry.address)
+    {
+        note_changed(it.version);
+    }
     if (entry.is_leaving && !record->entry.is_leaving)
     {
         log_event(severity::info, event_number::server_leaving,
@@ -95,30 +100,38 @@
     record->entry = std::move(entry);
 }
 
-void server_table::remove(const server_id& id)
+void server_table::note_changed(object_version version)
+{
+    m_changed_version = std::max(m_changed_version, version);
+}
+
+void server_table::remove(const server_id& id, object_version version)
 {
     if (m_records.erase(id) > 0)
     {
+        note_changed(version);
         log_event(severity::info, event_number::server_gone,
                   {{"server", id.value()}});
     }
 }
 
-void server_table::end_of_list(bool is_whole)
+void server_table::end_of_list(bool is_whole, object_version version)
 {
     if (is_whole)
     {
         std::vector<server_id> gone;
         for (const auto& [id, record] : m_records)
         {
-            if (!m_seen_in_list.contains(id))
+            // A newer server may have been told of while the list came.
+            if (!m_seen_in_list.contains(id) &&
+                record->entry.revision <= version)
             {
                 gone.push_back(id);
             }
         }
         for (const server_id& it : gone)
         {
-            remove(it);
+            remove(it, version);
         }
     }
     m_seen_in_list.clear();
--- a/libraries/entry/server_table.hpp
+++ b/libraries/entry/server_table.hpp
@@ -50,8 +50,13 @@
     }
 
     void apply(const platform::stored_object& it);
-    /// What was applied since the last call is the whole list.
-    void end_of_list(bool is_whole);
+    /// What was applied since the last call is complete up to `version`; if
+    /// `is_whole`, servers that it left out are gone.
+    void end_of_list(bool is_whole, object_version version);
+
+    /// Version of the last change of which servers there are, where, and
+    /// whether they serve; what they hold does not count.
+    object_version changed_version() const { return m_changed_version; }
 
     void on_ordered(const server_id& server, ordered_holdings holdings);
     /// Nobody holds the placement lease as far as this daemon knows.
@@ -67,9 +72,11 @@
     record_pointer find(const server_id& id) const;
 
 private:
-    void remove(const server_id& id);
+    void remove(const server_id& id, object_version version);
+    void note_changed(object_version version);
 
     const document_dialect& m_documents;
+    object_version m_changed_version;
     std::map<server_id, record_pointer> m_records;
     std::set<server_id> m_seen_in_list;
 };
--- /dev/null
+++ b/libraries/entry/store_mirror.cpp
@@ -0,0 +1,263 @@
+#include "entry/store_mirror.hpp"
+
+#include "core/structured_log.hpp"
+#include "daemon/pause.hpp"
+#include "decision/sharing/watch_rota.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <array>
+
+namespace cicadahub::entry
+{
+
+namespace
+{
+
+using daemon::pause;
+using platform::collection;
+
+constexpr std::array followed{collection::configurations, collection::servers};
+
+/// The store may lose a watch without a word while its connection lives on. A
+/// watch and the limit of its answer together stay under the two seconds in
+/// which a change must be known.
+constexpr milliseconds close_watch{1'000};
+/// The other hosts need the watch only if those on watch fail.
+constexpr milliseconds loose_watch{10'000};
+/// A leaving server must be known within two seconds; the others learn of
+/// loads from the holder of the placement lease at once.
+constexpr milliseconds list_pace{500};
+/// A load from memory takes some hundred milliseconds; its end is known this
+/// much later at the most.
+constexpr milliseconds holder_list_pace{100};
+/// Time between two looks at the servers for each host of the fleet, so that
+/// the looks of all together do not grow with it.
+constexpr milliseconds list_pace_per_host{150};
+constexpr milliseconds peer_timeout{500};
+constexpr milliseconds peer_look_period{200};
+/// A daemon that the store does not tell of a change for this long asks its
+/// peers: longer than a call to the store, and well under the two seconds in
+/// which a change must be known.
+constexpr milliseconds store_patience{800};
+
+} // namespace
+
+store_mirror::store_mirror(entry_state& state, platform::store& store,
+                           http::client_pool& peers, object_relay& relay,
+                           handlers given)
+    : m_state(state), m_peers(peers), m_relay(relay),
+      m_handlers(std::move(given)),
+      m_configurations(
+          state.context, store, collection::configurations,
+          [this](const platform::stored_object& it)
+          { take_object(collection::configurations, it); },
+          [this](bool is_whole)
+          {
+              end_batch(collection::configurations, is_whole,
+                        m_configurations.version());
+          },
+          [this] { return configuration_pace(); }),
+      m_servers(
+          state.context, store, collection::servers,
+          [this](const platform::stored_object& it)
+          { take_object(collection::servers, it); },
+          [this](bool is_whole)
+          { end_batch(collection::servers, is_whole, m_servers.version()); },
+          [this] { return servers_pace(); })
+{
+}
+
+void store_mirror::start()
+{
+    m_configurations.start();
+    m_servers.start();
+    net::co_spawn(m_state.context, follow_peers(), net::detached);
+}
+
+bool store_mirror::reaches_store() const
+{
+    return m_configurations.is_in_contact() && m_servers.is_in_contact();
+}
+
+bool store_mirror::is_on_watch() const
+{
+    if (m_handlers.is_order_holder())
+    {
+        return true;
+    }
+    std::vector<daemon_id> others;
+    for (const auto& [name, it] : m_state.fleet.peers())
+    {
+        if (it.digest.reaches_store)
+        {
+            others.emplace_back(name);
+        }
+    }
+    return sharing::is_on_watch(m_state.settings.name, others);
+}
+
+daemon::follow_pace store_mirror::configuration_pace() const
+{
+    const bool is_close = !m_state.configuration || is_on_watch();
+    return {is_close ? close_watch : loose_watch, {}};
+}
+
+daemon::follow_pace store_mirror::servers_pace() const
+{
+    if (m_handlers.is_order_holder())
+    {
+        return {close_watch, holder_list_pace};
+    }
+    if (!m_state.has_servers || is_on_watch())
+    {
+        return {close_watch, list_pace};
+    }
+    const std::size_t hosts = 1 + m_state.fleet.peers().size();
+    return {{}, list_pace_per_host * static_cast<int>(hosts)};
+}
+
+daemon::collection_follower& store_mirror::follower_of(collection where)
+{
+    return where == collection::servers ? m_servers : m_configurations;
+}
+
+object_version store_mirror::known_version(collection where)
+{
+    return std::max(follower_of(where).version(), m_relay.revision(where));
+}
+
+object_version store_mirror::told_by(const peer& it, collection where)
+{
+    const std::int64_t version = where == collection::servers
+                                     ? it.digest.servers_changed_version
+                                     : it.digest.configuration_version;
+    return object_version(static_cast<std::uint64_t>(version));
+}
+
+void store_mirror::fill(fleet::wire::Digest& it) const
+{
+    it.reaches_store = reaches_store();
+    it.configuration_version =
+        m_state.configuration
+            ? static_cast<std::int64_t>(m_state.configuration->revision.value())
+            : 0;
+    it.servers_changed_version =
+        static_cast<std::int64_t>(m_state.servers.changed_version().value());
+}
+
+void store_mirror::on_heard(const peer& it)
+{
+    for (const collection where : followed)
+    {
+        if (told_by(it, where) > known_version(where))
+        {
+            follower_of(where).refresh();
+        }
+    }
+}
+
+void store_mirror::take_object(collection where,
+                               const platform::stored_object& it)
+{
+    m_relay.on_object(where, it);
+    if (where == collection::servers)
+    {
+        m_state.servers.apply(it);
+        return;
+    }
+    const auto before = m_state.configuration;
+    m_handlers.on_configuration(it);
+    if (before != m_state.configuration && is_on_watch())
+    {
+        m_handlers.announce();
+    }
+}
+
+void store_mirror::end_batch(collection where, bool is_whole,
+                             object_version version)
+{
+    m_relay.end_of_batch(where, is_whole, version);
+    if (where != collection::servers)
+    {
+        return;
+    }
+    m_state.servers.end_of_list(is_whole, version);
+    m_handlers.on_servers_changed();
+    if (m_announced_servers < m_state.servers.changed_version() &&
+        is_on_watch())
+    {
+        m_announced_servers = m_state.servers.changed_version();
+        m_handlers.announce();
+    }
+}
+
+const peer* store_mirror::best_informed(collection where) const
+{
+    const peer* best = nullptr;
+    for (const auto& [name, it] : m_state.fleet.peers())
+    {
+        if (best == nullptr || told_by(it, where) > told_by(*best, where))
+        {
+            best = &it;
+        }
+    }
+    return best;
+}
+
+net::awaitable<void> store_mirror::fetch_from(http::endpoint peer,
+                                              collection where)
+{
+    try
+    {
+        http::request message = object_relay::make_request(where);
+        const http::response answer = co_await http::fetch(
+            m_peers, peer, std::move(message), peer_timeout);
+        const platform::listing all = object_relay::read_answer(answer);
+        if (all.version <= m_relay.revision(where))
+        {
+            co_return;
+        }
+        for (const platform::stored_object& it : all.objects)
+        {
+            take_object(where, it);
+        }
+        end_batch(where, true, all.version);
+        log_event(severity::info, event_number::learnt_from_peer,
+                  {{"collection", platform::name_of(where)},
+                   {"peer", http::to_string(peer)},
+                   {"revision", all.version.value()}});
+    }
+    catch (const std::exception& reason)
+    {
+        log_event(
+            severity::warning, event_number::peer_lost,
+            {{"address", http::to_string(peer)}, {"reason", reason.what()}});
+    }
+}
+
+net::awaitable<void> store_mirror::follow_peers()
+{
+    std::map<collection, sharing::catch_up> lags;
+    for (const collection where : followed)
+    {
+        lags.emplace(where, sharing::catch_up(store_patience));
+    }
+    while (!m_state.is_draining)
+    {
+        co_await pause(m_state.context, peer_look_period);
+        for (auto& [where, lag] : lags)
+        {
+            const peer* best = best_informed(where);
+            if (best != nullptr &&
+                lag.is_behind(known_version(where), told_by(*best, where),
+                              monotonic_clock::now()))
+            {
+                co_await fetch_from(best->address, where);
+            }
+        }
+    }
+}
+
+} // namespace cicadahub::entry
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -48,8 +48,10 @@
   2: i64 incarnation
   3: i64 number
   4: string data_centre
-  5: i64 configuration_revision
-  6: i64 directory_revision
+  /// Newest version of the configuration that the sender has.
+  5: i64 configuration_version
+  /// Version of the last change of which servers there are and serve.
+  6: i64 servers_changed_version
   7: list<WantedCopy> wants
   8: list<CopyUsage> usage
   9: optional list<ServerWork> work
@@ -65,4 +67,6 @@
   /// Carries only wants, crashes, holdings and, for the holder, work; the rest
   /// stays as it was told.
   17: bool is_update
+  /// The platform's store answers the sender.
+  18: bool reaches_store
 }
--- a/libraries/platform/object_client.cpp
+++ b/libraries/platform/object_client.cpp
@@ -177,12 +177,11 @@
     co_return write_result{write_outcome::unknown, {}};
 }
 
-net::awaitable<listing> object_client::watch(collection where,
-                                             object_version since)
+net::awaitable<listing>
+object_client::watch(collection where, object_version since, milliseconds wait)
 {
-    const auto answer =
-        co_await call(m_dialect.watch(where, since, m_timing.watch_timeout),
-                      m_timing.watch_timeout + m_timing.call_timeout);
+    const auto answer = co_await call(m_dialect.watch(where, since, wait),
+                                      wait + m_timing.call_timeout);
     expect_ok(answer);
     co_return m_dialect.read_watch(where, since, answer.body());
 }
--- a/libraries/platform/object_client.hpp
+++ b/libraries/platform/object_client.hpp
@@ -12,7 +12,6 @@
 struct client_timing
 {
     milliseconds call_timeout{1'000};
-    milliseconds watch_timeout{20'000};
     /// How long a write whose answer was lost is asked after.
     milliseconds settle_limit{3'000};
 };
@@ -38,9 +37,10 @@
     net::awaitable<write_result> write(collection where, stored_object former,
                                        boost::json::object spec);
 
-    /// The objects changed since a version; empty after a while without any.
+    /// The objects changed since a version; empty after `wait` without any.
     /// Throws `watch_expired` if a list is needed.
-    net::awaitable<listing> watch(collection where, object_version since);
+    net::awaitable<listing> watch(collection where, object_version since,
+                                  milliseconds wait);
 
     /// Removes an object whatever its version.
     net::awaitable<void> remove(collection where, std::string name);
--- a/libraries/platform/object_store.hpp
+++ b/libraries/platform/object_store.hpp
@@ -17,7 +17,7 @@
                                 const std::string& name,
                                 const stored_object& former,
                                 const boost::json::object& spec,
-                                object_version since)
+                                object_version since, milliseconds wait)
 {
     {
         store.list(where)
@@ -29,7 +29,7 @@
         store.write(where, former, spec)
         } -> std::same_as<boost::asio::awaitable<write_result>>;
     {
-        store.watch(where, since)
+        store.watch(where, since, wait)
         } -> std::same_as<boost::asio::awaitable<listing>>;
 };
 
--- a/tests/decision/sharing_test.cpp
+++ b/tests/decision/sharing_test.cpp
@@ -2,6 +2,7 @@
 #include "decision/sharing/host_rate.hpp"
 #include "decision/sharing/repeat_budget.hpp"
 #include "decision/sharing/server_health.hpp"
+#include "decision/sharing/watch_rota.hpp"
 
 #include <gtest/gtest.h>
 
@@ -37,6 +38,36 @@
                                start + milliseconds(900)));
 }
 
+struct rota_case
+{
+    const char* name;
+    const char* self;
+    std::vector<daemon_id> others;
+    bool is_on_watch;
+};
+
+class watch_rota_table : public testing::TestWithParam<rota_case>
+{
+};
+
+TEST_P(watch_rota_table, is_as_stated)
+{
+    const rota_case& it = GetParam();
+    EXPECT_EQ(is_on_watch(daemon_id(it.self), it.others), it.is_on_watch);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, watch_rota_table,
+    testing::Values(
+        rota_case{"a_host_that_hears_nobody_watches", "z", {}, true},
+        rota_case{
+            "the_second_watches", "b", {daemon_id("c"), daemon_id("a")}, true},
+        rota_case{"the_third_does_not",
+                  "c",
+                  {daemon_id("b"), daemon_id("a"), daemon_id("d")},
+                  false}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 struct share_case
 {
     const char* name;
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -183,6 +183,24 @@
         milliseconds(4'000)));
 }
 
+// Only the first two daemons by name watch the store closely; the watches of
+// the others wait for ten seconds.
+TEST(platform_path, daemons_on_watch_tell_the_others_of_a_configuration)
+{
+    platform_fleet fleet(4);
+    fleet.fault(fleet.store, R"({"lose_watches":true})");
+    fleet.write_configuration(2, {"key-of-trust"}, {"/new/"});
+    for (std::size_t n = 0; n < fleet.daemons.size(); ++n)
+    {
+        EXPECT_TRUE(eventually(
+            [&] {
+                return fleet.plain(n, "r", http::verb::get, "/new/1").status ==
+                       200;
+            },
+            milliseconds(4'000)));
+    }
+}
+
 TEST(platform_path, a_history_that_is_gone_is_made_up_for_by_a_list)
 {
     platform_fleet fleet(1);
