Entry: Plan for the fleet on a large host, and tell all daemons what runs where

Apart from that, daemons knew only their own requests at each server, and all preferred the same server for a short shared prompt: the busiest server got 3.9 times the mean. Tests: replica_index_runs against a naive count, server_choice.

--- a/libraries/decision/replicas/planner_costs.cpp
+++ b/libraries/decision/replicas/planner_costs.cpp
@@ -14,12 +14,6 @@
 /// A victim that others wait for would only be loaded again.
 constexpr double wanted_victim_ms = 60'000;
 
-bool is_wanted(const planner_view& view, const model_id& model)
-{
-    return std::any_of(view.wants.begin(), view.wants.end(),
-                       [&](const want& it) { return it.copy.model == model; });
-}
-
 } // namespace
 
 std::uint32_t running_at(const planner_view& view, const server_id& server,
@@ -35,50 +29,9 @@
     return it == view.use.end() ? model_use{} : it->second;
 }
 
-std::size_t replica_count(const planner_view& view, const model_id& model)
-{
-    return static_cast<std::size_t>(std::count_if(
-        view.servers.begin(), view.servers.end(),
-        [&](const auto& it)
-        {
-            return it.second.is_usable() &&
-                   (it.second.serves(model) || it.second.is_loading(model));
-        }));
-}
-
-bool is_served(const planner_view& view, const model_id& model)
-{
-    return std::any_of(view.servers.begin(), view.servers.end(),
-                       [&](const auto& it) {
-                           return it.second.is_usable() &&
-                                  it.second.serves(model);
-                       });
-}
-
-std::uint32_t store_loads(const planner_view& view)
-{
-    return static_cast<std::uint32_t>(std::count_if(
-        view.servers.begin(), view.servers.end(),
-        [](const auto& it)
-        {
-            const auto& pending = it.second.pending();
-            return pending && pending->what.kind == order_kind::load &&
-                   pending->what.is_store_load;
-        }));
-}
-
-bool is_room_being_made(const planner_view& view, const model_id& model)
-{
-    return std::any_of(view.servers.begin(), view.servers.end(),
-                       [&](const auto& it)
-                       {
-                           const auto& pending = it.second.pending();
-                           return pending && pending->makes_room_for == model;
-                       });
-}
-
-double cost_of_dropping(const planner_view& view, const server_state& server,
-                        const model_id& model, time_point now)
+double cost_of_dropping(const planner_view& view, const replica_index& index,
+                        const server_state& server, const model_id& model,
+                        time_point now)
 {
     const auto spec = view.engine.models.find(model);
     if (spec == view.engine.models.end())
@@ -91,13 +44,13 @@
     {
         cost += running_wait_ms;
     }
-    if (is_wanted(view, model))
+    if (index.is_wanted(model))
     {
         cost += wanted_victim_ms;
     }
     const model_use use = use_of(view, model);
-    const auto replicas = static_cast<double>(
-        std::max<std::size_t>(1, replica_count(view, model)));
+    const auto replicas =
+        static_cast<double>(std::max(1U, index.places_of(model).replicas));
     const double reload =
         static_cast<double>(std::max(server.load_time(model, spec->second),
                                      spec->second.load_from_memory)
--- a/libraries/decision/replicas/planner_costs.hpp
+++ b/libraries/decision/replicas/planner_costs.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision/replicas/planner_view.hpp"
+#include "decision/replicas/replica_index.hpp"
 
 namespace cicadahub::replicas
 {
@@ -14,19 +14,9 @@
 
 model_use use_of(const planner_view& view, const model_id& model);
 
-/// Servers that hold the model or load it, and are not about to drop it.
-std::size_t replica_count(const planner_view& view, const model_id& model);
-
-bool is_served(const planner_view& view, const model_id& model);
-
-/// Loads from the weight store that are on their way.
-std::uint32_t store_loads(const planner_view& view);
-
-/// True if a server is unloading something to load this model.
-bool is_room_being_made(const planner_view& view, const model_id& model);
-
 /// What it costs, in milliseconds of waiting, to drop a model from a server.
-double cost_of_dropping(const planner_view& view, const server_state& server,
-                        const model_id& model, time_point now);
+double cost_of_dropping(const planner_view& view, const replica_index& index,
+                        const server_state& server, const model_id& model,
+                        time_point now);
 
 } // namespace cicadahub::replicas
--- a/libraries/decision/replicas/replica_planner.cpp
+++ b/libraries/decision/replicas/replica_planner.cpp
@@ -16,7 +16,7 @@
 /// Requests that the loss of the last copy would miss, for the time of a load
 /// from the store, from which on a model is kept on several servers.
 constexpr double busy_miss = 8;
-constexpr std::int64_t busy_copies = 3;
+constexpr std::uint32_t busy_copies = 3;
 
 } // namespace
 
@@ -32,9 +32,10 @@
 };
 
 std::optional<replica_planner::candidate>
-replica_planner::weigh(const planner_view& view, const server_state& server,
-                       const model_id& model, time_point now) const
+replica_planner::weigh(const planning& plan, const server_state& server,
+                       const model_id& model)
 {
+    const planner_view& view = plan.view;
     const serving::model_spec& spec = view.engine.models.at(model);
     candidate it;
     it.load_time = server.load_time(model, spec);
@@ -46,8 +47,9 @@
     {
         for (const auto& [held, adapters] : server.models())
         {
-            ranked.emplace_back(cost_of_dropping(view, server, held, now),
-                                held);
+            ranked.emplace_back(
+                cost_of_dropping(view, plan.index, server, held, plan.now),
+                held);
         }
         std::sort(ranked.begin(), ranked.end());
     }
@@ -73,22 +75,22 @@
 }
 
 std::optional<replica_planner::candidate>
-replica_planner::best_server(const planner_view& view, const model_id& model,
-                             load_scope scope, time_point now) const
+replica_planner::best_server(const planning& plan, const model_id& model,
+                             load_scope scope)
 {
     std::optional<candidate> best;
-    for (auto& [id, server] : view.servers)
+    for (auto& [id, server] : plan.view.servers)
     {
-        if (!server.is_usable() || server.is_engaged() ||
+        const bool is_in_scope =
+            (scope != load_scope::near_copy || server.has_near_copy(model)) &&
+            (scope != load_scope::empty_server || server.models().empty());
+        if (!is_in_scope || !server.is_usable() || server.is_engaged() ||
             server.models().contains(model))
         {
             continue;
         }
-        auto it = weigh(view, server, model, now);
-        const bool is_in_scope =
-            (scope != load_scope::near_copy || (it && !it->is_store_load)) &&
-            (scope != load_scope::empty_server || server.models().empty());
-        if (!it || !is_in_scope)
+        auto it = weigh(plan, server, model);
+        if (!it)
         {
             continue;
         }
@@ -101,8 +103,8 @@
     return best;
 }
 
-void replica_planner::emit(const candidate& to, const model_id& model,
-                           time_point now, std::vector<planned_order>& orders)
+void replica_planner::emit(planning& plan, const candidate& to,
+                           const model_id& model)
 {
     server_state& server = *to.server;
     planned_order it;
@@ -122,13 +124,17 @@
         it.what.copy = {to.victims.front(), std::nullopt};
         it.makes_room_for = model;
     }
-    server.on_order_sent(it.what, it.expected_time, it.makes_room_for, now);
-    orders.push_back(std::move(it));
+    plan.index.remove(server);
+    server.on_order_sent(it.what, it.expected_time, it.makes_room_for,
+                         plan.now);
+    plan.index.add(server);
+    plan.orders.push_back(std::move(it));
 }
 
 std::vector<replica_planner::need>
-replica_planner::unmet_needs(const planner_view& view)
+replica_planner::unmet_needs(const planning& plan)
 {
+    const planner_view& view = plan.view;
     std::map<model_id, need> needs;
     for (const want& it : view.wants)
     {
@@ -144,18 +150,14 @@
     for (auto& [model, it] : needs)
     {
         const auto spec = view.engine.models.find(model);
-        if (spec == view.engine.models.end() ||
-            replica_count(view, model) > 0 || is_room_being_made(view, model))
+        const model_places& places = plan.index.places_of(model);
+        if (spec == view.engine.models.end() || places.replicas > 0 ||
+            places.rooms > 0)
         {
             continue;
         }
         it.model = model;
-        it.has_near_copy =
-            std::any_of(view.servers.begin(), view.servers.end(),
-                        [name = &model](const auto& server) {
-                            return server.second.is_usable() &&
-                                   server.second.has_near_copy(*name);
-                        });
+        it.has_near_copy = places.near > 0;
         const std::chrono::duration<double> load = spec->second.load_from_store;
         it.requests_until_loaded = it.waiting + it.rate * load.count();
         unmet.push_back(it);
@@ -163,10 +165,9 @@
     return unmet;
 }
 
-void replica_planner::plan_needed(const planner_view& view, time_point now,
-                                  std::vector<planned_order>& orders) const
+void replica_planner::plan_needed(planning& plan) const
 {
-    std::vector<need> needs = unmet_needs(view);
+    std::vector<need> needs = unmet_needs(plan);
     // Loads from near are short and many: the most urgent goes first. Waiting
     // for the server that has a copy is shorter than a fetch from the store.
     std::stable_sort(needs.begin(), needs.end(),
@@ -177,9 +178,9 @@
         if (it.has_near_copy && it.waiting > 0)
         {
             if (const auto to =
-                    best_server(view, it.model, load_scope::near_copy, now))
+                    best_server(plan, it.model, load_scope::near_copy))
             {
-                emit(*to, it.model, now, orders);
+                emit(plan, *to, it.model);
             }
         }
     }
@@ -192,15 +193,15 @@
     for (const need& it : needs)
     {
         if (it.has_near_copy ||
-            store_loads(view) >= m_limits.store_loads_at_once)
+            plan.index.store_loads() >= m_limits.store_loads_at_once)
         {
             continue;
         }
-        const auto to = best_server(view, it.model, load_scope::any, now);
+        const auto to = best_server(plan, it.model, load_scope::any);
         if (to &&
             to->victims_cost_ms <= it.requests_until_loaded * running_wait_ms)
         {
-            emit(*to, it.model, now, orders);
+            emit(plan, *to, it.model);
         }
     }
 }
@@ -249,9 +250,9 @@
     return it;
 }
 
-void replica_planner::plan_adapters(const planner_view& view, time_point now,
-                                    std::vector<planned_order>& orders) const
+void replica_planner::plan_adapters(planning& plan) const
 {
+    const planner_view& view = plan.view;
     for (const want& it : view.wants)
     {
         if (!it.copy.adapter || !view.engine.models.contains(it.copy.model))
@@ -283,16 +284,15 @@
         }
         if (auto next = adapter_order(view, *best, it.copy))
         {
-            best->on_order_sent(*next, {}, std::nullopt, now);
-            orders.push_back({std::move(*next), {}, std::nullopt});
+            best->on_order_sent(*next, {}, std::nullopt, plan.now);
+            plan.orders.push_back({std::move(*next), {}, std::nullopt});
         }
     }
 }
 
-void replica_planner::plan_more_replicas(
-    const planner_view& view, time_point now,
-    std::vector<planned_order>& orders) const
+void replica_planner::plan_more_replicas(planning& plan) const
 {
+    const planner_view& view = plan.view;
     std::map<model_id, double> pressure;
     for (const auto& [model, use] : view.use)
     {
@@ -301,7 +301,7 @@
     for (const want& it : view.wants)
     {
         // Those that wait for the first replica wait for no place.
-        if (is_served(view, it.copy.model))
+        if (plan.index.places_of(it.copy.model).serving > 0)
         {
             pressure[it.copy.model] += it.waiting;
         }
@@ -309,7 +309,8 @@
     std::vector<std::pair<double, model_id>> overloaded;
     for (const auto& [model, requests] : pressure)
     {
-        const auto replicas = static_cast<double>(replica_count(view, model));
+        const auto replicas =
+            static_cast<double>(plan.index.places_of(model).replicas);
         if (replicas > 0 && view.engine.models.contains(model) &&
             requests > m_limits.running_per_replica * replicas)
         {
@@ -319,40 +320,34 @@
     std::sort(overloaded.rbegin(), overloaded.rend());
     for (const auto& [per_replica, model] : overloaded)
     {
-        if (is_room_being_made(view, model))
+        if (plan.index.places_of(model).rooms > 0)
         {
             continue;
         }
-        const auto scope = store_loads(view) < m_limits.store_loads_at_once
-                               ? load_scope::any
-                               : load_scope::near_copy;
-        const auto to = best_server(view, model, scope, now);
+        const auto scope =
+            plan.index.store_loads() < m_limits.store_loads_at_once
+                ? load_scope::any
+                : load_scope::near_copy;
+        const auto to = best_server(plan, model, scope);
         // Worth it only if it takes less from others than it gives.
         if (to && to->cost_ms < per_replica * running_wait_ms)
         {
-            emit(*to, model, now, orders);
+            emit(plan, *to, model);
         }
     }
 }
 
-std::vector<model_id> replica_planner::models_to_stage(const planner_view& view)
+std::vector<model_id> replica_planner::models_to_stage(const planning& plan)
 {
+    const planner_view& view = plan.view;
     std::vector<std::pair<double, model_id>> ranked;
     for (const auto& [model, spec] : view.engine.models)
     {
-        const auto copies =
-            std::count_if(view.servers.begin(), view.servers.end(),
-                          [&, name = &model](const auto& it)
-                          {
-                              return it.second.is_usable() &&
-                                     (it.second.has_near_copy(*name) ||
-                                      it.second.models().contains(*name) ||
-                                      it.second.is_loading(*name));
-                          });
+        const model_places& places = plan.index.places_of(model);
         const std::chrono::duration<double> load = spec.load_from_store;
         const double missed =
             use_of(view, model).requests_per_second * load.count();
-        std::int64_t wanted = 1;
+        std::uint32_t wanted = 1;
         if (missed >= busy_miss)
         {
             wanted = busy_copies;
@@ -361,10 +356,9 @@
         {
             wanted = 2;
         }
-        if (copies < wanted && !is_room_being_made(view, model))
+        if (places.copies < wanted && places.rooms == 0)
         {
-            ranked.emplace_back(missed / static_cast<double>(copies + 1),
-                                model);
+            ranked.emplace_back(missed / (places.copies + 1.0), model);
         }
     }
     std::stable_sort(ranked.begin(), ranked.end(),
@@ -379,27 +373,26 @@
     return models;
 }
 
-void replica_planner::plan_staging(const planner_view& view, time_point now,
-                                   std::vector<planned_order>& orders) const
+void replica_planner::plan_staging(planning& plan) const
 {
-    const bool has_demand = !view.use.empty();
+    const bool has_demand = !plan.view.use.empty();
     const std::uint32_t limit = has_demand ? m_limits.store_loads_at_once -
                                                  m_limits.store_loads_kept_free
                                            : m_limits.store_loads_at_once;
-    for (const model_id& model : models_to_stage(view))
+    for (const model_id& model : models_to_stage(plan))
     {
-        if (store_loads(view) >= limit)
+        if (plan.index.store_loads() >= limit)
         {
             return;
         }
         // While requests come, a load of seconds would hold up a server that
         // others swap models on.
-        const auto to = best_server(
-            view, model,
-            has_demand ? load_scope::empty_server : load_scope::any, now);
+        const auto to = best_server(plan, model,
+                                    has_demand ? load_scope::empty_server
+                                               : load_scope::any);
         if (to && to->is_store_load && to->victims_cost_ms <= staging_cost_ms)
         {
-            emit(*to, model, now, orders);
+            emit(plan, *to, model);
         }
     }
 }
@@ -407,12 +400,12 @@
 std::vector<planned_order> replica_planner::plan(const planner_view& view,
                                                  time_point now) const
 {
-    std::vector<planned_order> orders;
-    plan_needed(view, now, orders);
-    plan_adapters(view, now, orders);
-    plan_more_replicas(view, now, orders);
-    plan_staging(view, now, orders);
-    return orders;
+    planning it{view, now, replica_index(view), {}};
+    plan_needed(it);
+    plan_adapters(it);
+    plan_more_replicas(it);
+    plan_staging(it);
+    return std::move(it.orders);
 }
 
 } // namespace cicadahub::replicas
--- a/libraries/decision/replicas/replica_planner.hpp
+++ b/libraries/decision/replicas/replica_planner.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision/replicas/planner_view.hpp"
+#include "decision/replicas/replica_index.hpp"
 
 namespace cicadahub::replicas
 {
@@ -41,6 +41,15 @@
 private:
     struct candidate;
 
+    /// One plan in the making.
+    struct planning
+    {
+        const planner_view& view;
+        time_point now;
+        replica_index index;
+        std::vector<planned_order> orders;
+    };
+
     /// A model that is asked for and in no server's memory.
     struct need
     {
@@ -53,20 +62,16 @@
         double requests_until_loaded = 0;
     };
 
-    static std::vector<need> unmet_needs(const planner_view& view);
-    void plan_needed(const planner_view& view, time_point now,
-                     std::vector<planned_order>& orders) const;
-    void plan_adapters(const planner_view& view, time_point now,
-                       std::vector<planned_order>& orders) const;
+    static std::vector<need> unmet_needs(const planning& plan);
+    void plan_needed(planning& plan) const;
+    void plan_adapters(planning& plan) const;
     std::optional<order> adapter_order(const planner_view& view,
                                        server_state& server,
                                        const copy_name& copy) const;
-    void plan_more_replicas(const planner_view& view, time_point now,
-                            std::vector<planned_order>& orders) const;
+    void plan_more_replicas(planning& plan) const;
     /// Models with too few copies for their demand, the worst off first.
-    static std::vector<model_id> models_to_stage(const planner_view& view);
-    void plan_staging(const planner_view& view, time_point now,
-                      std::vector<planned_order>& orders) const;
+    static std::vector<model_id> models_to_stage(const planning& plan);
+    void plan_staging(planning& plan) const;
     /// Where a load may come from and go to.
     enum class load_scope
     {
@@ -78,15 +83,13 @@
         empty_server,
     };
 
-    std::optional<candidate> best_server(const planner_view& view,
-                                         const model_id& model,
-                                         load_scope scope,
-                                         time_point now) const;
-    std::optional<candidate> weigh(const planner_view& view,
-                                   const server_state& server,
-                                   const model_id& model, time_point now) const;
-    static void emit(const candidate& to, const model_id& model, time_point now,
-                     std::vector<planned_order>& orders);
+    static std::optional<candidate>
+    best_server(const planning& plan, const model_id& model, load_scope scope);
+    static std::optional<candidate> weigh(const planning& plan,
+                                          const server_state& server,
+                                          const model_id& model);
+    static void emit(planning& plan, const candidate& to,
+                     const model_id& model);
 
     planner_limits m_limits;
 };
--- a/libraries/decision/routing/server_choice.cpp
+++ b/libraries/decision/routing/server_choice.cpp
@@ -1,6 +1,7 @@
 #include "decision/routing/server_choice.hpp"
 
 #include <functional>
+#include <vector>
 
 namespace cicadahub::routing
 {
@@ -35,6 +36,41 @@
     return best;
 }
 
+bool may_take(const choice_candidate& it)
+{
+    return it.running < it.slots;
+}
+
+/// Places of two of the candidates that may take the request, trusted ones if
+/// there are two.
+std::vector<std::size_t> draw_two(std::span<const choice_candidate> from,
+                                  std::uint64_t random)
+{
+    std::vector<std::size_t> open;
+    for (const bool is_trusted : {true, false})
+    {
+        for (std::size_t n = 0; n < from.size(); ++n)
+        {
+            if (may_take(from[n]) && from[n].is_trusted == is_trusted)
+            {
+                open.push_back(n);
+            }
+        }
+        if (open.size() >= 2)
+        {
+            break;
+        }
+    }
+    if (open.size() <= 2)
+    {
+        return open;
+    }
+    const std::size_t first = random % open.size();
+    // The second is drawn among the others.
+    const std::size_t step = 1 + random / open.size() % (open.size() - 1);
+    return {open[first], open[(first + step) % open.size()]};
+}
+
 template<class Cost>
 std::optional<std::size_t> cheapest(std::span<const choice_candidate> from,
                                     Cost cost_of)
@@ -43,7 +79,7 @@
     double least = 0;
     for (std::size_t n = 0; n < from.size(); ++n)
     {
-        if (from[n].running >= from[n].slots)
+        if (!may_take(from[n]))
         {
             continue;
         }
@@ -62,19 +98,38 @@
 
 std::optional<std::size_t> choose_engine(std::span<const choice_candidate> from,
                                          const prompt_affinity& prompt,
-                                         double mean_prompt_tokens)
+                                         double mean_prompt_tokens,
+                                         std::uint64_t random)
 {
-    const auto preferred = preferred_for(from, prompt.key);
-    return cheapest(from,
-                    [&](std::size_t n, const choice_candidate& it)
-                    {
-                        const double unread =
-                            preferred == n
-                                ? 0
-                                : static_cast<double>(prompt.shared_tokens);
-                        return unread + mean_prompt_tokens *
-                                            static_cast<double>(it.running);
-                    });
+    std::optional<std::size_t> preferred;
+    // To read again less than a usual prompt costs less than to meet all other
+    // requests that share it at one server.
+    if (static_cast<double>(prompt.shared_tokens) > mean_prompt_tokens)
+    {
+        preferred = preferred_for(from, prompt.key);
+    }
+    std::vector<std::size_t> drawn = draw_two(from, random);
+    if (preferred)
+    {
+        drawn.push_back(*preferred);
+    }
+    std::vector<choice_candidate> candidates;
+    for (const std::size_t n : drawn)
+    {
+        candidates.push_back(from[n]);
+    }
+    const auto choice =
+        cheapest(candidates,
+                 [&](std::size_t n, const choice_candidate& it)
+                 {
+                     const double unread =
+                         preferred == drawn[n]
+                             ? 0
+                             : static_cast<double>(prompt.shared_tokens);
+                     return unread + mean_prompt_tokens *
+                                         static_cast<double>(it.running);
+                 });
+    return choice ? std::optional(drawn[*choice]) : std::nullopt;
 }
 
 std::optional<std::size_t> choose_plain(std::span<const choice_candidate> from)
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -98,6 +98,7 @@
     it.number = ++m_number;
     it.data_centre = m_state.settings.data_centre.value();
     it.is_leaving = m_state.is_draining;
+    it.processor_share = m_state.settings.processor_share;
     it.is_update = is_update;
     for (const auto& [request, crashes] :
          m_state.suspects.crashed_since(now - crash_told_for))
@@ -163,6 +164,22 @@
     }
 }
 
+void digest_exchange::add_fleet_work(fleet::wire::Digest& to) const
+{
+    to.__isset.work = true;
+    for (const auto& [id, record] : m_state.servers.records())
+    {
+        fleet::wire::ServerWork work;
+        work.server = id.value();
+        work.running = static_cast<std::int32_t>(record->running +
+                                                 record->running_elsewhere);
+        if (work.running > 0)
+        {
+            to.work.push_back(std::move(work));
+        }
+    }
+}
+
 void digest_exchange::add_demand(fleet::wire::Digest& to, time_point now)
 {
     for (const auto& [name, rate] : m_state.demand.organisation_rates(now))
@@ -227,6 +244,10 @@
     {
         others.erase(it);
     }
+    if (m_is_holder())
+    {
+        add_fleet_work(brief);
+    }
     send(brief, others);
     if (!holder.empty())
     {
@@ -263,7 +284,8 @@
     {
         return;
     }
-    m_state.servers.set_running_elsewhere(m_state.fleet.running_by_server());
+    m_state.servers.set_running_elsewhere(m_state.fleet.running_by_server(),
+                                          m_is_holder());
     if (m_state.fleet.placement_holder() == nullptr && !m_is_holder())
     {
         m_state.servers.forget_ordered();
--- a/libraries/entry/digest_exchange.hpp
+++ b/libraries/entry/digest_exchange.hpp
@@ -43,6 +43,8 @@
     void add_wants(fleet::wire::Digest& to, time_point now) const;
     void add_usage(fleet::wire::Digest& to, time_point now);
     void add_work(fleet::wire::Digest& to, bool has_models) const;
+    /// What all daemons together run, as the holder alone knows it.
+    void add_fleet_work(fleet::wire::Digest& to) const;
     void add_demand(fleet::wire::Digest& to, time_point now);
     void add_peers(fleet::wire::Digest& to);
     void tell_changes();
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -200,7 +200,11 @@
             static_cast<std::uint32_t>(std::max(0, notice.crashes)),
             it.heard_at);
     }
-    m_state.servers.set_running_elsewhere(m_state.fleet.running_by_server());
+    if (m_placement.is_held() || it.digest.__isset.placement_epoch)
+    {
+        m_state.servers.set_running_elsewhere(m_state.fleet.running_by_server(),
+                                              m_placement.is_held());
+    }
     if (m_holder == it.digest.sender && !it.digest.__isset.placement_epoch)
     {
         m_holder.clear();
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -12,6 +12,7 @@
 #include "http/client.hpp"
 
 #include <functional>
+#include <random>
 
 namespace cicadahub::entry
 {
@@ -45,6 +46,8 @@
     /// Mean of the prompt tokens of recent requests.
     double mean_prompt_tokens = 500;
 
+    std::mt19937_64 random{std::random_device{}()};
+
     /// Something changed that other daemons wait for.
     std::function<void()> tell_soon;
 
--- a/libraries/entry/fleet_view.hpp
+++ b/libraries/entry/fleet_view.hpp
@@ -48,6 +48,7 @@
     const std::map<std::string, peer>& peers() const { return m_peers; }
     /// The peer that holds the placement lease, as it tells itself.
     const peer* placement_holder() const;
+    /// What the others run, as far as they have told this daemon.
     std::unordered_map<std::string, std::uint32_t> running_by_server() const;
 
     /// Hosts that may be serving, this one included: those heard, those that
--- a/libraries/entry/placement_duty.cpp
+++ b/libraries/entry/placement_duty.cpp
@@ -1,6 +1,7 @@
 #include "entry/placement_duty.hpp"
 
 #include "core/structured_log.hpp"
+#include "daemon/pause.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -13,17 +14,20 @@
 namespace
 {
 
-/// The least often that the holder looks for work to do.
+/// The least often that the holder looks for work to do, and the least time
+/// between two looks: each takes up to ten milliseconds on a small host.
 constexpr milliseconds plan_period{100};
+constexpr milliseconds plan_gap{20};
 /// Time between two reports of one server: they tell of it as it was some
 /// hundred milliseconds ago.
 constexpr milliseconds report_period{150};
 /// An order that a server has not answered by then counts as unanswered.
 constexpr milliseconds order_timeout{1'000};
 constexpr milliseconds report_timeout{1'000};
-/// Rank of daemons that are not the first in the order of names is their
-/// place; it parts their tries for a free lease.
 constexpr std::string_view placement_shard = "placement";
+/// Hosts start within 0.3 s of one another, and know of one another a digest
+/// later; the first election waits for that.
+constexpr milliseconds first_election{1'000};
 
 ownership::lease_timing timing_of(const entry_settings& settings)
 {
@@ -33,12 +37,20 @@
     return {duration, duration / 4, settings.order_lease - duration};
 }
 
-std::uint32_t rank_of(const daemon_id& self, const fleet_view& fleet)
+/// Place among the hosts that may win the lease, which parts their tries for a
+/// free one: hosts with more processor first, since the holder plans for all.
+std::uint32_t rank_of(const entry_settings& self, const fleet_view& fleet)
 {
+    const auto place_of = [](double processor_share, const std::string& name)
+    {
+        return std::pair(-processor_share, name);
+    };
+    const auto own = place_of(self.processor_share, self.name.value());
     std::uint32_t rank = 0;
     for (const auto& [name, it] : fleet.peers())
     {
-        rank += name < self.value() ? 1 : 0;
+        const bool is_able = it.digest.reaches_store && !it.digest.is_leaving;
+        rank += is_able && place_of(it.digest.processor_share, name) < own;
     }
     return rank;
 }
@@ -95,20 +107,31 @@
           shard_id(std::string(placement_shard)), timing_of(m_inputs.settings),
           [this]() -> std::optional<std::uint32_t>
           {
-              if (m_inputs.fleet.placement_holder() != nullptr ||
-                  m_inputs.configuration() == nullptr)
-              {
-                  return std::nullopt;
-              }
-              return rank_of(m_inputs.settings.name, m_inputs.fleet);
+              return may_win() ? std::optional(
+                                     rank_of(m_inputs.settings, m_inputs.fleet))
+                               : std::nullopt;
           },
           [this](epoch_number) { on_won(); }, [this] { m_servers.clear(); }),
       m_planner(replicas::planner_limits{}), m_timer(context)
 {
 }
 
+bool placement_duty::may_win() const
+{
+    if (m_inputs.fleet.placement_holder() != nullptr ||
+        m_inputs.configuration() == nullptr)
+    {
+        return false;
+    }
+    const bool held_it_before =
+        m_shard.observed().holder == m_inputs.settings.name;
+    return held_it_before ||
+           monotonic_clock::now() >= m_started + first_election;
+}
+
 void placement_duty::start()
 {
+    m_started = monotonic_clock::now();
     m_shard.start();
     net::co_spawn(m_context, run(), net::detached);
 }
@@ -149,8 +172,13 @@
             plan(now);
             ask_reports(now);
         }
-        m_timer.expires_after(plan_period);
-        co_await m_timer.async_wait(net::as_tuple(net::use_awaitable));
+        co_await daemon::pause(m_context, plan_gap);
+        if (!std::exchange(m_is_kicked, false))
+        {
+            m_timer.expires_after(plan_period - plan_gap);
+            co_await m_timer.async_wait(net::as_tuple(net::use_awaitable));
+            m_is_kicked = false;
+        }
     }
 }
 
--- a/libraries/entry/placement_duty.hpp
+++ b/libraries/entry/placement_duty.hpp
@@ -42,7 +42,11 @@
     net::awaitable<void> release();
 
     /// Something changed that may call for orders.
-    void kick() { m_timer.cancel(); }
+    void kick()
+    {
+        m_is_kicked = true;
+        m_timer.cancel();
+    }
 
     void on_holder_heard(const peer& holder);
     /// A peer that held the lease tells that it does no longer.
@@ -57,6 +61,7 @@
     using server_map = std::map<server_id, replicas::server_state>;
 
     net::awaitable<void> run();
+    bool may_win() const;
     void on_won();
     void follow_servers(time_point now);
     void plan(time_point now);
@@ -82,6 +87,8 @@
     std::set<server_id> m_untold;
     /// The last server that was told by turns.
     server_id m_last_told;
+    time_point m_started{};
+    bool m_is_kicked = false;
     bool m_is_stopped = false;
 };
 
--- a/libraries/entry/request_admission.cpp
+++ b/libraries/entry/request_admission.cpp
@@ -16,14 +16,14 @@
 /// Enough that two requests of a deployment never share a fingerprint.
 constexpr std::size_t fingerprint_digits = 24;
 
-std::size_t pick_by_weight(const std::vector<serving::service_share>& shares)
+std::size_t pick_by_weight(const std::vector<serving::service_share>& shares,
+                           std::mt19937_64& random)
 {
     std::uint32_t sum = 0;
     for (const serving::service_share& it : shares)
     {
         sum += it.weight;
     }
-    thread_local std::mt19937 random{std::random_device{}()};
     std::uint32_t at = std::uniform_int_distribution<std::uint32_t>(
         0, std::max(1U, sum) - 1)(random);
     for (std::size_t n = 0; n < shares.size(); ++n)
@@ -116,7 +116,8 @@
 
 void request_run::choose_service()
 {
-    const auto& share = m_route->services[pick_by_weight(m_route->services)];
+    const auto& share =
+        m_route->services[pick_by_weight(m_route->services, m_state.random)];
     m_service = m_configuration->find_service(share.service);
     if (m_service == nullptr)
     {
--- a/libraries/entry/request_placing.cpp
+++ b/libraries/entry/request_placing.cpp
@@ -49,7 +49,8 @@
     }
     const auto choice = m_copy
                             ? routing::choose_engine(candidates, m_affinity,
-                                                     m_state.mean_prompt_tokens)
+                                                     m_state.mean_prompt_tokens,
+                                                     m_state.random())
                             : routing::choose_plain(candidates);
     if (choice)
     {
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -147,12 +147,15 @@
 }
 
 void server_table::set_running_elsewhere(
-    const std::unordered_map<std::string, std::uint32_t>& running)
+    const std::unordered_map<std::string, std::uint32_t>& running,
+    bool is_without_own)
 {
     for (const auto& [id, record] : m_records)
     {
         const auto it = running.find(id.value());
-        record->running_elsewhere = it == running.end() ? 0 : it->second;
+        const std::uint32_t told = it == running.end() ? 0 : it->second;
+        const std::uint32_t own = is_without_own ? 0 : record->running;
+        record->running_elsewhere = told - std::min(told, own);
     }
 }
 
--- a/libraries/entry/server_table.hpp
+++ b/libraries/entry/server_table.hpp
@@ -61,8 +61,11 @@
     void on_ordered(const server_id& server, ordered_holdings holdings);
     /// Nobody holds the placement lease as far as this daemon knows.
     void forget_ordered();
+    /// `running` is what the other daemons run, or, unless `is_without_own`,
+    /// what all run, this one included.
     void set_running_elsewhere(
-        const std::unordered_map<std::string, std::uint32_t>& running);
+        const std::unordered_map<std::string, std::uint32_t>& running,
+        bool is_without_own);
 
     using record_pointer = std::shared_ptr<server_record>;
     const std::map<server_id, record_pointer>& records() const
--- a/libraries/entry/settings.hpp
+++ b/libraries/entry/settings.hpp
@@ -23,6 +23,8 @@
     /// Hosts that may know others; up to date or not.
     std::vector<http::endpoint> known_hosts;
 
+    /// Part of a processor core that this host has.
+    double processor_share = 1;
     /// Time from the signal to stop until the process is killed.
     milliseconds stop_grace{8'000};
     /// Holders of the order lease that take turns must be this far apart.
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -20,7 +20,8 @@
 struct ServerWork {
   1: string server
   2: i32 running
-  /// Running requests by model; empty for a plain service.
+  /// Running requests by model; empty for a plain service and in what the
+  /// holder of the placement lease tells, which is the sum over all daemons.
   3: map<string, i32> models
 }
 
@@ -71,4 +72,6 @@
   17: bool is_update
   /// The platform's store answers the sender.
   18: bool reaches_store
+  /// Part of a processor core that the sender's host has.
+  19: double processor_share
 }
