Routing: Draw an engine by its free places

Change: one engine is drawn with its free places as weight; the preferred one is taken for long shared prompts if less is read there.

--- a/libraries/decision/routing/server_choice.cpp
+++ b/libraries/decision/routing/server_choice.cpp
@@ -1,7 +1,7 @@
 #include "decision/routing/server_choice.hpp"
 
+#include <algorithm>
 #include <functional>
-#include <vector>
 
 namespace cicadahub::routing
 {
@@ -36,39 +36,40 @@
     return best;
 }
 
-bool may_take(const choice_candidate& it)
+std::uint32_t free_places(const choice_candidate& it)
 {
-    return it.running < it.slots;
+    return it.slots - std::min(it.slots, it.running);
 }
 
-/// Places of two of the candidates that may take the request, trusted ones if
-/// there are two.
-std::vector<std::size_t> draw_two(std::span<const choice_candidate> from,
-                                  std::uint64_t random)
+/// Draws one that may take the request, with its free places as weight; trusted
+/// ones if there are any.
+std::optional<std::size_t> draw(std::span<const choice_candidate> from,
+                                std::uint64_t random)
 {
-    std::vector<std::size_t> open;
     for (const bool is_trusted : {true, false})
     {
+        std::uint64_t sum = 0;
+        for (const choice_candidate& it : from)
+        {
+            sum += it.is_trusted == is_trusted ? free_places(it) : 0;
+        }
+        if (sum == 0)
+        {
+            continue;
+        }
+        std::uint64_t at = random % sum;
         for (std::size_t n = 0; n < from.size(); ++n)
         {
-            if (may_take(from[n]) && from[n].is_trusted == is_trusted)
+            const std::uint64_t part =
+                from[n].is_trusted == is_trusted ? free_places(from[n]) : 0;
+            if (at < part)
             {
-                open.push_back(n);
+                return n;
             }
-        }
-        if (open.size() >= 2)
-        {
-            break;
+            at -= part;
         }
     }
-    if (open.size() <= 2)
-    {
-        return open;
-    }
-    const std::size_t first = random % open.size();
-    // The second is drawn among the others.
-    const std::size_t step = 1 + random / open.size() % (open.size() - 1);
-    return {open[first], open[(first + step) % open.size()]};
+    return std::nullopt;
 }
 
 template<class Cost>
@@ -79,7 +80,7 @@
     double least = 0;
     for (std::size_t n = 0; n < from.size(); ++n)
     {
-        if (!may_take(from[n]))
+        if (free_places(from[n]) == 0)
         {
             continue;
         }
@@ -101,35 +102,22 @@
                                          double mean_prompt_tokens,
                                          std::uint64_t random)
 {
-    std::optional<std::size_t> preferred;
+    const auto drawn = draw(from, random);
+    const auto shared = static_cast<double>(prompt.shared_tokens);
     // To read again less than a usual prompt costs less than to meet all other
     // requests that share it at one server.
-    if (static_cast<double>(prompt.shared_tokens) > mean_prompt_tokens)
-    {
-        preferred = preferred_for(from, prompt.key);
-    }
-    std::vector<std::size_t> drawn = draw_two(from, random);
-    if (preferred)
-    {
-        drawn.push_back(*preferred);
-    }
-    std::vector<choice_candidate> candidates;
-    for (const std::size_t n : drawn)
+    if (!drawn || shared <= mean_prompt_tokens)
     {
-        candidates.push_back(from[n]);
+        return drawn;
     }
-    const auto choice =
-        cheapest(candidates,
-                 [&](std::size_t n, const choice_candidate& it)
-                 {
-                     const double unread =
-                         preferred == drawn[n]
-                             ? 0
-                             : static_cast<double>(prompt.shared_tokens);
-                     return unread + mean_prompt_tokens *
-                                         static_cast<double>(it.running);
-                 });
-    return choice ? std::optional(drawn[*choice]) : std::nullopt;
+    const auto preferred = preferred_for(from, prompt.key);
+    const choice_candidate& it = from[*preferred];
+    const double read_before =
+        mean_prompt_tokens * (static_cast<double>(it.running) -
+                              static_cast<double>(from[*drawn].running));
+    const bool is_worth_it =
+        free_places(it) > 0 && it.is_trusted && read_before <= shared;
+    return is_worth_it ? preferred : drawn;
 }
 
 std::optional<std::size_t> choose_plain(std::span<const choice_candidate> from)
--- a/libraries/decision/routing/server_choice.hpp
+++ b/libraries/decision/routing/server_choice.hpp
@@ -28,12 +28,11 @@
     std::int64_t shared_tokens = 0;
 };
 
-/// The engine to send a request to: of two drawn by `random` and, for a long
-/// shared prompt, the one that all daemons prefer for it, the one that would
-/// read the fewest tokens before it, those of the shared parts included unless
-/// it is the preferred one. What runs at the servers is known late, so that
-/// daemons which all took the least loaded one would meet there. None if all
-/// are full.
+/// The engine to send a request to: one drawn by `random` with its free places
+/// as weight, or the one that all daemons prefer for a long shared prompt, if
+/// less is read there before the request. What runs at the servers is known
+/// late, so that daemons which all took the least loaded one would meet there.
+/// None if all are full.
 std::optional<std::size_t> choose_engine(std::span<const choice_candidate> from,
                                          const prompt_affinity& prompt,
                                          double mean_prompt_tokens,
