Entry: Ask a store less that does not answer, and for changes in steps

A host that the store turns away asked five times a second and once more for each digest that told of a change. Change: half a second between two refreshes; pauses after failures grow from 200 ms to one second; a host that does not reach the store is not told to ask it, and takes changes from its peers without waiting.

--- a/libraries/daemon/collection_follower.cpp
+++ b/libraries/daemon/collection_follower.cpp
@@ -14,10 +14,13 @@
 namespace
 {
 
-constexpr milliseconds retry_pause{200};
-/// Least time between two refreshes: the platform answers in milliseconds, and
-/// whoever asks for one asks again.
-constexpr milliseconds refresh_pause{100};
+/// Between two calls that the platform does not answer; doubled each time up to
+/// the second, by which a platform that is back is known again.
+constexpr milliseconds first_retry_pause{200};
+constexpr milliseconds longest_retry_pause{1'000};
+/// Least time between two refreshes, so that changes which come together are
+/// fetched together; a quarter of the two seconds in which one must be known.
+constexpr milliseconds refresh_pause{500};
 /// A watch that is to answer at once.
 constexpr milliseconds no_wait{1};
 
@@ -60,15 +63,18 @@
 
 net::awaitable<void> collection_follower::run()
 {
+    milliseconds retry_pause = first_retry_pause;
     while (!m_is_stopped)
     {
         const follow_pace pace = m_pace();
-        const bool is_answered = co_await ask(std::max(pace.wait, no_wait));
-        const milliseconds rest = is_answered ? pace.pause : retry_pause;
-        if (rest.count() > 0)
+        if (co_await ask(std::max(pace.wait, no_wait)))
         {
-            co_await pause(m_context, rest);
+            retry_pause = first_retry_pause;
+            co_await pause(m_context, pace.pause);
+            continue;
         }
+        co_await pause(m_context, retry_pause);
+        retry_pause = std::min(2 * retry_pause, longest_retry_pause);
     }
 }
 
--- a/libraries/entry/store_mirror.cpp
+++ b/libraries/entry/store_mirror.cpp
@@ -37,8 +37,8 @@
 constexpr milliseconds list_pace_per_host{150};
 constexpr milliseconds peer_timeout{500};
 constexpr milliseconds peer_look_period{200};
-/// A daemon that the store does not tell of a change for this long asks its
-/// peers: longer than a call to the store, and well under the two seconds in
+/// A daemon that reaches the store, and does not hear of a change for this long,
+/// asks its peers: longer than a call to the store, and well under the two seconds in
 /// which a change must be known.
 constexpr milliseconds store_patience{800};
 
@@ -151,7 +151,9 @@
 {
     for (const collection where : followed)
     {
-        if (told_by(it, where) > known_version(where))
+        // A store that does not answer is not asked more for it.
+        if (follower_of(where).is_in_contact() &&
+            told_by(it, where) > known_version(where))
         {
             follower_of(where).refresh();
         }
@@ -250,9 +252,17 @@
         for (auto& [where, lag] : lags)
         {
             const peer* best = best_informed(where);
-            if (best != nullptr &&
-                lag.is_behind(known_version(where), told_by(*best, where),
-                              monotonic_clock::now()))
+            if (best == nullptr)
+            {
+                continue;
+            }
+            const object_version told = told_by(*best, where);
+            const bool is_behind =
+                lag.is_behind(known_version(where), told,
+                              monotonic_clock::now()) ||
+                (!follower_of(where).is_in_contact() &&
+                 told > known_version(where));
+            if (is_behind)
             {
                 co_await fetch_from(best->address, where);
             }
