Placement: Order nothing before the new owner has written

Ruled out: the order's lifetime (7.7 of 30 s), unsettled times lost by the new owner's write (it never took effect). Change: no order before the first write of the new owner is confirmed; from then on a write of the former owner fails. It costs one write at a takeover. Test: placement_adoption.nothing_is_ordered_before_the_new_owner_has_written, failed first.

--- a/libraries/decision/placement/placement_machine.cpp
+++ b/libraries/decision/placement/placement_machine.cpp
@@ -51,7 +51,9 @@
         record.late_order_until =
             now + (may_be_ordered ? m_timing.order_lifetime : it.unsettled);
     }
-    // The epoch is written before the first order under it.
+    // The epoch is written before the first order under it: a write of the
+    // former owner that is still on its way fails from then on.
+    m_has_written = false;
     m_is_dirty = true;
     return step(now);
 }
@@ -160,6 +162,7 @@
         return {};
     }
     m_commit_in_flight.reset();
+    m_has_written = true;
     for (const auto& [generation, state] : m_commit_states)
     {
         if (replica_record* record = m_replicas.find(generation))
@@ -335,6 +338,10 @@
 
 void placement_machine::emit_orders(time_point now, action_list& actions)
 {
+    if (!m_has_written)
+    {
+        return;
+    }
     for (const generation_number generation : m_replicas.pending())
     {
         replica_record& record = *m_replicas.find(generation);
--- a/libraries/decision/placement/placement_machine.hpp
+++ b/libraries/decision/placement/placement_machine.hpp
@@ -139,6 +139,8 @@
     std::map<model_id, std::uint32_t> m_failures;
 
     bool m_is_dirty = false;
+    /// Until then a write of a former owner may still replace the document.
+    bool m_has_written = false;
     std::uint64_t m_sequence = 0;
     std::optional<std::uint64_t> m_commit_in_flight;
     std::map<generation_number, replica_state> m_commit_states;
--- a/tests/decision/placement_adoption_test.cpp
+++ b/tests/decision/placement_adoption_test.cpp
@@ -142,5 +142,34 @@
     EXPECT_FALSE(second.is_written(adapter));
 }
 
+// Offset 716513 of the randomised runs found it: a write of the former owner
+// took effect after the next owner had read the document and sent a load. The
+// document then said that the replica was going and no order on its way.
+TEST(placement_adoption, nothing_is_ordered_before_the_new_owner_has_written)
+{
+    document adopted;
+    replica it;
+    it.generation = generation_number(1);
+    it.model = base;
+    it.server = server;
+    it.bytes = byte_count(10);
+    it.state = replica_state::loading;
+    adopted.replicas.push_back(it);
+    adopted.next_generation = 2;
+    placement_machine machine(load_limits{}, placement_timing{});
+    machine.on_items(items());
+    machine.on_servers(servers(), start);
+    const action_list first =
+        machine.on_adopted(adopted, epoch_number(2), start);
+    EXPECT_TRUE(pick<order_action>(first).empty());
+    const auto commits = pick<commit_action>(first);
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_TRUE(
+        pick<order_action>(machine.on_tick(start + seconds(1))).empty());
+    const auto then = machine.on_committed(commits.front().sequence,
+                                           start + seconds(1));
+    EXPECT_EQ(pick<order_action>(then).size(), 1U);
+}
+
 } // namespace
 } // namespace cicadahub::placement
