--- a/tests/decision/fair_queue_test.cpp
+++ b/tests/decision/fair_queue_test.cpp
@@ -49,6 +49,20 @@
     EXPECT_FALSE(queue.add(make(98, "a", 60'000), at(900)));
 }
 
+TEST(fair_queue, the_earliest_deadline_of_a_line_goes_first)
+{
+    fair_queue queue({});
+    queue.add(make(1, "a", 9'000), at(0));
+    queue.add(make(2, "a", 5'000), at(0));
+    queue.add(make(3, "a", 7'000), at(0));
+    for (const std::uint64_t ticket : {2U, 3U, 1U})
+    {
+        const auto next = queue.take(at(1));
+        ASSERT_TRUE(next);
+        EXPECT_EQ(next->ticket, ticket);
+    }
+}
+
 /// Two organisations that always ask, one of them five times as much, and a
 /// naive first-come queue beside it.
 TEST(fair_queue, gives_the_worst_served_what_it_gets_alone)
--- a/tests/decision/placement_adoption_test.cpp
+++ b/tests/decision/placement_owner_test.cpp
@@ -11,13 +11,16 @@
 
 const model_id base("m");
 const model_id adapter("m:a");
+/// Does not fit beside the base.
+const model_id other("n");
 const server_id server("s");
 constexpr time_point start{std::chrono::seconds(100)};
 
 std::vector<item_spec> items()
 {
     return {{base, byte_count(10), std::nullopt},
-            {adapter, byte_count(1), base}};
+            {adapter, byte_count(1), base},
+            {other, byte_count(35), std::nullopt}};
 }
 
 std::vector<server_spec> servers()
@@ -171,5 +174,25 @@
     EXPECT_EQ(pick<order_action>(then).size(), 1U);
 }
 
+// A model that was just loaded is not dropped for the next one at once, or two
+// models that are asked for by turns would only push each other out.
+TEST(placement_residency, a_model_stays_for_a_while_after_its_last_use)
+{
+    owner it({}, 1, start);
+    it.ask(base, start);
+    it.tick(start + milliseconds(900));
+    ASSERT_EQ(it.orders.size(), 1U);
+    const time_point loaded = start + seconds(2);
+    it.answer(it.orders[0], order_result::done, loaded);
+    it.ask(other, loaded + milliseconds(1));
+    const milliseconds stay = placement_timing{}.minimum_residency;
+    it.tick(loaded + stay - milliseconds(1));
+    EXPECT_EQ(it.orders.size(), 1U);
+    it.tick(loaded + stay);
+    ASSERT_EQ(it.orders.size(), 2U);
+    EXPECT_EQ(it.orders[1].kind, order_kind::unload);
+    EXPECT_EQ(it.orders[1].target.model, base);
+}
+
 } // namespace
 } // namespace cicadahub::placement
