Settings, HTTP: Say once how faults and metrics are told

report_faults stood in both services, the reply with metrics in two handlers, the connect timeout in two files; the platform's settings variable was named outside platform/; reports decoded loads that nothing read; a receive socket that goes on failing took the whole processor without a line.

--- a/libraries/caller/request_handler.ipp
+++ b/libraries/caller/request_handler.ipp
@@ -79,11 +79,8 @@
 request_handler<Control>::serve_metrics(http::reply_writer& reply)
 {
     prometheus::TextSerializer serializer;
-    http::response it{http::status::ok, 11};
-    it.set(http::field::content_type, "text/plain; version=0.0.4");
-    it.body() = serializer.Serialize(m_registry.Collect());
-    it.prepare_payload();
-    co_await reply.send(std::move(it));
+    co_await reply.send(http::metrics_response(
+        serializer.Serialize(m_registry.Collect())));
 }
 
 template<control_gateway Control>
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -1,6 +1,7 @@
 #include "entry/digest_exchange.hpp"
 
 #include "core/structured_log.hpp"
+#include "daemon/pause.hpp"
 #include "fleet/digest_codec.hpp"
 #include "fleet/frame_codec.hpp"
 
@@ -21,6 +22,8 @@
 constexpr milliseconds period_per_peer{10};
 /// Changes that come together are told together.
 constexpr milliseconds gather_time{5};
+/// A socket that goes on failing must not take the whole processor.
+constexpr milliseconds receive_retry_pause{100};
 constexpr std::size_t largest_datagram_bytes = 60'000;
 /// Peers that one digest names, by turns; most hosts are known from the store.
 constexpr std::size_t told_addresses = 4;
@@ -335,10 +338,14 @@
         net::ip::udp::endpoint from;
         auto [ec, n] = co_await m_socket.async_receive_from(net::buffer(buf),
                                                             from, no_throw);
-        if (!ec)
+        if (ec)
         {
-            on_datagram(std::string_view(buf.data(), n), from);
+            log_event(severity::warning, event_number::peer_frame_malformed,
+                      {{"reason", ec.message()}});
+            co_await daemon::pause(m_state.context, receive_retry_pause);
+            continue;
         }
+        on_datagram(std::string_view(buf.data(), n), from);
     }
 }
 
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -14,7 +14,6 @@
 
 using daemon::pause;
 
-constexpr milliseconds connect_timeout{500};
 constexpr std::size_t idle_connections = 4;
 /// The store answers in milliseconds; a call that is not answered by then is
 /// made again well within the two seconds in which a change must be known.
@@ -41,11 +40,7 @@
 {
     if (message.target() == metrics_path)
     {
-        http::response metrics{http::status::ok, 11};
-        metrics.set(http::field::content_type, "text/plain; version=0.0.4");
-        metrics.body() = m_metrics.text();
-        metrics.prepare_payload();
-        co_await reply.send(std::move(metrics));
+        co_await reply.send(http::metrics_response(m_metrics.text()));
         co_return;
     }
     http::response answer{m_is_ready() ? http::status::ok
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -6,7 +6,6 @@
 namespace
 {
 
-constexpr milliseconds connect_timeout{500};
 constexpr std::size_t idle_connections_per_server = 32;
 /// Requests that ran beside the culprit are blamed with it: two crashes in a
 /// row can be chance, three hardly.
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -17,6 +17,10 @@
 namespace cicadahub::entry
 {
 
+/// Many round trips inside a region, and half of the second after which the
+/// packet that opens a connection is sent again.
+inline constexpr milliseconds connect_timeout{500};
+
 /// What the parts of one daemon share; used on one thread only.
 struct entry_state
 {
--- a/libraries/http/types.cpp
+++ b/libraries/http/types.cpp
@@ -75,4 +75,13 @@
     return it;
 }
 
+response metrics_response(std::string text)
+{
+    response it{status::ok, 11};
+    it.set(field::content_type, "text/plain; version=0.0.4");
+    it.body() = std::move(text);
+    it.prepare_payload();
+    return it;
+}
+
 } // namespace cicadahub::http
--- a/libraries/http/types.hpp
+++ b/libraries/http/types.hpp
@@ -35,4 +35,7 @@
 /// A JSON response with the given status.
 response json_response(status code, std::string body);
 
+/// A response with metrics in Prometheus' text format.
+response metrics_response(std::string text);
+
 } // namespace cicadahub::http
--- a/libraries/serving/server_entry.hpp
+++ b/libraries/serving/server_entry.hpp
@@ -42,8 +42,6 @@
     /// Orders that the server has accepted since its start.
     std::uint64_t orders_accepted = 0;
     bool is_busy = false;
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
     holdings models;
     std::set<model_id> in_memory;
     std::set<model_id> on_disk;
--- a/libraries/settings/program.cpp
+++ b/libraries/settings/program.cpp
@@ -7,6 +7,15 @@
 namespace cicadahub::settings
 {
 
+int report_faults(const std::vector<settings_fault>& faults)
+{
+    for (const settings_fault& it : faults)
+    {
+        std::cerr << to_string(it) << "\n";
+    }
+    return faults.empty() ? exit_ok : exit_usage;
+}
+
 int run_program(const char* name, const std::function<int()>& body)
 {
     try
--- a/libraries/settings/program.hpp
+++ b/libraries/settings/program.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "core/errors.hpp"
+#include "settings/daemon_settings.hpp"
 
 #include <functional>
+#include <vector>
 
 namespace cicadahub::settings
 {
@@ -19,6 +21,9 @@
     using error::error;
 };
 
+/// Tells each fault on the error stream; the exit code for them.
+int report_faults(const std::vector<settings_fault>& faults);
+
 /// Runs a program's body; what it throws is told on the error stream and turned
 /// into an exit code.
 int run_program(const char* name, const std::function<int()>& body);
--- a/services/cicada-entry/main.cpp
+++ b/services/cicada-entry/main.cpp
@@ -10,31 +10,18 @@
 #include <tclap/CmdLine.h>
 
 #include <csignal>
-#include <cstdlib>
-#include <iostream>
 
 namespace
 {
 
 using namespace cicadahub;
 
-constexpr const char* settings_variable = "CICADAHUB_SETTINGS";
-
-int report_faults(const std::vector<settings::settings_fault>& faults)
-{
-    for (const settings::settings_fault& it : faults)
-    {
-        std::cerr << settings::to_string(it) << "\n";
-    }
-    return faults.empty() ? settings::exit_ok : settings::exit_usage;
-}
-
 int serve(const std::string& file)
 {
     const adapter::settings_file given = adapter::read_settings_file(file);
     if (!given.faults.empty())
     {
-        return report_faults(given.faults);
+        return settings::report_faults(given.faults);
     }
     // A write to a connection that the other end has closed is an error code.
     std::signal(SIGPIPE, SIG_IGN);
@@ -47,7 +34,7 @@
         {
             const adapter::settings_file next =
                 adapter::read_settings_file(file);
-            report_faults(next.faults);
+            settings::report_faults(next.faults);
             return next.faults.empty() ? std::optional(next.settings)
                                        : std::nullopt;
         });
@@ -62,10 +49,11 @@
                         "users' platform.",
                         ' ', CICADAHUB_VERSION);
     line.setExceptionHandling(false);
-    const char* given = std::getenv(settings_variable);
     TCLAP::ValueArg<std::string> settings_file(
-        "s", "settings", "Settings to serve with; CICADAHUB_SETTINGS if unset.",
-        false, given == nullptr ? "" : given, "FILE");
+        "s", "settings",
+        std::string("Settings to serve with; ") + adapter::settings_variable +
+            " if unset.",
+        false, adapter::given_settings_path(), "FILE");
     TCLAP::ValueArg<std::string> checked_file(
         "c", "check-settings", "Settings to check, without serving.", false, "",
         "FILE");
@@ -74,7 +62,7 @@
     line.parse(argc, argv);
     if (checked_file.isSet())
     {
-        return report_faults(
+        return settings::report_faults(
             adapter::read_settings_file(checked_file.getValue()).faults);
     }
     return serve(settings_file.getValue());
--- a/services/cicadad/main.cpp
+++ b/services/cicadad/main.cpp
@@ -13,16 +13,7 @@
 using namespace cicadahub;
 
 using settings::exit_ok;
-using settings::exit_usage;
-
-int report_faults(const std::vector<settings::settings_fault>& faults)
-{
-    for (const settings::settings_fault& it : faults)
-    {
-        std::cerr << settings::to_string(it) << "\n";
-    }
-    return faults.empty() ? exit_ok : exit_usage;
-}
+using settings::report_faults;
 
 int print_settings()
 {
