--- a/libraries/caller/request_handler.ipp
+++ b/libraries/caller/request_handler.ipp
@@ -79,8 +79,8 @@
 request_handler<Control>::serve_metrics(http::reply_writer& reply)
 {
     prometheus::TextSerializer serializer;
-    co_await reply.send(http::metrics_response(
-        serializer.Serialize(m_registry.Collect())));
+    co_await reply.send(
+        http::metrics_response(serializer.Serialize(m_registry.Collect())));
 }
 
 template<control_gateway Control>
--- a/libraries/entry/store_mirror.cpp
+++ b/libraries/entry/store_mirror.cpp
@@ -37,9 +37,9 @@
 constexpr milliseconds list_pace_per_host{150};
 constexpr milliseconds peer_timeout{500};
 constexpr milliseconds peer_look_period{200};
-/// A daemon that reaches the store, and does not hear of a change for this long,
-/// asks its peers: longer than a call to the store, and well under the two seconds in
-/// which a change must be known.
+/// A daemon that reaches the store, and does not hear of a change for this
+/// long, asks its peers: longer than a call to the store, and well under the
+/// two seconds in which a change must be known.
 constexpr milliseconds store_patience{800};
 
 } // namespace
@@ -257,11 +257,10 @@
                 continue;
             }
             const object_version told = told_by(*best, where);
-            const bool is_behind =
-                lag.is_behind(known_version(where), told,
-                              monotonic_clock::now()) ||
-                (!follower_of(where).is_in_contact() &&
-                 told > known_version(where));
+            const bool is_behind = lag.is_behind(known_version(where), told,
+                                                 monotonic_clock::now()) ||
+                                   (!follower_of(where).is_in_contact() &&
+                                    told > known_version(where));
             if (is_behind)
             {
                 co_await fetch_from(best->address, where);
