--- a/libraries/decision/sharing/fleet_rate.cpp
+++ b/libraries/decision/sharing/fleet_rate.cpp
@@ -9,13 +9,14 @@
 {
 
 /// All hosts together may spend this many times what is left before they have
-/// heard one another again. Requests of one organisation come to few of the
-/// hosts at a time; should they come to all, twice the burst is spent, which
-/// one window of the rate holds.
+/// heard one another again, since requests of one organisation come to few of
+/// the hosts at a time: one in eight may spend it all. Should more do so, the
+/// rate is passed by the demand of one period of telling, and paid back.
 constexpr double common_factor = 8;
 /// Part of the burst that a daemon assumes when it starts, as for its part.
 constexpr double starting_part = 0.25;
-/// The common part is told anew within a second.
+/// The usual rest of the time until the common part is renewed: hosts tell one
+/// another about once a second.
 constexpr milliseconds common_renewal{500};
 
 std::int64_t slack_of(const demand_view& view)
--- a/tests/decision/fleet_rate_test.cpp
+++ b/tests/decision/fleet_rate_test.cpp
@@ -30,6 +30,11 @@
     /// whole knowledge would have let them pass. The stated target for a steady
     /// demand is half a percent; none is stated for the others.
     double refused_inside_percent;
+
+    friend void PrintTo(const demand_shape& it, std::ostream* out)
+    {
+        *out << it.name;
+    }
 };
 
 /// Hosts that tell each other what they spent and are asked for, late and with
--- a/tests/decision/sharing_test.cpp
+++ b/tests/decision/sharing_test.cpp
@@ -44,6 +44,11 @@
     const char* self;
     std::vector<daemon_id> others;
     bool is_on_watch;
+
+    friend void PrintTo(const rota_case& it, std::ostream* out)
+    {
+        *out << it.name;
+    }
 };
 
 class watch_rota_table : public testing::TestWithParam<rota_case>
@@ -75,6 +80,11 @@
     double all;
     std::size_t hosts;
     double share;
+
+    friend void PrintTo(const share_case& it, std::ostream* out)
+    {
+        *out << it.name;
+    }
 };
 
 class share_of_demand_table : public testing::TestWithParam<share_case>
