--- a/tests/decision/fleet_rate_test.cpp
+++ b/tests/decision/fleet_rate_test.cpp
@@ -273,6 +273,50 @@
     int m_refused_inside = 0;
 };
 
+const quota::rate_limit small_rate{1'000, token_count(1'000)};
+
+/// One of ten hosts, some time after its start, when all tokens are left.
+fleet_rate rested_host(demand_view view, time_point now)
+{
+    view.share = 0.01;
+    view.hosts = 10;
+    view.is_calm = true;
+    fleet_rate rate(small_rate, view, now - seconds(10));
+    rate.set(small_rate, view, now);
+    return rate;
+}
+
+TEST(fleet_rate, what_all_have_left_is_spent_only_while_all_are_heard)
+{
+    const time_point now{seconds(100)};
+    demand_view view;
+    view.hears_all = true;
+    EXPECT_FALSE(rested_host(view, now).charge(500, now));
+    view.hears_all = false;
+    fleet_rate alone = rested_host(view, now);
+    // Its part of the burst is ten tokens; larger requests take turns with it.
+    EXPECT_FALSE(alone.charge(10, now));
+    EXPECT_TRUE(alone.charge(10, now));
+}
+
+TEST(fleet_rate, a_rate_that_was_passed_is_paid_back_first)
+{
+    const time_point now{seconds(100)};
+    demand_view view;
+    view.slack = 100;
+    view.hears_all = true;
+    fleet_rate rate = rested_host(view, now);
+    view.hosts = 10;
+    view.share = 0.01;
+    view.spent_elsewhere = 1'600;
+    rate.set(small_rate, view, now);
+    // 1,000 were left and 600 too many spent, of which 100 are allowed.
+    const auto wait = rate.charge(1, now);
+    ASSERT_TRUE(wait);
+    EXPECT_EQ(*wait, milliseconds(500));
+    EXPECT_FALSE(rate.charge(1, now + milliseconds(500)));
+}
+
 class fleet_rate_runs : public testing::TestWithParam<demand_shape>
 {
 };
