--- a/libraries/daemon/collection_follower.cpp
+++ b/libraries/daemon/collection_follower.cpp
@@ -64,7 +64,7 @@
 net::awaitable<void> collection_follower::run()
 {
     milliseconds retry_pause = first_retry_pause;
-    while (!m_is_stopped)
+    while (true)
     {
         const follow_pace pace = m_pace();
         if (co_await ask(std::max(pace.wait, no_wait)))
--- a/libraries/daemon/collection_follower.hpp
+++ b/libraries/daemon/collection_follower.hpp
@@ -38,7 +38,6 @@
                         batch_handler on_batch, pace_handler pace);
 
     void start();
-    void stop() { m_is_stopped = true; }
 
     /// Asks at once for what has changed, beside a watch that still waits.
     /// Does nothing if it was called a moment ago.
@@ -67,7 +66,6 @@
     object_version m_version;
     bool m_needs_list = true;
     bool m_is_in_contact = false;
-    bool m_is_stopped = false;
     bool m_is_refreshing = false;
     time_point m_refreshed_at{};
 };
--- a/libraries/decision/routing/server_choice.cpp
+++ b/libraries/decision/routing/server_choice.cpp
@@ -1,5 +1,7 @@
 #include "decision/routing/server_choice.hpp"
 
+#include "decision/routing/weighted_draw.hpp"
+
 #include <algorithm>
 #include <functional>
 
@@ -46,53 +48,26 @@
 std::optional<std::size_t> draw(std::span<const choice_candidate> from,
                                 std::uint64_t random)
 {
-    for (const bool is_trusted : {true, false})
+    const auto draw_of = [&](bool is_trusted)
     {
-        std::uint64_t sum = 0;
-        for (const choice_candidate& it : from)
-        {
-            sum += it.is_trusted == is_trusted ? free_places(it) : 0;
-        }
-        if (sum == 0)
-        {
-            continue;
-        }
-        std::uint64_t at = random % sum;
-        for (std::size_t n = 0; n < from.size(); ++n)
-        {
-            const std::uint64_t part =
-                from[n].is_trusted == is_trusted ? free_places(from[n]) : 0;
-            if (at < part)
-            {
-                return n;
-            }
-            at -= part;
-        }
-    }
-    return std::nullopt;
+        return draw_by_weight(
+            from.size(),
+            [&](std::size_t n) {
+                return from[n].is_trusted == is_trusted ? free_places(from[n])
+                                                        : 0;
+            },
+            random);
+    };
+    const auto trusted = draw_of(true);
+    return trusted ? trusted : draw_of(false);
 }
 
-template<class Cost>
-std::optional<std::size_t> cheapest(std::span<const choice_candidate> from,
-                                    Cost cost_of)
+/// What sending a request of a plain service to a server costs.
+double plain_cost(const choice_candidate& it)
 {
-    std::optional<std::size_t> best;
-    double least = 0;
-    for (std::size_t n = 0; n < from.size(); ++n)
-    {
-        if (free_places(from[n]) == 0)
-        {
-            continue;
-        }
-        const double cost =
-            cost_of(n, from[n]) + (from[n].is_trusted ? 0 : distrust);
-        if (!best || cost < least)
-        {
-            best = n;
-            least = cost;
-        }
-    }
-    return best;
+    constexpr double near_bonus = 0.5;
+    return static_cast<double>(it.running) - (it.is_near ? near_bonus : 0) +
+           (it.is_trusted ? 0 : distrust);
 }
 
 } // namespace
@@ -122,13 +97,16 @@
 
 std::optional<std::size_t> choose_plain(std::span<const choice_candidate> from)
 {
-    return cheapest(from,
-                    [](std::size_t, const choice_candidate& it)
-                    {
-                        constexpr double near_bonus = 0.5;
-                        return static_cast<double>(it.running) -
-                               (it.is_near ? near_bonus : 0);
-                    });
+    std::optional<std::size_t> best;
+    for (std::size_t n = 0; n < from.size(); ++n)
+    {
+        if (free_places(from[n]) > 0 &&
+            (!best || plain_cost(from[n]) < plain_cost(from[*best])))
+        {
+            best = n;
+        }
+    }
+    return best;
 }
 
 } // namespace cicadahub::routing
--- /dev/null
+++ b/libraries/decision/routing/weighted_draw.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+namespace cicadahub::routing
+{
+
+/// Draws one of `count` places with `weight_of(place)` as its weight; none if
+/// no place has any.
+template<class Weight>
+std::optional<std::size_t> draw_by_weight(std::size_t count, Weight weight_of,
+                                          std::uint64_t random)
+{
+    std::uint64_t sum = 0;
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        sum += weight_of(n);
+    }
+    if (sum == 0)
+    {
+        return std::nullopt;
+    }
+    std::uint64_t at = random % sum;
+    std::size_t place = 0;
+    while (at >= weight_of(place))
+    {
+        at -= weight_of(place);
+        ++place;
+    }
+    return place;
+}
+
+} // namespace cicadahub::routing
--- a/libraries/entry/placement_duty.cpp
+++ b/libraries/entry/placement_duty.cpp
@@ -218,7 +218,7 @@
                       {{"server", id.value()},
                        {"seen_in", "list"},
                        {"revision", record->entry.revision.value()}});
-            publish(id, now);
+            publish(id);
         }
     }
 }
@@ -319,7 +319,7 @@
                        {"from_store", it.what.is_store_load},
                        {"expected_ms", it.expected_time.count()},
                        {"wants", view.wants.size()}});
-            publish(it.what.server, now);
+            publish(it.what.server);
             net::co_spawn(m_context, send(std::move(it.what)), net::detached);
         }
     }
@@ -374,7 +374,7 @@
     if (state != nullptr && state->entry().incarnation == it.incarnation)
     {
         state->on_answer(it, answer, monotonic_clock::now());
-        publish(it.server, monotonic_clock::now());
+        publish(it.server);
     }
     kick();
 }
@@ -434,7 +434,7 @@
             }
             if (has_changed)
             {
-                publish(id, now);
+                publish(id);
             }
             kick();
         }
--- a/libraries/entry/placement_duty.hpp
+++ b/libraries/entry/placement_duty.hpp
@@ -72,7 +72,7 @@
     net::awaitable<void> ask_report(server_id id);
     net::awaitable<void> send(replicas::order it);
     replicas::server_state* find(const server_id& id);
-    void publish(const server_id& id, time_point now);
+    void publish(const server_id& id);
     std::set<server_id> servers_to_tell(bool is_update);
 
     net::io_context& m_context;
--- a/libraries/entry/placement_telling.cpp
+++ b/libraries/entry/placement_telling.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-void placement_duty::publish(const server_id& id, time_point)
+void placement_duty::publish(const server_id& id)
 {
     const auto* state = find(id);
     if (state == nullptr)
--- a/libraries/entry/request_admission.cpp
+++ b/libraries/entry/request_admission.cpp
@@ -2,8 +2,7 @@
 
 #include "core/digest.hpp"
 #include "core/structured_log.hpp"
-
-#include <random>
+#include "decision/routing/weighted_draw.hpp"
 
 namespace cicadahub::entry
 {
@@ -16,27 +15,6 @@
 /// Enough that two requests of a deployment never share a fingerprint.
 constexpr std::size_t fingerprint_digits = 24;
 
-std::size_t pick_by_weight(const std::vector<serving::service_share>& shares,
-                           std::mt19937_64& random)
-{
-    std::uint32_t sum = 0;
-    for (const serving::service_share& it : shares)
-    {
-        sum += it.weight;
-    }
-    std::uint32_t at = std::uniform_int_distribution<std::uint32_t>(
-        0, std::max(1U, sum) - 1)(random);
-    for (std::size_t n = 0; n < shares.size(); ++n)
-    {
-        if (at < shares[n].weight)
-        {
-            return n;
-        }
-        at -= shares[n].weight;
-    }
-    return 0;
-}
-
 } // namespace
 
 void request_run::find_route()
@@ -116,8 +94,11 @@
 
 void request_run::choose_service()
 {
-    const auto& share =
-        m_route->services[pick_by_weight(m_route->services, m_state.random)];
+    const auto& shares = m_route->services;
+    const auto drawn = routing::draw_by_weight(
+        shares.size(), [&](std::size_t n) { return shares[n].weight; },
+        m_state.random());
+    const auto& share = shares[drawn.value_or(0)];
     m_service = m_configuration->find_service(share.service);
     if (m_service == nullptr)
     {
--- a/tests/decision/placement_owner_test.cpp
+++ b/tests/decision/placement_owner_test.cpp
@@ -31,6 +31,22 @@
     return {it};
 }
 
+/// What a former owner wrote of one replica of the base.
+document document_with(replica_state state, milliseconds unsettled)
+{
+    replica it;
+    it.generation = generation_number(1);
+    it.model = base;
+    it.server = server;
+    it.bytes = byte_count(10);
+    it.state = state;
+    it.unsettled = unsettled;
+    document content;
+    content.replicas.push_back(it);
+    content.next_generation = 2;
+    return content;
+}
+
 template<class Action>
 std::vector<Action> pick(const action_list& actions)
 {
@@ -150,15 +166,8 @@
 // document then said that the replica was going and no order on its way.
 TEST(placement_adoption, nothing_is_ordered_before_the_new_owner_has_written)
 {
-    document adopted;
-    replica it;
-    it.generation = generation_number(1);
-    it.model = base;
-    it.server = server;
-    it.bytes = byte_count(10);
-    it.state = replica_state::loading;
-    adopted.replicas.push_back(it);
-    adopted.next_generation = 2;
+    const document adopted =
+        document_with(replica_state::loading, milliseconds(0));
     placement_machine machine(load_limits{}, placement_timing{});
     machine.on_items(items());
     machine.on_servers(servers(), start);
@@ -180,16 +189,7 @@
 // counted for good.
 TEST(placement_adoption, the_wait_for_a_late_order_ends_though_owners_change)
 {
-    document content;
-    replica it;
-    it.generation = generation_number(1);
-    it.model = base;
-    it.server = server;
-    it.bytes = byte_count(10);
-    it.state = replica_state::unloading;
-    it.unsettled = seconds(10);
-    content.replicas.push_back(it);
-    content.next_generation = 2;
+    document content = document_with(replica_state::unloading, seconds(10));
     time_point now = start;
     for (std::uint64_t epoch = 2; epoch < 9 && !content.replicas.empty();
          ++epoch)
