--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -113,15 +113,18 @@
                                     time_point sent_at) const
 {
     m_state.metrics.count_attempt(name_of(result.end), time_since(sent_at));
-    log_event(severity::info, event_number::request_attempted,
-              {{"request", m_request.id.value()},
-               {"server", record.entry.id.value()},
-               {"end", name_of(result.end)},
-               {"status", result.answer ? result.answer->result_int() : 0},
-               {"running", record.running},
-               {"running_elsewhere", record.running_elsewhere},
-               {"took_ms", time_since(sent_at).count()},
-               {"reason", result.reason}});
+    log_event(
+        severity::info, event_number::request_attempted,
+        {{"request", m_request.id.value()},
+         {"server", record.entry.id.value()},
+         {"end", name_of(result.end)},
+         {"status", result.answer ? result.answer->result_int() : 0},
+         {"running", record.running},
+         {"running_elsewhere", record.running_elsewhere},
+         {"framing", result.framing ? http::name_of(*result.framing) : ""},
+         {"partial_event_bytes", result.partial_event_bytes},
+         {"took_ms", time_since(sent_at).count()},
+         {"reason", result.reason}});
 }
 
 void active_request::record_crash(const exchange_result& result)
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -255,6 +255,7 @@
     const auto& head = m_parser->get();
     const answer_head meaning = m_dialect.read_answer(head, id);
     m_result.load = meaning.load;
+    m_result.framing = http::framing_of(*m_parser);
     if (meaning.meaning == answer_meaning::not_an_answer)
     {
         m_result.reason = "the response is not valid for this request";
@@ -351,6 +352,7 @@
         }
         unfinished.append(data.data(), data.size() - parser.get().body().size);
         const std::size_t complete_bytes = end_of_last_event(unfinished);
+        m_result.partial_event_bytes = unfinished.size() - complete_bytes;
         if (complete_bytes == 0)
         {
             continue;
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/dialects.hpp"
+#include "http/body_framing.hpp"
 #include "http/client.hpp"
 #include "http/reply_writer.hpp"
 
@@ -53,6 +54,10 @@
     /// The server closed or reset the connection after it had received bytes of
     /// the request, as when its process crashes.
     bool is_connection_lost = false;
+    /// Empty if no head of a response was received.
+    std::optional<http::body_framing> framing;
+    /// Bytes of an event at the end of a stream that lacks its end.
+    std::size_t partial_event_bytes = 0;
     std::string reason;
 };
 
