Tests: Show that a broken stream reaches its caller as complete

What callers saw: streams of servers that crash arrive short, with the terminating chunk. The tests send a stream in each framing, whole or broken off in each way, through both request paths and check what the caller gets. They fail for every stream that ends inside an event without an error of the transport: without length or chunks and closed there, as in the incident, but also with a length or a last chunk there.

--- /dev/null
+++ b/tests/backend/answer_relay_test.cpp
@@ -0,0 +1,67 @@
+#include "backend/answer_relay.hpp"
+
+#include "relay_run.hpp"
+#include "response_endings.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cicadahub::backend
+{
+namespace
+{
+
+using fakes::connection_end;
+
+struct outcome
+{
+    relay_result result;
+    fakes::received_response received;
+};
+
+outcome run_relay(const fakes::response_ending& it,
+                  const std::string& content_type, backend_kind kind)
+{
+    fakes::relay_run run(
+        fakes::bytes_of(it, "Content-Type: " + content_type + "\r\n"), it.end);
+    answer_relay subject(run.pool(), relay_limits{}, kind);
+    const http::request message{http::verb::post, "/", 11};
+    outcome seen;
+    seen.result = run.run(
+        [&](http::endpoint server,
+            http::reply_writer& reply) -> net::awaitable<relay_result>
+        {
+            relay_result result =
+                co_await subject.run(server, message, reply, true);
+            if (result.end != relay_end::complete)
+            {
+                reply.abort_stream();
+            }
+            co_return result;
+        });
+    seen.received = run.receive();
+    return seen;
+}
+
+class relayed_streams : public testing::TestWithParam<fakes::response_ending>
+{
+};
+
+// Guards against a stream that is broken off and reaches its caller as if it
+// were complete.
+TEST_P(relayed_streams, a_broken_stream_never_looks_complete)
+{
+    const outcome seen =
+        run_relay(GetParam(), "text/event-stream", backend_kind::plain_service);
+    const bool is_complete = GetParam().is_complete;
+    EXPECT_EQ(seen.result.end,
+              is_complete ? relay_end::complete : relay_end::interrupted);
+    EXPECT_EQ(seen.received.is_complete, is_complete);
+}
+
+INSTANTIATE_TEST_SUITE_P(answer_relay, relayed_streams,
+                         testing::ValuesIn(fakes::stream_endings()),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
+} // namespace
+} // namespace cicadahub::backend
--- /dev/null
+++ b/tests/entry/exchange_test.cpp
@@ -0,0 +1,100 @@
+#include "entry/exchange.hpp"
+
+#include "relay_run.hpp"
+#include "response_endings.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cicadahub::entry
+{
+namespace
+{
+
+using fakes::connection_end;
+
+std::string forward_head(const http::request& message, const forwarding&)
+{
+    return "POST " + std::string(message.target()) + " HTTP/1.1\r\n\r\n";
+}
+
+answer_head read_answer(const http::beast_http::response_header<>&,
+                        const request_id&)
+{
+    return {answer_meaning::answer, std::nullopt};
+}
+
+const server_dialect dialect{forward_head, read_answer, nullptr,
+                             nullptr,      nullptr,     nullptr};
+
+struct outcome
+{
+    exchange_result result;
+    stream_progress progress;
+    fakes::received_response received;
+};
+
+outcome run_exchange(const fakes::response_ending& it,
+                     const std::string& content_type)
+{
+    fakes::relay_run run(
+        fakes::bytes_of(it, "Content-Type: " + content_type + "\r\n"), it.end);
+    exchange subject(run.pool(), dialect);
+    const http::request message{http::verb::post, "/", 11};
+    const forwarding added;
+    const request_id id("r");
+    outcome seen;
+    seen.result = run.run(
+        [&](http::endpoint server,
+            http::reply_writer& reply) -> net::awaitable<exchange_result>
+        {
+            exchange_result result = co_await subject.run(
+                server, message, added, id, reply, seen.progress,
+                monotonic_clock::now() + seconds(5));
+            if (result.end == exchange_end::failed)
+            {
+                reply.abort_stream();
+            }
+            co_return result;
+        });
+    seen.received = run.receive();
+    return seen;
+}
+
+class stream_endings : public testing::TestWithParam<fakes::response_ending>
+{
+};
+
+// Guards against a stream that is broken off and reaches its caller as if it
+// were complete.
+TEST_P(stream_endings, a_broken_stream_never_looks_complete)
+{
+    const outcome seen = run_exchange(GetParam(), "text/event-stream");
+    const bool is_complete = GetParam().is_complete;
+    EXPECT_EQ(seen.result.end,
+              is_complete ? exchange_end::streamed : exchange_end::failed);
+    EXPECT_EQ(seen.received.is_complete, is_complete);
+}
+
+// Another server resumes after the last event that the caller received, so that
+// the caller must not have a part of the next one.
+TEST_P(stream_endings, a_broken_stream_leaves_no_partial_event)
+{
+    const outcome seen = run_exchange(GetParam(), "text/event-stream");
+    const std::string& body = seen.received.body;
+    EXPECT_TRUE(body.empty() || body.ends_with("\n\n") ||
+                body.ends_with("\r\n\r\n"))
+        << body;
+    const bool has_second = body.find("data: b") != std::string::npos;
+    if (!body.empty())
+    {
+        EXPECT_EQ(seen.progress.last_event, has_second ? "2" : "1");
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(exchange, stream_endings,
+                         testing::ValuesIn(fakes::stream_endings()),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
+} // namespace
+} // namespace cicadahub::entry
--- /dev/null
+++ b/tests/fakes/relay_run.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "http/client.hpp"
+#include "http/reply_writer.hpp"
+#include "scripted_server.hpp"
+
+#include <boost/asio/use_future.hpp>
+
+#include <future>
+
+namespace cicadahub::fakes
+{
+
+/// Bytes that a caller received, and whether their framing ends the response.
+struct received_response
+{
+    std::string body;
+    bool is_complete = false;
+};
+
+/// Connects a caller, a relay under test and a scripted server on loopback.
+class relay_run
+{
+public:
+    relay_run(const std::string& response, connection_end end)
+        : m_server(m_context, response, end),
+          m_pool(m_context, milliseconds(1'000), 4), m_caller(m_context),
+          m_stream(m_context)
+    {
+        net::ip::tcp::acceptor acceptor(m_context,
+                                        {net::ip::address_v4::loopback(), 0});
+        m_caller.connect(acceptor.local_endpoint());
+        acceptor.accept(m_stream.socket());
+    }
+
+    http::client_pool& pool() { return m_pool; }
+
+    /// Runs `relay`, a coroutine that gets the server's address and the writer
+    /// of the response and returns its result.
+    template<class Relay>
+    auto run(Relay relay)
+    {
+        http::reply_writer reply(m_stream, true, milliseconds(1'000));
+        auto result = net::co_spawn(m_context, relay(m_server.address(), reply),
+                                    net::use_future);
+        while (result.wait_for(seconds(0)) != std::future_status::ready)
+        {
+            m_context.run_one();
+        }
+        return result.get();
+    }
+
+    /// What the caller receives until the connection to it is closed.
+    received_response receive()
+    {
+        m_stream.close();
+        http::beast_http::response_parser<http::beast_http::string_body> parser;
+        boost::beast::flat_buffer buf;
+        boost::system::error_code ec;
+        http::beast_http::read(m_caller, buf, parser, ec);
+        return {parser.get().body(), !ec};
+    }
+
+private:
+    net::io_context m_context;
+    scripted_server m_server;
+    http::client_pool m_pool;
+    net::ip::tcp::socket m_caller;
+    boost::beast::tcp_stream m_stream;
+};
+
+} // namespace cicadahub::fakes
--- /dev/null
+++ b/tests/fakes/scripted_server.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "http/types.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace cicadahub::fakes
+{
+
+namespace net = boost::asio;
+
+/// How a server ends a connection after its response.
+enum class connection_end
+{
+    stays_open,
+    closed,
+    reset,
+};
+
+/// Backend server on loopback that answers each connection's first request with
+/// given bytes, whatever the request is.
+class scripted_server
+{
+public:
+    scripted_server(net::io_context& context, std::string response,
+                    connection_end end)
+        : m_acceptor(context, {net::ip::address_v4::loopback(), 0}),
+          m_response(std::move(response)), m_end(end)
+    {
+        net::co_spawn(context, accept_loop(), net::detached);
+    }
+
+    http::endpoint address() const { return m_acceptor.local_endpoint(); }
+
+private:
+    static constexpr auto no_throw = net::as_tuple(net::use_awaitable);
+
+    net::awaitable<void> accept_loop()
+    {
+        while (true)
+        {
+            auto [ec, socket] = co_await m_acceptor.async_accept(no_throw);
+            if (ec)
+            {
+                co_return;
+            }
+            co_await answer(socket);
+            m_open.push_back(std::move(socket));
+        }
+    }
+
+    net::awaitable<void> answer(net::ip::tcp::socket& socket)
+    {
+        std::string head;
+        co_await net::async_read_until(socket, net::dynamic_buffer(head),
+                                       "\r\n\r\n", no_throw);
+        co_await net::async_write(socket, net::buffer(m_response), no_throw);
+        if (m_end == connection_end::reset)
+        {
+            // A close with a linger time of zero sends a reset.
+            socket.set_option(net::socket_base::linger(true, 0));
+        }
+        if (m_end != connection_end::stays_open)
+        {
+            socket.close();
+        }
+    }
+
+    net::ip::tcp::acceptor m_acceptor;
+    std::string m_response;
+    connection_end m_end;
+    std::vector<net::ip::tcp::socket> m_open;
+};
+
+} // namespace cicadahub::fakes
