Entry: Treat a stream that ends inside an event as broken off

Cause: the HTTP parser reports a body without length or chunks as done when the connection closes, for a server that has finished and for one that died. The relay took "done" for "complete": it forwarded what was left of an event and sent the terminating chunk. Class of fault: the end of the transport, or of the framing, taken for the end of the message.

Ruled out: a body buffered until the close (end=answered), and a break that was noticed and ended wrongly (end=failed).

Change: http::event_stream_reader is the one place that decides where an event stream ends. It hands out complete events only, and reports the end only after a complete event; without a length or chunks a stream without any event is broken off too. A close counts as a lost connection, a framed end does not. Lines may end with CR, LF or both, also across two reads.

--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -1,6 +1,7 @@
 #include "entry/exchange.hpp"
 
-#include <boost/algorithm/string/predicate.hpp>
+#include "http/event_stream_reader.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -15,7 +16,6 @@
 {
 
 constexpr std::uint64_t answer_limit_bytes = 64 * 1024 * 1024;
-constexpr std::size_t stream_buffer_bytes = 16 * 1024;
 constexpr auto no_throw = net::as_tuple(net::use_awaitable);
 
 /// An idle connection is reused only for this fraction of the idle timeout that
@@ -86,44 +86,6 @@
            std::chrono::duration_cast<monotonic_clock::duration>(part);
 }
 
-/// End of the last complete event in `text`; 0 if there is none.
-std::size_t end_of_last_event(std::string_view text)
-{
-    std::size_t end = 0;
-    for (const std::string_view mark : {"\n\n", "\r\n\r\n"})
-    {
-        const std::size_t at = text.rfind(mark);
-        end = at == std::string_view::npos ? end
-                                           : std::max(end, at + mark.size());
-    }
-    return end;
-}
-
-/// Value of the last "id:" line in complete events.
-std::optional<std::string> last_event_id(std::string_view events)
-{
-    constexpr std::string_view mark = "id:";
-    std::optional<std::string> id;
-    while (!events.empty())
-    {
-        const std::size_t end = std::min(events.find('\n'), events.size());
-        std::string_view line = events.substr(0, end);
-        events.remove_prefix(std::min(end + 1, events.size()));
-        if (line.starts_with(mark))
-        {
-            line.remove_prefix(mark.size());
-            line.remove_prefix(
-                std::min(line.find_first_not_of(' '), line.size()));
-            if (!line.empty() && line.back() == '\r')
-            {
-                line.remove_suffix(1);
-            }
-            id = std::string(line);
-        }
-    }
-    return id;
-}
-
 } // namespace
 
 std::string_view name_of(exchange_end it)
@@ -265,8 +227,7 @@
     const bool is_stream =
         meaning.meaning == answer_meaning::answer &&
         head.result() == http::status::ok &&
-        boost::algorithm::starts_with(head[http::field::content_type],
-                                      "text/event-stream");
+        http::is_event_stream(head[http::field::content_type]);
     if (is_stream)
     {
         co_await relay_stream(server, reply, progress);
@@ -315,7 +276,7 @@
     m_is_writing_to_caller = true;
     co_await reply.write_chunk(events);
     m_is_writing_to_caller = false;
-    if (auto id = last_event_id(events))
+    if (auto id = http::last_event_id(events))
     {
         progress.last_event = std::move(id);
     }
@@ -337,34 +298,20 @@
     const bool can_reuse = parser.get().keep_alive();
     server.reusable_until =
         reusable_until(parser.get()[http::field::keep_alive]);
-    std::array<char, stream_buffer_bytes> data;
-    std::string unfinished;
-    while (!parser.is_done())
+    http::event_stream_reader reader(server, parser);
+    while (true)
     {
-        parser.get().body().data = data.data();
-        parser.get().body().size = data.size();
         set_timeout(server);
-        auto [ec, n] = co_await http::beast_http::async_read_some(
-            server.stream, server.buf, parser, no_throw);
-        if (ec && ec != http::beast_http::error::need_buffer)
+        const auto events = co_await reader.read_some();
+        m_result.partial_event_bytes = reader.partial_event_bytes();
+        if (!events)
         {
-            throw boost::system::system_error(ec);
+            break;
         }
-        unfinished.append(data.data(), data.size() - parser.get().body().size);
-        const std::size_t complete_bytes = end_of_last_event(unfinished);
-        m_result.partial_event_bytes = unfinished.size() - complete_bytes;
-        if (complete_bytes == 0)
+        if (!events->empty())
         {
-            continue;
+            co_await forward_events(*events, reply, progress);
         }
-        co_await forward_events(
-            std::string_view(unfinished).substr(0, complete_bytes), reply,
-            progress);
-        unfinished.erase(0, complete_bytes);
-    }
-    if (!unfinished.empty())
-    {
-        co_await forward_events(unfinished, reply, progress);
     }
     m_can_reuse = can_reuse;
     m_is_writing_to_caller = true;
