Backend: Treat a stream that ends inside an event as broken off

It now reads through http::event_stream_reader too, so that one place decides where a stream ends, and forwards complete events only. A stream whose framing ends inside an event fails without counting as a crash of the server.

--- a/libraries/backend/answer_relay.cpp
+++ b/libraries/backend/answer_relay.cpp
@@ -1,14 +1,13 @@
 #include "backend/answer_relay.hpp"
 
+#include "http/event_stream_reader.hpp"
 #include "http/message_head.hpp"
+#include "http/stream_error.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 
-#include <array>
-
 namespace cicadahub::backend
 {
 
@@ -16,8 +15,6 @@
 {
 
 constexpr std::uint64_t answer_limit_bytes = 256 * 1024 * 1024;
-constexpr std::size_t stream_buffer_bytes = 16 * 1024;
-constexpr auto no_throw = net::as_tuple(net::use_awaitable);
 
 /// Tokens of an answer that is not streamed, from the `usage` that engines
 /// report in it.
@@ -55,11 +52,6 @@
     return n;
 }
 
-bool is_event_stream(std::string_view content_type)
-{
-    return content_type.starts_with("text/event-stream");
-}
-
 } // namespace
 
 answer_relay::answer_relay(http::client_pool& pool, relay_limits limits,
@@ -135,8 +127,10 @@
         // `m_result.end` already records how far the exchange got.
         m_result.is_connection_lost =
             reason.code() != boost::beast::error::timeout &&
-            reason.code() != net::error::timed_out && !m_is_cancelled &&
-            !m_is_caller_disconnected && !m_is_writing_to_caller;
+            reason.code() != net::error::timed_out &&
+            reason.code() != http::stream_error::ends_inside_event &&
+            !m_is_cancelled && !m_is_caller_disconnected &&
+            !m_is_writing_to_caller;
     }
     reply.stop_watching_caller();
     m_connection = nullptr;
@@ -170,7 +164,7 @@
     const auto& head = m_parser->get();
     m_result.status = head.result_int();
     m_result.end = relay_end::interrupted;
-    if (is_event_stream(head[http::field::content_type]))
+    if (http::is_event_stream(head[http::field::content_type]))
     {
         co_await relay_stream(server, reply);
     }
@@ -238,33 +232,28 @@
                                                 http::reply_writer& reply)
 {
     auto& parser = *m_parser;
-    std::array<char, stream_buffer_bytes> data;
     co_await reply.begin_stream(parser.get().result(),
                                 parser.get()[http::field::content_type]);
-    while (!parser.is_done())
+    http::event_stream_reader reader(server, parser);
+    while (true)
     {
-        parser.get().body().data = data.data();
-        parser.get().body().size = data.size();
         server.stream.expires_after(m_limits.gap);
-        auto [ec, n] = co_await http::beast_http::async_read_some(
-            server.stream, server.buf, parser, no_throw);
-        if (ec && ec != http::beast_http::error::need_buffer)
+        const auto events = co_await reader.read_some();
+        if (!events)
         {
-            throw boost::system::system_error(ec);
+            break;
         }
-        const std::size_t length = data.size() - parser.get().body().size;
-        if (length == 0)
+        if (events->empty())
         {
             continue;
         }
-        const std::string_view part(data.data(), length);
         if (!m_result.first_token_at)
         {
             m_result.first_token_at = monotonic_clock::now();
         }
-        m_result.tokens += count_events(part);
+        m_result.tokens += count_events(*events);
         m_is_writing_to_caller = true;
-        co_await reply.write_chunk(part);
+        co_await reply.write_chunk(*events);
         m_is_writing_to_caller = false;
     }
     m_can_reuse = parser.get().keep_alive();
