Http: End streams to HTTP/1.0 callers with the connection

Nothing says that the users have such callers.

Change: a stream to them has neither chunks nor a length and ends with the connection; one that breaks off is reset, since a close would be its end.

--- a/libraries/http/reply_writer.cpp
+++ b/libraries/http/reply_writer.cpp
@@ -65,7 +65,11 @@
 net::awaitable<void> reply_writer::begin_stream(response start)
 {
     m_has_started = true;
-    start.chunked(true);
+    if (m_stream_framing == body_framing::until_close)
+    {
+        m_is_keep_alive = false;
+    }
+    start.chunked(m_stream_framing == body_framing::chunked);
     start.keep_alive(m_is_keep_alive);
     const std::string head = serialize_head(start);
     m_stream.expires_after(m_write_timeout);
@@ -75,6 +79,12 @@
 net::awaitable<void> reply_writer::write_chunk(std::string_view data)
 {
     m_stream.expires_after(m_write_timeout);
+    if (m_stream_framing == body_framing::until_close)
+    {
+        co_await net::async_write(m_stream, net::buffer(data),
+                                  net::use_awaitable);
+        co_return;
+    }
     co_await net::async_write(
         m_stream, beast_http::make_chunk(net::buffer(data.data(), data.size())),
         net::use_awaitable);
@@ -82,6 +92,10 @@
 
 net::awaitable<void> reply_writer::end_stream()
 {
+    if (m_stream_framing == body_framing::until_close)
+    {
+        co_return;
+    }
     m_stream.expires_after(m_write_timeout);
     co_await net::async_write(m_stream, beast_http::make_chunk_last(),
                               net::use_awaitable);
@@ -91,7 +105,16 @@
 {
     m_is_keep_alive = false;
     boost::system::error_code ec;
-    m_stream.socket().shutdown(net::ip::tcp::socket::shutdown_both, ec);
+    if (m_stream_framing == body_framing::until_close)
+    {
+        // Only a reset tells the caller that the close is not the stream's end;
+        // a close with a linger time of zero sends one.
+        m_stream.socket().set_option(net::socket_base::linger(true, 0), ec);
+    }
+    else
+    {
+        m_stream.socket().shutdown(net::ip::tcp::socket::shutdown_both, ec);
+    }
     m_stream.close();
 }
 
--- a/libraries/http/reply_writer.hpp
+++ b/libraries/http/reply_writer.hpp
@@ -1,14 +1,16 @@
 #pragma once
 
 #include "core/refusal.hpp"
-#include "http/types.hpp"
+#include "http/body_framing.hpp"
 
 #include <functional>
 
 namespace cicadahub::http
 {
 
-/// Writes the response to one request, either complete or as a chunked stream.
+/// Writes the response to one request, either complete or as a stream. Streams
+/// are chunked or, for callers that do not know chunks, end with the
+/// connection.
 class reply_writer
 {
 public:
@@ -21,22 +23,26 @@
     /// Sends a refusal as an RFC 9457 problem document.
     net::awaitable<void> send(refusal it);
 
-    /// Sends the head of a chunked response.
+    /// Sets the framing of a stream that has not begun: `chunked`, the default,
+    /// or `until_close`.
+    void set_stream_framing(body_framing it) { m_stream_framing = it; }
+
+    /// Sends the head of a stream.
     net::awaitable<void> begin_stream(status code,
                                       std::string_view content_type);
 
-    /// Sends the head of a chunked response with the status and fields of
-    /// `start`.
+    /// Sends the head of a stream with the status and fields of `start`.
     net::awaitable<void> begin_stream(response start);
 
-    /// Sends one chunk of the stream.
+    /// Sends bytes of the stream.
     net::awaitable<void> write_chunk(std::string_view data);
 
-    /// Sends the terminating chunk. A stream without it is truncated.
+    /// Sends the terminating chunk, if the stream is chunked. A chunked stream
+    /// without it is truncated.
     net::awaitable<void> end_stream();
 
-    /// Closes the connection without the terminating chunk, so that the caller
-    /// detects that the stream is truncated.
+    /// Closes the connection without the terminating chunk, or resets it, so
+    /// that the caller detects that the stream is truncated.
     void abort_stream();
 
     /// Calls `handler` at most once, when the caller closes the connection
@@ -58,6 +64,7 @@
     bool m_is_keep_alive;
     milliseconds m_write_timeout;
     bool m_has_started = false;
+    body_framing m_stream_framing = body_framing::chunked;
     std::shared_ptr<watch_state> m_watch;
 };
 
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -23,6 +23,9 @@
 
 inline constexpr std::size_t first_read_bytes = 4096;
 
+/// HTTP/1.1; older callers cannot read chunks.
+inline constexpr unsigned first_version_with_chunks = 11;
+
 /// Limits of the unread input that is received and discarded after a request
 /// was refused.
 inline constexpr std::size_t discard_limit_bytes = 64 * 1024;
@@ -272,6 +275,10 @@
     }
     const bool keep_alive = message.keep_alive() && !m_is_draining;
     reply_writer reply(stream, keep_alive, m_limits.write_timeout);
+    if (message.version() < first_version_with_chunks)
+    {
+        reply.set_stream_framing(body_framing::until_close);
+    }
     std::optional<refusal> refused;
     try
     {
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -145,7 +145,11 @@
     int version, const std::vector<std::string>& keys,
     const std::vector<std::string>& prefixes)
 {
+    boost::json::object once = route("once", "/once/", "stream", "engines");
+    once["resumable"] = false;
+    once["maxAttempts"] = 1;
     boost::json::array routes{route("stream", "/stream/", "stream", "engines"),
+                              std::move(once),
                               route("post", "/post/", "unsafe", "ledger"),
                               route("read", "/read/", "safe", "ledger")};
     for (const std::string& it : prefixes)
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -1,5 +1,6 @@
 #include "platform_fleet.hpp"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -77,6 +78,29 @@
     return ec ? 0 : answer.result_int();
 }
 
+struct raw_answer
+{
+    std::string bytes;
+    /// The connection was reset instead of closed.
+    bool is_reset = false;
+};
+
+/// Sends the bytes unchanged; returns all that arrives before the connection
+/// ends.
+raw_answer receive_until_close(const std::string& address,
+                               const std::string& request)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect(http::parse_endpoint(address));
+    boost::asio::write(socket, boost::asio::buffer(request));
+    raw_answer it;
+    boost::system::error_code ec;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(it.bytes), ec);
+    it.is_reset = ec == boost::asio::error::connection_reset;
+    return it;
+}
+
 struct raw_case
 {
     const char* name;
@@ -118,6 +142,32 @@
         raw_case{"signed_length", "Content-Length: +2\r\n\r\nhi", 400}),
     [](const auto& it) { return std::string(it.param.name); });
 
+// A caller that cannot read chunks would take their framing for a part of the
+// body, and a close inside the stream for its end.
+TEST(platform_path, a_caller_without_chunks_gets_streams_that_end_by_close)
+{
+    platform_fleet fleet(1);
+    EXPECT_TRUE(is_complete_stream(fleet.stream(0, "warm", "m1")));
+    const auto stream_to_old_caller = [&](const std::string& id)
+    {
+        return receive_until_close(
+            fleet.daemons[0].callers,
+            "POST /once/x HTTP/1.0\r\nHost: trust.example\r\nRequest-Id: " +
+                id +
+                "\r\nAuthorization: Bearer key-of-trust\r\nModel: m1\r\n"
+                "Token-Count: 20,16\r\nContent-Length: 0\r\n\r\n");
+    };
+    const raw_answer whole = stream_to_old_caller("whole");
+    EXPECT_EQ(whole.bytes.find("chunked"), std::string::npos);
+    EXPECT_TRUE(whole.bytes.ends_with("id: 8\ndata: piece\n\n")) << whole.bytes;
+    EXPECT_FALSE(whole.is_reset);
+    for (const auto& it : fleet.engines)
+    {
+        fleet.set_fault(it.address, R"({"break_streams":1})");
+    }
+    EXPECT_TRUE(stream_to_old_caller("broken").is_reset);
+}
+
 TEST(platform_path, a_burst_for_a_cold_model_is_served_by_one_load)
 {
     platform_fleet fleet(2);
