Tests: Break off streams without length or chunks between processes

Rows: streams that may be resumed are, others never look complete; complete responses without a length are. cicadactl explain shows framing and reason.

--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -286,14 +286,35 @@
         }));
 }
 
-TEST(platform_path, an_interrupted_stream_resumes_after_its_last_event)
+struct break_case
 {
-    platform_fleet fleet(1);
-    EXPECT_TRUE(is_complete_stream(fleet.stream(0, "warm", "m1")));
-    for (const auto& it : fleet.engines)
+    const char* name;
+    const char* faults;
+};
+
+void PrintTo(const break_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class interrupted_streams : public testing::TestWithParam<break_case>
+{
+protected:
+    platform_fleet start() const
     {
-        fleet.set_fault(it.address, R"({"break_streams":1})");
+        platform_fleet fleet(1);
+        EXPECT_TRUE(is_complete_stream(fleet.stream(0, "warm", "m1")));
+        for (const auto& it : fleet.engines)
+        {
+            fleet.set_fault(it.address, GetParam().faults);
+        }
+        return fleet;
     }
+};
+
+TEST_P(interrupted_streams, resume_after_their_last_event)
+{
+    const platform_fleet fleet = start();
     const answer it = fleet.stream(0, "broken", "m1");
     EXPECT_EQ(it.status, 200U);
     for (int n = 1; n <= events_per_stream; ++n)
@@ -304,6 +325,39 @@
     }
 }
 
+// Guards against a stream that broke off and reaches its caller as if it were
+// complete, where the route does not allow to resume it.
+TEST_P(interrupted_streams, never_look_complete)
+{
+    const platform_fleet fleet = start();
+    EXPECT_EQ(fleet.stream(0, "broken", "m1", "key-of-trust", "/once/x").status,
+              0U);
+    EXPECT_EQ(fleet.engine_total("most_runs_of_one"), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    platform_path, interrupted_streams,
+    testing::Values(break_case{"chunked", R"({"break_streams":1})"},
+                    break_case{"unframed",
+                               R"({"break_streams":1,"unframed":true})"}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+TEST(platform_path, responses_without_length_or_chunks_are_complete)
+{
+    platform_fleet fleet(1);
+    for (const auto* group : {&fleet.engines, &fleet.services})
+    {
+        for (const auto& it : *group)
+        {
+            fleet.set_fault(it.address, R"({"unframed":true})");
+        }
+    }
+    EXPECT_TRUE(is_complete_stream(fleet.stream(0, "r1", "m1")));
+    const answer read = fleet.plain(0, "r2", http::verb::get, "/read/1");
+    EXPECT_EQ(read.status, 200U);
+    EXPECT_NE(read.body.find("\"path\":\"/read/1\""), std::string::npos);
+}
+
 TEST(platform_path, a_lost_response_is_retried_only_on_a_safe_route)
 {
     platform_fleet fleet(1);
@@ -451,7 +505,8 @@
 {
     platform_fleet fleet(1);
     EXPECT_TRUE(is_complete_stream(fleet.stream(0, "warm", "m1")));
-    fleet.set_fault(fleet.engines[0].address, R"({"break_streams":1})");
+    fleet.set_fault(fleet.engines[0].address,
+                    R"({"break_streams":1,"unframed":true})");
     fleet.stream(0, "broke", "m1");
     EXPECT_TRUE(eventually(
         [&]
@@ -459,6 +514,8 @@
             const std::string text = explain_output(fleet, "broke");
             return text.find("request_attempted server=e1 end=failed") !=
                        std::string::npos &&
+                   text.find("framing=until-close") != std::string::npos &&
+                   text.find("reason=partial message") != std::string::npos &&
                    text.find("request_suspected") != std::string::npos &&
                    text.find("request_answered") != std::string::npos;
         }));
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -149,6 +149,7 @@
         m_broken_streams = reader.integer_or("break_streams", m_broken_streams);
         m_silent_orders = reader.integer_or("silent_orders", m_silent_orders);
         m_is_draining = reader.boolean_or("draining", m_is_draining);
+        m_is_unframed = reader.boolean_or("unframed", m_is_unframed);
         co_await reply.send(json_answer(http::status::ok, {}));
         co_return;
     }
@@ -376,7 +377,16 @@
         {{"path", http::path_of(message.target())}, {"server", m_settings.id}});
     answer.set("Request-Id", message["Request-Id"]);
     answer.set("Response-Seal", "seal-" + m_settings.id);
-    co_await reply.send(std::move(answer));
+    if (!m_is_unframed)
+    {
+        co_await reply.send(std::move(answer));
+        co_return;
+    }
+    reply.set_stream_framing(http::body_framing::until_close);
+    const std::string body = std::exchange(answer.body(), {});
+    answer.erase(http::field::content_length);
+    co_await reply.begin_stream(std::move(answer));
+    co_await reply.write_chunk(body);
 }
 
 net::awaitable<void> worker_standin::stream(const http::request& message,
@@ -386,6 +396,10 @@
     head.set(http::field::content_type, "text/event-stream");
     head.set("Request-Id", message["Request-Id"]);
     head.set("Response-Seal", "seal-" + m_settings.id);
+    if (m_is_unframed)
+    {
+        reply.set_stream_framing(http::body_framing::until_close);
+    }
     co_await reply.begin_stream(std::move(head));
     const bool is_broken = m_broken_streams > 0;
     m_broken_streams -= is_broken ? 1 : 0;
@@ -395,6 +409,10 @@
         if (is_broken && n == first + events_before_break)
         {
             co_await reply.write_chunk("id: " + std::to_string(n) + "\nda");
+            if (m_is_unframed)
+            {
+                co_return;
+            }
             reply.abort_stream();
             throw boost::system::system_error(net::error::connection_aborted);
         }
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -35,8 +35,10 @@
 /// memory for weights, else a plain service. It registers itself in the store
 /// and refreshes the entry by heartbeats. `PUT /faults` sets `lose_answers`
 /// (number of plain calls executed without a response), `break_streams` (number
-/// of streams aborted after two events), `silent_orders` (number of orders
-/// executed without a response) and `draining`. `GET /stats` returns counters.
+/// of streams broken off inside their third event), `unframed` (responses have
+/// neither a length nor chunks, and broken streams are closed without a reset,
+/// as when the process crashes), `silent_orders` (number of orders executed
+/// without a response) and `draining`. `GET /stats` returns counters.
 class worker_standin
 {
 public:
@@ -80,6 +82,7 @@
     std::int64_t m_lost_answers = 0;
     std::int64_t m_broken_streams = 0;
     std::int64_t m_silent_orders = 0;
+    bool m_is_unframed = false;
     std::map<std::string, std::int64_t> m_runs;
     std::set<std::string> m_organisations;
     std::int64_t m_keys_seen = 0;
