Http: Treat JSON that ends early without a length as broken off

The incident's cause in the readers of whole answers: without length or chunks a close ended them, so that a cut answer was sent on with a length of its own (cicadad would even store it as the answer of a keyed call) and a status was taken from a cut order or list. Lists and reports failed later, when they were parsed, with another error.

Change: all readers of whole answers share http::read_full_response, which takes a JSON body for whole only if it parses.

--- a/libraries/backend/answer_relay.cpp
+++ b/libraries/backend/answer_relay.cpp
@@ -2,6 +2,7 @@
 
 #include "http/event_stream_reader.hpp"
 #include "http/message_head.hpp"
+#include "http/response_reading.hpp"
 #include "http/stream_error.hpp"
 
 #include <boost/asio/use_awaitable.hpp>
@@ -197,11 +198,9 @@
 net::awaitable<void> answer_relay::relay_non_streamed(connection& server,
                                                       http::reply_writer& reply)
 {
-    http::beast_http::response_parser<http::beast_http::string_body> parser(
-        std::move(*m_parser));
+    http::full_response_parser parser(std::move(*m_parser));
     m_parser.reset();
-    co_await http::beast_http::async_read(server.stream, server.buf, parser,
-                                          net::use_awaitable);
+    co_await http::read_full_response(server, parser);
     m_can_reuse = parser.get().keep_alive();
     http::response answer = parser.release();
     if (has_not_run(answer.result()))
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -1,6 +1,7 @@
 #include "entry/exchange.hpp"
 
 #include "http/event_stream_reader.hpp"
+#include "http/response_reading.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -251,11 +252,9 @@
 
 net::awaitable<http::response> exchange::read_full_response(connection& server)
 {
-    http::beast_http::response_parser<http::beast_http::string_body> parser(
-        std::move(*m_parser));
+    http::full_response_parser parser(std::move(*m_parser));
     m_parser.reset();
-    co_await http::beast_http::async_read(server.stream, server.buf, parser,
-                                          net::use_awaitable);
+    co_await http::read_full_response(server, parser);
     m_can_reuse = parser.get().keep_alive();
     server.reusable_until =
         reusable_until(parser.get()[http::field::keep_alive]);
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -1,6 +1,7 @@
 #include "http/client.hpp"
 
 #include "http/message_head.hpp"
+#include "http/response_reading.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -44,10 +45,9 @@
     co_await net::async_write(connection.stream,
                               wire_buffers(head, message.body()),
                               net::use_awaitable);
-    beast_http::response_parser<beast_http::string_body> parser;
+    full_response_parser parser;
     parser.body_limit(response_body_limit_bytes);
-    co_await beast_http::async_read(connection.stream, connection.buf, parser,
-                                    net::use_awaitable);
+    co_await read_full_response(connection, parser);
     connection.stream.expires_never();
     co_return parser.release();
 }
--- a/tests/backend/answer_relay_test.cpp
+++ b/tests/backend/answer_relay_test.cpp
@@ -63,5 +63,24 @@
                          [](const auto& it)
                          { return std::string(it.param.name); });
 
+class relayed_answers : public testing::TestWithParam<fakes::response_ending>
+{
+};
+
+TEST_P(relayed_answers, a_broken_answer_never_looks_complete)
+{
+    const outcome seen =
+        run_relay(GetParam(), "application/json", backend_kind::plain_service);
+    const bool is_complete = GetParam().is_complete;
+    EXPECT_EQ(seen.result.end,
+              is_complete ? relay_end::complete : relay_end::interrupted);
+    EXPECT_EQ(seen.received.is_complete, is_complete);
+}
+
+INSTANTIATE_TEST_SUITE_P(answer_relay, relayed_answers,
+                         testing::ValuesIn(fakes::json_endings()),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
 } // namespace
 } // namespace cicadahub::backend
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -96,5 +96,38 @@
                          [](const auto& it)
                          { return std::string(it.param.name); });
 
+class json_endings : public testing::TestWithParam<fakes::response_ending>
+{
+};
+
+TEST_P(json_endings, a_broken_answer_never_looks_complete)
+{
+    const outcome seen = run_exchange(GetParam(), "application/json");
+    EXPECT_EQ(seen.result.end, GetParam().is_complete ? exchange_end::answered
+                                                      : exchange_end::failed);
+    EXPECT_EQ(seen.result.is_connection_lost, !GetParam().is_complete);
+}
+
+INSTANTIATE_TEST_SUITE_P(exchange, json_endings,
+                         testing::ValuesIn(fakes::json_endings()),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
+// A body without a content type that shows its end is whole when the connection
+// is closed, but not when it is reset.
+TEST(exchange, an_opaque_answer_without_length_ends_with_its_connection)
+{
+    using fakes::connection_end;
+    const std::string type = "application/octet-stream";
+    EXPECT_EQ(
+        run_exchange({"closed", "abc", "", connection_end::closed, true}, type)
+            .result.end,
+        exchange_end::answered);
+    EXPECT_EQ(
+        run_exchange({"reset", "abc", "", connection_end::reset, false}, type)
+            .result.end,
+        exchange_end::failed);
+}
+
 } // namespace
 } // namespace cicadahub::entry
--- a/tests/fakes/response_endings.hpp
+++ b/tests/fakes/response_endings.hpp
@@ -69,6 +69,27 @@
     };
 }
 
+/// JSON answers that are whole or broken off, in each framing.
+inline std::vector<response_ending> json_endings()
+{
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::string none;
+    const std::string last_chunk = "0\r\n\r\n";
+    const std::string whole = R"({"usage":{"total_tokens":3}})";
+    const std::string cut = R"({"usage":{"total_)";
+    using enum connection_end;
+    return {
+        {"length", whole, length_of(whole.size()), stays_open, true},
+        {"length_cut", cut, length_of(whole.size()), closed, false},
+        {"chunks", chunk(whole) + last_chunk, chunked, stays_open, true},
+        {"chunks_cut", chunk(cut), chunked, closed, false},
+        {"unframed", whole, none, closed, true},
+        {"unframed_cut", cut, none, closed, false},
+        {"unframed_cut_before_the_body", none, none, closed, false},
+        {"unframed_reset", whole, none, reset, false},
+    };
+}
+
 inline std::string bytes_of(const response_ending& it,
                             const std::string& fields)
 {
--- /dev/null
+++ b/tests/http/client_test.cpp
@@ -0,0 +1,50 @@
+#include "http/client.hpp"
+
+#include "relay_run.hpp"
+#include "response_endings.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cicadahub::http
+{
+namespace
+{
+
+class fetched_documents : public testing::TestWithParam<fakes::response_ending>
+{
+};
+
+// Lists, reports and relayed objects are fetched as JSON documents: one that
+// broke off must be an error, not a shorter list.
+TEST_P(fetched_documents, a_broken_document_is_an_error)
+{
+    fakes::relay_run run(
+        fakes::bytes_of(GetParam(), "Content-Type: application/json\r\n"),
+        GetParam().end);
+    const auto fetch_document = [&]
+    {
+        return run.run(
+            [&](endpoint server, reply_writer&) -> net::awaitable<response>
+            {
+                request message = make_request(verb::get, "/");
+                co_return co_await fetch(run.pool(), server, std::move(message),
+                                         milliseconds(1'000));
+            });
+    };
+    if (GetParam().is_complete)
+    {
+        EXPECT_EQ(fetch_document().body(), R"({"usage":{"total_tokens":3}})");
+    }
+    else
+    {
+        EXPECT_THROW(fetch_document(), boost::system::system_error);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(client, fetched_documents,
+                         testing::ValuesIn(fakes::json_endings()),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
+} // namespace
+} // namespace cicadahub::http
