Backend: Require the last event of an engine's stream that a close ends

The incident's cause with a cut between two events: nothing in an event stream tells such a cut from the end, but the streams of cicadad's engines end with [DONE]. Where neither a length nor chunks mark the end, that event must.

Measured: unframed_cut_after_event and unframed_cut_after_quoted_done failed before and pass now.

--- a/libraries/backend/answer_relay.cpp
+++ b/libraries/backend/answer_relay.cpp
@@ -53,6 +53,14 @@
     return n;
 }
 
+/// True if the events end with the one that ends an engine's stream.
+bool ends_with_done_event(std::string_view events)
+{
+    constexpr std::string_view line_ends = "\r\n";
+    events = events.substr(0, events.find_last_not_of(line_ends) + 1);
+    return events.ends_with("data: [DONE]");
+}
+
 } // namespace
 
 answer_relay::answer_relay(http::client_pool& pool, relay_limits limits,
@@ -234,6 +242,7 @@
     co_await reply.begin_stream(parser.get().result(),
                                 parser.get()[http::field::content_type]);
     http::event_stream_reader reader(server, parser);
+    bool has_done_event = false;
     while (true)
     {
         server.stream.expires_after(m_limits.gap);
@@ -251,10 +260,19 @@
             m_result.first_token_at = monotonic_clock::now();
         }
         m_result.tokens += count_events(*events);
+        has_done_event = ends_with_done_event(*events);
         m_is_writing_to_caller = true;
         co_await reply.write_chunk(*events);
         m_is_writing_to_caller = false;
     }
+    // Between two events a close looks the same whether the engine has finished
+    // or died.
+    if (m_kind == backend_kind::engine && !has_done_event &&
+        http::framing_of(parser) == http::body_framing::until_close)
+    {
+        throw boost::system::system_error(
+            http::beast_http::error::partial_message);
+    }
     m_can_reuse = parser.get().keep_alive();
     m_is_writing_to_caller = true;
     co_await reply.end_stream();
--- a/tests/backend/answer_relay_test.cpp
+++ b/tests/backend/answer_relay_test.cpp
@@ -63,6 +63,25 @@
                          [](const auto& it)
                          { return std::string(it.param.name); });
 
+class engine_streams : public testing::TestWithParam<fakes::response_ending>
+{
+};
+
+TEST_P(engine_streams, a_stream_cut_between_events_never_looks_complete)
+{
+    const outcome seen =
+        run_relay(GetParam(), "text/event-stream", backend_kind::engine);
+    const bool is_complete = GetParam().is_complete;
+    EXPECT_EQ(seen.result.end,
+              is_complete ? relay_end::complete : relay_end::interrupted);
+    EXPECT_EQ(seen.received.is_complete, is_complete);
+}
+
+INSTANTIATE_TEST_SUITE_P(answer_relay, engine_streams,
+                         testing::ValuesIn(fakes::engine_stream_endings()),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
 class relayed_answers : public testing::TestWithParam<fakes::response_ending>
 {
 };
--- a/tests/fakes/response_endings.hpp
+++ b/tests/fakes/response_endings.hpp
@@ -69,6 +69,26 @@
     };
 }
 
+/// Streams of an engine, which end with a [DONE] event.
+inline std::vector<response_ending> engine_stream_endings()
+{
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::string none;
+    const std::string last_chunk = "0\r\n\r\n";
+    const std::string events = "data: {\"text\":\"a\"}\n\n";
+    const std::string whole = events + "data: [DONE]\n\n";
+    const std::string quoted = "data: {\"text\":\"data: [DONE]\"}\n\n";
+    using enum connection_end;
+    return {
+        {"chunks", chunk(whole) + last_chunk, chunked, stays_open, true},
+        {"chunks_without_done", chunk(events) + last_chunk, chunked, stays_open,
+         true},
+        {"unframed", whole, none, closed, true},
+        {"unframed_cut_after_event", events, none, closed, false},
+        {"unframed_cut_after_quoted_done", quoted, none, closed, false},
+    };
+}
+
 /// JSON answers that are whole or broken off, in each framing.
 inline std::vector<response_ending> json_endings()
 {
