--- a/tests/fakes/scripted_server.hpp
+++ b/tests/fakes/scripted_server.hpp
@@ -23,8 +23,8 @@
     reset,
 };
 
-/// Backend server on loopback that answers each connection's first request with
-/// given bytes, whatever the request is.
+/// Backend server on loopback that answers each request with given bytes,
+/// whatever the request is. It reads heads of requests only.
 class scripted_server
 {
 public:
@@ -50,32 +50,42 @@
             {
                 co_return;
             }
-            co_await answer(socket);
-            m_open.push_back(std::move(socket));
+            net::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)),
+                          net::detached);
         }
     }
 
-    net::awaitable<void> answer(net::ip::tcp::socket& socket)
+    net::awaitable<void> serve(net::ip::tcp::socket socket)
     {
-        std::string head;
-        co_await net::async_read_until(socket, net::dynamic_buffer(head),
-                                       "\r\n\r\n", no_throw);
-        co_await net::async_write(socket, net::buffer(m_response), no_throw);
-        if (m_end == connection_end::reset)
-        {
-            // A close with a linger time of zero sends a reset.
-            socket.set_option(net::socket_base::linger(true, 0));
-        }
-        if (m_end != connection_end::stays_open)
+        std::string received;
+        while (true)
         {
-            socket.close();
+            auto [ec, n] = co_await net::async_read_until(
+                socket, net::dynamic_buffer(received), "\r\n\r\n", no_throw);
+            if (ec)
+            {
+                co_return;
+            }
+            received.erase(0, n);
+            co_await net::async_write(socket, net::buffer(m_response),
+                                      no_throw);
+            if (m_end == connection_end::reset)
+            {
+                // A close with a linger time of zero sends a reset.
+                socket.set_option(net::socket_base::linger(true, 0));
+            }
+            if (m_end != connection_end::stays_open)
+            {
+                // The destructor would ignore the linger time.
+                socket.close();
+                co_return;
+            }
         }
     }
 
     net::ip::tcp::acceptor m_acceptor;
     std::string m_response;
     connection_end m_end;
-    std::vector<net::ip::tcp::socket> m_open;
 };
 
 } // namespace cicadahub::fakes
--- a/utilities/cicada-load/load_runner.cpp
+++ b/utilities/cicada-load/load_runner.cpp
@@ -1,6 +1,7 @@
 #include "load_runner.hpp"
 
 #include "http/message_head.hpp"
+#include "http/response_reading.hpp"
 
 #include "core/json_reader.hpp"
 
@@ -11,8 +12,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
-#include <array>
-
 namespace cicadahub::load
 {
 
@@ -23,7 +22,6 @@
 constexpr milliseconds answer_timeout{600'000};
 constexpr milliseconds finish_poll{10};
 constexpr std::size_t idle_connections = 4096;
-constexpr std::size_t read_buffer_bytes = 16 * 1024;
 constexpr auto no_throw = net::as_tuple(net::use_awaitable);
 
 std::string refusal_name(const http::response& answer)
@@ -131,18 +129,24 @@
     co_await net::async_write(connection.stream,
                               http::wire_buffers(head, message.body()),
                               net::use_awaitable);
-    if (m_flows[it.flow].is_stream)
+    http::event_stream_reader::response_parser parser;
+    parser.body_limit(boost::none);
+    co_await http::beast_http::async_read_header(
+        connection.stream, connection.buf, parser, net::use_awaitable);
+    is_reusable = parser.keep_alive();
+    if (parser.get().result() == http::status::ok &&
+        http::is_event_stream(parser.get()[http::field::content_type]))
     {
-        is_reusable = co_await read_stream(connection, scheduled, report);
+        co_await read_stream(connection, parser, scheduled, report);
+        ++report.answered;
+        report.total_time.add(monotonic_clock::now() - scheduled);
         co_return;
     }
-    http::response answer;
-    co_await http::beast_http::async_read(connection.stream, connection.buf,
-                                          answer, net::use_awaitable);
-    is_reusable = answer.keep_alive();
-    if (answer.result() != http::status::ok)
+    http::full_response_parser full(std::move(parser));
+    co_await http::read_full_response(connection, full);
+    if (full.get().result() != http::status::ok)
     {
-        ++report.refused[refusal_name(answer)];
+        ++report.refused[refusal_name(full.get())];
         co_return;
     }
     const time_point now = monotonic_clock::now();
@@ -151,59 +155,35 @@
     report.total_time.add(now - scheduled);
 }
 
-net::awaitable<bool>
+net::awaitable<void>
 load_runner::read_stream(http::client_connection& connection,
+                         http::event_stream_reader::response_parser& parser,
                          time_point scheduled, flow_report& report)
 {
-    http::beast_http::response_parser<http::beast_http::buffer_body> parser;
-    parser.body_limit(boost::none);
-    co_await http::beast_http::async_read_header(
-        connection.stream, connection.buf, parser, net::use_awaitable);
-    std::string refused;
-    std::array<char, read_buffer_bytes> data;
-    time_point last{};
-    while (!parser.is_done())
+    http::event_stream_reader reader(connection, parser);
+    std::optional<time_point> last;
+    while (true)
     {
-        parser.get().body().data = data.data();
-        parser.get().body().size = data.size();
-        auto [ec, n] = co_await http::beast_http::async_read_some(
-            connection.stream, connection.buf, parser, no_throw);
-        if (ec && ec != http::beast_http::error::need_buffer)
+        const auto events = co_await reader.read_some();
+        if (!events)
         {
-            throw boost::system::system_error(ec);
+            co_return;
         }
-        const std::size_t length = data.size() - parser.get().body().size;
-        if (length == 0)
+        if (events->empty())
         {
             continue;
         }
         const time_point now = monotonic_clock::now();
-        if (parser.get().result() != http::status::ok)
+        if (last)
         {
-            refused.append(data.data(), length);
-        }
-        else if (last == time_point{})
-        {
-            report.first_token.add(now - scheduled);
+            report.token_gap.add(now - *last);
         }
         else
         {
-            report.token_gap.add(now - last);
+            report.first_token.add(now - scheduled);
         }
         last = now;
     }
-    if (parser.get().result() != http::status::ok)
-    {
-        http::response answer{parser.get().result(), 11};
-        answer.body() = refused;
-        ++report.refused[refusal_name(answer)];
-    }
-    else
-    {
-        ++report.answered;
-        report.total_time.add(monotonic_clock::now() - scheduled);
-    }
-    co_return parser.get().keep_alive();
 }
 
 } // namespace cicadahub::load
--- a/utilities/cicada-load/load_runner.hpp
+++ b/utilities/cicada-load/load_runner.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http/client.hpp"
+#include "http/event_stream_reader.hpp"
 #include "load_plan.hpp"
 #include "load_report.hpp"
 
@@ -27,8 +27,10 @@
     net::awaitable<void> exchange(http::client_connection& connection,
                                   const scheduled_request& it,
                                   flow_report& report, bool& is_reusable);
-    net::awaitable<bool> read_stream(http::client_connection& connection,
-                                     time_point scheduled, flow_report& report);
+    net::awaitable<void>
+    read_stream(http::client_connection& connection,
+                http::event_stream_reader::response_parser& parser,
+                time_point scheduled, flow_report& report);
     http::request build_request(const scheduled_request& it) const;
 
     net::io_context& m_context;
