Entry: Heed servers that leave or ask for a pause

Callers' requests went on to servers that had said in their responses that they leave, until the store listed it; a 503 with Retry-After led to a repeat at another server and to the next request at the same one.

Change: each head of a response is read for what the server says of itself, by one function of the dialect. A leave counts for the incarnation, from the first head on, survives newer entries of the list, goes to the other hosts in the digests and is seen by the planner, which loads elsewhere what only that server held. A request whose connection was being opened meanwhile is withheld. A pause is no failure.

Not done: a measurement with many hosts, pauses for orders and reports, the store's era.

--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -40,6 +40,7 @@
     server_leaving = 521,
     server_gone = 522,
     server_suspended = 523,
+    server_paused = 524,
     peer_connected = 600,
     peer_lost = 601,
     peer_frame_malformed = 602,
--- a/libraries/decision/replicas/server_state.cpp
+++ b/libraries/decision/replicas/server_state.cpp
@@ -72,6 +72,8 @@
 {
     if (entry.revision == m_entry.revision)
     {
+        // A server may say that it leaves before the list does.
+        m_entry.is_leaving = entry.is_leaving;
         return false;
     }
     m_entry = entry;
--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -30,7 +30,13 @@
     : m_state(state), m_servers(servers), m_message(message),
       m_request(std::move(request)), m_reply(reply),
       m_configuration(state.configuration), m_arrived(monotonic_clock::now()),
-      m_exchange(state.pool, servers), m_waiter(state.waiting.make_waiter())
+      m_exchange(state.pool, servers,
+                 {[this] { return may_send(); },
+                  [this](const server_notice& it)
+                  {
+                      on_notice(it);
+                  }}),
+      m_waiter(state.waiting.make_waiter())
 {
 }
 
@@ -86,11 +92,41 @@
     co_await attempt_until_answered();
 }
 
+bool active_request::may_send() const
+{
+    return m_attempted->accepts_requests(monotonic_clock::now());
+}
+
+void active_request::on_notice(const server_notice& it)
+{
+    const serving::server_entry& entry = m_attempted->entry;
+    if (it.is_leaving &&
+        m_state.servers.on_leaving(entry.id, entry.incarnation, "response"))
+    {
+        m_state.on_server_leaving();
+    }
+    if (!it.pause)
+    {
+        return;
+    }
+    const double draw = std::uniform_real_distribution<>()(m_state.random);
+    if (m_attempted->pause.on_requested(monotonic_clock::now(), *it.pause,
+                                        draw))
+    {
+        log_event(severity::info, event_number::server_paused,
+                  {{"server", entry.id.value()},
+                   {"request", m_request.id.value()},
+                   {"incarnation", entry.incarnation},
+                   {"pause_ms", it.pause->count()}});
+    }
+}
+
 net::awaitable<exchange_result>
 active_request::attempt(const server_table::record_pointer& record)
 {
     const running_guard guard(record, m_copy ? std::optional(m_copy->model)
                                              : std::nullopt);
+    m_attempted = record;
     const time_point now = monotonic_clock::now();
     forwarding added;
     added.server = record->entry.id;
@@ -162,7 +198,8 @@
         record.health.on_unreachable(now);
         is_suspended = true;
     }
-    else if (result.end == exchange_end::failed || is_server_error(result))
+    else if (result.end == exchange_end::failed ||
+             (is_server_error(result) && !result.notice.pause))
     {
         is_suspended = record.health.on_failure(now);
     }
@@ -198,7 +235,9 @@
                                    const server_table::record_pointer& record)
 {
     const time_point now = monotonic_clock::now();
-    const bool is_not_run = result.end == exchange_end::not_sent ||
+    const bool is_unsent = result.end == exchange_end::not_sent ||
+                           result.end == exchange_end::withheld;
+    const bool is_not_run = is_unsent ||
                             result.end == exchange_end::turned_away ||
                             result.end == exchange_end::not_here;
     if (!is_not_run)
@@ -216,8 +255,7 @@
     m_excluded_servers.insert(record->entry.id);
     // A request of which no byte was sent costs no server any work, so the next
     // attempt is not charged to the retry budget.
-    return result.end == exchange_end::not_sent ||
-           m_state.retry_budget_of(m_service->name).take(now);
+    return is_unsent || m_state.retry_budget_of(m_service->name).take(now);
 }
 
 net::awaitable<void> active_request::attempt_until_answered()
@@ -266,11 +304,14 @@
         m_reply.abort_stream();
         co_return;
     case exchange_end::not_sent:
+    case exchange_end::withheld:
     case exchange_end::turned_away:
     case exchange_end::not_here:
         if (m_runs == 0)
         {
-            refuse(refusal_kind::no_capacity, retry_after_full);
+            refuse(refusal_kind::no_capacity,
+                   std::max(retry_after_full, pick_server().pause_left.value_or(
+                                                  milliseconds(0))));
         }
         refuse(refusal_kind::backend_failed, {});
     case exchange_end::failed:
--- a/libraries/entry/active_request.hpp
+++ b/libraries/entry/active_request.hpp
@@ -40,12 +40,17 @@
     {
         server_table::record_pointer record;
         bool has_eligible_server = false;
+        /// Shortest time left, if every eligible server asked for a pause.
+        std::optional<milliseconds> pause_left;
     };
 
     void find_route();
     void authenticate();
     void charge();
     void refuse_suspect();
+    /// Handles what the server of the current attempt says of itself.
+    void on_notice(const server_notice& it);
+    bool may_send() const;
     void record_crash(const exchange_result& result);
     void choose_service();
     net::awaitable<void> attempt_until_answered();
@@ -61,7 +66,7 @@
     void update_health(const exchange_result& result, server_record& record);
     net::awaitable<void> finish(exchange_result result);
     [[noreturn]] void refuse(refusal_kind kind, milliseconds retry_after);
-    void refuse_if_unservable(time_point now);
+    void refuse_if_unservable(time_point now, const server_pick& pick);
     milliseconds estimated_wait(time_point now) const;
     milliseconds time_left(time_point now) const;
     void record_attempt(const exchange_result& result,
@@ -92,6 +97,8 @@
     std::uint32_t m_sends = 0;
     stream_progress m_progress;
     exchange m_exchange;
+    /// Server of the current attempt.
+    server_table::record_pointer m_attempted;
     wait_queue::waiter_pointer m_waiter;
     bool m_has_retried_same_server = false;
     bool m_is_caller_gone = false;
--- a/libraries/entry/dialects.hpp
+++ b/libraries/entry/dialects.hpp
@@ -54,6 +54,15 @@
     std::uint32_t slots = 0;
 };
 
+/// What the head of any response says of the server that sent it.
+struct server_notice
+{
+    /// The server leaves and wants no more requests.
+    bool is_leaving = false;
+    /// The server wants no requests from this host for this long.
+    std::optional<milliseconds> pause;
+};
+
 struct answer_head
 {
     answer_meaning meaning = answer_meaning::not_an_answer;
@@ -67,6 +76,9 @@
                                 const forwarding& added);
     answer_head (*read_answer)(const http::beast_http::response_header<>& head,
                                const request_id& expected);
+    server_notice (*read_notice)(
+        const http::beast_http::response_header<>& head,
+        const server_id& expected);
     http::request (*make_order)(const replicas::order& it,
                                 const daemon_id& holder, epoch_number epoch);
     replicas::order_answer (*read_order_answer)(const http::response& answer);
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -116,6 +116,16 @@
             it.crashes.push_back(std::move(notice));
         }
     }
+    for (const auto& [id, record] : m_state.servers.records())
+    {
+        if (record->has_announced_leaving)
+        {
+            fleet::wire::LeavingServer leaving;
+            leaving.server = id.value();
+            leaving.incarnation = record->entry.incarnation;
+            it.leaving_servers.push_back(std::move(leaving));
+        }
+    }
     m_fill(it, now);
     return it;
 }
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -104,6 +104,11 @@
     {
         m_digests.send_update_soon();
     };
+    m_state.on_server_leaving = [this]
+    {
+        m_digests.send_update_to_all_soon();
+        m_placement.schedule_planning();
+    };
     m_state.waiting.set_change_handler(
         [this]
         {
@@ -195,6 +200,15 @@
             static_cast<std::uint32_t>(std::max(0, notice.crashes)),
             it.received_at);
     }
+    for (const auto& leaving : it.digest.leaving_servers)
+    {
+        const bool is_news = m_state.servers.on_leaving(
+            server_id(leaving.server), leaving.incarnation, "peer");
+        if (is_news)
+        {
+            m_placement.schedule_planning();
+        }
+    }
     if (m_placement.is_held() || it.digest.__isset.placement_epoch)
     {
         m_state.servers.set_running_elsewhere(m_state.fleet.running_by_server(),
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -55,6 +55,9 @@
     /// Called on changes that other daemons need to learn of at once.
     std::function<void()> send_update_soon;
 
+    /// Called when a response said that its server leaves.
+    std::function<void()> on_server_leaving;
+
     /// Recomputes this host's share of each rate from the current demand.
     void update_rate_shares(time_point now);
     sharing::retry_budget& retry_budget_of(const service_id& service);
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -91,14 +91,15 @@
 
 std::string_view name_of(exchange_end it)
 {
-    constexpr std::array<std::string_view, 8> names{
-        "streamed", "answered", "not-sent",    "turned-away",
+    constexpr std::array<std::string_view, 9> names{
+        "streamed", "answered", "not-sent",    "withheld",   "turned-away",
         "not-here", "failed",   "out-of-time", "caller-gone"};
     return names.at(static_cast<std::size_t>(it));
 }
 
-exchange::exchange(http::client_pool& pool, const server_dialect& dialect)
-    : m_pool(pool), m_dialect(dialect)
+exchange::exchange(http::client_pool& pool, const server_dialect& dialect,
+                   exchange_handlers handlers)
+    : m_pool(pool), m_dialect(dialect), m_handlers(std::move(handlers))
 {
 }
 
@@ -145,11 +146,18 @@
         m_result.end = exchange_end::caller_gone;
         co_return m_result;
     }
+    // The server's notices may have changed while the connection was opened.
+    if (!m_handlers.may_send())
+    {
+        m_pool.release(address, std::move(server));
+        m_result.end = exchange_end::withheld;
+        co_return m_result;
+    }
     m_connection = server.get();
     try
     {
         co_await send(*server, message, added);
-        co_await receive(*server, id, reply, progress);
+        co_await receive(*server, id, added.server, reply, progress);
     }
     catch (const boost::system::system_error& reason)
     {
@@ -208,6 +216,7 @@
 }
 
 net::awaitable<void> exchange::receive(connection& server, const request_id& id,
+                                       const server_id& sender,
                                        http::reply_writer& reply,
                                        stream_progress& progress)
 {
@@ -218,6 +227,8 @@
     const auto& head = m_parser->get();
     const answer_head meaning = m_dialect.read_answer(head, id);
     m_result.load = meaning.load;
+    m_result.notice = m_dialect.read_notice(head, sender);
+    m_handlers.on_notice(m_result.notice);
     m_result.framing = http::framing_of(*m_parser);
     if (meaning.meaning == answer_meaning::not_an_answer)
     {
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -5,6 +5,7 @@
 #include "http/client.hpp"
 #include "http/reply_writer.hpp"
 
+#include <functional>
 #include <optional>
 
 namespace cicadahub::entry
@@ -21,6 +22,8 @@
     answered,
     /// No byte of the request was sent.
     not_sent,
+    /// The same, because the server meanwhile leaves or asked for a pause.
+    withheld,
     /// The server reported that it has not executed the request: it is full or
     /// cannot meet the deadline.
     turned_away,
@@ -51,6 +54,7 @@
     exchange_end end = exchange_end::not_sent;
     std::optional<http::response> answer;
     std::optional<server_load> load;
+    server_notice notice;
     /// The server closed or reset the connection after it had received bytes of
     /// the request, as when its process crashes.
     bool is_connection_lost = false;
@@ -61,6 +65,16 @@
     std::string reason;
 };
 
+/// Links of an exchange to what is known of the server that it talks to.
+struct exchange_handlers
+{
+    /// Called immediately before the first byte is sent; nothing is sent if it
+    /// returns false.
+    std::function<bool()> may_send;
+    /// Called with what each head of a response says of its server.
+    std::function<void(const server_notice&)> on_notice;
+};
+
 /// Sends a request to a backend server and forwards the response. Of a stream
 /// that breaks off, only complete events are forwarded, so that the caller
 /// never has a partial event and another server can resume after the last one.
@@ -68,7 +82,8 @@
 class exchange
 {
 public:
-    exchange(http::client_pool& pool, const server_dialect& dialect);
+    exchange(http::client_pool& pool, const server_dialect& dialect,
+             exchange_handlers handlers);
 
     /// `deadline` covers the complete exchange, not each of its steps.
     net::awaitable<exchange_result>
@@ -89,6 +104,7 @@
     net::awaitable<void> send(connection& server, const http::request& message,
                               const forwarding& added);
     net::awaitable<void> receive(connection& server, const request_id& id,
+                                 const server_id& sender,
                                  http::reply_writer& reply,
                                  stream_progress& progress);
     net::awaitable<http::response> read_full_response(connection& server);
@@ -104,6 +120,7 @@
 
     http::client_pool& m_pool;
     const server_dialect& m_dialect;
+    exchange_handlers m_handlers;
     exchange_result m_result;
     std::optional<head_parser> m_parser;
     time_point m_deadline{};
--- a/libraries/entry/fleet_view.cpp
+++ b/libraries/entry/fleet_view.cpp
@@ -96,6 +96,7 @@
     }
     known.crashes = update.crashes;
     known.holdings = update.holdings;
+    known.leaving_servers = update.leaving_servers;
     known.__isset.placement_epoch = update.__isset.placement_epoch;
     known.placement_epoch = update.placement_epoch;
     known.__isset.lease_version = update.__isset.lease_version;
--- a/libraries/entry/request_routing.cpp
+++ b/libraries/entry/request_routing.cpp
@@ -28,6 +28,7 @@
     std::vector<server_table::record_pointer> records;
     std::vector<routing::choice_candidate> candidates;
     server_pick result;
+    bool is_any_unpaused = false;
     for (const auto& [id, record] : m_state.servers.records())
     {
         const auto& entry = record->entry;
@@ -37,6 +38,14 @@
             continue;
         }
         result.has_eligible_server = true;
+        if (record->pause.is_active(now))
+        {
+            const milliseconds left = record->pause.left(now);
+            result.pause_left =
+                std::min(left, result.pause_left.value_or(left));
+            continue;
+        }
+        is_any_unpaused = true;
         if (m_excluded_servers.contains(id))
         {
             continue;
@@ -49,6 +58,10 @@
              record->health.is_trusted(now)});
         records.push_back(record);
     }
+    if (is_any_unpaused)
+    {
+        result.pause_left.reset();
+    }
     const auto choice = m_copy
                             ? routing::choose_engine(candidates, m_affinity,
                                                      m_state.mean_prompt_tokens,
@@ -78,7 +91,8 @@
         }
         if (record->models().contains(m_copy->model))
         {
-            least = std::min(least, load_overhead);
+            least = std::min(least,
+                             std::max(load_overhead, record->pause.left(now)));
         }
         else if (record->published &&
                  record->published->loading == m_copy->model)
@@ -100,7 +114,8 @@
     return least;
 }
 
-void active_request::refuse_if_unservable(time_point now)
+void active_request::refuse_if_unservable(time_point now,
+                                          const server_pick& pick)
 {
     const milliseconds estimate = estimated_wait(now);
     const auto left =
@@ -113,9 +128,11 @@
     {
         refuse(refusal_kind::target_unreachable, estimate);
     }
-    if (left < min_processing_time)
+    const milliseconds pause = pick.pause_left.value_or(milliseconds(0));
+    if (left < min_processing_time ||
+        (!m_copy && pause + min_processing_time > left))
     {
-        refuse(refusal_kind::no_capacity, retry_after_full);
+        refuse(refusal_kind::no_capacity, std::max(retry_after_full, pause));
     }
 }
 
@@ -136,6 +153,11 @@
             co_return choice.record;
         }
         const time_point now = monotonic_clock::now();
+        if (choice.pause_left)
+        {
+            // The excluded servers may be tried again after the pause.
+            m_excluded_servers.clear();
+        }
         if (!m_excluded_servers.empty() && choice.has_eligible_server &&
             m_runs > 0 && !m_has_retried_same_server)
         {
@@ -151,7 +173,7 @@
             // Every eligible server has been tried or has no free slot.
             refuse(refusal_kind::no_capacity, retry_after_full);
         }
-        refuse_if_unservable(now);
+        refuse_if_unservable(now, choice);
         if (!has_waited)
         {
             has_waited = true;
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -20,6 +20,11 @@
            (!copy.adapter || it->second.contains(*copy.adapter));
 }
 
+bool server_record::accepts_requests(time_point now) const
+{
+    return !entry.is_leaving && !pause.is_active(now);
+}
+
 void server_record::on_absent(const replicas::copy_name& copy)
 {
     const auto forget = [&](serving::holdings& held)
@@ -72,6 +77,11 @@
         return;
     }
     auto& record = m_records[id];
+    if (record && record->entry.incarnation == entry.incarnation &&
+        record->has_announced_leaving)
+    {
+        entry.is_leaving = true;
+    }
     if (record && record->entry.revision > it.version)
     {
         // A newer version has already been received from a peer.
@@ -96,7 +106,9 @@
     if (entry.is_leaving && !record->entry.is_leaving)
     {
         log_event(severity::info, event_number::server_leaving,
-                  {{"server", id.value()}, {"version", it.version.value()}});
+                  {{"server", id.value()},
+                   {"seen_in", "list"},
+                   {"version", it.version.value()}});
     }
     record->entry = std::move(entry);
 }
@@ -139,6 +151,27 @@
     m_seen_in_list.clear();
 }
 
+bool server_table::on_leaving(const server_id& server, std::int64_t incarnation,
+                              std::string_view source)
+{
+    const auto record = find(server);
+    if (!record || record->entry.incarnation != incarnation ||
+        record->has_announced_leaving)
+    {
+        return false;
+    }
+    record->has_announced_leaving = true;
+    if (!record->entry.is_leaving)
+    {
+        record->entry.is_leaving = true;
+        log_event(severity::info, event_number::server_leaving,
+                  {{"server", server.value()},
+                   {"seen_in", source},
+                   {"incarnation", incarnation}});
+    }
+    return true;
+}
+
 void server_table::on_published(const server_id& server,
                                 published_holdings holdings)
 {
--- a/libraries/entry/server_table.hpp
+++ b/libraries/entry/server_table.hpp
@@ -2,6 +2,7 @@
 
 #include "decision/replicas/types.hpp"
 #include "decision/sharing/server_health.hpp"
+#include "decision/sharing/server_pause.hpp"
 #include "entry/dialects.hpp"
 
 #include <map>
@@ -34,7 +35,13 @@
     /// reported.
     std::uint32_t running_elsewhere = 0;
     sharing::server_health health;
+    sharing::server_pause pause;
+    /// The server said itself that it leaves; the platform's list may say so
+    /// later or never.
+    bool has_announced_leaving = false;
 
+    /// True if new requests may be sent to the server.
+    bool accepts_requests(time_point now) const;
     const serving::holdings& models() const;
     bool holds(const replicas::copy_name& copy) const;
     /// The server reported that it does not hold the copy.
@@ -60,6 +67,11 @@
     /// whether they are leaving. Changes of their models do not count.
     object_version changed_version() const { return m_changed_version; }
 
+    /// Marks an incarnation of a server as leaving; `source` names who said so
+    /// in the log. True if it was not known yet.
+    bool on_leaving(const server_id& server, std::int64_t incarnation,
+                    std::string_view source);
+
     void on_published(const server_id& server, published_holdings holdings);
     /// Discards all published holdings; called when no holder of the placement
     /// lease is known any more.
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -58,6 +58,12 @@
   2: i32 crashes
 }
 
+/// A server that said in a response that it leaves.
+struct LeavingServer {
+  1: string server
+  2: i64 incarnation
+}
+
 struct Digest {
   1: string sender
   2: i64 incarnation
@@ -88,4 +94,6 @@
   18: bool reaches_store
   /// Processor cores available on the sender's host; may be a fraction.
   19: double processor_share
+  /// Servers that the platform's list does not show as leaving yet.
+  20: list<LeavingServer> leaving_servers
 }
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -23,33 +23,48 @@
     return {answer_meaning::answer, std::nullopt};
 }
 
-const server_dialect dialect{forward_head, read_answer, nullptr,
+server_notice read_notice(const http::beast_http::response_header<>& head,
+                          const server_id&)
+{
+    server_notice it;
+    it.is_leaving = head.count("Leaving") > 0;
+    return it;
+}
+
+const server_dialect dialect{forward_head, read_answer, read_notice, nullptr,
                              nullptr,      nullptr,     nullptr};
 
 struct outcome
 {
     exchange_result result;
+    bool is_leaving = false;
     stream_progress progress;
     fakes::received_response received;
 };
 
 outcome run_exchange(const fakes::response_ending& it,
-                     const std::string& content_type)
+                     const std::string& content_type, bool may_send = true,
+                     milliseconds timeout = seconds(5))
 {
     fakes::relay_run run(
         fakes::bytes_of(it, "Content-Type: " + content_type + "\r\n"), it.end);
-    exchange subject(run.pool(), dialect);
+    outcome seen;
+    exchange subject(run.pool(), dialect,
+                     {[may_send] { return may_send; },
+                      [&seen](const server_notice& notice)
+                      {
+                          seen.is_leaving = notice.is_leaving;
+                      }});
     const http::request message{http::verb::post, "/", 11};
     const forwarding added;
     const request_id id("r");
-    outcome seen;
     seen.result = run.run(
         [&](http::endpoint server,
             http::reply_writer& reply) -> net::awaitable<exchange_result>
         {
             exchange_result result = co_await subject.run(
                 server, message, added, id, reply, seen.progress,
-                monotonic_clock::now() + seconds(5));
+                monotonic_clock::now() + timeout);
             if (result.end == exchange_end::failed)
             {
                 reply.abort_stream();
@@ -129,5 +144,29 @@
         exchange_end::failed);
 }
 
+// A stream may last for long after its head said that its server leaves.
+TEST(exchange, a_notice_is_known_before_the_end_of_the_stream)
+{
+    constexpr milliseconds timeout{100};
+    const fakes::response_ending endless{
+        "endless", fakes::chunk("id: 1\ndata: a\n\n"),
+        "Transfer-Encoding: chunked\r\nLeaving: 1\r\n",
+        fakes::connection_end::stays_open, false};
+    const outcome seen =
+        run_exchange(endless, "text/event-stream", true, timeout);
+    EXPECT_EQ(seen.result.end, exchange_end::out_of_time);
+    EXPECT_TRUE(seen.is_leaving);
+}
+
+// A server may ask for a pause while a connection to it is being opened.
+TEST(exchange, nothing_is_sent_to_a_server_that_wants_nothing_any_more)
+{
+    const fakes::response_ending whole{"whole", "abc", fakes::length_of(3),
+                                       fakes::connection_end::stays_open, true};
+    const outcome seen = run_exchange(whole, "application/octet-stream", false);
+    EXPECT_EQ(seen.result.end, exchange_end::withheld);
+    EXPECT_EQ(seen.result.framing, std::nullopt);
+}
+
 } // namespace
 } // namespace cicadahub::entry
--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/server_table_test.cpp
@@ -12,7 +12,8 @@
     serving::server_entry entry;
     entry.id = server_id(it.name);
     entry.revision = it.version;
-    entry.incarnation = 1;
+    const auto* incarnation = it.spec.if_contains("incarnation");
+    entry.incarnation = incarnation == nullptr ? 1 : incarnation->as_int64();
     entry.is_leaving = it.spec.contains("leaving");
     if (it.spec.contains("model"))
     {
@@ -73,5 +74,54 @@
     EXPECT_EQ(m_table.records().size(), 2U);
 }
 
+struct leaving_case
+{
+    const char* name;
+    /// Incarnation that said that it leaves; the listed one is 1.
+    std::int64_t announced;
+    /// Incarnation of the entry that the store sends next.
+    std::int64_t next;
+    bool is_leaving;
+};
+
+void PrintTo(const leaving_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class announced_leaving : public testing::TestWithParam<leaving_case>
+{
+};
+
+// A server that comes back or takes over an address is not the one that left,
+// and the store may repeat for long that a leaving server is ready.
+TEST_P(announced_leaving, holds_for_one_incarnation_whatever_the_list_says)
+{
+    const document_dialect documents{{}, {}, read_server};
+    server_table table(documents);
+    table.apply(object("s", 5));
+    table.on_leaving(server_id("s"), GetParam().announced, "response");
+    table.apply(object("s", 6, {{"incarnation", GetParam().next}}));
+    const auto record = table.find(server_id("s"));
+    EXPECT_EQ(record->entry.is_leaving, GetParam().is_leaving);
+    EXPECT_EQ(record->accepts_requests(monotonic_clock::now()),
+              !GetParam().is_leaving);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    server_table, announced_leaving,
+    testing::Values(leaving_case{"listed_as_ready_again", 1, 1, true},
+                    leaving_case{"started_again", 1, 2, false},
+                    leaving_case{"said_by_another_incarnation", 2, 1, false}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+TEST_F(server_table_test, a_leave_is_news_once)
+{
+    m_table.apply(object("s", 5));
+    EXPECT_TRUE(m_table.on_leaving(server_id("s"), 1, "response"));
+    EXPECT_FALSE(m_table.on_leaving(server_id("s"), 1, "peer"));
+    EXPECT_FALSE(m_table.on_leaving(server_id("unknown"), 1, "peer"));
+}
+
 } // namespace
 } // namespace cicadahub::entry
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -358,6 +358,124 @@
     EXPECT_NE(read.body.find("\"path\":\"/read/1\""), std::string::npos);
 }
 
+/// Sends reads through a daemon until no further one reaches the server.
+bool gets_nothing_more(const platform_fleet& fleet, std::size_t daemon,
+                       const std::string& server)
+{
+    constexpr int reads = 8;
+    const auto runs = [&]
+    {
+        return read_stat(server, "runs");
+    };
+    return eventually(
+        [&]
+        {
+            const std::int64_t before = runs();
+            for (int n = 0; n < reads; ++n)
+            {
+                fleet.plain(daemon, "r" + std::to_string(n), http::verb::get,
+                            "/read/1");
+            }
+            return runs() == before;
+        });
+}
+
+// The store may hear of a leaving server late or never; its own responses tell
+// at once, and one host tells the others.
+TEST(platform_path, a_server_that_announces_its_leave_gets_nothing_more)
+{
+    platform_fleet fleet(2);
+    const std::string leaving = fleet.services[0].address;
+    fleet.set_fault(leaving, R"({"leaving":true})");
+    EXPECT_TRUE(gets_nothing_more(fleet, 0, leaving));
+    // The other daemon has sent nothing to the server; it learns from its peer.
+    const std::int64_t before = read_stat(leaving, "runs");
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            return fleet.daemons[1].program->output().find(
+                       R"("seen_in":"peer")") != std::string::npos;
+        }));
+    EXPECT_TRUE(gets_nothing_more(fleet, 1, leaving));
+    EXPECT_EQ(read_stat(leaving, "runs"), before);
+}
+
+// A leaving engine must not be the only one with a model: the model is loaded
+// elsewhere without the store's notice.
+TEST(platform_path, models_of_an_engine_that_announces_its_leave_move)
+{
+    platform_fleet fleet(1);
+    fleet.set_fault(fleet.engines[0].address, R"({"leaving":true})");
+    EXPECT_TRUE(is_complete_stream(fleet.stream(0, "first", "m1")));
+    const std::int64_t runs = read_stat(fleet.engines[0].address, "runs");
+    EXPECT_TRUE(eventually(
+        [&] { return is_complete_stream(fleet.stream(0, "next", "m1")); }));
+    EXPECT_EQ(read_stat(fleet.engines[0].address, "runs"), runs);
+}
+
+TEST(platform_path, a_server_that_asks_for_a_pause_gets_none_until_its_end)
+{
+    platform_fleet fleet(1);
+    const std::string paused = fleet.services[0].address;
+    fleet.set_fault(paused, R"({"shed_s":2})");
+    const time_point begin = monotonic_clock::now();
+    for (int n = 0; monotonic_clock::now() < begin + seconds(2); ++n)
+    {
+        EXPECT_EQ(
+            fleet.plain(0, "r" + std::to_string(n), http::verb::get, "/read/1")
+                .status,
+            200U);
+    }
+    EXPECT_EQ(read_stat(paused, "arrivals_in_pause"), 0);
+    const std::int64_t before = read_stat(paused, "runs");
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            fleet.plain(0, "later", http::verb::get, "/read/1");
+            return read_stat(paused, "runs") > before;
+        }));
+}
+
+TEST(platform_path, requests_wait_for_a_pause_that_ends_in_time)
+{
+    platform_fleet fleet(1);
+    for (const auto& it : fleet.services)
+    {
+        fleet.set_fault(it.address, R"({"shed_s":1})");
+    }
+    EXPECT_EQ(fleet.plain(0, "r", http::verb::get, "/read/1").status, 200U);
+    for (const auto& it : fleet.services)
+    {
+        EXPECT_EQ(read_stat(it.address, "arrivals_in_pause"), 0);
+    }
+}
+
+// The caller leaves after 3 s: it is told at once when the servers are back.
+TEST(platform_path, requests_are_refused_at_once_for_a_pause_that_is_too_long)
+{
+    platform_fleet fleet(1);
+    for (const auto& it : fleet.services)
+    {
+        fleet.set_fault(it.address, R"({"shed_s":20})");
+    }
+    const time_point begin = monotonic_clock::now();
+    const std::string answer =
+        receive_until_close(fleet.daemons[0].callers,
+                            "GET /read/1 HTTP/1.1\r\nHost: trust.example\r\n"
+                            "Authorization: Bearer key-of-trust\r\n"
+                            "Request-Id: r\r\nDeadline-Ms: 3000\r\n"
+                            "Connection: close\r\n\r\n")
+            .bytes;
+    EXPECT_LT(monotonic_clock::now() - begin, seconds(1));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+    const std::string field = "Retry-After: ";
+    const std::size_t at = answer.find(field);
+    ASSERT_NE(at, std::string::npos) << answer;
+    const double retry_after_s = std::stod(answer.substr(at + field.size()));
+    EXPECT_GT(retry_after_s, 18);
+    EXPECT_LT(retry_after_s, 21);
+}
+
 TEST(platform_path, a_lost_response_is_retried_only_on_a_safe_route)
 {
     platform_fleet fleet(1);
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds heartbeat{400};
 constexpr milliseconds store_timeout{500};
 constexpr milliseconds plain_call_time{10};
+/// A request that was on its way when the pause was asked for may come so late.
+constexpr milliseconds pause_grace{500};
 constexpr int events_per_stream = 8;
 constexpr int events_before_break = 2;
 
@@ -150,6 +152,13 @@
         m_silent_orders = reader.integer_or("silent_orders", m_silent_orders);
         m_is_draining = reader.boolean_or("draining", m_is_draining);
         m_is_unframed = reader.boolean_or("unframed", m_is_unframed);
+        m_is_leaving = reader.boolean_or("leaving", m_is_leaving);
+        if (json.contains("shed_s"))
+        {
+            m_sheds_until =
+                monotonic_clock::now() + seconds(reader.integer("shed_s"));
+            m_pause_begins_at.reset();
+        }
         co_await reply.send(json_answer(http::status::ok, {}));
         co_return;
     }
@@ -184,9 +193,33 @@
     co_await run(message, reply);
 }
 
+void worker_standin::announce(http::response& it) const
+{
+    if (m_is_leaving)
+    {
+        it.set("Server-Leaving", "1");
+    }
+}
+
+http::response worker_standin::shed()
+{
+    const time_point now = monotonic_clock::now();
+    if (!m_pause_begins_at)
+    {
+        m_pause_begins_at = now + pause_grace;
+    }
+    m_arrivals_in_pause += now > *m_pause_begins_at ? 1 : 0;
+    const auto left =
+        std::chrono::duration<double>(m_sheds_until - now).count();
+    http::response answer = refusal(http::status::service_unavailable);
+    answer.set(http::field::retry_after, std::to_string(left));
+    return answer;
+}
+
 http::response worker_standin::refusal(http::status code) const
 {
     http::response answer{code, 11};
+    announce(answer);
     answer.set("Instance-Id", m_settings.id);
     answer.set("Not-Run", "1");
     answer.prepare_payload();
@@ -223,6 +256,7 @@
                         {"most_runs_of_one", most_runs},
                         {"running", m_running},
                         {"organisations", organisations},
+                        {"arrivals_in_pause", m_arrivals_in_pause},
                         {"keys_seen", m_keys_seen},
                         {"orders", m_orders},
                         {"old_fences", m_old_fences},
@@ -334,6 +368,11 @@
         co_await reply.send(refusal(http::status::misdirected_request));
         co_return;
     }
+    if (monotonic_clock::now() < m_sheds_until)
+    {
+        co_await reply.send(shed());
+        co_return;
+    }
     if (m_running >= m_settings.slots)
     {
         co_await reply.send(refusal(http::status::service_unavailable));
@@ -377,6 +416,7 @@
         {{"path", http::path_of(message.target())}, {"server", m_settings.id}});
     answer.set("Request-Id", message["Request-Id"]);
     answer.set("Response-Seal", "seal-" + m_settings.id);
+    announce(answer);
     if (!m_is_unframed)
     {
         co_await reply.send(std::move(answer));
@@ -396,6 +436,7 @@
     head.set(http::field::content_type, "text/event-stream");
     head.set("Request-Id", message["Request-Id"]);
     head.set("Response-Seal", "seal-" + m_settings.id);
+    announce(head);
     if (m_is_unframed)
     {
         reply.set_stream_framing(http::body_framing::until_close);
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -7,6 +7,7 @@
 #include <boost/json/object.hpp>
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace cicadahub::standin
@@ -38,7 +39,10 @@
 /// of streams broken off inside their third event), `unframed` (responses have
 /// neither a length nor chunks, and broken streams are closed without a reset,
 /// as when the process crashes), `silent_orders` (number of orders executed
-/// without a response) and `draining`. `GET /stats` returns counters.
+/// without a response), `draining`, `leaving` (responses announce that the
+/// server leaves, while its entry in the store does not) and `shed_s` (for that
+/// many seconds requests are turned away with the rest of that time as the
+/// pause). `GET /stats` returns counters.
 class worker_standin
 {
 public:
@@ -54,6 +58,11 @@
     net::awaitable<void> run(http::request& message, http::reply_writer& reply);
     net::awaitable<void> stream(const http::request& message,
                                 http::reply_writer& reply);
+    /// Marks a response if the server leaves.
+    void announce(http::response& it) const;
+    /// The rejection that asks for a pause; counts requests that come within
+    /// it.
+    http::response shed();
     net::awaitable<void> answer_plain(const http::request& message,
                                       http::reply_writer& reply);
     http::response answer_order(const http::request& message);
@@ -83,6 +92,11 @@
     std::int64_t m_broken_streams = 0;
     std::int64_t m_silent_orders = 0;
     bool m_is_unframed = false;
+    bool m_is_leaving = false;
+    time_point m_sheds_until{};
+    /// From here to `m_sheds_until` no request should come.
+    std::optional<time_point> m_pause_begins_at;
+    std::int64_t m_arrivals_in_pause = 0;
     std::map<std::string, std::int64_t> m_runs;
     std::set<std::string> m_organisations;
     std::int64_t m_keys_seen = 0;
