Http: Accept several JSON documents that a close ends

The check for a JSON body that ended early took a response of several documents, as a watch may have, for broken off when it had neither a length nor chunks.

--- a/libraries/http/response_reading.cpp
+++ b/libraries/http/response_reading.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/stream_parser.hpp>
 
+#include <algorithm>
+
 namespace cicadahub::http
 {
 
@@ -17,16 +19,28 @@
     return boost::algorithm::istarts_with(content_type, "application/json");
 }
 
+/// True for one JSON document or several, as in the response to a watch.
 bool is_whole_json(std::string_view body)
 {
+    constexpr std::string_view white_space = " \t\r\n";
     boost::json::stream_parser parser;
-    boost::system::error_code ec;
-    parser.write(body, ec);
-    if (!ec)
+    do
     {
-        parser.finish(ec);
-    }
-    return !ec;
+        boost::system::error_code ec;
+        parser.reset();
+        body.remove_prefix(parser.write_some(body, ec));
+        if (!ec && !parser.done())
+        {
+            parser.finish(ec);
+        }
+        if (ec)
+        {
+            return false;
+        }
+        body.remove_prefix(
+            std::min(body.find_first_not_of(white_space), body.size()));
+    } while (!body.empty());
+    return true;
 }
 
 } // namespace
--- a/tests/fakes/response_endings.hpp
+++ b/tests/fakes/response_endings.hpp
@@ -104,7 +104,10 @@
         {"chunks", chunk(whole) + last_chunk, chunked, stays_open, true},
         {"chunks_cut", chunk(cut), chunked, closed, false},
         {"unframed", whole, none, closed, true},
+        {"unframed_lines", whole + "\n" + whole + "\n", none, closed, true},
         {"unframed_cut", cut, none, closed, false},
+        {"unframed_cut_in_second_line", whole + "\n" + cut, none, closed,
+         false},
         {"unframed_cut_before_the_body", none, none, closed, false},
         {"unframed_reset", whole, none, reset, false},
     };
