Entry: Keep serving when the store is restored from an older copy

A restored store gives revisions out again. The daemons compared bare revisions and so ignored what was written after the restore, removed servers and routes that the copy lacked, and trusted its lease object, which may call a lease free that somebody holds.

Change: versions hold the era that the store tells (Store-Era) above its revision, so that every comparison goes by era first. The store client voids watches and conditional writes of an older era and ignores late answers of one. A held lease is void and none is won before every former one has expired; fencing numbers carry the era. Configurations never go back, servers missing from the copy are kept for 4 s, entries of earlier starts are ignored, and each host registers itself again.

Ruled out: an era beside each version, which every message and comparison would have to carry.

--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -24,6 +24,7 @@
     platform_unreachable = 300,
     platform_reachable = 301,
     watch_restarted = 302,
+    store_restored = 303,
     lease_won = 400,
     lease_lost = 401,
     lease_released = 402,
--- a/libraries/core/ids.hpp
+++ b/libraries/core/ids.hpp
@@ -25,6 +25,7 @@
 using key_hash = strong_type<struct key_hash_tag, std::string>;
 
 /// Version of one object in the platform's object API; grows with each write.
+/// See core/store_version.hpp for its parts.
 using object_version = strong_type<struct object_version_tag, std::uint64_t>;
 
 /// Fencing token of a shard: grows by one each time the shard's lease changes
--- a/libraries/daemon/collection_follower.hpp
+++ b/libraries/daemon/collection_follower.hpp
@@ -43,6 +43,9 @@
     /// nothing while another refresh runs or shortly after one began.
     void refresh();
 
+    /// Fetches the complete collection with the next call.
+    void relist() { m_needs_list = true; }
+
     /// Version up to which all changes have been delivered.
     object_version version() const { return m_version; }
     bool is_platform_reachable() const { return m_is_platform_reachable; }
--- a/libraries/daemon/shard_elector.cpp
+++ b/libraries/daemon/shard_elector.cpp
@@ -70,6 +70,13 @@
     announce_change();
 }
 
+void shard_elector::on_store_restored()
+{
+    m_lease.on_store_restored(monotonic_clock::now());
+    announce_change();
+    net::co_spawn(m_context, read_initial_state(), net::detached);
+}
+
 void shard_elector::on_holder_claim_ended()
 {
     net::co_spawn(m_context, read_back(), net::detached);
@@ -89,7 +96,8 @@
             }
             else
             {
-                m_lease.on_observed({}, {}, monotonic_clock::now());
+                m_lease.on_observed({}, in_era(m_store.era(), 0),
+                                    monotonic_clock::now());
             }
             co_return;
         }
--- a/libraries/daemon/shard_elector.hpp
+++ b/libraries/daemon/shard_elector.hpp
@@ -45,6 +45,9 @@
     void on_holder_reported(const daemon_id& holder, epoch_number epoch,
                             object_version version);
 
+    /// The platform's store was restored from an older copy.
+    void on_store_restored();
+
     /// The holder no longer reports that it holds the lease. It may have
     /// released it, so the lease object is read from the platform.
     void on_holder_claim_ended();
--- a/libraries/decision/ownership/shard_lease.cpp
+++ b/libraries/decision/ownership/shard_lease.cpp
@@ -2,6 +2,8 @@
 
 #include "core/invariant.hpp"
 
+#include <algorithm>
+
 namespace cicadahub::ownership
 {
 
@@ -28,7 +30,9 @@
         return;
     }
     m_has_observed = true;
+    m_is_void = false;
     m_observed = record;
+    m_highest_epoch = std::max(m_highest_epoch, record.epoch);
     m_version = version;
     m_first_seen = now;
     if (record.holder != m_self || record.is_released)
@@ -37,20 +41,40 @@
     }
 }
 
+void shard_lease::on_store_restored(time_point now)
+{
+    m_is_void = true;
+    m_valid_until.reset();
+    m_earliest_acquisition = now + m_timing.duration + m_timing.margin;
+}
+
 bool shard_lease::can_acquire(time_point now) const
 {
+    const milliseconds wait = rank_delay * m_rank;
+    if (now < m_earliest_acquisition + wait)
+    {
+        return false;
+    }
+    const bool does_exist = revision_of(m_version) > 0;
+    const time_point expired_at =
+        m_first_seen + m_timing.duration + m_timing.margin + wait;
+    if (does_exist && m_observed.epoch < epoch_floor(era_of(m_version)))
+    {
+        // The object is of an older copy of the store: somebody may hold a
+        // lease that the copy does not show.
+        return now >= expired_at;
+    }
     if (m_observed.holder == m_self && !m_observed.is_released)
     {
         // No other daemon can have acquired the lease while the object names
         // this daemon as the holder.
         return true;
     }
-    const milliseconds wait = rank_delay * m_rank;
-    if (m_observed.is_released || m_version.value() == 0)
+    if (m_observed.is_released || !does_exist)
     {
         return now >= m_first_seen + wait;
     }
-    return now >= m_first_seen + m_timing.duration + m_timing.margin + wait;
+    return now >= expired_at;
 }
 
 bool shard_lease::is_due(time_point now) const
@@ -64,7 +88,7 @@
 
 std::optional<lease_write> shard_lease::next_write(time_point now)
 {
-    if (m_in_flight || !m_has_observed || !is_due(now))
+    if (m_in_flight || !m_has_observed || m_is_void || !is_due(now))
     {
         return std::nullopt;
     }
@@ -76,9 +100,11 @@
     {
         // An expired lease is never renewed: another daemon may have held the
         // shard in the meantime, so the lease is acquired under a new epoch.
-        next.epoch = epoch_number(m_observed.epoch.value() + 1);
+        const epoch_number highest =
+            std::max(m_highest_epoch, epoch_floor(era_of(m_version)));
+        next.epoch = epoch_number(highest.value() + 1);
         m_was_acquired_without_wait =
-            m_version.value() > 0 &&
+            revision_of(m_version) > 0 &&
             (m_observed.is_released || m_observed.holder == m_self);
     }
     m_sent_at = now;
@@ -92,7 +118,7 @@
     CICADAHUB_INVARIANT(m_in_flight.has_value());
     const lease_write write = *m_in_flight;
     m_in_flight.reset();
-    if (result != lease_write_result::applied)
+    if (result != lease_write_result::applied || m_is_void)
     {
         return;
     }
@@ -120,6 +146,7 @@
         return;
     }
     m_epoch = write.record.epoch;
+    m_highest_epoch = std::max(m_highest_epoch, m_epoch);
     m_last_renewal = m_sent_at;
     m_valid_until = m_sent_at + m_timing.duration;
 }
--- a/libraries/decision/ownership/shard_lease.hpp
+++ b/libraries/decision/ownership/shard_lease.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/ids.hpp"
+#include "core/store_version.hpp"
 #include "core/units.hpp"
 
 #include <optional>
@@ -54,10 +54,15 @@
     /// wait longer before they acquire the lease.
     shard_lease(daemon_id self, lease_timing timing, std::uint32_t rank);
 
-    /// Takes in the object as read or watched; version 0 if it does not exist.
+    /// Takes in the object as read or watched; revision 0 if it does not exist.
     void on_observed(const lease_record& record, object_version version,
                      time_point now);
 
+    /// The store was restored from an older copy: a lease that was held is
+    /// void, and none is acquired before every former one must have expired and
+    /// the object was observed in the new era.
+    void on_store_restored(time_point now);
+
     /// Returns the update to send now, if one is due. Its result must be
     /// reported to `on_write_result`.
     std::optional<lease_write> next_write(time_point now);
@@ -109,6 +114,11 @@
     object_version m_version;
     time_point m_first_seen{};
     bool m_has_observed = false;
+    /// The object has not been observed since the store was restored.
+    bool m_is_void = false;
+    time_point m_earliest_acquisition{};
+    /// Highest epoch known of the shard, in any era.
+    epoch_number m_highest_epoch;
 
     std::optional<time_point> m_valid_until;
     time_point m_last_renewal{};
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -58,7 +58,8 @@
       m_platform_pool(m_context, connect_timeout, idle_connections),
       m_order_pool(m_context, connect_timeout, idle_connections),
       m_peer_pool(m_context, connect_timeout, 1),
-      m_store(m_platform_pool, m_settings.store, store_timing, dialects.store),
+      m_store(m_platform_pool, m_settings.store, store_timing, dialects.store,
+              [this] { on_store_restored(); }),
       m_placement(m_context, m_order_pool, m_store,
                   {m_settings, dialects.servers, m_state.servers, m_state.fleet,
                    m_state.demand, m_state.waiting, m_state.metrics,
@@ -161,9 +162,22 @@
     {
         auto next = std::make_shared<const serving::configuration>(
             m_dialects.documents.read_configuration(it));
+        if (m_state.configuration &&
+            next->version < m_state.configuration->version)
+        {
+            // A store that was restored has an older one until the operators
+            // write theirs again.
+            log_event(severity::warning, event_number::configuration_refused,
+                      {{"configuration", next->version},
+                       {"known", m_state.configuration->version},
+                       {"era", era_of(it.version).value()},
+                       {"revision", revision_of(it.version)}});
+            return;
+        }
         log_event(severity::info, event_number::configuration_applied,
                   {{"configuration", next->version},
-                   {"revision", next->revision.value()},
+                   {"era", era_of(next->revision).value()},
+                   {"revision", revision_of(next->revision)},
                    {"routes", next->routes.size()},
                    {"organisations", next->organisations.size()}});
         m_caller_server.set_limits(limits_of(next->limits));
@@ -177,11 +191,18 @@
         log_event(severity::error, event_number::malformed_object,
                   {{"collection", "configurations"},
                    {"object", it.name},
-                   {"version", it.version.value()},
+                   {"version", revision_of(it.version)},
                    {"reason", reason.what()}});
     }
 }
 
+void entry_daemon::on_store_restored()
+{
+    m_placement.on_store_restored();
+    // The copy may lack this host's entry.
+    net::co_spawn(m_context, register_member(), net::detached);
+}
+
 void entry_daemon::on_servers_changed()
 {
     m_state.has_servers = true;
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -59,6 +59,8 @@
     void wait_for_signal();
     void on_configuration(const platform::stored_object& it);
     void on_servers_changed();
+    /// The platform's store was restored from an older copy.
+    void on_store_restored();
     void on_digest(const peer& it);
     void apply_published_holdings(const peer& holder);
     void log_first_readiness();
--- a/libraries/entry/placement_controller.cpp
+++ b/libraries/entry/placement_controller.cpp
@@ -221,7 +221,7 @@
             log_event(severity::info, event_number::order_ended,
                       {{"server", id.value()},
                        {"seen_in", "list"},
-                       {"revision", record->entry.revision.value()}});
+                       {"revision", revision_of(record->entry.revision)}});
             publish_holdings(id);
         }
     }
--- a/libraries/entry/placement_controller.hpp
+++ b/libraries/entry/placement_controller.hpp
@@ -40,6 +40,8 @@
 
     void start();
     net::awaitable<void> release();
+    /// The platform's store was restored from an older copy.
+    void on_store_restored() { m_shard.on_store_restored(); }
 
     /// Requests a planning pass, after a change that may require orders.
     void schedule_planning()
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -1,5 +1,6 @@
 #include "entry/server_table.hpp"
 
+#include "core/store_version.hpp"
 #include "core/structured_log.hpp"
 
 namespace cicadahub::entry
@@ -71,16 +72,24 @@
         log_event(severity::warning, event_number::malformed_object,
                   {{"collection", "servers"},
                    {"object", it.name},
-                   {"version", it.version.value()},
+                   {"version", revision_of(it.version)},
                    {"reason", reason.what()}});
         remove(id, it.version);
         return;
     }
     auto& record = m_records[id];
-    if (record && record->entry.incarnation == entry.incarnation &&
-        record->has_announced_leaving)
+    if (record && record->entry.incarnation == entry.incarnation)
+    {
+        // An incarnation that leaves never stays, whatever an entry says that
+        // was written earlier.
+        entry.is_leaving = entry.is_leaving || record->entry.is_leaving;
+    }
+    const bool is_of_restored_store =
+        record && era_of(it.version) > era_of(record->entry.revision);
+    if (is_of_restored_store && entry.incarnation < record->entry.incarnation)
     {
-        entry.is_leaving = true;
+        // The copy that the store was restored from is older than the server.
+        return;
     }
     if (record && record->entry.revision > it.version)
     {
@@ -96,7 +105,8 @@
                   {{"server", id.value()},
                    {"service", entry.service.value()},
                    {"incarnation", entry.incarnation},
-                   {"version", it.version.value()}});
+                   {"era", era_of(it.version).value()},
+                   {"version", revision_of(it.version)}});
     }
     if (is_new || entry.is_leaving != record->entry.is_leaving ||
         entry.address != record->entry.address)
@@ -108,7 +118,8 @@
         log_event(severity::info, event_number::server_leaving,
                   {{"server", id.value()},
                    {"seen_in", "list"},
-                   {"version", it.version.value()}});
+                   {"era", era_of(it.version).value()},
+                   {"version", revision_of(it.version)}});
     }
     record->entry = std::move(entry);
 }
--- a/libraries/entry/store_mirror.cpp
+++ b/libraries/entry/store_mirror.cpp
@@ -38,6 +38,9 @@
 /// The other hosts poll the servers with this interval times the number of
 /// hosts, so that the load on the store does not grow with the fleet.
 constexpr milliseconds server_poll_interval_per_host{150};
+/// After the store was restored from an older copy, servers that it lacks are
+/// kept for this long: those that are alive register again within some 2 s.
+constexpr milliseconds restore_grace{4'000};
 constexpr milliseconds peer_timeout{500};
 constexpr milliseconds peer_check_period{200};
 /// A daemon in contact with the store that still misses a change after this
@@ -169,29 +172,59 @@
 void store_mirror::apply_object(collection where,
                                 const platform::stored_object& it)
 {
-    m_relay.on_object(where, it);
     if (where == collection::servers)
     {
+        m_relay.on_object(where, it);
         m_state.servers.apply(it);
         return;
     }
     const auto before = m_state.configuration;
     m_handlers.on_configuration(it);
+    if (m_state.configuration && m_state.configuration->revision == it.version)
+    {
+        // Peers get only what this host serves by.
+        m_relay.on_object(where, it);
+    }
     if (before != m_state.configuration && is_designated_watcher())
     {
         m_handlers.announce();
     }
 }
 
+void store_mirror::note_era(object_version version)
+{
+    const store_era era = era_of(version);
+    if (era <= m_era)
+    {
+        return;
+    }
+    const bool was_restored = m_era.value() > 0;
+    m_era = era;
+    if (was_restored)
+    {
+        m_removals_from = monotonic_clock::now() + restore_grace;
+        net::co_spawn(m_state.context, relist_after_grace(), net::detached);
+    }
+}
+
+net::awaitable<void> store_mirror::relist_after_grace()
+{
+    co_await pause(m_state.context, restore_grace);
+    m_servers.relist();
+}
+
 void store_mirror::end_batch(collection where, bool is_full_list,
                              object_version version)
 {
-    m_relay.end_of_batch(where, is_full_list, version);
+    note_era(version);
+    const bool is_complete =
+        is_full_list && monotonic_clock::now() >= m_removals_from;
+    m_relay.end_of_batch(where, is_complete, version);
     if (where != collection::servers)
     {
         return;
     }
-    m_state.servers.end_of_list(is_full_list, version);
+    m_state.servers.end_of_list(is_complete, version);
     m_handlers.on_servers_changed();
     if (m_announced_servers_version < m_state.servers.changed_version() &&
         is_designated_watcher())
@@ -236,7 +269,8 @@
         log_event(severity::info, event_number::learnt_from_peer,
                   {{"collection", platform::name_of(where)},
                    {"peer", http::to_string(peer)},
-                   {"revision", all.version.value()}});
+                   {"era", era_of(all.version).value()},
+                   {"revision", revision_of(all.version)}});
     }
     catch (const std::exception& reason)
     {
--- a/libraries/entry/store_mirror.hpp
+++ b/libraries/entry/store_mirror.hpp
@@ -48,6 +48,9 @@
                       const platform::stored_object& it);
     void end_batch(platform::collection where, bool is_full_list,
                    object_version version);
+    /// Begins the grace period for removals if the version is of a later era.
+    void note_era(object_version version);
+    net::awaitable<void> relist_after_grace();
     /// Version up to which all changes are known to this daemon.
     object_version known_version(platform::collection where);
     /// Version of the newest change that a peer knows, from its digest.
@@ -65,6 +68,10 @@
     daemon::collection_follower m_configurations;
     daemon::collection_follower m_servers;
     object_version m_announced_servers_version;
+    /// Era of the store that this host's knowledge is of.
+    store_era m_era;
+    /// Until then a full list removes nothing.
+    time_point m_removals_from{};
 };
 
 } // namespace cicadahub::entry
--- a/libraries/platform/kubernetes_dialect.cpp
+++ b/libraries/platform/kubernetes_dialect.cpp
@@ -192,10 +192,15 @@
     return http::make_request(http::verb::delete_, path_to(where, name));
 }
 
+std::optional<store_era> no_era(const http::response&)
+{
+    return std::nullopt;
+}
+
 } // namespace
 
 const object_dialect kubernetes_dialect{
-    list_request,  read_list,     read_request, read_object,
-    write_request, watch_request, read_watch,   remove_request};
+    list_request,  read_list,  read_request,   read_object, write_request,
+    watch_request, read_watch, remove_request, no_era};
 
 } // namespace cicadahub::platform
--- a/libraries/platform/object_client.cpp
+++ b/libraries/platform/object_client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/digest.hpp"
 #include "core/json_reader.hpp"
+#include "core/structured_log.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -45,18 +46,54 @@
 
 object_client::object_client(http::client_pool& pool, http::endpoint address,
                              client_timing timing,
-                             const object_dialect& dialect)
-    : m_pool(pool), m_address(address), m_timing(timing), m_dialect(dialect)
+                             const object_dialect& dialect,
+                             std::function<void()> on_restored)
+    : m_pool(pool), m_address(address), m_timing(timing), m_dialect(dialect),
+      m_on_restored(std::move(on_restored))
 {
 }
 
+void object_client::check_era(const http::response& answer)
+{
+    const auto era = m_dialect.read_era(answer);
+    if (!era || *era == m_era)
+    {
+        return;
+    }
+    if (*era < m_era)
+    {
+        throw platform_error("the answer is of an older era of the store");
+    }
+    const store_era former = std::exchange(m_era, *era);
+    if (former.value() > 0)
+    {
+        log_event(severity::warning, event_number::store_restored,
+                  {{"era", era->value()}, {"former", former.value()}});
+        if (m_on_restored)
+        {
+            m_on_restored();
+        }
+    }
+}
+
+void object_client::add_era(listing& it) const
+{
+    it.version = in_era(m_era, it.version.value());
+    for (stored_object& object : it.objects)
+    {
+        object.version = in_era(m_era, object.version.value());
+    }
+}
+
 net::awaitable<http::response> object_client::call(http::request message,
                                                    milliseconds timeout)
 {
     try
     {
-        co_return co_await http::fetch(m_pool, m_address, std::move(message),
-                                       timeout);
+        http::response answer = co_await http::fetch(
+            m_pool, m_address, std::move(message), timeout);
+        check_era(answer);
+        co_return answer;
     }
     catch (const boost::system::system_error& it)
     {
@@ -67,13 +104,20 @@
 net::awaitable<listing> object_client::list(collection where)
 {
     listing result;
+    std::optional<store_era> era;
     std::optional<std::string> after = std::string();
     while (after)
     {
         const auto answer =
             co_await call(m_dialect.list(where, *after), m_timing.call_timeout);
         expect_ok(answer);
+        if (era.value_or(m_era) != m_era)
+        {
+            throw platform_error("the store was restored while it was listed");
+        }
+        era = m_era;
         list_page page = m_dialect.read_list(where, answer.body());
+        add_era(page.content);
         // The version of the first page is kept, so that a watch from it also
         // returns the changes made between two pages.
         if (after->empty())
@@ -97,7 +141,9 @@
         co_return std::nullopt;
     }
     expect_ok(answer);
-    co_return m_dialect.read_object(answer.body());
+    stored_object it = m_dialect.read_object(answer.body());
+    it.version = in_era(m_era, it.version.value());
+    co_return it;
 }
 
 net::awaitable<object_client::attempt>
@@ -116,7 +162,8 @@
         {
             co_return attempt::no_answer;
         }
-        version = m_dialect.read_object(answer.body()).version;
+        version =
+            in_era(m_era, m_dialect.read_object(answer.body()).version.value());
         co_return attempt::applied;
     }
     catch (const error&)
@@ -129,7 +176,14 @@
                                                   stored_object previous,
                                                   boost::json::object spec)
 {
+    const store_era era = m_era;
     stored_object next = std::move(previous);
+    if (revision_of(next.version) > 0 && era_of(next.version) != era)
+    {
+        // The restored store may have given the revision to another state.
+        co_return write_result{write_outcome::conflict, {}};
+    }
+    next.version = object_version(revision_of(next.version));
     next.spec = std::move(spec);
     const std::string mark = random_hex(write_mark_bytes);
     next.write_marks.push_back(mark);
@@ -145,6 +199,10 @@
     {
         object_version version;
         const attempt outcome = co_await try_write(message, version);
+        if (m_era != era)
+        {
+            co_return write_result{write_outcome::unknown, {}};
+        }
         if (outcome == attempt::applied)
         {
             co_return write_result{write_outcome::applied, version};
@@ -184,10 +242,21 @@
 net::awaitable<listing>
 object_client::watch(collection where, object_version since, milliseconds wait)
 {
-    const auto answer = co_await call(m_dialect.watch(where, since, wait),
+    if (era_of(since) != m_era)
+    {
+        throw watch_expired();
+    }
+    const object_version revision(revision_of(since));
+    const auto answer = co_await call(m_dialect.watch(where, revision, wait),
                                       wait + m_timing.call_timeout);
     expect_ok(answer);
-    co_return m_dialect.read_watch(where, since, answer.body());
+    if (era_of(since) != m_era)
+    {
+        throw watch_expired();
+    }
+    listing changes = m_dialect.read_watch(where, revision, answer.body());
+    add_era(changes);
+    co_return changes;
 }
 
 net::awaitable<void> object_client::remove(collection where, std::string name)
--- a/libraries/platform/object_client.hpp
+++ b/libraries/platform/object_client.hpp
@@ -4,6 +4,8 @@
 #include "platform/kubernetes_dialect.hpp"
 #include "platform/object_store.hpp"
 
+#include <functional>
+
 namespace cicadahub::platform
 {
 
@@ -22,9 +24,14 @@
 class object_client
 {
 public:
+    /// `on_restored` is called when the store tells a higher era than before.
     object_client(http::client_pool& pool, http::endpoint address,
                   client_timing timing,
-                  const object_dialect& dialect = kubernetes_dialect);
+                  const object_dialect& dialect = kubernetes_dialect,
+                  std::function<void()> on_restored = {});
+
+    /// Era that the store told last.
+    store_era era() const { return m_era; }
 
     /// Lists a collection, page by page; throws `platform_error` if the
     /// platform does not answer.
@@ -33,10 +40,11 @@
     net::awaitable<std::optional<stored_object>> read(collection where,
                                                       std::string name);
 
-    /// Writes `spec` if the object still has the version of `previous`; version
-    /// 0 creates it. After a lost response the write is retried until its
-    /// outcome is known; after `write_retry_limit` the outcome is `unknown`.
-    /// The same write is never applied twice.
+    /// Writes `spec` if the object still has the version of `previous`;
+    /// revision 0 creates it. After a lost response the write is retried until
+    /// its outcome is known; after `write_retry_limit` the outcome is
+    /// `unknown`. The same write is never applied twice. It is `unknown` too if
+    /// the store is restored meanwhile.
     net::awaitable<write_result> write(collection where, stored_object previous,
                                        boost::json::object spec);
 
@@ -57,6 +65,10 @@
         no_answer,
     };
 
+    /// Throws `platform_error` if the answer is of an older era.
+    void check_era(const http::response& answer);
+    /// Adds the era to the bare revisions of a listing.
+    void add_era(listing& it) const;
     net::awaitable<http::response> call(http::request message,
                                         milliseconds timeout);
     net::awaitable<attempt> try_write(const http::request& message,
@@ -66,6 +78,8 @@
     http::endpoint m_address;
     client_timing m_timing;
     const object_dialect& m_dialect;
+    std::function<void()> m_on_restored;
+    store_era m_era;
 };
 
 } // namespace cicadahub::platform
--- a/libraries/platform/object_dialect.hpp
+++ b/libraries/platform/object_dialect.hpp
@@ -3,6 +3,7 @@
 #include "http/types.hpp"
 #include "platform/stored_object.hpp"
 
+#include "core/store_version.hpp"
 #include "core/units.hpp"
 
 namespace cicadahub::platform
@@ -19,6 +20,7 @@
 /// Requests and response formats of one kind of object API. The read functions
 /// decode the body of a successful response and throw `malformed_document` if
 /// it is malformed; a listing may omit a single object that cannot be read.
+/// Versions are the store's bare revisions here.
 struct object_dialect
 {
     http::request (*list)(collection where, const std::string& after);
@@ -32,6 +34,8 @@
     listing (*read_watch)(collection where, object_version since,
                           const std::string& body);
     http::request (*remove)(collection where, const std::string& name);
+    /// Era of the store that sent the response, if it tells one.
+    std::optional<store_era> (*read_era)(const http::response& answer);
 };
 
 } // namespace cicadahub::platform
--- a/tests/decision/shard_lease_test.cpp
+++ b/tests/decision/shard_lease_test.cpp
@@ -38,6 +38,105 @@
     EXPECT_FALSE(lease.is_held(at(2'300)));
 }
 
+const epoch_number epoch_of_first_era(epoch_floor(store_era(1)).value() + 7);
+
+struct restored_case
+{
+    const char* name;
+    /// The lease object in the copy; revision 0 if the copy has none.
+    lease_record copy;
+    std::uint64_t revision;
+};
+
+void PrintTo(const restored_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+/// Lease objects of an older copy, which show nothing of the last holder.
+std::vector<restored_case> old_copies()
+{
+    return {{"released", {daemon_id("c"), epoch_number(5), 3, true}, 30},
+            {"own", {daemon_id("a"), epoch_number(6), 3, false}, 30},
+            {"of_another", {daemon_id("c"), epoch_number(5), 3, false}, 30}};
+}
+
+std::vector<restored_case> old_copies_or_none()
+{
+    std::vector<restored_case> rows = old_copies();
+    rows.push_back({"missing", {}, 0});
+    return rows;
+}
+
+class restored_leases : public testing::TestWithParam<restored_case>
+{
+};
+
+// The copy may show the lease as free, or as this daemon's own, although
+// another daemon has won it since and does not know of the restore yet.
+TEST_P(restored_leases, are_won_only_after_every_former_one_has_expired)
+{
+    const store_era era(2);
+    const object_version restored = in_era(era, GetParam().revision);
+    shard_lease lease(daemon_id("a"), timing, 0);
+    lease.on_observed({daemon_id("a"), epoch_of_first_era, 1, true},
+                      in_era(store_era(1), 50), at(0));
+    const auto first = lease.next_write(at(10));
+    ASSERT_TRUE(first);
+    lease.on_write_result(lease_write_result::applied, in_era(store_era(1), 51),
+                          at(20));
+    ASSERT_TRUE(lease.is_held(at(100)));
+    lease.on_store_restored(at(100));
+    EXPECT_FALSE(lease.is_held(at(100)));
+    EXPECT_FALSE(lease.next_write(at(5'000)));
+    lease.on_observed(GetParam().copy, restored, at(150));
+    EXPECT_FALSE(lease.next_write(at(1'399)));
+    const auto next = lease.next_write(at(1'500));
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->expected, restored);
+    EXPECT_GT(next->record.epoch, first->record.epoch);
+    EXPECT_GT(next->record.epoch, epoch_floor(era));
+}
+
+INSTANTIATE_TEST_SUITE_P(shard_lease, restored_leases,
+                         testing::ValuesIn(old_copies_or_none()),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
+class leases_at_start : public testing::TestWithParam<restored_case>
+{
+};
+
+// A daemon that starts after the restore knows of no former lease.
+TEST_P(leases_at_start, of_an_older_copy_are_not_free)
+{
+    shard_lease lease(daemon_id("b"), timing, 0);
+    lease.on_observed(GetParam().copy,
+                      in_era(store_era(2), GetParam().revision), at(0));
+    EXPECT_FALSE(lease.next_write(at(1'299)));
+    EXPECT_TRUE(lease.next_write(at(1'300)));
+}
+
+INSTANTIATE_TEST_SUITE_P(shard_lease, leases_at_start,
+                         testing::ValuesIn(old_copies()),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
+TEST(shard_lease, a_late_answer_of_the_former_era_restores_nothing)
+{
+    shard_lease lease(daemon_id("a"), timing, 0);
+    lease.on_observed({daemon_id("b"), epoch_of_first_era, 1, true},
+                      in_era(store_era(1), 50), at(0));
+    ASSERT_TRUE(lease.next_write(at(10)));
+    lease.on_store_restored(at(20));
+    lease.on_write_result(lease_write_result::applied, in_era(store_era(1), 51),
+                          at(30));
+    EXPECT_FALSE(lease.is_held(at(31)));
+    lease.on_observed({daemon_id("b"), epoch_number(8), 1, false},
+                      in_era(store_era(1), 49), at(40));
+    EXPECT_EQ(lease.version(), in_era(store_era(1), 50));
+}
+
 TEST(shard_lease, a_renewal_restarts_the_wait_of_an_observer)
 {
     shard_lease lease(daemon_id("b"), timing, 0);
--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/server_table_test.cpp
@@ -1,3 +1,4 @@
+#include "core/store_version.hpp"
 #include "entry/server_table.hpp"
 
 #include <gtest/gtest.h>
@@ -22,16 +23,22 @@
     return entry;
 }
 
-platform::stored_object object(const std::string& name, std::uint64_t version,
+platform::stored_object stored(const std::string& name, object_version version,
                                boost::json::object spec = {})
 {
     platform::stored_object it;
     it.name = name;
-    it.version = object_version(version);
+    it.version = version;
     it.spec = std::move(spec);
     return it;
 }
 
+platform::stored_object object(const std::string& name, std::uint64_t version,
+                               boost::json::object spec = {})
+{
+    return stored(name, object_version(version), std::move(spec));
+}
+
 class server_table_test : public testing::Test
 {
 protected:
@@ -123,5 +130,21 @@
     EXPECT_FALSE(m_table.on_leaving(server_id("unknown"), 1, "peer"));
 }
 
+// A restored store may have the entry of an earlier start of a server, or one
+// from before it began to leave.
+TEST_F(server_table_test, an_older_copy_of_an_entry_takes_nothing_back)
+{
+    const store_era first(1);
+    const store_era second(2);
+    m_table.apply(stored("s", in_era(first, 8), {{"incarnation", 5}}));
+    m_table.apply(stored("t", in_era(first, 9), {{"leaving", true}}));
+    m_table.apply(stored("s", in_era(second, 3), {{"incarnation", 4}}));
+    m_table.apply(stored("t", in_era(second, 4)));
+    EXPECT_EQ(m_table.find(server_id("s"))->entry.incarnation, 5);
+    EXPECT_TRUE(m_table.find(server_id("t"))->entry.is_leaving);
+    m_table.apply(stored("s", in_era(second, 5), {{"incarnation", 6}}));
+    EXPECT_EQ(m_table.find(server_id("s"))->entry.incarnation, 6);
+}
+
 } // namespace
 } // namespace cicadahub::entry
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -571,6 +571,111 @@
     EXPECT_TRUE(fleet.is_memory_respected());
 }
 
+// A copy that is some seconds old lacks a configuration, a server and a holder
+// of the lease that were there before. Callers must not notice.
+TEST(restored_store, callers_are_served_by_what_the_daemons_knew)
+{
+    platform_fleet fleet(2);
+    fleet.set_fault(fleet.store, R"({"keep_copy":true})");
+    fleet.write_configuration(2, {"another-key"}, {"/new/"});
+    fleet.add_worker("ledger", "l3", {});
+    const auto read =
+        [&](std::size_t n, const std::string& path, const std::string& key)
+    {
+        return fleet.plain(n, "r", http::verb::get, path, key).status;
+    };
+    for (const std::size_t n : {0U, 1U})
+    {
+        EXPECT_TRUE(eventually(
+            [&] { return read(n, "/new/1", "another-key") == 200; }));
+    }
+    for (const auto& it : fleet.daemons)
+    {
+        EXPECT_TRUE(eventually(
+            [&]
+            {
+                return it.program->output().find(
+                           R"("name":"server_listed","daemon":")" + it.name +
+                           R"(","server":"l3")") != std::string::npos;
+            }));
+    }
+    fleet.set_fault(fleet.store, R"({"restore":true})");
+    const time_point restored = monotonic_clock::now();
+    while (monotonic_clock::now() < restored + seconds(3))
+    {
+        for (const std::size_t n : {0U, 1U})
+        {
+            EXPECT_EQ(read(n, "/new/1", "another-key"), 200U);
+            EXPECT_EQ(read(n, "/read/1", "key-of-trust"), 401U);
+        }
+    }
+    const std::string output = fleet.daemons[0].program->output();
+    EXPECT_NE(output.find("store_restored"), std::string::npos);
+    EXPECT_EQ(output.find(R"("name":"server_gone")"), std::string::npos);
+}
+
+TEST(restored_store, a_configuration_written_after_it_is_applied)
+{
+    platform_fleet fleet(2);
+    fleet.set_fault(fleet.store, R"({"keep_copy":true})");
+    // The revisions that these versions get are given out again.
+    for (const int version : {2, 3, 4})
+    {
+        fleet.write_configuration(version, {"key-of-trust"});
+    }
+    fleet.set_fault(fleet.store, R"({"restore":true})");
+    fleet.write_configuration(5, {"key-of-trust"}, {"/new/"});
+    for (const std::size_t n : {0U, 1U})
+    {
+        EXPECT_TRUE(eventually(
+            [&] {
+                return fleet.plain(n, "r", http::verb::get, "/new/1").status ==
+                       200;
+            },
+            milliseconds(4'000)));
+    }
+}
+
+// The copy is of a time before the lease was won, or names a former holder.
+TEST(restored_store, loads_go_on_under_a_higher_fencing_number)
+{
+    platform_fleet fleet(2);
+    fleet.set_fault(fleet.store, R"({"keep_copy":true})");
+    EXPECT_TRUE(is_complete_stream(fleet.stream(0, "before", "m3")));
+    fleet.set_fault(fleet.store, R"({"restore":true})");
+    EXPECT_TRUE(eventually(
+        [&] { return is_complete_stream(fleet.stream(1, "after", "m4")); }));
+    EXPECT_EQ(fleet.engine_total("old_fences"), 0);
+    EXPECT_TRUE(fleet.is_memory_respected());
+}
+
+// The former holder sleeps through the restore and wakes while another one
+// orders.
+TEST(restored_store, a_holder_that_slept_through_it_orders_nothing)
+{
+    platform_fleet fleet(2);
+    fleet.set_fault(fleet.store, R"({"keep_copy":true})");
+    EXPECT_TRUE(is_complete_stream(fleet.stream(0, "before", "m3")));
+    // Each daemon sleeps in turn, so that one of them held the lease.
+    for (const std::size_t n : {0U, 1U})
+    {
+        fleet.daemons[n].program->pause();
+        fleet.set_fault(fleet.store, R"({"restore":true})");
+        EXPECT_TRUE(eventually(
+            [&, m = 1 - n]
+            {
+                return is_complete_stream(
+                    fleet.stream(m, "after", n == 0 ? "m4" : "m1"));
+            }));
+        fleet.daemons[n].program->resume();
+        EXPECT_TRUE(eventually(
+            [&]
+            { return is_complete_stream(fleet.stream(n, "woken", "m2")); }));
+    }
+    EXPECT_EQ(fleet.engine_total("old_fences"), 0);
+    EXPECT_TRUE(fleet.is_memory_respected());
+}
+
 TEST(platform_path, a_stopping_daemon_completes_its_streams)
 {
     platform_fleet fleet(2);
--- a/utilities/cicada-standin/object_store_standin.cpp
+++ b/utilities/cicada-standin/object_store_standin.cpp
@@ -70,6 +70,7 @@
                                          path.substr(objects_prefix.size()));
     }
     answer.prepare_payload();
+    answer.set("Store-Era", std::to_string(m_era));
     if (answer.result() == dropped_status)
     {
         reply.abort_stream();
@@ -96,6 +97,14 @@
     {
         ++m_lost_watches;
     }
+    if (reader.boolean_or("keep_copy", false))
+    {
+        m_copy = {m_revision, m_kinds};
+    }
+    if (reader.boolean_or("restore", false))
+    {
+        restore();
+    }
     if (reader.boolean_or("forget", false))
     {
         for (auto& [name, it] : m_kinds)
@@ -108,6 +117,19 @@
     return json_answer(http::status::ok, {});
 }
 
+void object_store_standin::restore()
+{
+    ++m_era;
+    m_revision = m_copy.revision;
+    for (auto& [name, it] : m_kinds)
+    {
+        it.objects = m_copy.kinds[name].objects;
+        it.changes.clear();
+        it.compacted_until = m_revision;
+        it.changed->cancel();
+    }
+}
+
 http::response object_store_standin::answer_stats() const
 {
     return json_answer(http::status::ok,
@@ -196,7 +218,7 @@
     const std::uint64_t losses = m_lost_watches;
     const auto has_changes = [&]
     {
-        return since < from.compacted_until ||
+        return since < from.compacted_until || since > m_revision ||
                (!from.changes.empty() && from.changes.back().revision > since);
     };
     while ((!has_changes() && monotonic_clock::now() < end) ||
@@ -213,7 +235,7 @@
                 end - monotonic_clock::now()));
         co_await from.changed->async_wait(net::as_tuple(net::use_awaitable));
     }
-    if (since < from.compacted_until)
+    if (since < from.compacted_until || since > m_revision)
     {
         co_return json_answer(http::status::gone, {});
     }
--- a/utilities/cicada-standin/object_store_standin.hpp
+++ b/utilities/cicada-standin/object_store_standin.hpp
@@ -19,7 +19,9 @@
 /// `outage` (calls hang until it is reset), `lose_answers` (number of writes
 /// that take effect without a response), `refused` (`User-Agent` values whose
 /// calls get 503), `forget` (drops the change history, so that older watches
-/// get 410) and `lose_watches` (pending watches are never answered).
+/// get 410), `lose_watches` (pending watches are never answered), `keep_copy`
+/// (keeps a copy of all objects) and `restore` (goes back to that copy in a new
+/// era, in which revisions are given out again).
 /// `GET /stats` returns the numbers of calls and of writes.
 class object_store_standin
 {
@@ -45,6 +47,13 @@
         std::shared_ptr<net::steady_timer> changed;
     };
 
+    struct copy
+    {
+        std::uint64_t revision = 0;
+        std::map<std::string, kind, std::less<>> kinds;
+    };
+
+    void restore();
     http::response answer_faults(const http::request& message);
     http::response answer_stats() const;
     net::awaitable<http::response> answer_objects(const http::request& message,
@@ -62,6 +71,8 @@
     net::io_context& m_context;
     std::map<std::string, kind, std::less<>> m_kinds;
     std::uint64_t m_revision = 1;
+    std::uint32_t m_era = 1;
+    copy m_copy;
     std::uint64_t m_lost_watches = 0;
     bool m_has_outage = false;
     std::int64_t m_lost_answers = 0;
