Backend: Take an order whose answer broke off for undecided

The incident's cause in the last reader of whole answers: cicadad's orders to engines took the status of an answer that was cut without an error of the transport, and so a load for done that may not be. They use the shared reader.

Measured: three rows of engine_client/order_answers failed before; all pass.

--- a/libraries/backend/engine_client.cpp
+++ b/libraries/backend/engine_client.cpp
@@ -1,6 +1,7 @@
 #include "backend/engine_client.hpp"
 
 #include "http/message_head.hpp"
+#include "http/response_reading.hpp"
 
 #include "core/json_reader.hpp"
 #include "decision/placement/replica_table.hpp"
@@ -107,10 +108,9 @@
         co_await net::async_write(connection->stream,
                                   http::wire_buffers(head, message.body()),
                                   net::use_awaitable);
-        http::response answer;
-        co_await http::beast_http::async_read(
-            connection->stream, connection->buf, answer, net::use_awaitable);
-        co_return result_of(answer.result());
+        http::full_response_parser answer;
+        co_await http::read_full_response(*connection, answer);
+        co_return result_of(answer.get().result());
     }
     catch (const boost::system::system_error&)
     {
