Entry: Log what a response says of its request and server

request_attempted has the status of every response, whether it names the request and the server that it should, whether it states that the request was not executed, and how many exchanges the connection had completed before. request_answered has the status that was forwarded.

--- a/libraries/backend/answer_relay.cpp
+++ b/libraries/backend/answer_relay.cpp
@@ -108,7 +108,7 @@
     {
         co_return m_result;
     }
-    m_result.was_reused = server->has_completed_exchange;
+    m_result.was_reused = server->completed_exchanges > 0;
     if (m_is_cancelled)
     {
         m_result.end = relay_end::cancelled;
--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -149,12 +149,17 @@
                                     time_point sent_at) const
 {
     m_state.metrics.count_attempt(name_of(result.end), time_since(sent_at));
+    const answer_head head = result.head.value_or(answer_head{});
     log_event(
         severity::info, event_number::request_attempted,
         {{"request", m_request.id.value()},
          {"server", record.entry.id.value()},
          {"end", name_of(result.end)},
-         {"status", result.answer ? result.answer->result_int() : 0},
+         {"status", head.status},
+         {"names_request", name_of(head.request)},
+         {"names_server", name_of(head.server)},
+         {"states_not_run", head.states_not_run},
+         {"earlier_exchanges", result.earlier_exchanges},
          {"running", record.running},
          {"running_elsewhere", record.running_elsewhere},
          {"framing", result.framing ? http::name_of(*result.framing) : ""},
@@ -294,7 +299,7 @@
     case exchange_end::answered:
         if (!m_progress.has_head)
         {
-            record_outcome("answered");
+            record_outcome("answered", result.answer->result_int());
             co_await m_reply.send(std::move(*result.answer));
             co_return;
         }
@@ -321,7 +326,8 @@
     }
 }
 
-void active_request::record_outcome(std::string_view outcome) const
+void active_request::record_outcome(std::string_view outcome,
+                                    unsigned status) const
 {
     m_state.metrics.count_request(outcome, time_since(m_arrived));
     if (m_progress.first_event_at)
@@ -334,6 +340,7 @@
               {{"request", m_request.id.value()},
                {"route", m_route->name.value()},
                {"outcome", outcome},
+               {"status", status},
                {"sends", m_sends},
                {"runs", m_runs},
                {"took_ms", time_since(m_arrived).count()},
--- a/libraries/entry/active_request.hpp
+++ b/libraries/entry/active_request.hpp
@@ -71,7 +71,8 @@
     milliseconds time_left(time_point now) const;
     void record_attempt(const exchange_result& result,
                         const server_record& record, time_point sent_at) const;
-    void record_outcome(std::string_view outcome) const;
+    /// `status` is that of a forwarded response; 0 if there is none.
+    void record_outcome(std::string_view outcome, unsigned status = 0) const;
     bool is_stream() const;
 
     entry_state& m_state;
--- a/libraries/entry/dialects.hpp
+++ b/libraries/entry/dialects.hpp
@@ -63,10 +63,27 @@
     std::optional<milliseconds> pause;
 };
 
+/// Whether a response names the request, or the server, that it should.
+enum class named_party
+{
+    missing,
+    expected,
+    other,
+};
+
+std::string_view name_of(named_party it);
+
 struct answer_head
 {
     answer_meaning meaning = answer_meaning::not_an_answer;
     std::optional<server_load> load;
+    unsigned status = 0;
+    /// The request that the response names.
+    named_party request = named_party::missing;
+    /// The server that the response names; most responses name none.
+    named_party server = named_party::missing;
+    /// The server states that it has not executed the request.
+    bool states_not_run = false;
 };
 
 /// Encoding of requests, orders and reports for one kind of backend server.
@@ -75,7 +92,8 @@
     std::string (*forward_head)(const http::request& message,
                                 const forwarding& added);
     answer_head (*read_answer)(const http::beast_http::response_header<>& head,
-                               const request_id& expected);
+                               const request_id& request,
+                               const server_id& server);
     server_notice (*read_notice)(
         const http::beast_http::response_header<>& head,
         const server_id& expected);
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -154,6 +154,7 @@
         co_return m_result;
     }
     m_connection = server.get();
+    m_result.earlier_exchanges = server->completed_exchanges;
     try
     {
         co_await send(*server, message, added);
@@ -225,8 +226,8 @@
     co_await http::beast_http::async_read_header(server.stream, server.buf,
                                                  *m_parser, net::use_awaitable);
     const auto& head = m_parser->get();
-    const answer_head meaning = m_dialect.read_answer(head, id);
-    m_result.load = meaning.load;
+    const answer_head meaning = m_dialect.read_answer(head, id, sender);
+    m_result.head = meaning;
     m_result.notice = m_dialect.read_notice(head, sender);
     m_handlers.on_notice(m_result.notice);
     m_result.framing = http::framing_of(*m_parser);
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -53,8 +53,11 @@
 {
     exchange_end end = exchange_end::not_sent;
     std::optional<http::response> answer;
-    std::optional<server_load> load;
+    /// Empty if no head of a response was received.
+    std::optional<answer_head> head;
     server_notice notice;
+    /// Exchanges that the connection had completed before this one.
+    std::uint32_t earlier_exchanges = 0;
     /// The server closed or reset the connection after it had received bytes of
     /// the request, as when its process crashes.
     bool is_connection_lost = false;
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -99,7 +99,7 @@
 
 void client_pool::release(const endpoint& address, connection_pointer it)
 {
-    it->has_completed_exchange = true;
+    ++it->completed_exchanges;
     it->stream.expires_never();
     auto& idle = m_idle[address];
     if (idle.size() < m_idle_limit && it->buf.size() == 0)
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -22,8 +22,8 @@
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buf;
-    /// True once a complete request and response have used the connection.
-    bool has_completed_exchange = false;
+    /// Requests that were sent and answered in full on the connection.
+    std::uint32_t completed_exchanges = 0;
     /// Time from which the server may close the idle connection, by the
     /// Keep-Alive field of its last response.
     time_point reusable_until = time_point::max();
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -18,9 +18,11 @@
 }
 
 answer_head read_answer(const http::beast_http::response_header<>&,
-                        const request_id&)
+                        const request_id&, const server_id&)
 {
-    return {answer_meaning::answer, std::nullopt};
+    answer_head it;
+    it.meaning = answer_meaning::answer;
+    return it;
 }
 
 server_notice read_notice(const http::beast_http::response_header<>& head,
