Tests: Show that promises of no execution are untrue

Callers got 408, 429 or 503 for requests that a server had executed, and such requests ran twice. The server stand-in now executes a request and answers it with such a status without the statement that it was not run, or sends the refusal of another request in front of its response.

--- /dev/null
+++ b/tests/system/promise_test.cpp
@@ -0,0 +1,104 @@
+#include "platform_fleet.hpp"
+
+#include "decision/outcome/response_meaning.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cicadahub::system_tests
+{
+namespace
+{
+
+/// A request that must not run twice.
+struct request_case
+{
+    const char* name;
+    const char* path;
+    bool is_stream;
+};
+
+struct promise_case
+{
+    const char* name;
+    int status;
+    /// Faults of all servers; the status is added.
+    const char* faults;
+};
+
+void PrintTo(const promise_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+void PrintTo(const request_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+const request_case once_requests[] = {
+    {"stream", "/once/x", true},
+    {"call", "/post/x", false},
+};
+
+class untrue_promises
+    : public testing::TestWithParam<std::tuple<request_case, promise_case>>
+{
+};
+
+// Guards against a promise that a request was not executed, given to a caller
+// whose request was, and against a second execution because of such a promise.
+TEST_P(untrue_promises, are_neither_passed_on_nor_believed)
+{
+    const auto& [request, promise] = GetParam();
+    platform_fleet fleet(1);
+    // The connections have carried other requests.
+    EXPECT_EQ(fleet.stream(0, "warm", "m1").status, 200U);
+    EXPECT_EQ(fleet.plain(0, "warm", http::verb::get, "/read/1").status, 200U);
+    EXPECT_EQ(fleet.plain(0, "warm", http::verb::get, "/read/1").status, 200U);
+    const auto& servers = request.is_stream ? fleet.engines : fleet.services;
+    std::int64_t runs_before = 0;
+    for (const auto& it : servers)
+    {
+        runs_before += read_stat(it.address, "runs");
+        fleet.set_fault(it.address, std::string(promise.faults) +
+                                        R"(,"promised_status":)" +
+                                        std::to_string(promise.status) + "}");
+    }
+    const answer seen =
+        request.is_stream
+            ? fleet.stream(0, "once", "m1", "key-of-trust", request.path)
+            : fleet.plain(0, "once", http::verb::post, request.path);
+    std::int64_t runs = -runs_before;
+    for (const auto& it : servers)
+    {
+        runs += read_stat(it.address, "runs");
+    }
+    EXPECT_EQ(runs, 1);
+    EXPECT_FALSE(outcome::promises_not_run(seen.status)) << seen.status;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    platform_path, untrue_promises,
+    testing::Combine(
+        testing::ValuesIn(once_requests),
+        testing::Values(
+            promise_case{"own_408", 408, R"({"unproven_promises":9)"},
+            promise_case{"own_429", 429, R"({"unproven_promises":9)"},
+            promise_case{"own_503", 503, R"({"unproven_promises":9)"},
+            promise_case{"unnamed_421", 421, R"({"stale_refusals":9)"},
+            promise_case{"unnamed_429", 429, R"({"stale_refusals":9)"},
+            promise_case{"unnamed_503", 503, R"({"stale_refusals":9)"},
+            promise_case{"of_another_421", 421,
+                         R"({"stale_refusals":9,"stale_id":"another")"},
+            promise_case{"of_another_408", 408,
+                         R"({"stale_refusals":9,"stale_id":"another")"},
+            promise_case{"of_another_503", 503,
+                         R"({"stale_refusals":9,"stale_id":"another")"})),
+    [](const auto& it)
+    {
+        return std::string(std::get<0>(it.param).name) + "_" +
+               std::get<1>(it.param).name;
+    });
+
+} // namespace
+} // namespace cicadahub::system_tests
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -153,6 +153,13 @@
         m_is_draining = reader.boolean_or("draining", m_is_draining);
         m_is_unframed = reader.boolean_or("unframed", m_is_unframed);
         m_is_leaving = reader.boolean_or("leaving", m_is_leaving);
+        m_unproven_promises =
+            reader.integer_or("unproven_promises", m_unproven_promises);
+        m_stale_refusals =
+            reader.integer_or("stale_refusals", m_stale_refusals);
+        m_promised_status =
+            reader.integer_or("promised_status", m_promised_status);
+        m_stale_id = reader.text_or("stale_id", m_stale_id);
         if (json.contains("shed_s"))
         {
             m_sheds_until =
@@ -201,6 +208,18 @@
     }
 }
 
+http::response worker_standin::stale_refusal()
+{
+    --m_stale_refusals;
+    http::response answer =
+        refusal(static_cast<http::status>(m_promised_status));
+    if (!m_stale_id.empty())
+    {
+        answer.set("Request-Id", m_stale_id);
+    }
+    return answer;
+}
+
 http::response worker_standin::shed()
 {
     const time_point now = monotonic_clock::now();
@@ -384,7 +403,21 @@
     ++m_running;
     try
     {
-        if (model.empty())
+        if (m_stale_refusals > 0)
+        {
+            co_await reply.send(stale_refusal());
+        }
+        if (m_unproven_promises > 0)
+        {
+            --m_unproven_promises;
+            co_await pause(plain_call_time);
+            http::response answer =
+                json_answer(static_cast<http::status>(m_promised_status), {});
+            answer.set("Request-Id", message["Request-Id"]);
+            answer.set("Response-Seal", "seal-" + m_settings.id);
+            co_await reply.send(std::move(answer));
+        }
+        else if (model.empty())
         {
             co_await answer_plain(message, reply);
         }
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -42,7 +42,12 @@
 /// without a response), `draining`, `leaving` (responses announce that the
 /// server leaves, while its entry in the store does not) and `shed_s` (for that
 /// many seconds requests are turned away with the rest of that time as the
-/// pause). `GET /stats` returns counters.
+/// pause), `unproven_promises` (number of requests that are executed and
+/// answered with `promised_status` without the statement that they were not)
+/// and `stale_refusals` (number of requests in front of whose response a
+/// refusal of another request arrives, with `promised_status`; it names the
+/// request `stale_id`, or none if that is empty). `GET /stats` returns
+/// counters.
 class worker_standin
 {
 public:
@@ -60,6 +65,8 @@
                                 http::reply_writer& reply);
     /// Marks a response if the server leaves.
     void announce(http::response& it) const;
+    /// The refusal of another request that arrives in front of a response.
+    http::response stale_refusal();
     /// The rejection that asks for a pause; counts requests that come within
     /// it.
     http::response shed();
@@ -93,6 +100,10 @@
     std::int64_t m_silent_orders = 0;
     bool m_is_unframed = false;
     bool m_is_leaving = false;
+    std::int64_t m_unproven_promises = 0;
+    std::int64_t m_stale_refusals = 0;
+    std::int64_t m_promised_status = 503;
+    std::string m_stale_id;
     time_point m_sheds_until{};
     /// From here to `m_sheds_until` no request should come.
     std::optional<time_point> m_pause_begins_at;
