Entry: Believe only proven statements that a request was not executed

Callers saw 503, 429 or 408 for requests that a server had executed (REFUSED), and requests that must run once ran twice (TWICE).

Cause: `Not-Run` and the status 421 counted before the response's request id was looked at, and any response with the id was forwarded whatever its status. So a late second response to another request, or one that names none, ended an attempt as not executed: the request was sent again, or refused as not run after three sends, while the first server executed it. A server's own 408, 429 or 503 without the statement went to the caller as a promise that nobody had made.

The adapter now reports facts only; outcome::meaning_of decides in one place. A response counts only if it names the request. 421 and Not-Run are statements of the server about this request; a 408, 429 or 503 without one is a failure with unknown outcome: it is repeated only where a repeat is allowed, and the caller gets 502. A success that claims not to have run is no answer.

--- a/libraries/core/refusal.cpp
+++ b/libraries/core/refusal.cpp
@@ -72,6 +72,11 @@
                 "The platform's object API does not answer.", 503},
 };
 
+constexpr unsigned request_timeout_status = 408;
+constexpr unsigned misdirected_request_status = 421;
+constexpr unsigned too_many_requests_status = 429;
+constexpr unsigned service_unavailable_status = 503;
+
 const refusal_row& row_of(refusal_kind kind)
 {
     return refusal_rows.at(static_cast<std::size_t>(kind));
@@ -89,6 +94,23 @@
     return row_of(kind).status;
 }
 
+bool promises_not_run(unsigned status)
+{
+    return status == request_timeout_status ||
+           status == misdirected_request_status ||
+           status == too_many_requests_status ||
+           status == service_unavailable_status;
+}
+
+refusal without_untrue_promise(refusal it)
+{
+    if (!it.is_not_run && promises_not_run(status_of(it.kind)))
+    {
+        it.kind = refusal_kind::outcome_unknown;
+    }
+    return it;
+}
+
 std::string problem_document(const refusal& it)
 {
     const refusal_row& row = row_of(it.kind);
--- a/libraries/core/refusal.hpp
+++ b/libraries/core/refusal.hpp
@@ -59,6 +59,14 @@
 /// HTTP status of the refusal.
 unsigned status_of(refusal_kind kind);
 
+/// True for the statuses that promise a caller that its request has not been
+/// executed and will not be, so that it may safely repeat it.
+bool promises_not_run(unsigned status);
+
+/// The refusal to send instead: `outcome_unknown` if the status would promise
+/// that the request was not executed although it may have been.
+refusal without_untrue_promise(refusal it);
+
 /// RFC 9457 problem document of the refusal.
 std::string problem_document(const refusal& it);
 
--- a/libraries/decision/outcome/response_meaning.cpp
+++ b/libraries/decision/outcome/response_meaning.cpp
@@ -1,5 +1,7 @@
 #include "decision/outcome/response_meaning.hpp"
 
+#include "core/refusal.hpp"
+
 #include <array>
 #include <cstddef>
 
@@ -9,10 +11,7 @@
 namespace
 {
 
-constexpr unsigned request_timeout = 408;
 constexpr unsigned misdirected_request = 421;
-constexpr unsigned too_many_requests = 429;
-constexpr unsigned service_unavailable = 503;
 
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirection = 300;
@@ -32,12 +31,6 @@
     return names.at(static_cast<std::size_t>(it));
 }
 
-bool promises_not_run(unsigned status)
-{
-    return status == request_timeout || status == misdirected_request ||
-           status == too_many_requests || status == service_unavailable;
-}
-
 response_meaning meaning_of(const response_facts& it)
 {
     // A response to an earlier request may arrive where the next one is
--- a/libraries/decision/outcome/response_meaning.hpp
+++ b/libraries/decision/outcome/response_meaning.hpp
@@ -46,10 +46,6 @@
     not_an_answer,
 };
 
-/// True for the statuses that promise a caller that its request has not been
-/// executed and will not be, so that it may safely repeat it.
-bool promises_not_run(unsigned status);
-
 response_meaning meaning_of(const response_facts& it);
 
 } // namespace cicadahub::outcome
--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -149,15 +149,16 @@
                                     time_point sent_at) const
 {
     m_state.metrics.count_attempt(name_of(result.end), time_since(sent_at));
-    const answer_head head = result.head.value_or(answer_head{});
+    const outcome::response_facts head =
+        result.head.value_or(answer_head{}).facts;
     log_event(
         severity::info, event_number::request_attempted,
         {{"request", m_request.id.value()},
          {"server", record.entry.id.value()},
          {"end", name_of(result.end)},
          {"status", head.status},
-         {"names_request", name_of(head.request)},
-         {"names_server", name_of(head.server)},
+         {"names_request", outcome::name_of(head.request)},
+         {"names_server", outcome::name_of(head.server)},
          {"states_not_run", head.states_not_run},
          {"earlier_exchanges", result.earlier_exchanges},
          {"running", record.running},
@@ -203,8 +204,8 @@
         record.health.on_unreachable(now);
         is_suspended = true;
     }
-    else if (result.end == exchange_end::failed ||
-             (is_server_error(result) && !result.notice.pause))
+    else if ((result.end == exchange_end::failed || is_server_error(result)) &&
+             !result.notice.pause)
     {
         is_suspended = record.health.on_failure(now);
     }
--- a/libraries/entry/dialects.hpp
+++ b/libraries/entry/dialects.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/refusal.hpp"
+#include "decision/outcome/response_meaning.hpp"
 #include "decision/replicas/types.hpp"
 #include "http/types.hpp"
 #include "platform/stored_object.hpp"
@@ -32,21 +33,6 @@
     std::optional<std::string> after_event;
 };
 
-/// Result of a request according to the head of the server's response.
-enum class answer_meaning
-{
-    /// The server's response to the request, to be forwarded to the caller.
-    answer,
-    /// Not executed: the server is full or cannot meet the deadline.
-    turned_away,
-    /// Not executed: another server now has the address, or the model is not
-    /// loaded.
-    not_here,
-    /// The response belongs to another request, or lacks the proof that it
-    /// comes from the server.
-    not_an_answer,
-};
-
 struct server_load
 {
     std::uint32_t running = 0;
@@ -63,27 +49,10 @@
     std::optional<milliseconds> pause;
 };
 
-/// Whether a response names the request, or the server, that it should.
-enum class named_party
-{
-    missing,
-    expected,
-    other,
-};
-
-std::string_view name_of(named_party it);
-
 struct answer_head
 {
-    answer_meaning meaning = answer_meaning::not_an_answer;
+    outcome::response_facts facts;
     std::optional<server_load> load;
-    unsigned status = 0;
-    /// The request that the response names.
-    named_party request = named_party::missing;
-    /// The server that the response names; most responses name none.
-    named_party server = named_party::missing;
-    /// The server states that it has not executed the request.
-    bool states_not_run = false;
 };
 
 /// Encoding of requests, orders and reports for one kind of backend server.
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -16,6 +16,8 @@
 namespace
 {
 
+using outcome::response_meaning;
+
 constexpr std::uint64_t answer_limit_bytes = 64 * 1024 * 1024;
 constexpr auto no_throw = net::as_tuple(net::use_awaitable);
 
@@ -226,19 +228,19 @@
     co_await http::beast_http::async_read_header(server.stream, server.buf,
                                                  *m_parser, net::use_awaitable);
     const auto& head = m_parser->get();
-    const answer_head meaning = m_dialect.read_answer(head, id, sender);
-    m_result.head = meaning;
+    m_result.head = m_dialect.read_answer(head, id, sender);
+    const auto meaning = outcome::meaning_of(m_result.head->facts);
     m_result.notice = m_dialect.read_notice(head, sender);
     m_handlers.on_notice(m_result.notice);
     m_result.framing = http::framing_of(*m_parser);
-    if (meaning.meaning == answer_meaning::not_an_answer)
+    if (meaning == response_meaning::not_an_answer)
     {
         m_result.reason = "the response is not valid for this request";
         m_result.end = exchange_end::failed;
         co_return;
     }
     const bool is_stream =
-        meaning.meaning == answer_meaning::answer &&
+        meaning == response_meaning::answer &&
         head.result() == http::status::ok &&
         http::is_event_stream(head[http::field::content_type]);
     if (is_stream)
@@ -247,14 +249,19 @@
         co_return;
     }
     http::response answer = co_await read_full_response(server);
-    switch (meaning.meaning)
+    switch (meaning)
     {
-    case answer_meaning::turned_away:
+    case response_meaning::turned_away:
         m_result.end = exchange_end::turned_away;
         break;
-    case answer_meaning::not_here:
+    case response_meaning::not_here:
         m_result.end = exchange_end::not_here;
         break;
+    case response_meaning::unproven_promise:
+        m_result.end = exchange_end::failed;
+        m_result.reason = "the server does not state that it has not executed "
+                          "the request";
+        break;
     default:
         m_result.end = exchange_end::answered;
         m_result.answer = std::move(answer);
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -30,8 +30,8 @@
     /// The same, because another server now has the address, or the model is
     /// not loaded.
     not_here,
-    /// Bytes of the request were sent, but no usable response was received: the
-    /// request may have been executed.
+    /// Bytes of the request were sent, but no response that can be forwarded
+    /// was received: the request may have been executed.
     failed,
     /// The deadline of the request has passed.
     out_of_time,
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -21,7 +21,9 @@
                         const request_id&, const server_id&)
 {
     answer_head it;
-    it.meaning = answer_meaning::answer;
+    it.facts.status = 200;
+    it.facts.request = outcome::named_party::expected;
+    it.facts.has_proof_of_origin = true;
     return it;
 }
 
--- a/tests/system/promise_test.cpp
+++ b/tests/system/promise_test.cpp
@@ -1,6 +1,6 @@
 #include "platform_fleet.hpp"
 
-#include "decision/outcome/response_meaning.hpp"
+#include "core/refusal.hpp"
 
 #include <gtest/gtest.h>
 
@@ -74,7 +74,7 @@
         runs += read_stat(it.address, "runs");
     }
     EXPECT_EQ(runs, 1);
-    EXPECT_FALSE(outcome::promises_not_run(seen.status)) << seen.status;
+    EXPECT_FALSE(promises_not_run(seen.status)) << seen.status;
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -177,7 +177,8 @@
     const auto expected = message["Expect-Instance"];
     if (!expected.empty() && expected != m_settings.id)
     {
-        co_await reply.send(refusal(http::status::misdirected_request));
+        co_await reply.send(
+            refusal(http::status::misdirected_request, message["Request-Id"]));
         co_return;
     }
     if (path == "/v1/report")
@@ -211,16 +212,10 @@
 http::response worker_standin::stale_refusal()
 {
     --m_stale_refusals;
-    http::response answer =
-        refusal(static_cast<http::status>(m_promised_status));
-    if (!m_stale_id.empty())
-    {
-        answer.set("Request-Id", m_stale_id);
-    }
-    return answer;
+    return refusal(static_cast<http::status>(m_promised_status), m_stale_id);
 }
 
-http::response worker_standin::shed()
+http::response worker_standin::shed(std::string_view request)
 {
     const time_point now = monotonic_clock::now();
     if (!m_pause_begins_at)
@@ -230,17 +225,22 @@
     m_arrivals_in_pause += now > *m_pause_begins_at ? 1 : 0;
     const auto left =
         std::chrono::duration<double>(m_sheds_until - now).count();
-    http::response answer = refusal(http::status::service_unavailable);
+    http::response answer = refusal(http::status::service_unavailable, request);
     answer.set(http::field::retry_after, std::to_string(left));
     return answer;
 }
 
-http::response worker_standin::refusal(http::status code) const
+http::response worker_standin::refusal(http::status code,
+                                       std::string_view request) const
 {
     http::response answer{code, 11};
     announce(answer);
     answer.set("Instance-Id", m_settings.id);
     answer.set("Not-Run", "1");
+    if (!request.empty())
+    {
+        answer.set("Request-Id", request);
+    }
     answer.prepare_payload();
     return answer;
 }
@@ -384,17 +384,19 @@
          (!adapter.empty() && !held->second.contains(adapter)));
     if (is_absent)
     {
-        co_await reply.send(refusal(http::status::misdirected_request));
+        co_await reply.send(
+            refusal(http::status::misdirected_request, message["Request-Id"]));
         co_return;
     }
     if (monotonic_clock::now() < m_sheds_until)
     {
-        co_await reply.send(shed());
+        co_await reply.send(shed(message["Request-Id"]));
         co_return;
     }
     if (m_running >= m_settings.slots)
     {
-        co_await reply.send(refusal(http::status::service_unavailable));
+        co_await reply.send(
+            refusal(http::status::service_unavailable, message["Request-Id"]));
         co_return;
     }
     ++m_runs[std::string(message["Request-Id"])];
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -69,7 +69,7 @@
     http::response stale_refusal();
     /// The rejection that asks for a pause; counts requests that come within
     /// it.
-    http::response shed();
+    http::response shed(std::string_view request);
     net::awaitable<void> answer_plain(const http::request& message,
                                       http::reply_writer& reply);
     http::response answer_order(const http::request& message);
@@ -78,7 +78,8 @@
                                   const std::string& adapter, bool is_load);
     http::response answer_report() const;
     http::response answer_stats() const;
-    http::response refusal(http::status code) const;
+    /// The refusal of the request with this id; names none if it is empty.
+    http::response refusal(http::status code, std::string_view request) const;
     boost::json::array models_json() const;
     boost::json::object available_json() const;
     std::int64_t used_megabytes() const;
