Core: Never promise "not run" for a request that may have run

A request whose server crashed while executing it was refused with 503 no-capacity when no other server had the model: is_not_run was false in the body, but the status promised it. Other refusals after a run (target-unreachable while waiting for a second attempt, not-ready at a stop) had the same fault.

The status of a refusal did not depend on whether the request had run. Now without_untrue_promise does it for every refusal that is sent, whoever raised it: a promise turns into outcome-unknown (504).

--- a/libraries/core/refusal.hpp
+++ b/libraries/core/refusal.hpp
@@ -46,8 +46,8 @@
 struct refusal
 {
     refusal_kind kind;
-    /// True only if no byte of the request was sent to a backend server, so
-    /// that the caller can safely repeat it.
+    /// True only if no backend server executes the request or has executed it,
+    /// so that the caller can safely repeat it.
     bool is_not_run = true;
     /// Time after which the caller may retry; zero if a retry cannot succeed.
     milliseconds retry_after{0};
--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -45,21 +45,23 @@
     return m_route->kind == serving::request_kind::stream;
 }
 
-void active_request::refuse(refusal_kind kind, milliseconds retry_after)
+void active_request::refuse(refusal_kind reason, milliseconds retry_after)
 {
-    m_state.metrics.count_refusal(kind);
+    const refusal it =
+        without_untrue_promise({reason, m_runs == 0, retry_after});
+    m_state.metrics.count_refusal(it.kind);
     log_event(
         severity::warning, event_number::request_refused,
         {{"request", m_request.id.value()},
          {"route", m_route == nullptr ? std::string() : m_route->name.value()},
          {"model", m_request.model ? m_request.model->value() : std::string()},
-         {"reason", cicadahub::name_of(kind)},
+         {"reason", cicadahub::name_of(it.kind)},
          {"sends", m_sends},
          {"runs", m_runs},
          {"after_ms", time_since(m_arrived).count()},
          {"retry_after_ms", retry_after.count()},
          {"configuration", m_configuration ? m_configuration->version : 0}});
-    throw refused_error({kind, m_runs == 0, retry_after});
+    throw refused_error(it);
 }
 
 net::awaitable<void> active_request::serve()
--- a/libraries/entry/active_request.hpp
+++ b/libraries/entry/active_request.hpp
@@ -65,7 +65,7 @@
     bool is_retryable(const exchange_result& result) const;
     void update_health(const exchange_result& result, server_record& record);
     net::awaitable<void> finish(exchange_result result);
-    [[noreturn]] void refuse(refusal_kind kind, milliseconds retry_after);
+    [[noreturn]] void refuse(refusal_kind reason, milliseconds retry_after);
     void refuse_if_unservable(time_point now, const server_pick& pick);
     milliseconds estimated_wait(time_point now) const;
     milliseconds time_left(time_point now) const;
--- a/libraries/http/reply_writer.cpp
+++ b/libraries/http/reply_writer.cpp
@@ -35,6 +35,7 @@
 
 net::awaitable<void> reply_writer::send(refusal it)
 {
+    it = without_untrue_promise(it);
     response message{static_cast<status>(status_of(it.kind)), 11};
     message.set(field::content_type, "application/problem+json");
     if (it.retry_after.count() > 0)
--- a/tests/system/promise_test.cpp
+++ b/tests/system/promise_test.cpp
@@ -100,5 +100,17 @@
                std::get<1>(it.param).name;
     });
 
+// Guards against "no capacity" with a promise for a request that a server was
+// executing when it crashed, where no other server has the model.
+TEST(platform_path, a_request_on_a_crashed_server_gets_no_promise)
+{
+    platform_fleet fleet(1);
+    EXPECT_EQ(fleet.stream(0, "warm", "m1").status, 200U);
+    fleet.set_fault(fleet.engines[0].address, R"({"crash_after_run":true})");
+    const answer seen = fleet.stream(0, "crashed", "m1");
+    EXPECT_EQ(fleet.engines[0].program->wait(), 134);
+    EXPECT_FALSE(promises_not_run(seen.status)) << seen.status;
+}
+
 } // namespace
 } // namespace cicadahub::system_tests
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <charconv>
+#include <cstdlib>
 
 namespace cicadahub::standin
 {
@@ -18,6 +19,7 @@
 constexpr milliseconds plain_call_time{10};
 /// A request that was on its way when the pause was asked for may come so late.
 constexpr milliseconds pause_grace{500};
+constexpr int crash_status = 134;
 constexpr int events_per_stream = 8;
 constexpr int events_before_break = 2;
 
@@ -153,6 +155,8 @@
         m_is_draining = reader.boolean_or("draining", m_is_draining);
         m_is_unframed = reader.boolean_or("unframed", m_is_unframed);
         m_is_leaving = reader.boolean_or("leaving", m_is_leaving);
+        m_crashes_after_run =
+            reader.boolean_or("crash_after_run", m_crashes_after_run);
         m_unproven_promises =
             reader.integer_or("unproven_promises", m_unproven_promises);
         m_stale_refusals =
@@ -403,6 +407,10 @@
     m_keys_seen += message.count(http::field::authorization) > 0 ? 1 : 0;
     m_organisations.insert(std::string(message["Tenant"]));
     ++m_running;
+    if (m_crashes_after_run)
+    {
+        std::_Exit(crash_status);
+    }
     try
     {
         if (m_stale_refusals > 0)
