Entry: Repeat a request at the same address on a new connection only

A server may send a second copy of a response where the next one is expected. If a request goes to the same server again (the only one with the model, or back after a pause), the copy of its own earlier refusal names the same request: the repeat counted as not executed while the server executed it, and the request was sent on or refused (TWICE, REFUSED).

Only the connection tells the two apart, so that an address that the request was sent to before gets a new one.

Before: exchange.a_repeat_does_not_read_the_copy_of_an_earlier_refusal ended turned_away with the idle connection; with a new one the answer arrives.

--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -139,9 +139,10 @@
     added.time_left = std::max(time_left(now), milliseconds(1));
     added.after_event = m_progress.last_event;
     ++m_sends;
-    exchange_result result =
-        co_await m_exchange.run(record->entry.address, m_message, added,
-                                m_request.id, m_reply, m_progress, m_deadline);
+    exchange_result result = co_await m_exchange.run(
+        record->entry.address, m_message, added, m_request.id, m_reply,
+        m_progress, m_deadline,
+        !m_attempted_addresses.insert(record->entry.address).second);
     record_attempt(result, *record, now);
     co_return result;
 }
--- a/libraries/entry/active_request.hpp
+++ b/libraries/entry/active_request.hpp
@@ -93,6 +93,7 @@
     /// The caller gives up if it has received nothing by then.
     time_point m_first_byte_deadline{};
     std::set<server_id> m_excluded_servers;
+    std::set<http::endpoint> m_attempted_addresses;
     /// Attempts that a server executed or may have executed, out of `m_sends`.
     std::uint32_t m_runs = 0;
     std::uint32_t m_sends = 0;
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -126,7 +126,7 @@
 exchange::run(const http::endpoint& address, const http::request& message,
               const forwarding& added, const request_id& id,
               http::reply_writer& reply, stream_progress& progress,
-              time_point deadline)
+              time_point deadline, bool use_new_connection)
 {
     m_result = {};
     m_deadline = deadline;
@@ -135,7 +135,15 @@
     http::client_pool::connection_pointer server;
     try
     {
-        server = co_await m_pool.acquire(address);
+        // GCC 12 miscompiles `co_await` inside a conditional expression.
+        if (use_new_connection)
+        {
+            server = co_await m_pool.connect(address);
+        }
+        else
+        {
+            server = co_await m_pool.acquire(address);
+        }
     }
     catch (const boost::system::system_error& reason)
     {
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -89,11 +89,14 @@
              exchange_handlers handlers);
 
     /// `deadline` covers the complete exchange, not each of its steps.
+    /// `use_new_connection` is for a request that was sent to this address
+    /// before: a second copy of the response to its earlier attempt would name
+    /// the same request.
     net::awaitable<exchange_result>
     run(const http::endpoint& address, const http::request& message,
         const forwarding& added, const request_id& id,
         http::reply_writer& reply, stream_progress& progress,
-        time_point deadline);
+        time_point deadline, bool use_new_connection);
 
     /// Closes the connection to the server, so that the server stops working on
     /// a request whose caller has disconnected.
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -2,6 +2,7 @@
 
 #include "relay_run.hpp"
 #include "response_endings.hpp"
+#include "servers.hpp"
 
 #include <gtest/gtest.h>
 
@@ -68,7 +69,7 @@
         {
             exchange_result result = co_await subject.run(
                 server, message, added, id, reply, seen.progress,
-                monotonic_clock::now() + timeout);
+                monotonic_clock::now() + timeout, false);
             if (result.end == exchange_end::failed)
             {
                 reply.abort_stream();
@@ -172,5 +173,43 @@
     EXPECT_EQ(seen.result.framing, std::nullopt);
 }
 
+// A server may send a second copy of a response where the next one is
+// expected. A copy of the refusal of a request's earlier attempt names the same
+// request, so that only the connection tells it from the response to the
+// repeat.
+TEST(exchange, a_repeat_does_not_read_the_copy_of_an_earlier_refusal)
+{
+    const std::string fields = "Request-Id: r\r\nResponse-Seal: s\r\n";
+    const std::string refusal =
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + fields +
+        fakes::length_of(0) + "\r\n";
+    const std::string success =
+        "HTTP/1.1 200 OK\r\n" + fields + fakes::length_of(0) + "\r\n";
+    fakes::relay_run run(
+        fakes::connection_scripts{{refusal, refusal + success}, {success}},
+        fakes::connection_end::stays_open);
+    exchange subject(run.pool(), adapter::servers,
+                     {[] { return true; },
+                      [](const server_notice&) {
+                      }});
+    const http::request message{http::verb::post, "/", 11};
+    const forwarding added;
+    const request_id id("r");
+    stream_progress progress;
+    const auto attempt = [&](bool use_new_connection)
+    {
+        return run.run(
+            [&](http::endpoint server, http::reply_writer& reply)
+            {
+                return subject.run(server, message, added, id, reply, progress,
+                                   monotonic_clock::now() + seconds(5),
+                                   use_new_connection);
+            });
+    };
+    EXPECT_EQ(attempt(false).end, exchange_end::turned_away);
+    const exchange_result repeated = attempt(true);
+    EXPECT_EQ(repeated.end, exchange_end::answered) << repeated.reason;
+}
+
 } // namespace
 } // namespace cicadahub::entry
--- a/tests/fakes/relay_run.hpp
+++ b/tests/fakes/relay_run.hpp
@@ -23,7 +23,13 @@
 {
 public:
     relay_run(const std::string& response, connection_end end)
-        : m_server(m_context, response, end),
+        : relay_run(connection_scripts{{response}}, end)
+    {
+    }
+
+    /// The server answers by a script for each connection.
+    relay_run(connection_scripts scripts, connection_end end)
+        : m_server(m_context, std::move(scripts), end),
           m_pool(m_context, milliseconds(1'000), 4), m_caller(m_context),
           m_stream(m_context)
     {
--- a/tests/fakes/scripted_server.hpp
+++ b/tests/fakes/scripted_server.hpp
@@ -10,6 +10,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 namespace cicadahub::fakes
 {
 
@@ -23,15 +27,29 @@
     reset,
 };
 
+/// Responses to the requests of each connection, in their order.
+using connection_scripts = std::vector<std::vector<std::string>>;
+
 /// Backend server on loopback that answers each request with given bytes,
-/// whatever the request is. It reads heads of requests only.
+/// whatever the request is: the same bytes each time, or those that a script
+/// has for the request's place on its connection. It reads heads of requests
+/// only.
 class scripted_server
 {
 public:
     scripted_server(net::io_context& context, std::string response,
                     connection_end end)
+        : scripted_server(context, connection_scripts{{std::move(response)}},
+                          end)
+    {
+    }
+
+    /// One script for each connection, in the order in which they are opened.
+    /// Its last entry, and the last script, also serve what comes later.
+    scripted_server(net::io_context& context, connection_scripts scripts,
+                    connection_end end)
         : m_acceptor(context, {net::ip::address_v4::loopback(), 0}),
-          m_response(std::move(response)), m_end(end)
+          m_scripts(std::move(scripts)), m_end(end)
     {
         net::co_spawn(context, accept_loop(), net::detached);
     }
@@ -43,22 +61,25 @@
 
     net::awaitable<void> accept_loop()
     {
-        while (true)
+        for (std::size_t n = 0;; ++n)
         {
             auto [ec, socket] = co_await m_acceptor.async_accept(no_throw);
             if (ec)
             {
                 co_return;
             }
-            net::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)),
+            net::co_spawn(m_acceptor.get_executor(),
+                          serve(std::move(socket),
+                                m_scripts[std::min(n, m_scripts.size() - 1)]),
                           net::detached);
         }
     }
 
-    net::awaitable<void> serve(net::ip::tcp::socket socket)
+    net::awaitable<void> serve(net::ip::tcp::socket socket,
+                               std::vector<std::string> script)
     {
         std::string received;
-        while (true)
+        for (std::size_t place = 0;; ++place)
         {
             auto [ec, n] = co_await net::async_read_until(
                 socket, net::dynamic_buffer(received), "\r\n\r\n", no_throw);
@@ -67,8 +88,9 @@
                 co_return;
             }
             received.erase(0, n);
-            co_await net::async_write(socket, net::buffer(m_response),
-                                      no_throw);
+            const std::string& response =
+                script[std::min(place, script.size() - 1)];
+            co_await net::async_write(socket, net::buffer(response), no_throw);
             if (m_end == connection_end::reset)
             {
                 // A close with a linger time of zero sends a reset.
@@ -84,7 +106,7 @@
     }
 
     net::ip::tcp::acceptor m_acceptor;
-    std::string m_response;
+    connection_scripts m_scripts;
     connection_end m_end;
 };
 
