Tests: Withdraw a key after the head of its stream has arrived

The test withdrew the key as soon as the engine had counted the request, at times before the head of the stream, and then 401 is right.

--- a/tests/system/failure_test.cpp
+++ b/tests/system/failure_test.cpp
@@ -18,6 +18,43 @@
     return (n + 1) % it.daemons.size();
 }
 
+/// A stream whose head has arrived at its caller.
+class open_stream
+{
+public:
+    open_stream(const std::string& callers, const std::string& model,
+                const std::string& key, int tokens)
+        : m_socket(m_context)
+    {
+        m_socket.connect(http::parse_endpoint(callers));
+        http::request message = http::make_request(
+            http::verb::post, "/v1/completions",
+            boost::json::serialize(boost::json::object{{"model", model},
+                                                       {"prompt", "p"},
+                                                       {"max_tokens", tokens},
+                                                       {"stream", true}}));
+        message.set(http::field::authorization, "Bearer " + key);
+        http::beast_http::write(m_socket, message);
+        http::beast_http::read_header(m_socket, m_buf, m_parser);
+    }
+
+    unsigned status() const { return m_parser.get().result_int(); }
+
+    /// False if the stream breaks off.
+    bool reads_to_its_end()
+    {
+        boost::system::error_code ec;
+        http::beast_http::read(m_socket, m_buf, m_parser, ec);
+        return !ec;
+    }
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::beast::flat_buffer m_buf;
+    http::beast_http::response_parser<http::beast_http::string_body> m_parser;
+};
+
 class owner_failures : public testing::TestWithParam<const char*>
 {
 };
@@ -180,16 +217,14 @@
     slow.token_us = "50000";
     fleet it(2, 1, slow);
     EXPECT_EQ(it.complete(0, "m1", "key-of-a", 1).status, 200u);
-    auto stream =
-        std::async(std::launch::async,
-                   [&] { return it.complete(0, "m1", "key-of-a", 400, true); });
-    ASSERT_TRUE(eventually([&] { return it.engine_total("requests") == 2; }));
+    open_stream stream(it.daemons[0].callers, "m1", "key-of-a", 400);
+    ASSERT_EQ(stream.status(), 200u);
     // The key is withdrawn through the other daemon.
     EXPECT_EQ(call(it.daemons[1].operators, http::verb::delete_,
                    "/configuration/key/a")
                   .status,
               200u);
-    EXPECT_EQ(stream.get().status, 0u);
+    EXPECT_FALSE(stream.reads_to_its_end());
     EXPECT_TRUE(eventually([&] { return it.engine_total("cancelled") == 1; }));
     EXPECT_TRUE(eventually([&] { return it.complete(0, "m1").status == 401; }));
     it.restart_daemon(0);
