--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -178,6 +178,11 @@
         co_await reply.send(answer_stats());
         co_return;
     }
+    if (path == "/runs")
+    {
+        co_await reply.send(answer_runs());
+        co_return;
+    }
     const auto expected = message["Expect-Instance"];
     if (!expected.empty() && expected != m_settings.id)
     {
@@ -287,6 +292,16 @@
                         {"most_megabytes", m_most_megabytes}});
 }
 
+http::response worker_standin::answer_runs() const
+{
+    boost::json::object runs;
+    for (const auto& [id, n] : m_runs)
+    {
+        runs[id] = n;
+    }
+    return json_answer(http::status::ok, runs);
+}
+
 http::response worker_standin::answer_order(const http::request& message)
 {
     const boost::json::object json = parse_json_object(message.body());
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -47,8 +47,8 @@
 /// answered with `promised_status` without the statement that they were not)
 /// and `stale_refusals` (number of requests in front of whose response a
 /// refusal of another request arrives, with `promised_status`; it names the
-/// request `stale_id`, or none if that is empty). `GET /stats` returns
-/// counters.
+/// request `stale_id`, or none if that is empty). `GET /stats` returns counters
+/// and `GET /runs` how often each request was executed.
 class worker_standin
 {
 public:
@@ -79,6 +79,7 @@
                                   const std::string& adapter, bool is_load);
     http::response answer_report() const;
     http::response answer_stats() const;
+    http::response answer_runs() const;
     /// The refusal of the request with this id; names none if it is empty.
     http::response refusal(http::status code, std::string_view request) const;
     boost::json::array models_json() const;
