--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -56,6 +56,7 @@
     CICADAHUB_ROW(request_answered),
     CICADAHUB_ROW(request_refused),
     CICADAHUB_ROW(rate_exceeded),
+    CICADAHUB_ROW(request_not_read),
     CICADAHUB_ROW(audit_segment_failed),
     CICADAHUB_ROW(malformed_object),
 };
--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -53,6 +53,7 @@
     request_answered = 712,
     request_refused = 713,
     rate_exceeded = 714,
+    request_not_read = 715,
     audit_segment_failed = 800,
     malformed_object = 801,
 };
--- a/libraries/entry/request_handler.cpp
+++ b/libraries/entry/request_handler.cpp
@@ -1,6 +1,7 @@
 #include "entry/request_handler.hpp"
 
 #include "core/errors.hpp"
+#include "core/structured_log.hpp"
 
 namespace cicadahub::entry
 {
@@ -19,9 +20,12 @@
     {
         refused = it.reason();
     }
-    catch (const malformed_document&)
+    catch (const malformed_document& reason)
     {
         refused = refusal{refusal_kind::malformed_request};
+        log_event(severity::warning, event_number::request_not_read,
+                  {{"reason", cicadahub::name_of(refused->kind)},
+                   {"error", reason.what()}});
     }
     reply.stop_watching_caller();
     if (!refused)
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/errors.hpp"
+#include "core/structured_log.hpp"
 #include "http/reply_writer.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -262,6 +263,9 @@
                 : refusal_of_read_error(ec);
         if (reason)
         {
+            log_event(
+                severity::warning, event_number::request_not_read,
+                {{"reason", name_of(reason->kind)}, {"error", ec.message()}});
             co_await refuse_and_discard(stream, *reason);
         }
         co_return false;
