--- a/tests/system/promise_load_test.cpp
+++ b/tests/system/promise_load_test.cpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <map>
 #include <random>
+#include <sstream>
 #include <thread>
 
 namespace cicadahub::system_tests
@@ -81,6 +82,24 @@
     return runs;
 }
 
+/// Lines of the daemons' logs that name a request.
+std::string lines_of(const platform_fleet& fleet, const std::string& request)
+{
+    std::string found;
+    for (const auto& it : fleet.daemons)
+    {
+        std::istringstream lines(it.program->output());
+        for (std::string line; std::getline(lines, line);)
+        {
+            if (line.find('"' + request + '"') != std::string::npos)
+            {
+                found += line + "\n";
+            }
+        }
+    }
+    return found;
+}
+
 class faulty_servers : public testing::TestWithParam<std::uint64_t>
 {
 };
@@ -131,8 +150,15 @@
             const auto at = runs.find(id);
             const std::int64_t n = at == runs.end() ? 0 : at->second;
             served += status == 200 ? 1 : 0;
-            refused_and_run += n > 0 && promises_not_run(status) ? 1 : 0;
+            const bool is_refused_and_run = n > 0 && promises_not_run(status);
+            refused_and_run += is_refused_and_run ? 1 : 0;
             run_twice += n > 1 ? 1 : 0;
+            if (is_refused_and_run || n > 1)
+            {
+                ADD_FAILURE()
+                    << id << " ran " << n << " times, status " << status << "\n"
+                    << lines_of(fleet, id);
+            }
         }
     }
     EXPECT_EQ(refused_and_run, 0U);
