Entry: Believe 421 only with a statement or another server's name

A request that a server executed and answered with 421 was sent to further servers: it ran twice or three times, and was refused with a promise in the end.

421 counted as not executed by its status alone. What the platform states is `Not-Run`; a server that has taken over an address names itself. Without either a 421 is now a failure of unknown outcome, like 408, 429 and 503, and a statement by a server of another name is no answer.

--- a/libraries/decision/outcome/response_meaning.cpp
+++ b/libraries/decision/outcome/response_meaning.cpp
@@ -40,10 +40,16 @@
     {
         return response_meaning::not_an_answer;
     }
-    if (it.status == misdirected_request)
+    const bool is_from_another_server = it.server == named_party::other;
+    if (it.status == misdirected_request &&
+        (it.states_not_run || is_from_another_server))
     {
         return response_meaning::not_here;
     }
+    if (is_from_another_server)
+    {
+        return response_meaning::not_an_answer;
+    }
     if (it.states_not_run)
     {
         // A success contradicts the statement; neither can be relied on.
--- a/libraries/decision/outcome/response_meaning.hpp
+++ b/libraries/decision/outcome/response_meaning.hpp
@@ -15,7 +15,7 @@
 
 std::string_view name_of(named_party it);
 
-/// What the head of a response says, and where it arrived.
+/// What the head of a response says.
 struct response_facts
 {
     /// HTTP status.
@@ -36,8 +36,8 @@
     answer,
     /// Not executed: the server is full or cannot meet the deadline.
     turned_away,
-    /// Not executed: another server has the address, or the model is not
-    /// loaded.
+    /// Not executed: another server has the address and names itself, or the
+    /// model is not loaded.
     not_here,
     /// The server's response to the request, but its status would promise the
     /// caller that the request was not executed, and nothing proves that.
--- a/tests/decision/response_meaning_test.cpp
+++ b/tests/decision/response_meaning_test.cpp
@@ -23,9 +23,11 @@
 }
 
 response_facts facts_of(unsigned status, named_party request,
-                        bool states_not_run, bool has_proof_of_origin = false)
+                        bool states_not_run, bool has_proof_of_origin = false,
+                        named_party server = missing)
 {
     response_facts it;
+    it.server = server;
     it.status = status;
     it.request = request;
     it.states_not_run = states_not_run;
@@ -76,8 +78,21 @@
                      facts_of(503, other, not_run), not_an_answer},
         meaning_case{"refusal_that_names_no_request",
                      facts_of(503, missing, not_run), not_an_answer},
-        meaning_case{"misdirected",
-                     facts_of(421, named_party::expected, !not_run), not_here},
+        meaning_case{
+            "refusal_by_another_server",
+            facts_of(503, named_party::expected, not_run, !sealed, other),
+            not_an_answer},
+        meaning_case{
+            "misdirected_to_another_server",
+            facts_of(421, named_party::expected, !not_run, !sealed, other),
+            not_here},
+        meaning_case{"own_421_that_names_no_server",
+                     facts_of(421, named_party::expected, !not_run),
+                     unproven_promise},
+        meaning_case{"own_421",
+                     facts_of(421, named_party::expected, !not_run, !sealed,
+                              named_party::expected),
+                     unproven_promise},
         meaning_case{"model_not_loaded",
                      facts_of(421, named_party::expected, not_run), not_here},
         meaning_case{"misdirected_other_request", facts_of(421, other, not_run),
--- a/tests/system/promise_test.cpp
+++ b/tests/system/promise_test.cpp
@@ -83,6 +83,7 @@
         testing::ValuesIn(once_requests),
         testing::Values(
             promise_case{"own_408", 408, R"({"unproven_promises":9)"},
+            promise_case{"own_421", 421, R"({"unproven_promises":9)"},
             promise_case{"own_429", 429, R"({"unproven_promises":9)"},
             promise_case{"own_503", 503, R"({"unproven_promises":9)"},
             promise_case{"unnamed_421", 421, R"({"stale_refusals":9)"},
