Tests: Follow a repeat at the same server to its connection

That a request goes to an address again only on a new connection had a test of the exchange, but none of the daemon.

--- a/tests/system/promise_test.cpp
+++ b/tests/system/promise_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <sstream>
+
 namespace cicadahub::system_tests
 {
 namespace
@@ -101,6 +103,35 @@
                std::get<1>(it.param).name;
     });
 
+// A server that sheds is tried again after its pause. Its connection may still
+// deliver a copy of the first refusal, which names the same request.
+TEST(platform_path, a_repeat_at_the_same_server_uses_a_new_connection)
+{
+    platform_fleet fleet(1);
+    EXPECT_EQ(fleet.stream(0, "warm", "m1").status, 200U);
+    fleet.set_fault(fleet.engines[0].address, R"({"shed_s":1})");
+    EXPECT_EQ(fleet.stream(0, "again", "m1").status, 200U);
+    const auto attempts = [&]
+    {
+        std::vector<std::string> found;
+        std::istringstream lines(fleet.daemons[0].program->output());
+        for (std::string line; std::getline(lines, line);)
+        {
+            if (line.find("request_attempted") != std::string::npos &&
+                line.find(R"("request":"again")") != std::string::npos)
+            {
+                found.push_back(line);
+            }
+        }
+        return found;
+    };
+    ASSERT_TRUE(eventually([&] { return attempts().size() == 2; }));
+    EXPECT_NE(attempts()[0].find(R"("earlier_exchanges":1)"),
+              std::string::npos);
+    EXPECT_NE(attempts()[1].find(R"("earlier_exchanges":0)"),
+              std::string::npos);
+}
+
 // Guards against "no capacity" with a promise for a request that a server was
 // executing when it crashed, where no other server has the model.
 TEST(platform_path, a_request_on_a_crashed_server_gets_no_promise)
