Entry: Take notices only from responses to the request

A late response to another request, which may come from before a server's restart, marked the server as leaving for the life of its incarnation, or paused it. Notices were read before it was known what the response belongs to.

Before: exchange.a_notice_in_a_response_to_another_request_is_ignored failed.

--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -238,8 +238,11 @@
     const auto& head = m_parser->get();
     m_result.head = m_dialect.read_answer(head, id, sender);
     const auto meaning = outcome::meaning_of(m_result.head->facts);
-    m_result.notice = m_dialect.read_notice(head, sender);
-    m_handlers.on_notice(m_result.notice);
+    if (m_result.head->facts.request == outcome::named_party::expected)
+    {
+        m_result.notice = m_dialect.read_notice(head, sender);
+        m_handlers.on_notice(m_result.notice);
+    }
     m_result.framing = http::framing_of(*m_parser);
     if (meaning == response_meaning::not_an_answer)
     {
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -173,42 +173,73 @@
     EXPECT_EQ(seen.result.framing, std::nullopt);
 }
 
+/// Exchanges with a server that answers by scripts, each a new attempt at one
+/// request.
+class scripted_exchange
+{
+public:
+    explicit scripted_exchange(fakes::connection_scripts scripts)
+        : m_run(std::move(scripts), fakes::connection_end::stays_open),
+          m_exchange(m_run.pool(), adapter::servers,
+                     {[] { return true; },
+                      [this](const server_notice& it)
+                      {
+                          m_is_leaving = m_is_leaving || it.is_leaving;
+                      }})
+    {
+    }
+
+    exchange_result attempt(bool use_new_connection = false,
+                            milliseconds timeout = seconds(5))
+    {
+        return m_run.run(
+            [&](http::endpoint server,
+                http::reply_writer& reply) -> net::awaitable<exchange_result>
+            {
+                co_return co_await m_exchange.run(
+                    server, m_message, m_added, m_id, reply, m_progress,
+                    monotonic_clock::now() + timeout, use_new_connection);
+            });
+    }
+
+    bool is_leaving() const { return m_is_leaving; }
+
+private:
+    fakes::relay_run m_run;
+    exchange m_exchange;
+    http::request m_message{http::verb::post, "/", 11};
+    forwarding m_added;
+    request_id m_id{"r"};
+    stream_progress m_progress;
+    bool m_is_leaving = false;
+};
+
+const std::string identity = "Request-Id: r\r\nResponse-Seal: s\r\n";
+const std::string success =
+    "HTTP/1.1 200 OK\r\n" + identity + fakes::length_of(0) + "\r\n";
+
 // A server may send a second copy of a response where the next one is
 // expected. A copy of the refusal of a request's earlier attempt names the same
 // request, so that only the connection tells it from the response to the
 // repeat.
 TEST(exchange, a_repeat_does_not_read_the_copy_of_an_earlier_refusal)
 {
-    const std::string fields = "Request-Id: r\r\nResponse-Seal: s\r\n";
     const std::string refusal =
-        "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + fields +
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + identity +
         fakes::length_of(0) + "\r\n";
-    const std::string success =
-        "HTTP/1.1 200 OK\r\n" + fields + fakes::length_of(0) + "\r\n";
-    fakes::relay_run run(
-        fakes::connection_scripts{{refusal, refusal + success}, {success}},
-        fakes::connection_end::stays_open);
-    exchange subject(run.pool(), adapter::servers,
-                     {[] { return true; },
-                      [](const server_notice&) {
-                      }});
-    const http::request message{http::verb::post, "/", 11};
-    const forwarding added;
-    const request_id id("r");
-    stream_progress progress;
-    const auto attempt = [&](bool use_new_connection)
-    {
-        return run.run(
-            [&](http::endpoint server, http::reply_writer& reply)
-            {
-                return subject.run(server, message, added, id, reply, progress,
-                                   monotonic_clock::now() + seconds(5),
-                                   use_new_connection);
-            });
-    };
-    EXPECT_EQ(attempt(false).end, exchange_end::turned_away);
-    const exchange_result repeated = attempt(true);
-    EXPECT_EQ(repeated.end, exchange_end::answered) << repeated.reason;
+    scripted_exchange subject({{refusal, refusal + success}, {success}});
+    EXPECT_EQ(subject.attempt().end, exchange_end::turned_away);
+    EXPECT_EQ(subject.attempt(true).end, exchange_end::answered);
+}
+
+// A late response of an earlier incarnation may say that its server leaves.
+TEST(exchange, a_notice_in_a_response_to_another_request_is_ignored)
+{
+    scripted_exchange subject(
+        {{"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Leaving: 1\r\n" +
+          fakes::length_of(0) + "\r\n"}});
+    EXPECT_EQ(subject.attempt(false, seconds(1)).end, exchange_end::failed);
+    EXPECT_FALSE(subject.is_leaving());
 }
 
 } // namespace
