Entry: Forward statuses that the library has no name for

A server's 520 reached its caller as "HTTP/1.1 0" with the server's proof of origin. Before: exchange.a_status_without_a_name_is_forwarded_unchanged failed with 0.

--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -47,7 +47,10 @@
 
 http::response caller_head(const http::beast_http::response_header<>& from)
 {
-    http::response head{from.result(), 11};
+    http::response head;
+    head.version(11);
+    // The status may be one that the library has no name for.
+    head.result(from.result_int());
     head.reason(from.reason());
     for (const auto& it : from)
     {
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -242,5 +242,14 @@
     EXPECT_FALSE(subject.is_leaving());
 }
 
+TEST(exchange, a_status_without_a_name_is_forwarded_unchanged)
+{
+    scripted_exchange subject({{"HTTP/1.1 520 Unknown\r\n" + identity +
+                                fakes::length_of(0) + "\r\n"}});
+    const exchange_result seen = subject.attempt();
+    ASSERT_TRUE(seen.answer);
+    EXPECT_EQ(seen.answer->result_int(), 520U);
+}
+
 } // namespace
 } // namespace cicadahub::entry
