Entry: Keep fields behind a chunked body out of the head

A response whose trailer named another request, or an encoding, reached its caller with both in the head, after the head had been checked: the parser adds trailer fields to the others. The head is now taken before the body is read. Before: exchange.fields_behind_the_body_are_not_forwarded_in_the_head failed.

--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -285,13 +285,14 @@
 
 net::awaitable<http::response> exchange::read_full_response(connection& server)
 {
+    // Reading the body adds the fields behind it to those of the head.
+    http::response answer = caller_head(m_parser->get());
     http::full_response_parser parser(std::move(*m_parser));
     m_parser.reset();
     co_await http::read_full_response(server, parser);
     m_can_reuse = parser.get().keep_alive();
     server.reusable_until =
         reusable_until(parser.get()[http::field::keep_alive]);
-    http::response answer = caller_head(parser.get());
     answer.body() = std::move(parser.get().body());
     answer.content_length(answer.body().size());
     co_return answer;
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -251,5 +251,19 @@
     EXPECT_EQ(seen.answer->result_int(), 520U);
 }
 
+// The fields that identify a response are checked in its head; those behind the
+// body must not change them.
+TEST(exchange, fields_behind_the_body_are_not_forwarded_in_the_head)
+{
+    scripted_exchange subject(
+        {{"HTTP/1.1 200 OK\r\n" + identity +
+          "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
+          "Request-Id: other\r\nContent-Encoding: gzip\r\n\r\n"}});
+    const exchange_result seen = subject.attempt();
+    ASSERT_TRUE(seen.answer);
+    EXPECT_EQ(seen.answer->count("Request-Id"), 1U);
+    EXPECT_EQ(seen.answer->count(http::field::content_encoding), 0U);
+}
+
 } // namespace
 } // namespace cicadahub::entry
