Entry: Send nothing after the deadline

A request was sent although its deadline had passed while the connection was opened, or while the host was suspended; a server executed it, and its caller got 504. The server was also told the time that had been left before connecting. The exchange now checks the deadline immediately before the first byte and tells the server what is left then; nothing having been sent, the refusal is true. Before: exchange.nothing_is_sent_after_the_deadline failed.

--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -136,7 +136,6 @@
     {
         added.organisation = m_organisation->name;
     }
-    added.time_left = std::max(time_left(now), milliseconds(1));
     added.after_event = m_progress.last_event;
     ++m_sends;
     exchange_result result = co_await m_exchange.run(
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -127,9 +127,9 @@
 
 net::awaitable<exchange_result>
 exchange::run(const http::endpoint& address, const http::request& message,
-              const forwarding& added, const request_id& id,
-              http::reply_writer& reply, stream_progress& progress,
-              time_point deadline, bool use_new_connection)
+              forwarding added, const request_id& id, http::reply_writer& reply,
+              stream_progress& progress, time_point deadline,
+              bool use_new_connection)
 {
     m_result = {};
     m_deadline = deadline;
@@ -159,8 +159,11 @@
         m_result.end = exchange_end::caller_gone;
         co_return m_result;
     }
-    // The server's notices may have changed while the connection was opened.
-    if (!m_handlers.may_send())
+    // The deadline may have passed, or the server's notices may have changed,
+    // while the connection was opened.
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        m_deadline - monotonic_clock::now());
+    if (left.count() <= 0 || !m_handlers.may_send())
     {
         m_pool.release(address, std::move(server));
         m_result.end = exchange_end::withheld;
@@ -170,6 +173,7 @@
     m_result.earlier_exchanges = server->completed_exchanges;
     try
     {
+        added.time_left = left;
         co_await send(*server, message, added);
         co_await receive(*server, id, added.server, reply, progress);
     }
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -22,7 +22,8 @@
     answered,
     /// No byte of the request was sent.
     not_sent,
-    /// The same, because the server meanwhile leaves or asked for a pause.
+    /// The same, because the server meanwhile leaves or asked for a pause, or
+    /// because the deadline passed.
     withheld,
     /// The server reported that it has not executed the request: it is full or
     /// cannot meet the deadline.
@@ -88,15 +89,16 @@
     exchange(http::client_pool& pool, const server_dialect& dialect,
              exchange_handlers handlers);
 
-    /// `deadline` covers the complete exchange, not each of its steps.
+    /// `deadline` covers the complete exchange, not each of its steps; the
+    /// server is told the time that is left of it.
     /// `use_new_connection` is for a request that was sent to this address
     /// before: a second copy of the response to its earlier attempt would name
     /// the same request.
     net::awaitable<exchange_result>
     run(const http::endpoint& address, const http::request& message,
-        const forwarding& added, const request_id& id,
-        http::reply_writer& reply, stream_progress& progress,
-        time_point deadline, bool use_new_connection);
+        forwarding added, const request_id& id, http::reply_writer& reply,
+        stream_progress& progress, time_point deadline,
+        bool use_new_connection);
 
     /// Closes the connection to the server, so that the server stops working on
     /// a request whose caller has disconnected.
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -265,5 +265,13 @@
     EXPECT_EQ(seen.answer->count(http::field::content_encoding), 0U);
 }
 
+// The deadline may pass while a connection is opened or the host is suspended.
+TEST(exchange, nothing_is_sent_after_the_deadline)
+{
+    scripted_exchange subject({{success}});
+    EXPECT_EQ(subject.attempt(false, milliseconds(-1)).end,
+              exchange_end::withheld);
+}
+
 } // namespace
 } // namespace cicadahub::entry
