Entry: Never begin a stream anew behind events without an id

A resumable stream that broke off after events that had no id was sent to another server from its beginning, so that its caller got these events twice. Whether a stream may go on depended on its route alone. Once an event has been forwarded, it now goes on only if the last one has an id to go on from, and otherwise breaks off visibly.

--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -233,9 +233,12 @@
     {
         return false;
     }
+    // Behind events without an id a stream could only begin anew.
+    const bool can_go_on =
+        !m_progress.first_event_at || m_progress.last_event.has_value();
     const bool is_repeatable =
         m_route->kind == serving::request_kind::repeatable ||
-        (is_stream() && m_route->is_resumable);
+        (is_stream() && m_route->is_resumable && can_go_on);
     return is_repeatable && m_runs < m_route->max_attempts;
 }
 
--- a/tests/system/promise_test.cpp
+++ b/tests/system/promise_test.cpp
@@ -132,6 +132,16 @@
               std::string::npos);
 }
 
+// A stream can only go on after an event that the next server can be told of.
+TEST(platform_path, a_stream_whose_events_have_no_id_is_not_begun_anew)
+{
+    platform_fleet fleet(1);
+    EXPECT_EQ(fleet.stream(0, "warm", "m1").status, 200U);
+    fleet.set_fault(fleet.engines[0].address,
+                    R"({"break_streams":1,"unnumbered":true})");
+    EXPECT_EQ(fleet.stream(0, "broken", "m1").status, 0U);
+}
+
 // Guards against "no capacity" with a promise for a request that a server was
 // executing when it crashed, where no other server has the model.
 TEST(platform_path, a_request_on_a_crashed_server_gets_no_promise)
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -155,6 +155,8 @@
         m_is_draining = reader.boolean_or("draining", m_is_draining);
         m_is_unframed = reader.boolean_or("unframed", m_is_unframed);
         m_is_leaving = reader.boolean_or("leaving", m_is_leaving);
+        m_are_events_unnumbered =
+            reader.boolean_or("unnumbered", m_are_events_unnumbered);
         m_crashes_after_run =
             reader.boolean_or("crash_after_run", m_crashes_after_run);
         m_unproven_promises =
@@ -516,8 +518,12 @@
             throw boost::system::system_error(net::error::connection_aborted);
         }
         co_await pause(m_settings.event_gap);
-        co_await reply.write_chunk("id: " + std::to_string(n) +
-                                   "\ndata: piece\n\n");
+        std::string event = "data: piece\n\n";
+        if (!m_are_events_unnumbered)
+        {
+            event = "id: " + std::to_string(n) + "\n" + event;
+        }
+        co_await reply.write_chunk(event);
     }
     co_await reply.end_stream();
 }
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -42,13 +42,14 @@
 /// without a response), `draining`, `leaving` (responses announce that the
 /// server leaves, while its entry in the store does not) and `shed_s` (for that
 /// many seconds requests are turned away with the rest of that time as the
-/// pause), `crash_after_run` (the process ends while it executes the next
-/// request), `unproven_promises` (number of requests that are executed and
-/// answered with `promised_status` without the statement that they were not)
-/// and `stale_refusals` (number of requests in front of whose response a
-/// refusal of another request arrives, with `promised_status`; it names the
-/// request `stale_id`, or none if that is empty). `GET /stats` returns counters
-/// and `GET /runs` how often each request was executed.
+/// pause), `unnumbered` (events have no id), `crash_after_run` (the process
+/// ends while it executes the next request), `unproven_promises` (number of
+/// requests that are executed and answered with `promised_status` without the
+/// statement that they were not) and `stale_refusals` (number of requests in
+/// front of whose response a refusal of another request arrives, with
+/// `promised_status`; it names the request `stale_id`, or none if that is
+/// empty). `GET /stats` returns counters and `GET /runs` how often each request
+/// was executed.
 class worker_standin
 {
 public:
@@ -103,6 +104,7 @@
     std::int64_t m_silent_orders = 0;
     bool m_is_unframed = false;
     bool m_is_leaving = false;
+    bool m_are_events_unnumbered = false;
     bool m_crashes_after_run = false;
     std::int64_t m_unproven_promises = 0;
     std::int64_t m_stale_refusals = 0;
