--- a/tests/platform/request_identity_test.cpp
+++ b/tests/platform/request_identity_test.cpp
@@ -52,6 +52,23 @@
     EXPECT_EQ(requests.read_request(request_with({"r"})).id, request_id("r"));
 }
 
+// A caller that lists the id among the fields of its connection must not remove
+// what identifies the response.
+TEST(requests, are_forwarded_with_their_id)
+{
+    http::request it = request_with({"r"});
+    it.set(http::field::connection, "Request-Id");
+    const entry::forwarding added;
+    EXPECT_NE(servers.forward_head(it, added).find("Request-Id: r\r\n"),
+              std::string::npos);
+}
+
+TEST(refusals, of_requests_that_may_have_run_promise_nothing)
+{
+    const refusal it{refusal_kind::no_capacity, false, {}};
+    EXPECT_FALSE(promises_not_run(requests.refuse(it).result_int()));
+}
+
 struct response_case
 {
     const char* name;
