Http: Bound what is read from a server

A server that sends bytes without end made an entry daemon use up its memory and kept callers beyond their deadline.

Cause: Beast limits a head, but not the sum of fields that arrive whole, nor chunk extensions and trailers, for which its buffer grows; events had no limit, bodies one of 64 or 256 MB each and none in sum. An interim response with fields was taken for the response.

`http/response_limits.hpp` now names the limits: a head, interim responses, the buffer of a connection, framing beside a body, a body, an event, and the memory that all bodies and events of a connection pool hold together. An excess is a typed error with a reason that is logged with the attempt, and counts as a response that failed; it says that the server is alive, as does a response that is no HTTP.

--- a/libraries/backend/answer_relay.cpp
+++ b/libraries/backend/answer_relay.cpp
@@ -2,6 +2,7 @@
 
 #include "http/event_stream_reader.hpp"
 #include "http/message_head.hpp"
+#include "http/response_error.hpp"
 #include "http/response_reading.hpp"
 #include "http/stream_error.hpp"
 
@@ -15,8 +16,6 @@
 namespace
 {
 
-constexpr std::uint64_t answer_limit_bytes = 256 * 1024 * 1024;
-
 /// Tokens of an answer that is not streamed, from the `usage` that engines
 /// report in it.
 std::int64_t tokens_of(const std::string& body)
@@ -124,7 +123,7 @@
     m_result.end = relay_end::failed_before_answer;
     try
     {
-        server->stream.expires_after(m_limits.answer);
+        server->set_timeout(m_limits.answer);
         const std::string head = http::serialize_head(message);
         co_await net::async_write(server->stream,
                                   http::wire_buffers(head, message.body()),
@@ -138,8 +137,8 @@
             reason.code() != boost::beast::error::timeout &&
             reason.code() != net::error::timed_out &&
             reason.code() != http::stream_error::ends_inside_event &&
-            !m_is_cancelled && !m_is_caller_disconnected &&
-            !m_is_writing_to_caller;
+            !http::is_bad_response(reason.code()) && !m_is_cancelled &&
+            !m_is_caller_disconnected && !m_is_writing_to_caller;
     }
     reply.stop_watching_caller();
     m_connection = nullptr;
@@ -166,10 +165,7 @@
 net::awaitable<void> answer_relay::relay_head(connection& server,
                                               http::reply_writer& reply)
 {
-    m_parser.emplace();
-    m_parser->body_limit(answer_limit_bytes);
-    co_await http::beast_http::async_read_header(server.stream, server.buf,
-                                                 *m_parser, net::use_awaitable);
+    co_await http::read_response_head(server, m_parser);
     const auto& head = m_parser->get();
     m_result.status = head.result_int();
     m_result.end = relay_end::interrupted;
@@ -206,11 +202,10 @@
 net::awaitable<void> answer_relay::relay_non_streamed(connection& server,
                                                       http::reply_writer& reply)
 {
-    http::full_response_parser parser(std::move(*m_parser));
-    m_parser.reset();
-    co_await http::read_full_response(server, parser);
-    m_can_reuse = parser.get().keep_alive();
-    http::response answer = parser.release();
+    http::full_response received =
+        co_await http::read_full_response(server, *m_parser);
+    http::response& answer = received.message;
+    m_can_reuse = answer.keep_alive();
     if (has_not_run(answer.result()))
     {
         co_return;
@@ -245,7 +240,7 @@
     bool has_done_event = false;
     while (true)
     {
-        server.stream.expires_after(m_limits.gap);
+        server.set_timeout(m_limits.gap);
         const auto events = co_await reader.read_some();
         if (!events)
         {
--- a/libraries/backend/answer_relay.hpp
+++ b/libraries/backend/answer_relay.hpp
@@ -2,6 +2,7 @@
 
 #include "http/client.hpp"
 #include "http/reply_writer.hpp"
+#include "http/response_reading.hpp"
 
 #include <optional>
 
@@ -110,9 +111,7 @@
     bool m_is_writing_to_caller = false;
     bool m_can_reuse = false;
     connection* m_connection = nullptr;
-    std::optional<
-        http::beast_http::response_parser<http::beast_http::buffer_body>>
-        m_parser;
+    std::optional<http::response_head_parser> m_parser;
 };
 
 } // namespace cicadahub::backend
--- a/libraries/backend/engine_client.cpp
+++ b/libraries/backend/engine_client.cpp
@@ -103,14 +103,16 @@
     try
     {
         set_tcp_user_timeout(connection->stream.socket(), m_order_timeout);
-        connection->stream.expires_after(m_order_timeout);
+        connection->set_timeout(m_order_timeout);
         const std::string head = http::serialize_head(message);
         co_await net::async_write(connection->stream,
                                   http::wire_buffers(head, message.body()),
                                   net::use_awaitable);
-        http::full_response_parser answer;
-        co_await http::read_full_response(*connection, answer);
-        co_return result_of(answer.get().result());
+        std::optional<http::response_head_parser> parser;
+        co_await http::read_response_head(*connection, parser);
+        const http::full_response answer =
+            co_await http::read_full_response(*connection, *parser);
+        co_return result_of(answer.message.result());
     }
     catch (const boost::system::system_error&)
     {
--- a/libraries/daemon/daemon.cpp
+++ b/libraries/daemon/daemon.cpp
@@ -19,6 +19,13 @@
     return {it.backend_gap_limit, it.backend_answer_limit};
 }
 
+/// Answers of the services behind a daemon, such as lists of embeddings, may be
+/// large.
+constexpr http::response_limits backend_responses{
+    .body_bytes = 64 * 1024 * 1024,
+    .held_bytes = 256 * 1024 * 1024,
+    .stream_bytes = 256 * 1024 * 1024};
+
 /// Runs `bind`; throws a `listen_error` naming the setting if it fails.
 template<class Bind>
 auto bind_or_throw(const char* setting, const std::string& address, Bind bind)
@@ -37,7 +44,7 @@
 
 entry_daemon::worker::worker(entry_daemon& owner)
     : pool(context, owner.m_settings.backend_connect_timeout,
-           idle_connections_per_server),
+           idle_connections_per_server, backend_responses),
       requests(context, owner.m_state, owner.m_control, owner.m_registry,
                owner.m_metrics, owner.m_limiters, pool,
                relay_limits_of(owner.m_settings))
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -18,7 +18,6 @@
 
 using outcome::response_meaning;
 
-constexpr std::uint64_t answer_limit_bytes = 64 * 1024 * 1024;
 constexpr auto no_throw = net::as_tuple(net::use_awaitable);
 
 /// An idle connection is reused only for this fraction of the idle timeout that
@@ -121,7 +120,7 @@
 void exchange::set_timeout(connection& server)
 {
     const auto left = m_deadline - monotonic_clock::now();
-    server.stream.expires_after(std::max<monotonic_clock::duration>(
+    server.set_timeout(std::max<monotonic_clock::duration>(
         left, std::chrono::milliseconds(1)));
 }
 
@@ -238,10 +237,7 @@
                                        http::reply_writer& reply,
                                        stream_progress& progress)
 {
-    m_parser.emplace();
-    m_parser->body_limit(answer_limit_bytes);
-    co_await http::beast_http::async_read_header(server.stream, server.buf,
-                                                 *m_parser, net::use_awaitable);
+    co_await http::read_response_head(server, m_parser);
     const auto& head = m_parser->get();
     m_result.head = m_dialect.read_answer(head, id, sender);
     const auto meaning = outcome::meaning_of(m_result.head->facts);
@@ -258,7 +254,7 @@
         co_return;
     }
     const bool is_stream =
-        meaning == response_meaning::answer &&
+        m_method != http::verb::head && meaning == response_meaning::answer &&
         head.result() == http::status::ok &&
         http::is_event_stream(head[http::field::content_type]);
     if (is_stream)
@@ -291,13 +287,12 @@
 {
     // Reading the body adds the fields behind it to those of the head.
     http::response answer = caller_head(m_parser->get());
-    http::full_response_parser parser(std::move(*m_parser));
-    m_parser.reset();
-    co_await http::read_full_response(server, parser);
-    m_can_reuse = parser.get().keep_alive();
-    server.reusable_until =
-        reusable_until(parser.get()[http::field::keep_alive]);
-    answer.body() = std::move(parser.get().body());
+    http::full_response it =
+        co_await http::read_full_response(server, *m_parser);
+    m_can_reuse = it.message.keep_alive();
+    server.reusable_until = reusable_until(it.message[http::field::keep_alive]);
+    m_result.memory = it.memory;
+    answer.body() = std::move(it.message.body());
     answer.content_length(answer.body().size());
     co_return answer;
 }
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -4,6 +4,7 @@
 #include "http/body_framing.hpp"
 #include "http/client.hpp"
 #include "http/reply_writer.hpp"
+#include "http/response_reading.hpp"
 
 #include <functional>
 #include <optional>
@@ -54,6 +55,8 @@
 {
     exchange_end end = exchange_end::not_sent;
     std::optional<http::response> answer;
+    /// The memory that the answer holds.
+    std::shared_ptr<http::memory_share> memory;
     /// Empty if no head of a response was received.
     std::optional<answer_head> head;
     server_notice notice;
@@ -106,8 +109,6 @@
 
 private:
     using connection = http::client_connection;
-    using head_parser =
-        http::beast_http::response_parser<http::beast_http::buffer_body>;
 
     net::awaitable<void> send(connection& server, const http::request& message,
                               const forwarding& added);
@@ -130,7 +131,7 @@
     const server_dialect& m_dialect;
     exchange_handlers m_handlers;
     exchange_result m_result;
-    std::optional<head_parser> m_parser;
+    std::optional<http::response_head_parser> m_parser;
     time_point m_deadline{};
     connection* m_connection = nullptr;
     bool m_is_cancelled = false;
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -18,7 +18,6 @@
 constexpr milliseconds unacknowledged_timeout{2'000};
 constexpr int keep_alive_interval_seconds = 1;
 constexpr int keep_alive_probes = 2;
-constexpr std::uint64_t response_body_limit_bytes = 64 * 1024 * 1024;
 
 /// Makes the kernel close a connection whose peer no longer acknowledges data,
 /// for example because a firewall or load balancer lost the connection's state.
@@ -40,24 +39,25 @@
 net::awaitable<response> exchange(client_connection& connection,
                                   request message, milliseconds timeout)
 {
-    connection.stream.expires_after(timeout);
+    connection.set_timeout(timeout);
     const std::string head = serialize_head(message);
     co_await net::async_write(connection.stream,
                               wire_buffers(head, message.body()),
                               net::use_awaitable);
-    full_response_parser parser;
-    parser.body_limit(response_body_limit_bytes);
-    co_await read_full_response(connection, parser);
+    std::optional<response_head_parser> parser;
+    co_await read_response_head(connection, parser);
+    full_response it = co_await read_full_response(connection, *parser);
     connection.stream.expires_never();
-    co_return parser.release();
+    co_return std::move(it.message);
 }
 
 } // namespace
 
 client_pool::client_pool(net::io_context& context, milliseconds connect_timeout,
-                         std::size_t idle_limit)
+                         std::size_t idle_limit, response_limits limits)
     : m_context(context), m_connect_timeout(connect_timeout),
-      m_idle_limit(idle_limit)
+      m_idle_limit(idle_limit), m_limits(limits),
+      m_budget(std::make_shared<memory_budget>(limits.held_bytes))
 {
 }
 
@@ -88,7 +88,8 @@
 net::awaitable<client_pool::connection_pointer>
 client_pool::connect(const endpoint& address)
 {
-    auto connection = std::make_unique<client_connection>(m_context);
+    auto connection =
+        std::make_unique<client_connection>(m_context, m_limits, m_budget);
     connection->stream.expires_after(m_connect_timeout);
     co_await connection->stream.async_connect(address, net::use_awaitable);
     connection->stream.socket().set_option(net::ip::tcp::no_delay(true));
@@ -101,6 +102,7 @@
 {
     ++it->completed_exchanges;
     it->stream.expires_never();
+    it->deadline = time_point::max();
     auto& idle = m_idle[address];
     if (idle.size() < m_idle_limit && it->buf.size() == 0)
     {
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "core/units.hpp"
+#include "http/memory_budget.hpp"
+#include "http/response_limits.hpp"
 #include "http/types.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -18,10 +20,24 @@
 /// Client connection and the bytes that were received but not parsed yet.
 struct client_connection
 {
-    explicit client_connection(net::io_context& context) : stream(context) {}
+    client_connection(net::io_context& context, const response_limits& given,
+                      std::shared_ptr<memory_budget> shared)
+        : stream(context), limits(given), budget(std::move(shared))
+    {
+    }
+
+    /// Sets the time until which reads and writes may take.
+    void set_timeout(monotonic_clock::duration timeout)
+    {
+        deadline = monotonic_clock::now() + timeout;
+        stream.expires_after(timeout);
+    }
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buf;
+    boost::beast::flat_buffer buf{read_buffer_limit_bytes};
+    response_limits limits;
+    std::shared_ptr<memory_budget> budget;
+    time_point deadline = time_point::max();
     /// Requests that were sent and answered in full on the connection.
     std::uint32_t completed_exchanges = 0;
     /// Time from which the server may close the idle connection, by the
@@ -33,8 +49,9 @@
 class client_pool
 {
 public:
+    /// The responses on all connections of the pool share one memory budget.
     explicit client_pool(net::io_context& context, milliseconds connect_timeout,
-                         std::size_t idle_limit);
+                         std::size_t idle_limit, response_limits limits = {});
 
     using connection_pointer = std::unique_ptr<client_connection>;
 
@@ -58,6 +75,8 @@
     net::io_context& m_context;
     milliseconds m_connect_timeout;
     std::size_t m_idle_limit;
+    response_limits m_limits;
+    std::shared_ptr<memory_budget> m_budget;
     std::map<endpoint, std::vector<connection_pointer>> m_idle;
 };
 
--- a/libraries/http/event_splitter.cpp
+++ b/libraries/http/event_splitter.cpp
@@ -7,6 +7,14 @@
 namespace cicadahub::http
 {
 
+namespace
+{
+
+/// Memory kept between two events; a long event needs more for some time.
+constexpr std::size_t kept_bytes = 64 * 1024;
+
+} // namespace
+
 bool is_event_stream(std::string_view content_type)
 {
     return boost::algorithm::istarts_with(content_type, "text/event-stream");
@@ -50,6 +58,11 @@
 
 std::string_view event_splitter::add(std::string_view bytes)
 {
+    if (m_complete_bytes == m_buf.size() && m_buf.capacity() > kept_bytes)
+    {
+        std::string().swap(m_buf);
+        m_complete_bytes = 0;
+    }
     m_buf.erase(0, m_complete_bytes);
     m_complete_bytes = 0;
     for (const char it : bytes)
--- a/libraries/http/event_splitter.hpp
+++ b/libraries/http/event_splitter.hpp
@@ -29,6 +29,9 @@
         return m_buf.size() - m_complete_bytes;
     }
 
+    /// Memory in use for events, complete or not.
+    std::size_t held_bytes() const { return m_buf.capacity(); }
+
     bool has_events() const { return m_has_events; }
 
 private:
--- a/libraries/http/event_stream_reader.cpp
+++ b/libraries/http/event_stream_reader.cpp
@@ -1,16 +1,17 @@
 #include "http/event_stream_reader.hpp"
 
+#include "http/response_error.hpp"
 #include "http/stream_error.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace cicadahub::http
 {
 
 event_stream_reader::event_stream_reader(client_connection& server,
-                                         response_parser& parser)
-    : m_server(server), m_parser(parser)
+                                         response_head_parser& parser)
+    : m_server(server), m_parser(parser), m_body(server, parser),
+      m_memory(server.budget)
 {
 }
 
@@ -37,17 +38,14 @@
         expect_complete();
         co_return std::nullopt;
     }
-    m_parser.get().body().data = m_buf.data();
-    m_parser.get().body().size = m_buf.size();
-    auto [ec, n] = co_await beast_http::async_read_some(
-        m_server.stream, m_server.buf, m_parser,
-        net::as_tuple(net::use_awaitable));
-    if (ec && ec != beast_http::error::need_buffer)
+    const std::string_view bytes = co_await m_body.read_some();
+    const std::string_view events = m_events.add(bytes);
+    if (partial_event_bytes() > m_server.limits.event_bytes)
     {
-        throw boost::system::system_error(ec);
+        throw boost::system::system_error(response_error::event_too_long);
     }
-    const std::size_t received = m_buf.size() - m_parser.get().body().size;
-    co_return m_events.add(std::string_view(m_buf.data(), received));
+    m_memory.resize(m_events.held_bytes());
+    co_return events;
 }
 
 } // namespace cicadahub::http
--- a/libraries/http/event_stream_reader.hpp
+++ b/libraries/http/event_stream_reader.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "http/body_framing.hpp"
-#include "http/client.hpp"
 #include "http/event_splitter.hpp"
+#include "http/response_reading.hpp"
 
-#include <array>
 #include <optional>
 
 namespace cicadahub::http
@@ -15,15 +14,14 @@
 class event_stream_reader
 {
 public:
-    using response_parser =
-        beast_http::response_parser<beast_http::buffer_body>;
-
-    event_stream_reader(client_connection& server, response_parser& parser);
+    event_stream_reader(client_connection& server,
+                        response_head_parser& parser);
 
     /// Waits for bytes and returns the events that they complete, valid until
     /// the next call; may be no event. Returns an empty optional after the end
     /// of a complete stream. Throws `boost::system::system_error` if the stream
-    /// broke off: `partial_message` if the connection ended, or `stream_error`.
+    /// broke off: `partial_message` if the connection ended, `stream_error`, or
+    /// a `response_error` if it exceeds its limits.
     net::awaitable<std::optional<std::string_view>> read_some();
 
     std::size_t partial_event_bytes() const
@@ -32,14 +30,13 @@
     }
 
 private:
-    static constexpr std::size_t buffer_bytes = 16 * 1024;
-
     void expect_complete() const;
 
     client_connection& m_server;
-    response_parser& m_parser;
+    response_head_parser& m_parser;
+    body_reader m_body;
     event_splitter m_events;
-    std::array<char, buffer_bytes> m_buf{};
+    memory_share m_memory;
 };
 
 } // namespace cicadahub::http
--- a/tests/backend/answer_relay_test.cpp
+++ b/tests/backend/answer_relay_test.cpp
@@ -1,5 +1,6 @@
 #include "backend/answer_relay.hpp"
 
+#include "endless_responses.hpp"
 #include "relay_run.hpp"
 #include "response_endings.hpp"
 
@@ -18,12 +19,10 @@
     fakes::received_response received;
 };
 
-outcome run_relay(const fakes::response_ending& it,
-                  const std::string& content_type, backend_kind kind)
+outcome run_relay(fakes::relay_run& run, backend_kind kind,
+                  relay_limits limits = {})
 {
-    fakes::relay_run run(
-        fakes::bytes_of(it, "Content-Type: " + content_type + "\r\n"), it.end);
-    answer_relay subject(run.pool(), relay_limits{}, kind);
+    answer_relay subject(run.pool(), limits, kind);
     const http::request message{http::verb::post, "/", 11};
     outcome seen;
     seen.result = run.run(
@@ -42,6 +41,14 @@
     return seen;
 }
 
+outcome run_relay(const fakes::response_ending& it,
+                  const std::string& content_type, backend_kind kind)
+{
+    fakes::relay_run run(
+        fakes::bytes_of(it, "Content-Type: " + content_type + "\r\n"), it.end);
+    return run_relay(run, kind);
+}
+
 class relayed_streams : public testing::TestWithParam<fakes::response_ending>
 {
 };
@@ -101,5 +108,30 @@
                          [](const auto& it)
                          { return std::string(it.param.name); });
 
+class endless_relayed_answers : public testing::TestWithParam<fakes::endless_response>
+{
+};
+
+// Guards against memory, processor time and bandwidth spent until the deadline
+// on bytes that are no answer.
+TEST_P(endless_relayed_answers, are_closed_long_before_the_deadline)
+{
+    fakes::relay_run run(GetParam().start, connection_end::stays_open,
+                         fakes::repeated(GetParam().block));
+    const outcome seen =
+        run_relay(run, backend_kind::engine, {seconds(3), seconds(3)});
+    EXPECT_TRUE(seen.result.end == relay_end::interrupted ||
+                seen.result.end == relay_end::failed_before_answer);
+    EXPECT_FALSE(seen.received.is_complete);
+    EXPECT_LE(run.server().sent_bytes(), fakes::most_sent_bytes);
+    // The server is alive.
+    EXPECT_FALSE(seen.result.is_connection_lost);
+}
+
+INSTANTIATE_TEST_SUITE_P(answer_relay, endless_relayed_answers,
+                         testing::ValuesIn(fakes::endless_responses()),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
 } // namespace
 } // namespace cicadahub::backend
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -1,5 +1,6 @@
 #include "entry/exchange.hpp"
 
+#include "endless_responses.hpp"
 #include "relay_run.hpp"
 #include "response_endings.hpp"
 #include "servers.hpp"
@@ -45,14 +46,11 @@
     bool is_leaving = false;
     stream_progress progress;
     fakes::received_response received;
+    std::size_t sent_bytes = 0;
 };
 
-outcome run_exchange(const fakes::response_ending& it,
-                     const std::string& content_type, bool may_send = true,
-                     milliseconds timeout = seconds(5))
+outcome run_exchange(fakes::relay_run& run, bool may_send, milliseconds timeout)
 {
-    fakes::relay_run run(
-        fakes::bytes_of(it, "Content-Type: " + content_type + "\r\n"), it.end);
     outcome seen;
     exchange subject(run.pool(), dialect,
                      {[may_send] { return may_send; },
@@ -77,9 +75,19 @@
             co_return result;
         });
     seen.received = run.receive();
+    seen.sent_bytes = run.server().sent_bytes();
     return seen;
 }
 
+outcome run_exchange(const fakes::response_ending& it,
+                     const std::string& content_type, bool may_send = true,
+                     milliseconds timeout = seconds(5))
+{
+    fakes::relay_run run(
+        fakes::bytes_of(it, "Content-Type: " + content_type + "\r\n"), it.end);
+    return run_exchange(run, may_send, timeout);
+}
+
 class stream_endings : public testing::TestWithParam<fakes::response_ending>
 {
 };
@@ -133,6 +141,44 @@
                          [](const auto& it)
                          { return std::string(it.param.name); });
 
+class endless_exchanges : public testing::TestWithParam<fakes::endless_response>
+{
+};
+
+// Guards against memory, processor time and bandwidth spent until the deadline
+// on bytes that are no answer.
+TEST_P(endless_exchanges, are_closed_long_before_the_deadline)
+{
+    fakes::relay_run run(GetParam().start, connection_end::stays_open,
+                         fakes::repeated(GetParam().block));
+    const outcome seen = run_exchange(run, true, seconds(3));
+    EXPECT_EQ(seen.result.end, exchange_end::failed) << seen.result.reason;
+    EXPECT_FALSE(seen.received.is_complete);
+    EXPECT_LE(seen.sent_bytes, fakes::most_sent_bytes);
+    EXPECT_FALSE(seen.result.is_connection_lost) << seen.result.reason;
+    EXPECT_FALSE(seen.result.reason.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(exchange, endless_exchanges,
+                         testing::ValuesIn(fakes::endless_responses()),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
+// Guards against an interim response that is taken for the response, which
+// leaves the real one to the next request on the connection.
+TEST(exchange, an_interim_response_is_not_the_response)
+{
+    fakes::relay_run run("HTTP/1.1 100 Continue\r\n\r\n"
+                         "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+                         "HTTP/1.1 404 Not Found\r\nContent-Length: 3\r\n\r\n"
+                         "abc",
+                         connection_end::stays_open);
+    const outcome seen = run_exchange(run, true, seconds(3));
+    ASSERT_TRUE(seen.result.answer);
+    EXPECT_EQ(seen.result.answer->result_int(), 404U);
+    EXPECT_EQ(seen.result.answer->body(), "abc");
+}
+
 // A body without a content type that shows its end is whole when the connection
 // is closed, but not when it is reset.
 TEST(exchange, an_opaque_answer_without_length_ends_with_its_connection)
--- a/tests/fakes/relay_run.hpp
+++ b/tests/fakes/relay_run.hpp
@@ -22,14 +22,16 @@
 class relay_run
 {
 public:
-    relay_run(const std::string& response, connection_end end)
-        : relay_run(connection_scripts{{response}}, end)
+    relay_run(const std::string& response, connection_end end,
+              const std::string& endless = {})
+        : relay_run(connection_scripts{{response}}, end, endless)
     {
     }
 
     /// The server answers by a script for each connection.
-    relay_run(connection_scripts scripts, connection_end end)
-        : m_server(m_context, std::move(scripts), end),
+    relay_run(connection_scripts scripts, connection_end end,
+              const std::string& endless = {})
+        : m_server(m_context, std::move(scripts), end, endless),
           m_pool(m_context, milliseconds(1'000), 4), m_caller(m_context),
           m_stream(m_context)
     {
@@ -40,6 +42,7 @@
     }
 
     http::client_pool& pool() { return m_pool; }
+    const scripted_server& server() const { return m_server; }
 
     /// Runs `relay`, a coroutine that gets the server's address and the writer
     /// of the response and returns its result.
--- a/tests/fakes/scripted_server.hpp
+++ b/tests/fakes/scripted_server.hpp
@@ -37,25 +37,31 @@
 class scripted_server
 {
 public:
+    /// `endless` follows the response again and again until the client closes
+    /// the connection; nothing follows if it is empty.
     scripted_server(net::io_context& context, std::string response,
-                    connection_end end)
+                    connection_end end, std::string endless = {})
         : scripted_server(context, connection_scripts{{std::move(response)}},
-                          end)
+                          end, std::move(endless))
     {
     }
 
     /// One script for each connection, in the order in which they are opened.
     /// Its last entry, and the last script, also serve what comes later.
     scripted_server(net::io_context& context, connection_scripts scripts,
-                    connection_end end)
+                    connection_end end, std::string endless = {})
         : m_acceptor(context, {net::ip::address_v4::loopback(), 0}),
-          m_scripts(std::move(scripts)), m_end(end)
+          m_scripts(std::move(scripts)), m_end(end),
+          m_endless(std::move(endless))
     {
         net::co_spawn(context, accept_loop(), net::detached);
     }
 
     http::endpoint address() const { return m_acceptor.local_endpoint(); }
 
+    /// Bytes of responses that the system accepted, also ones not received.
+    std::size_t sent_bytes() const { return m_sent_bytes; }
+
 private:
     static constexpr auto no_throw = net::as_tuple(net::use_awaitable);
 
@@ -90,7 +96,15 @@
             received.erase(0, n);
             const std::string& response =
                 script[std::min(place, script.size() - 1)];
-            co_await net::async_write(socket, net::buffer(response), no_throw);
+            auto [write_error, sent] = co_await net::async_write(
+                socket, net::buffer(response), no_throw);
+            m_sent_bytes += sent;
+            while (!m_endless.empty() && !write_error)
+            {
+                std::tie(write_error, sent) = co_await net::async_write(
+                    socket, net::buffer(m_endless), no_throw);
+                m_sent_bytes += sent;
+            }
             if (m_end == connection_end::reset)
             {
                 // A close with a linger time of zero sends a reset.
@@ -108,6 +122,8 @@
     net::ip::tcp::acceptor m_acceptor;
     connection_scripts m_scripts;
     connection_end m_end;
+    std::string m_endless;
+    std::size_t m_sent_bytes = 0;
 };
 
 } // namespace cicadahub::fakes
--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -103,6 +103,22 @@
     return text.str();
 }
 
+std::size_t process::peak_memory_bytes() const
+{
+    const std::string name = "VmHWM:";
+    std::ifstream in("/proc/" + std::to_string(m_pid) + "/status");
+    std::string word;
+    while (in >> word)
+    {
+        std::size_t kilobytes = 0;
+        if (word == name && in >> kilobytes)
+        {
+            return kilobytes * 1024;
+        }
+    }
+    throw std::runtime_error("the process has no peak memory");
+}
+
 std::string loopback_host(unsigned n)
 {
     const auto pid = static_cast<unsigned>(::getpid());
--- a/tests/system/process.hpp
+++ b/tests/system/process.hpp
@@ -30,6 +30,9 @@
 
     std::string output() const;
 
+    /// Most bytes of memory that were resident at once since the start.
+    std::size_t peak_memory_bytes() const;
+
 private:
     pid_t m_pid = -1;
     std::string m_output_file;
--- a/utilities/cicada-load/load_runner.cpp
+++ b/utilities/cicada-load/load_runner.cpp
@@ -124,15 +124,14 @@
 {
     const http::request message = build_request(it);
     const time_point scheduled = m_start + it.at;
-    connection.stream.expires_after(answer_timeout);
+    connection.set_timeout(answer_timeout);
     const std::string head = http::serialize_head(message);
     co_await net::async_write(connection.stream,
                               http::wire_buffers(head, message.body()),
                               net::use_awaitable);
-    http::event_stream_reader::response_parser parser;
-    parser.body_limit(boost::none);
-    co_await http::beast_http::async_read_header(
-        connection.stream, connection.buf, parser, net::use_awaitable);
+    std::optional<http::response_head_parser> head_parser;
+    co_await http::read_response_head(connection, head_parser);
+    auto& parser = *head_parser;
     is_reusable = parser.keep_alive();
     if (parser.get().result() == http::status::ok &&
         http::is_event_stream(parser.get()[http::field::content_type]))
@@ -142,11 +141,11 @@
         report.total_time.add(monotonic_clock::now() - scheduled);
         co_return;
     }
-    http::full_response_parser full(std::move(parser));
-    co_await http::read_full_response(connection, full);
-    if (full.get().result() != http::status::ok)
+    const http::full_response full =
+        co_await http::read_full_response(connection, parser);
+    if (full.message.result() != http::status::ok)
     {
-        ++report.refused[refusal_name(full.get())];
+        ++report.refused[refusal_name(full.message)];
         co_return;
     }
     const time_point now = monotonic_clock::now();
@@ -157,7 +156,7 @@
 
 net::awaitable<void>
 load_runner::read_stream(http::client_connection& connection,
-                         http::event_stream_reader::response_parser& parser,
+                         http::response_head_parser& parser,
                          time_point scheduled, flow_report& report)
 {
     http::event_stream_reader reader(connection, parser);
--- a/utilities/cicada-load/load_runner.hpp
+++ b/utilities/cicada-load/load_runner.hpp
@@ -27,10 +27,9 @@
     net::awaitable<void> exchange(http::client_connection& connection,
                                   const scheduled_request& it,
                                   flow_report& report, bool& is_reusable);
-    net::awaitable<void>
-    read_stream(http::client_connection& connection,
-                http::event_stream_reader::response_parser& parser,
-                time_point scheduled, flow_report& report);
+    net::awaitable<void> read_stream(http::client_connection& connection,
+                                     http::response_head_parser& parser,
+                                     time_point scheduled, flow_report& report);
     http::request build_request(const scheduled_request& it) const;
 
     net::io_context& m_context;
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -22,6 +22,7 @@
 constexpr int crash_status = 134;
 constexpr int events_per_stream = 8;
 constexpr int events_before_break = 2;
+constexpr std::size_t endless_block_bytes = 64 * 1024;
 
 std::int64_t now_ms()
 {
@@ -166,6 +167,7 @@
         m_promised_status =
             reader.integer_or("promised_status", m_promised_status);
         m_stale_id = reader.text_or("stale_id", m_stale_id);
+        m_endless = reader.text_or("endless", m_endless);
         if (json.contains("shed_s"))
         {
             m_sheds_until =
@@ -288,6 +290,7 @@
                         {"organisations", organisations},
                         {"arrivals_in_pause", m_arrivals_in_pause},
                         {"keys_seen", m_keys_seen},
+                        {"endless_bytes", m_endless_bytes},
                         {"orders", m_orders},
                         {"old_fences", m_old_fences},
                         {"megabytes", m_settings.megabytes},
@@ -430,6 +433,10 @@
     }
     try
     {
+        if (!m_endless.empty())
+        {
+            co_await send_endless(message, reply);
+        }
         if (m_stale_refusals > 0)
         {
             co_await reply.send(stale_refusal());
@@ -461,6 +468,59 @@
     --m_running;
 }
 
+net::awaitable<void> worker_standin::send_endless(const http::request& message,
+                                                  http::reply_writer& reply)
+{
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string fields =
+        "Request-Id: " + std::string(message["Request-Id"]) +
+        "\r\nResponse-Seal: seal-" + m_settings.id + "\r\n";
+    const std::string type = message["Model"].empty()
+                                 ? "Content-Type: application/json\r\n"
+                                 : "Content-Type: text/event-stream\r\n";
+    const std::string head = status + fields + type;
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string letters(64, 'a');
+    std::string start;
+    std::string block = letters;
+    if (m_endless == "head")
+    {
+        start = head;
+        block = "Field: " + letters + "\r\n";
+    }
+    else if (m_endless == "interim")
+    {
+        block = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    }
+    else if (m_endless == "chunk_extension")
+    {
+        start = chunked + "1;";
+    }
+    else if (m_endless == "events")
+    {
+        start = head + "\r\n";
+        block = "id: 1\ndata: " + letters + "\n\n";
+    }
+    else
+    {
+        start = head + "\r\n[";
+        block = std::string(letters.size(), '1');
+    }
+    std::string blocks;
+    while (blocks.size() < endless_block_bytes)
+    {
+        blocks += block;
+    }
+    // Sent as it is.
+    reply.set_stream_framing(http::body_framing::until_close);
+    co_await reply.write_chunk(start);
+    while (true)
+    {
+        co_await reply.write_chunk(blocks);
+        m_endless_bytes += static_cast<std::int64_t>(blocks.size());
+    }
+}
+
 net::awaitable<void> worker_standin::answer_plain(const http::request& message,
                                                   http::reply_writer& reply)
 {
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -45,11 +45,13 @@
 /// pause), `unnumbered` (events have no id), `crash_after_run` (the process
 /// ends while it executes the next request), `unproven_promises` (number of
 /// requests that are executed and answered with `promised_status` without the
-/// statement that they were not) and `stale_refusals` (number of requests in
+/// statement that they were not), `stale_refusals` (number of requests in
 /// front of whose response a refusal of another request arrives, with
 /// `promised_status`; it names the request `stale_id`, or none if that is
-/// empty). `GET /stats` returns counters and `GET /runs` how often each request
-/// was executed.
+/// empty) and `endless` (responses never end: in the "head", in "interim"
+/// responses, in a "chunk_extension", in the "body", which has no length and in
+/// a stream is one event, or with whole "events"; empty for none). `GET /stats`
+/// returns counters and `GET /runs` how often each request was executed.
 class worker_standin
 {
 public:
@@ -74,6 +76,9 @@
     http::response shed(std::string_view request);
     net::awaitable<void> answer_plain(const http::request& message,
                                       http::reply_writer& reply);
+    /// Sends until the connection is closed, which throws.
+    net::awaitable<void> send_endless(const http::request& message,
+                                      http::reply_writer& reply);
     http::response answer_order(const http::request& message);
     http::response accept_model(const std::string& model, bool is_load);
     http::response accept_adapter(const std::string& model,
@@ -110,6 +115,8 @@
     std::int64_t m_stale_refusals = 0;
     std::int64_t m_promised_status = 503;
     std::string m_stale_id;
+    std::string m_endless;
+    std::int64_t m_endless_bytes = 0;
     time_point m_sheds_until{};
     /// From here to `m_sheds_until` no request should come.
     std::optional<time_point> m_pause_begins_at;
