Http: Expect no body in the response to HEAD

A caller of HEAD waited until its deadline and then got 504, since both request paths waited for the body that the head announced, or for the close of the connection. An event stream without a body would have been ended with a chunk.

The parser of a response now knows the method of its request, and the length that the server states goes to the caller.

--- a/libraries/backend/answer_relay.cpp
+++ b/libraries/backend/answer_relay.cpp
@@ -128,7 +128,7 @@
         co_await net::async_write(server->stream,
                                   http::wire_buffers(head, message.body()),
                                   net::use_awaitable);
-        co_await relay_head(*server, reply);
+        co_await relay_head(*server, reply, message.method());
     }
     catch (const boost::system::system_error& reason)
     {
@@ -163,9 +163,10 @@
 }
 
 net::awaitable<void> answer_relay::relay_head(connection& server,
-                                              http::reply_writer& reply)
+                                              http::reply_writer& reply,
+                                              http::verb method)
 {
-    co_await http::read_response_head(server, m_parser);
+    co_await http::read_response_head(server, m_parser, method);
     const auto& head = m_parser->get();
     m_result.status = head.result_int();
     m_result.end = relay_end::interrupted;
--- a/libraries/backend/answer_relay.hpp
+++ b/libraries/backend/answer_relay.hpp
@@ -91,7 +91,8 @@
     using connection = http::client_connection;
 
     net::awaitable<void> relay_head(connection& server,
-                                    http::reply_writer& reply);
+                                    http::reply_writer& reply,
+                                    http::verb method);
     net::awaitable<void> relay_non_streamed(connection& server,
                                             http::reply_writer& reply);
     net::awaitable<void> relay_stream(connection& server,
--- a/libraries/backend/engine_client.cpp
+++ b/libraries/backend/engine_client.cpp
@@ -109,7 +109,8 @@
                                   http::wire_buffers(head, message.body()),
                                   net::use_awaitable);
         std::optional<http::response_head_parser> parser;
-        co_await http::read_response_head(*connection, parser);
+        co_await http::read_response_head(*connection, parser,
+                                          message.method());
         const http::full_response answer =
             co_await http::read_full_response(*connection, *parser);
         co_return result_of(answer.message.result());
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -134,6 +134,7 @@
     m_deadline = deadline;
     m_has_sent = false;
     m_can_reuse = false;
+    m_method = message.method();
     http::client_pool::connection_pointer server;
     try
     {
@@ -237,7 +238,7 @@
                                        http::reply_writer& reply,
                                        stream_progress& progress)
 {
-    co_await http::read_response_head(server, m_parser);
+    co_await http::read_response_head(server, m_parser, m_method);
     const auto& head = m_parser->get();
     m_result.head = m_dialect.read_answer(head, id, sender);
     const auto meaning = outcome::meaning_of(m_result.head->facts);
@@ -292,6 +293,15 @@
     m_can_reuse = it.message.keep_alive();
     server.reusable_until = reusable_until(it.message[http::field::keep_alive]);
     m_result.memory = it.memory;
+    if (m_method == http::verb::head)
+    {
+        const auto length = it.message[http::field::content_length];
+        if (!length.empty())
+        {
+            answer.set(http::field::content_length, length);
+        }
+        co_return answer;
+    }
     answer.body() = std::move(it.message.body());
     answer.content_length(answer.body().size());
     co_return answer;
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -132,6 +132,7 @@
     exchange_handlers m_handlers;
     exchange_result m_result;
     std::optional<http::response_head_parser> m_parser;
+    http::verb m_method = http::verb::unknown;
     time_point m_deadline{};
     connection* m_connection = nullptr;
     bool m_is_cancelled = false;
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -45,7 +45,7 @@
                               wire_buffers(head, message.body()),
                               net::use_awaitable);
     std::optional<response_head_parser> parser;
-    co_await read_response_head(connection, parser);
+    co_await read_response_head(connection, parser, message.method());
     full_response it = co_await read_full_response(connection, *parser);
     connection.stream.expires_never();
     co_return std::move(it.message);
--- a/libraries/http/response_reading.cpp
+++ b/libraries/http/response_reading.cpp
@@ -134,13 +134,14 @@
 
 net::awaitable<void>
 read_response_head(client_connection& server,
-                   std::optional<response_head_parser>& parser)
+                   std::optional<response_head_parser>& parser, verb method)
 {
     for (int n = 0; n <= interim_response_limit; ++n)
     {
         parser.emplace();
         parser->header_limit(response_head_limit_bytes);
         parser->body_limit(server.limits.stream_bytes);
+        parser->skip(method == verb::head);
         co_await read_one_head(server, *parser);
         constexpr unsigned first_final_status = 200;
         if (parser->get().result_int() >= first_final_status)
--- a/libraries/http/response_reading.hpp
+++ b/libraries/http/response_reading.hpp
@@ -13,13 +13,13 @@
 using response_head_parser =
     beast_http::response_parser<beast_http::buffer_body>;
 
-/// Reads the head of the response and creates the
+/// Reads the head of the response to a request with `method` and creates the
 /// parser of that response. Interim responses (1xx) are skipped. Throws
 /// `boost::system::system_error`, with a `response_error` if the head exceeds
 /// its limits.
 net::awaitable<void>
 read_response_head(client_connection& server,
-                   std::optional<response_head_parser>& parser);
+                   std::optional<response_head_parser>& parser, verb method);
 
 /// Reads some more bytes of a body into the parser's buffer. Throws
 /// `boost::system::system_error`: `timeout` after the deadline of the
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -49,7 +49,8 @@
     std::size_t sent_bytes = 0;
 };
 
-outcome run_exchange(fakes::relay_run& run, bool may_send, milliseconds timeout)
+outcome run_exchange(fakes::relay_run& run, bool may_send, milliseconds timeout,
+                     http::verb method = http::verb::post)
 {
     outcome seen;
     exchange subject(run.pool(), dialect,
@@ -58,7 +59,7 @@
                       {
                           seen.is_leaving = notice.is_leaving;
                       }});
-    const http::request message{http::verb::post, "/", 11};
+    const http::request message{method, "/", 11};
     const forwarding added;
     const request_id id("r");
     seen.result = run.run(
@@ -179,6 +180,29 @@
     EXPECT_EQ(seen.result.answer->body(), "abc");
 }
 
+class answers_to_head : public testing::TestWithParam<const char*>
+{
+};
+
+// Guards against a wait for the body that the response to HEAD does not have.
+TEST_P(answers_to_head, end_with_their_head)
+{
+    fakes::relay_run run("HTTP/1.1 200 OK\r\n" + std::string(GetParam()) +
+                             "\r\n",
+                         connection_end::stays_open);
+    const outcome seen = run_exchange(run, true, seconds(3), http::verb::head);
+    ASSERT_TRUE(seen.result.answer) << seen.result.reason;
+    EXPECT_EQ(seen.result.answer->body(), "");
+    const auto length = (*seen.result.answer)[http::field::content_length];
+    EXPECT_TRUE(length.empty() || length == "10") << length;
+}
+
+INSTANTIATE_TEST_SUITE_P(exchange, answers_to_head,
+                         testing::Values("", "Content-Length: 10\r\n",
+                                         "Transfer-Encoding: chunked\r\n",
+                                         "Content-Type: text/event-stream\r\n",
+                                         "Content-Type: application/json\r\n"));
+
 // A body without a content type that shows its end is whole when the connection
 // is closed, but not when it is reset.
 TEST(exchange, an_opaque_answer_without_length_ends_with_its_connection)
--- a/utilities/cicada-load/load_runner.cpp
+++ b/utilities/cicada-load/load_runner.cpp
@@ -130,7 +130,8 @@
                               http::wire_buffers(head, message.body()),
                               net::use_awaitable);
     std::optional<http::response_head_parser> head_parser;
-    co_await http::read_response_head(connection, head_parser);
+    co_await http::read_response_head(connection, head_parser,
+                                      message.method());
     auto& parser = *head_parser;
     is_reusable = parser.keep_alive();
     if (parser.get().result() == http::status::ok &&
