Http: Bound the system's buffer of bytes from a server

Bytes that were received and not read count towards the memory of a process. While a caller reads slowly, its response waits in the receive buffer of the connection to the server, which the system lets grow to 32 MB here, for each request. The buffer is now fixed before the connection is opened.

Before, the test found 1,143,013 bytes waiting on a connection that was read fast and then no more; it allows 262,144, twice what the system makes of the 64 KB that are asked for.

--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -90,6 +90,9 @@
 {
     auto connection =
         std::make_unique<client_connection>(m_context, m_limits, m_budget);
+    connection->stream.socket().open(address.protocol());
+    connection->stream.socket().set_option(
+        net::socket_base::receive_buffer_size(receive_buffer_bytes));
     connection->stream.expires_after(m_connect_timeout);
     co_await connection->stream.async_connect(address, net::use_awaitable);
     connection->stream.socket().set_option(net::ip::tcp::no_delay(true));
--- a/libraries/http/response_limits.hpp
+++ b/libraries/http/response_limits.hpp
@@ -23,6 +23,10 @@
 inline constexpr std::uint64_t chunk_framing_limit_bytes = 64 * 1024;
 inline constexpr std::uint64_t chunk_framing_bytes_per_body_byte = 16;
 
+/// Receive buffer of the system for one connection. It would grow to several
+/// megabytes while a response waits for a caller that reads slowly.
+inline constexpr int receive_buffer_bytes = 64 * 1024;
+
 /// Limits of the responses that are read on the connections of one client pool.
 /// The defaults fit a host with 160 MB of memory.
 struct response_limits
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -48,6 +48,37 @@
                          [](const auto& it)
                          { return std::string(it.param.name); });
 
+// Guards against bytes of a waiting response that fill the memory of the host.
+TEST(client, a_response_that_is_not_read_stays_with_its_server)
+{
+    constexpr std::size_t most_bytes = 8 * 1024 * 1024;
+    fakes::relay_run run("HTTP/1.1 200 OK\r\n\r\n",
+                         fakes::connection_end::stays_open,
+                         fakes::repeated("a"));
+    run.run(
+        [&](endpoint server, reply_writer&) -> net::awaitable<int>
+        {
+            const auto connection = co_await run.pool().acquire(server);
+            connection->set_timeout(seconds(5));
+            co_await net::async_write(connection->stream,
+                                      net::buffer("GET / HTTP/1.1\r\n\r\n"),
+                                      net::use_awaitable);
+            // Reads fast and then not at all, as for a caller that stops.
+            std::vector<char> buf(most_bytes);
+            for (int n = 0; n < 400; ++n)
+            {
+                co_await connection->stream.async_read_some(net::buffer(buf),
+                                                            net::use_awaitable);
+            }
+            net::steady_timer timer(co_await net::this_coro::executor,
+                                    milliseconds(300));
+            co_await timer.async_wait(net::use_awaitable);
+            EXPECT_LE(connection->stream.socket().available(),
+                      std::size_t(256 * 1024));
+            co_return 0;
+        });
+}
+
 class endless_documents : public testing::TestWithParam<fakes::endless_response>
 {
 };
