Entry: Heed leaves and pauses in answers to orders and reports

Servers that asked for a pause got orders and reports in it (7 orders and reports in a pause of 2 s), and a host that had read `Server-Leaving` only in the answer to an order or a report went on sending requests there.

Cause: the placement controller read of an answer only what it had asked for, and nothing between it and the server looked at the pause. Now the head of every answer goes through the dialect's read_notice; a paused server is blocked for orders in its state, and both requests are checked again when their connection is open. A leaving server gets neither. An order that is not sent is `withheld`: no failure, no report needed, planned anew. A report that a pause answers is not logged as an unreachable server.

That a request waits for a model whose only server is paused, though no other server is ordered to load it, is as before.

--- a/libraries/decision/replicas/server_state.cpp
+++ b/libraries/decision/replicas/server_state.cpp
@@ -119,6 +119,15 @@
                              time_point now)
 {
     m_awaits_answer = false;
+    if (answer == order_answer::withheld)
+    {
+        // The server is as it was, and the next plan decides anew.
+        if (!it.copy.adapter)
+        {
+            m_pending.reset();
+        }
+        return;
+    }
     m_changed_at = now;
     const bool is_adapter_unload =
         it.copy.adapter && it.kind == order_kind::unload;
--- a/libraries/decision/replicas/server_state.hpp
+++ b/libraries/decision/replicas/server_state.hpp
@@ -45,6 +45,8 @@
     const std::optional<pending_order>& pending() const { return m_pending; }
     /// False until a report has stated how many orders the server accepted.
     bool is_confirmed() const { return m_is_confirmed; }
+    /// True while the server wants nothing from this host.
+    void set_paused(bool it) { m_is_paused = it; }
     /// Blocks orders until the next report confirms the state.
     void require_report() { m_is_confirmed = false; }
 
@@ -54,10 +56,11 @@
     bool is_loading(const model_id& model) const;
     bool is_usable() const { return !m_entry.is_leaving; }
     /// True if no order can be sent now: one is in progress or not yet
-    /// answered, or the server's state is not confirmed.
+    /// answered, the server's state is not confirmed, or the server wants
+    /// nothing.
     bool is_order_blocked() const
     {
-        return m_awaits_answer || m_pending || !m_is_confirmed;
+        return m_awaits_answer || m_pending || !m_is_confirmed || m_is_paused;
     }
     bool awaits_answer() const { return m_awaits_answer; }
 
@@ -82,6 +85,7 @@
     /// requested soon after may still describe the earlier state.
     time_point m_changed_at{};
     bool m_awaits_answer = false;
+    bool m_is_paused = false;
     std::optional<pending_order> m_pending;
 };
 
--- a/libraries/decision/replicas/types.hpp
+++ b/libraries/decision/replicas/types.hpp
@@ -69,6 +69,9 @@
     /// No answer arrived: the server may have accepted the order, or may still
     /// receive and accept it.
     unknown,
+    /// Not sent, because the server meanwhile leaves or asked for a pause, or
+    /// the lease has ended.
+    withheld,
 };
 
 } // namespace cicadahub::replicas
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -63,9 +63,10 @@
       m_placement(m_context, m_order_pool, m_store,
                   {m_settings, dialects.servers, m_state.servers, m_state.fleet,
                    m_state.demand, m_state.waiting, m_state.metrics,
+                   [this] { return m_state.configuration; }, m_state.random,
                    [this]
                    {
-                       return m_state.configuration;
+                       m_state.on_server_leaving();
                    }},
                   [this]
                   {
--- a/libraries/entry/placement_controller.cpp
+++ b/libraries/entry/placement_controller.cpp
@@ -75,6 +75,8 @@
         return "conflict";
     case replicas::order_answer::refused:
         return "refused";
+    case replicas::order_answer::withheld:
+        return "withheld";
     case replicas::order_answer::unknown:
         break;
     }
@@ -208,10 +210,11 @@
             continue;
         }
         auto& servers = m_servers[service->name];
-        const auto known = servers.find(id);
-        if (known == servers.end())
+        const auto [known, is_new] =
+            servers.try_emplace(id, replicas::server_state(record->entry, now));
+        known->second.set_paused(record->pause.is_active(now));
+        if (is_new)
         {
-            servers.emplace(id, replicas::server_state(record->entry, now));
             continue;
         }
         const auto pending = known->second.pending();
@@ -351,18 +354,27 @@
     const auto record = m_inputs.servers.find(it.server);
     if (record)
     {
+        bool is_withheld = false;
+        const auto may_send = [&]
+        {
+            is_withheld =
+                !is_held() || !record->accepts_requests(monotonic_clock::now());
+            return !is_withheld;
+        };
         try
         {
             http::request message = m_inputs.dialect.make_order(
                 it, m_inputs.settings.name, m_shard.epoch());
             const http::response response = co_await http::fetch(
                 m_pool, record->entry.address, std::move(message),
-                order_timeout, [this] { return is_held(); });
+                order_timeout, may_send);
+            on_notice(*record, response, "order");
             answer = m_inputs.dialect.read_order_answer(response);
         }
         catch (const boost::system::system_error& failure)
         {
             reason = failure.code().message();
+            answer = is_withheld ? replicas::order_answer::withheld : answer;
         }
     }
     m_inputs.metrics.count_order(name_of(answer));
@@ -385,6 +397,32 @@
     schedule_planning();
 }
 
+void placement_controller::on_notice(server_record& record,
+                                     const http::response& answer,
+                                     std::string_view source)
+{
+    const serving::server_entry& entry = record.entry;
+    const server_notice it = m_inputs.dialect.read_notice(answer, entry.id);
+    if (it.is_leaving &&
+        m_inputs.servers.on_leaving(entry.id, entry.incarnation, source))
+    {
+        m_inputs.on_server_leaving();
+    }
+    if (!it.pause)
+    {
+        return;
+    }
+    const double draw = std::uniform_real_distribution<>()(m_inputs.random);
+    if (record.pause.on_requested(monotonic_clock::now(), *it.pause, draw))
+    {
+        log_event(severity::info, event_number::server_paused,
+                  {{"server", entry.id.value()},
+                   {"seen_in", source},
+                   {"incarnation", entry.incarnation},
+                   {"pause_ms", it.pause->count()}});
+    }
+}
+
 void placement_controller::request_due_reports(time_point now)
 {
     for (auto& [service, servers] : m_servers)
@@ -394,8 +432,10 @@
             const bool is_due = state.pending() &&
                                 state.pending()->is_accepted &&
                                 now >= state.pending()->due_at;
+            const auto record = m_inputs.servers.find(id);
             if ((state.is_confirmed() && !is_due) || state.awaits_answer() ||
-                now < m_report_requested_at[id] + report_period)
+                now < m_report_requested_at[id] + report_period || !record ||
+                !record->accepts_requests(now))
             {
                 continue;
             }
@@ -413,11 +453,24 @@
         co_return;
     }
     const time_point asked_at = monotonic_clock::now();
+    bool is_withheld = false;
+    const auto may_send = [&]
+    {
+        is_withheld = !record->accepts_requests(monotonic_clock::now());
+        return !is_withheld;
+    };
     try
     {
         http::request message = m_inputs.dialect.make_report_request(id);
-        const http::response response = co_await http::fetch(
-            m_pool, record->entry.address, std::move(message), report_timeout);
+        const http::response response =
+            co_await http::fetch(m_pool, record->entry.address,
+                                 std::move(message), report_timeout, may_send);
+        on_notice(*record, response, "report");
+        if (response.result() == http::status::service_unavailable &&
+            record->pause.is_active(monotonic_clock::now()))
+        {
+            co_return;
+        }
         const auto report = m_inputs.dialect.read_report(response);
         auto* state = find(id);
         if (state == nullptr ||
@@ -447,6 +500,10 @@
     }
     catch (const std::exception& reason)
     {
+        if (is_withheld)
+        {
+            co_return;
+        }
         log_event(severity::warning, event_number::server_unreachable,
                   {{"server", id.value()}, {"reason", reason.what()}});
     }
--- a/libraries/entry/placement_controller.hpp
+++ b/libraries/entry/placement_controller.hpp
@@ -11,6 +11,7 @@
 #include "http/client.hpp"
 
 #include <functional>
+#include <random>
 
 namespace cicadahub::entry
 {
@@ -27,6 +28,9 @@
     entry_metrics& metrics;
     std::function<std::shared_ptr<const serving::configuration>()>
         configuration;
+    std::mt19937_64& random;
+    /// Called when an answer said that its server leaves.
+    std::function<void()> on_server_leaving;
 };
 
 /// Orders loads and unloads on the servers of the whole fleet while this daemon
@@ -73,6 +77,10 @@
     void request_due_reports(time_point now);
     net::awaitable<void> fetch_report(server_id id);
     net::awaitable<void> send(replicas::order it);
+    /// Takes in what the head of an answer says of the server; `source` names
+    /// the kind of the request in the log.
+    void on_notice(server_record& record, const http::response& answer,
+                   std::string_view source);
     replicas::server_state* find(const server_id& id);
     void publish_holdings(const server_id& id);
     std::set<server_id> servers_to_publish(bool is_update);
--- a/tests/decision/server_state_test.cpp
+++ b/tests/decision/server_state_test.cpp
@@ -123,6 +123,26 @@
     EXPECT_EQ(state.orders_accepted(), 2U);
 }
 
+TEST(server_state, a_withheld_order_changes_nothing)
+{
+    server_state state = confirmed({}, 4);
+    const order it = load_of(large, 4);
+    state.on_order_sent(it, seconds(6), std::nullopt, start + seconds(2));
+    state.on_answer(it, order_answer::withheld, start + seconds(3));
+    EXPECT_FALSE(state.is_order_blocked());
+    EXPECT_FALSE(state.is_loading(large));
+    EXPECT_EQ(state.orders_accepted(), 4U);
+}
+
+TEST(server_state, gets_no_order_in_a_pause)
+{
+    server_state state = confirmed({}, 4);
+    state.set_paused(true);
+    EXPECT_TRUE(state.is_order_blocked());
+    state.set_paused(false);
+    EXPECT_FALSE(state.is_order_blocked());
+}
+
 TEST(server_state, an_immediate_adapter_unload_uses_an_order_number)
 {
     server_state state = confirmed({{small, {adapter_id("a1")}}}, 5);
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -168,6 +168,8 @@
             reader.integer_or("promised_status", m_promised_status);
         m_stale_id = reader.text_or("stale_id", m_stale_id);
         m_endless = reader.text_or("endless", m_endless);
+        m_sheds_placement =
+            reader.boolean_or("shed_placement", m_sheds_placement);
         if (json.contains("shed_s"))
         {
             m_sheds_until =
@@ -194,14 +196,27 @@
             refusal(http::status::misdirected_request, message["Request-Id"]));
         co_return;
     }
+    const bool is_placement = path == "/v1/report" || path == "/v1/order";
+    if (is_placement && m_sheds_placement && is_shedding())
+    {
+        co_await reply.send(shed({}));
+        co_return;
+    }
+    if (is_placement)
+    {
+        count_arrival_in_pause();
+    }
     if (path == "/v1/report")
     {
-        co_await reply.send(answer_report());
+        http::response answer = answer_report();
+        announce(answer);
+        co_await reply.send(std::move(answer));
         co_return;
     }
     if (path == "/v1/order")
     {
         http::response answer = answer_order(message);
+        announce(answer);
         if (m_silent_orders > 0)
         {
             --m_silent_orders;
@@ -228,6 +243,20 @@
     return refusal(static_cast<http::status>(m_promised_status), m_stale_id);
 }
 
+bool worker_standin::is_shedding() const
+{
+    return monotonic_clock::now() < m_sheds_until;
+}
+
+void worker_standin::count_arrival_in_pause()
+{
+    if (m_pause_begins_at && is_shedding() &&
+        monotonic_clock::now() > *m_pause_begins_at)
+    {
+        ++m_arrivals_in_pause;
+    }
+}
+
 http::response worker_standin::shed(std::string_view request)
 {
     const time_point now = monotonic_clock::now();
@@ -235,7 +264,7 @@
     {
         m_pause_begins_at = now + pause_grace;
     }
-    m_arrivals_in_pause += now > *m_pause_begins_at ? 1 : 0;
+    count_arrival_in_pause();
     const auto left =
         std::chrono::duration<double>(m_sheds_until - now).count();
     http::response answer = refusal(http::status::service_unavailable, request);
@@ -412,7 +441,7 @@
             refusal(http::status::misdirected_request, message["Request-Id"]));
         co_return;
     }
-    if (monotonic_clock::now() < m_sheds_until)
+    if (is_shedding())
     {
         co_await reply.send(shed(message["Request-Id"]));
         co_return;
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -42,16 +42,17 @@
 /// without a response), `draining`, `leaving` (responses announce that the
 /// server leaves, while its entry in the store does not) and `shed_s` (for that
 /// many seconds requests are turned away with the rest of that time as the
-/// pause), `unnumbered` (events have no id), `crash_after_run` (the process
-/// ends while it executes the next request), `unproven_promises` (number of
-/// requests that are executed and answered with `promised_status` without the
-/// statement that they were not), `stale_refusals` (number of requests in
-/// front of whose response a refusal of another request arrives, with
-/// `promised_status`; it names the request `stale_id`, or none if that is
-/// empty) and `endless` (responses never end: in the "head", in "interim"
-/// responses, in a "chunk_extension", in the "body", which has no length and in
-/// a stream is one event, or with whole "events"; empty for none). `GET /stats`
-/// returns counters and `GET /runs` how often each request was executed.
+/// pause; orders and reports too with `shed_placement`), `unnumbered` (events
+/// have no id), `crash_after_run` (the process ends while it executes the next
+/// request), `unproven_promises` (number of requests that are executed and
+/// answered with `promised_status` without the statement that they were not),
+/// `stale_refusals` (number of requests in front of whose response a refusal of
+/// another request arrives, with `promised_status`; it names the request
+/// `stale_id`, or none if that is empty) and `endless` (responses never end: in
+/// the "head", in "interim" responses, in a "chunk_extension", in the "body",
+/// which has no length and in a stream is one event, or with whole "events";
+/// empty for none). `GET /stats` returns counters and `GET /runs` how often
+/// each request was executed.
 class worker_standin
 {
 public:
@@ -71,6 +72,8 @@
     void announce(http::response& it) const;
     /// The refusal of another request that arrives in front of a response.
     http::response stale_refusal();
+    bool is_shedding() const;
+    void count_arrival_in_pause();
     /// The rejection that asks for a pause; counts requests that come within
     /// it.
     http::response shed(std::string_view request);
@@ -118,6 +121,7 @@
     std::string m_endless;
     std::int64_t m_endless_bytes = 0;
     time_point m_sheds_until{};
+    bool m_sheds_placement = false;
     /// From here to `m_sheds_until` no request should come.
     std::optional<time_point> m_pause_begins_at;
     std::int64_t m_arrivals_in_pause = 0;
