Entry: Send each order and report on a connection of its own

A server that responds to a report twice, late, made the daemon take the second response for the answer to its next order on that connection. If the order had been refused, the daemon waited for a load that the server never began: reports with the true number of orders were ignored as outdated, and the server got no order again. Reports failed with the status of the wrong response.

Cause: answers to orders and reports name no request, and their pool reused connections. Orders are few (the server takes one at a time, a report is due after a takeover, a conflict or a load), so each gets a new connection.

Evidence: placement_answers.a_late_response_to_a_report_accepts_no_order failed before: the daemon logged the first order, which the server had answered 409, as accepted, and sent no second one within 20 s. It passes now.

--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -15,6 +15,9 @@
 using daemon::pause;
 
 constexpr std::size_t idle_connections = 4;
+/// Answers to orders and reports name no request: on a connection that carried
+/// another one, a late second response to that could be taken for them.
+constexpr std::size_t idle_order_connections = 0;
 /// The store answers within milliseconds; a call that times out is retried well
 /// within the 2 s in which a change must reach every daemon.
 constexpr platform::client_timing store_timing{milliseconds(600),
@@ -56,7 +59,7 @@
       m_reload(std::move(reload)),
       m_state(m_context, m_settings, dialects.documents),
       m_platform_pool(m_context, connect_timeout, idle_connections),
-      m_order_pool(m_context, connect_timeout, idle_connections),
+      m_order_pool(m_context, connect_timeout, idle_order_connections),
       m_peer_pool(m_context, connect_timeout, 1),
       m_store(m_platform_pool, m_settings.store, store_timing, dialects.store,
               [this] { on_store_restored(); }),
--- a/tests/system/notice_test.cpp
+++ b/tests/system/notice_test.cpp
@@ -1,3 +1,4 @@
+#include "doubling_server.hpp"
 #include "platform_fleet.hpp"
 
 #include <gtest/gtest.h>
@@ -116,5 +117,43 @@
     EXPECT_EQ(read_stat(leaving, "runs"), 0);
 }
 
+/// Adds a server to the store's list.
+void register_engine(const platform_fleet& fleet, const std::string& id,
+                     const std::string& address)
+{
+    const boost::json::object spec{{"service", "engines"},
+                                   {"address", address},
+                                   {"zone", "dc-1"},
+                                   {"version", "v1"},
+                                   {"slots", 8},
+                                   {"state", "ready"},
+                                   {"coldLeftMs", 0},
+                                   {"born", 1'700'000'000'000},
+                                   {"seq", 1},
+                                   {"models", boost::json::array()}};
+    const boost::json::object object{{"metadata", {{"name", id}}},
+                                     {"spec", spec}};
+    EXPECT_EQ(call(fleet.store, http::verb::post, "/v1/objects/servers",
+                   boost::json::serialize(object))
+                  .status,
+              201U);
+}
+
+// Answers to orders and reports name no request. A late second response to a
+// report must not be taken for the answer to an order: the daemon would wait
+// for a load that the server never began, and order nothing there again.
+TEST(placement_answers, a_late_response_to_a_report_accepts_no_order)
+{
+    platform_fleet fleet(1);
+    for (const auto& it : fleet.engines)
+    {
+        fleet.set_fault(it.address, R"({"draining":true})");
+    }
+    const std::string address = free_address();
+    const fakes::doubling_server server(http::parse_endpoint(address));
+    register_engine(fleet, "e9", address);
+    EXPECT_TRUE(eventually([&] { return server.orders() >= 2; }));
+}
+
 } // namespace
 } // namespace cicadahub::system_tests
