Operators: Explain a request by what befell its servers and the store

`cicadactl explain` showed nothing of a restore of the store or of a server that left, and pauses only if the request itself was answered with one, since these lines name no request.

It now adds, from the daemons that had the request and between its arrival and its end, leaves, pauses and suspensions of servers that it was sent to, and restores. The arrival is reckoned from the last line's duration: a request that did not wait has no line before its first attempt has ended.

Evidence: explained_events.* run it on logs of real daemons; the three failed before. They also show that events of other times and servers stay out.

--- /dev/null
+++ b/tests/system/explain_events_test.cpp
@@ -0,0 +1,85 @@
+#include "platform_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <future>
+#include <thread>
+
+namespace cicadahub::system_tests
+{
+namespace
+{
+
+/// Output of `cicadactl explain` on the daemon's log; empty if it fails.
+std::string explanation(const platform_fleet& fleet, const std::string& request)
+{
+    const std::string file = make_folder() + "/logs";
+    std::ofstream(file) << fleet.daemons[0].program->output();
+    process it("utilities/cicadactl", {"explain", request, file});
+    return it.wait() == 0 ? it.output() : std::string();
+}
+
+bool is_explained_by(const platform_fleet& fleet, const std::string& request,
+                     const std::string& line)
+{
+    return eventually(
+        [&]
+        { return explanation(fleet, request).find(line) != std::string::npos; },
+        milliseconds(5'000));
+}
+
+void expect_no_line(const platform_fleet& fleet, const std::string& request,
+                    const std::string& name)
+{
+    EXPECT_TRUE(is_explained_by(fleet, request, "request_answered"));
+    EXPECT_EQ(explanation(fleet, request).find(name), std::string::npos);
+}
+
+// Events of a server or of the store name no request. Those of other times, or
+// of servers that the request was not sent to, don't belong to it.
+TEST(explained_events, a_leaving_server)
+{
+    platform_fleet fleet(1);
+    fleet.plain(0, "before", http::verb::get, "/read/1");
+    fleet.set_fault(fleet.services[0].address, R"({"leaving":true})");
+    fleet.set_fault(fleet.services[1].address, R"({"leaving":true})");
+    fleet.plain(0, "r", http::verb::get, "/read/1");
+    EXPECT_TRUE(is_explained_by(fleet, "r", "server_leaving server=l"));
+    expect_no_line(fleet, "before", "server_leaving");
+}
+
+TEST(explained_events, a_pause_that_an_order_was_answered_with)
+{
+    platform_fleet fleet(1);
+    fleet.stream(0, "before", "m1/a2");
+    fleet.set_fault(fleet.engines[0].address,
+                    R"({"shed_s":2,"shed_placement":true})");
+    auto waiting = std::async(std::launch::async,
+                              [&] { return fleet.stream(0, "r", "m1/a1"); });
+    std::this_thread::sleep_for(milliseconds(100));
+    fleet.plain(0, "of_another_service", http::verb::get, "/read/1");
+    EXPECT_EQ(waiting.get().status, 200U);
+    EXPECT_TRUE(
+        is_explained_by(fleet, "r", "server_paused server=e1 seen_in=order"));
+    expect_no_line(fleet, "before", "server_paused");
+    expect_no_line(fleet, "of_another_service", "server_paused");
+}
+
+// Without the lease, no adapter is loaded.
+TEST(explained_events, a_restored_store)
+{
+    platform_fleet fleet(1);
+    fleet.plain(0, "before", http::verb::get, "/read/1");
+    fleet.set_fault(fleet.store, R"({"keep_copy":true})");
+    auto waiting = std::async(std::launch::async,
+                              [&] { return fleet.stream(0, "r", "m1/a1"); });
+    std::this_thread::sleep_for(milliseconds(100));
+    fleet.set_fault(fleet.store, R"({"restore":true})");
+    waiting.get();
+    EXPECT_TRUE(is_explained_by(fleet, "r", "store_restored era=2"));
+    expect_no_line(fleet, "before", "store_restored");
+}
+
+} // namespace
+} // namespace cicadahub::system_tests
--- a/utilities/cicadactl/explain.cpp
+++ b/utilities/cicadactl/explain.cpp
@@ -4,7 +4,13 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
+#include <ctime>
+#include <iomanip>
 #include <iostream>
+#include <limits>
+#include <set>
+#include <sstream>
 #include <vector>
 
 namespace cicadahub::ctl
@@ -77,40 +83,112 @@
     out << "\n";
 }
 
+/// Time of a line in milliseconds; 0 if it is malformed.
+std::int64_t milliseconds_of(const std::string& time)
+{
+    std::istringstream text(time);
+    std::tm parts{};
+    text >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S");
+    double fraction = 0;
+    text >> fraction;
+    constexpr int milliseconds_per_second = 1000;
+    return text ? std::int64_t{timegm(&parts)} * milliseconds_per_second +
+                      std::llround(fraction * milliseconds_per_second)
+                : 0;
+}
+
+/// Events of a server or of the store that name no request but may be the cause
+/// of its outcome.
+bool is_surrounding_event(std::string_view name)
+{
+    constexpr std::array<std::string_view, 4> names{
+        "server_paused", "server_leaving", "server_suspended",
+        "store_restored"};
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+/// What the lines of one request tell of it.
+struct request_summary
+{
+    std::size_t line_count = 0;
+    std::string model;
+    std::set<std::string> daemons;
+    std::set<std::string> servers;
+    std::int64_t begin_ms = std::numeric_limits<std::int64_t>::max();
+    std::int64_t end_ms = 0;
+
+    void add(const log_line& line)
+    {
+        ++line_count;
+        model = model.empty() ? field(line, "model") : model;
+        daemons.insert(field(line, "daemon"));
+        if (const std::string server = field(line, "server"); !server.empty())
+        {
+            servers.insert(server);
+        }
+        // The last line tells how long the request took. Many requests have no
+        // line before an attempt has ended.
+        std::int64_t took_ms = 0;
+        for (const char* name : {"took_ms", "after_ms"})
+        {
+            const auto* it = line.fields.if_contains(name);
+            took_ms =
+                it != nullptr && it->is_int64() ? it->get_int64() : took_ms;
+        }
+        const std::int64_t time_ms = milliseconds_of(line.time);
+        begin_ms = std::min(begin_ms, time_ms - took_ms);
+        end_ms = std::max(end_ms, time_ms);
+    }
+
+    bool is_in_time(const log_line& line) const
+    {
+        const std::int64_t time_ms = milliseconds_of(line.time);
+        return begin_ms <= time_ms && time_ms <= end_ms;
+    }
+
+    bool is_order_for_model(const log_line& line) const
+    {
+        return !model.empty() && field(line, "name").starts_with("order_") &&
+               (field(line, "model") == model ||
+                field(line, "makes_room_for") == model);
+    }
+
+    /// Such events count if they come from a daemon that had the request, and
+    /// if they are of a server that it was sent to or of the store.
+    bool is_surrounding(const log_line& line) const
+    {
+        const std::string server = field(line, "server");
+        return is_surrounding_event(field(line, "name")) &&
+               daemons.contains(field(line, "daemon")) &&
+               (server.empty() || servers.contains(server));
+    }
+};
+
 } // namespace
 
 std::size_t explain(std::istream& lines, const std::string& request,
                     std::ostream& out)
 {
     const std::vector<log_line> all = read_lines(lines);
-    std::string first;
-    std::string last;
-    std::string model;
-    std::size_t line_count = 0;
+    request_summary summary;
     for (const log_line& it : all)
     {
         if (field(it, "request") == request)
         {
-            first = first.empty() ? it.time : first;
-            last = it.time;
-            model = model.empty() ? field(it, "model") : model;
-            ++line_count;
+            summary.add(it);
         }
     }
     for (const log_line& it : all)
     {
-        const bool is_of_request = field(it, "request") == request;
-        const bool is_order_for_model =
-            !model.empty() && it.time >= first && it.time <= last &&
-            (field(it, "name").starts_with("order_")) &&
-            (field(it, "model") == model ||
-             field(it, "makes_room_for") == model);
-        if (is_of_request || is_order_for_model)
+        const bool is_context =
+            summary.is_in_time(it) &&
+            (summary.is_order_for_model(it) || summary.is_surrounding(it));
+        if (field(it, "request") == request || is_context)
         {
             print(it, out);
         }
     }
-    return line_count;
+    return summary.line_count;
 }
 
 } // namespace cicadahub::ctl
