--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/server_table_test.cpp
@@ -122,6 +122,47 @@
                     leaving_case{"said_by_another_incarnation", 2, 1, false}),
     [](const auto& it) { return std::string(it.param.name); });
 
+// Requests that run on the former incarnation end later; they are not counted
+// for its successor, nor taken from its count.
+TEST_F(server_table_test, the_next_incarnation_has_no_past)
+{
+    const time_point now = monotonic_clock::now();
+    m_table.apply(object("s", 5, {{"incarnation", 1}}));
+    const auto former = m_table.find(server_id("s"));
+    auto running =
+        std::make_unique<running_guard>(former, std::optional(model_id("m")));
+    former->health.on_unreachable(now);
+    former->pause.on_requested(now, seconds(5), 0);
+    ASSERT_FALSE(former->health.is_trusted(now));
+    m_table.apply(object("s", 6, {{"incarnation", 2}}));
+    const auto next = m_table.find(server_id("s"));
+    EXPECT_TRUE(next->health.is_trusted(now));
+    EXPECT_EQ(next->health.failure_share(), 0);
+    EXPECT_TRUE(next->accepts_requests(now));
+    EXPECT_EQ(next->running, 0U);
+    EXPECT_TRUE(next->running_models.empty());
+    const running_guard own(next, std::optional(model_id("m")));
+    running.reset();
+    EXPECT_EQ(next->running, 1U);
+    EXPECT_EQ(next->running_models.at(model_id("m")), 1U);
+}
+
+// A change of its entry does not.
+TEST_F(server_table_test, an_incarnation_keeps_its_past)
+{
+    const time_point now = monotonic_clock::now();
+    m_table.apply(object("s", 5, {{"incarnation", 1}}));
+    const auto record = m_table.find(server_id("s"));
+    const running_guard running(record, std::nullopt);
+    record->health.on_unreachable(now);
+    record->pause.on_requested(now, seconds(5), 0);
+    m_table.apply(object("s", 6, {{"incarnation", 1}, {"model", true}}));
+    const auto same = m_table.find(server_id("s"));
+    EXPECT_FALSE(same->health.is_trusted(now));
+    EXPECT_FALSE(same->accepts_requests(now));
+    EXPECT_EQ(same->running, 1U);
+}
+
 TEST_F(server_table_test, a_leave_is_news_once)
 {
     m_table.apply(object("s", 5));
