Caller: Log what a response says of its request

When a server's status reached a caller as a promise that nothing ran, nothing told whether the server had sent it for this request: cicadad logged no attempt.

request_attempted now tells of every attempt without an answer, and of every answer with a status of 408, 421, 429 or 503, how it ended, the status, whether the response names the request, and how many exchanges the connection had completed. Attempts with any other answer are not logged, so that the line costs nothing on the common path. No logic changes.

--- a/libraries/backend/answer_relay.cpp
+++ b/libraries/backend/answer_relay.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 
+#include <array>
+
 namespace cicadahub::backend
 {
 
@@ -60,8 +62,32 @@
     return events.ends_with("data: [DONE]");
 }
 
+outcome::named_party party_named(std::string_view name,
+                                 std::string_view expected)
+{
+    if (name.empty() || expected.empty())
+    {
+        return outcome::named_party::missing;
+    }
+    return name == expected ? outcome::named_party::expected
+                            : outcome::named_party::other;
+}
+
 } // namespace
 
+std::string_view name_of(relay_end it)
+{
+    constexpr std::array<std::string_view, 8> names{"complete",
+                                                    "not-sent",
+                                                    "model-not-loaded",
+                                                    "server-busy",
+                                                    "failed-before-answer",
+                                                    "interrupted",
+                                                    "caller-disconnected",
+                                                    "cancelled"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
 answer_relay::answer_relay(http::client_pool& pool, relay_limits limits,
                            backend_kind kind)
     : m_pool(pool), m_limits(limits), m_kind(kind)
@@ -107,7 +133,8 @@
     {
         co_return m_result;
     }
-    m_result.was_reused = server->completed_exchanges > 0;
+    m_result.earlier_exchanges = server->completed_exchanges;
+    m_request_id = message[request_id_header];
     if (m_is_cancelled)
     {
         m_result.end = relay_end::cancelled;
@@ -169,6 +196,7 @@
     co_await http::read_response_head(server, m_parser, method);
     const auto& head = m_parser->get();
     m_result.status = head.result_int();
+    m_result.request = party_named(head[request_id_header], m_request_id);
     m_result.end = relay_end::interrupted;
     if (http::is_event_stream(head[http::field::content_type]))
     {
--- a/libraries/backend/answer_relay.hpp
+++ b/libraries/backend/answer_relay.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/outcome/response_meaning.hpp"
 #include "http/client.hpp"
 #include "http/reply_writer.hpp"
 #include "http/response_reading.hpp"
@@ -11,6 +12,9 @@
 
 namespace net = boost::asio;
 
+/// Header that names a request; servers may repeat it in their response.
+inline constexpr std::string_view request_id_header = "X-Request-Id";
+
 /// How an exchange with a backend server ended.
 enum class relay_end
 {
@@ -34,15 +38,21 @@
     cancelled,
 };
 
+std::string_view name_of(relay_end it);
+
 struct relay_result
 {
     relay_end end = relay_end::not_sent;
+    /// HTTP status of the response; 0 if no head of one was received.
     unsigned status = 0;
+    /// The request that the response names.
+    outcome::named_party request = outcome::named_party::missing;
+    /// Exchanges that the connection had completed before this one. If there
+    /// are any, a failure may be due to a stale connection and says nothing
+    /// about the server.
+    std::uint32_t earlier_exchanges = 0;
     std::int64_t tokens = 0;
     std::optional<time_point> first_token_at;
-    /// The connection had served an exchange before, so that its failure may be
-    /// due to a stale connection and says nothing about the server.
-    bool was_reused = false;
     /// The server closed the connection while the request was being sent or
     /// answered, as when its process dies.
     bool is_connection_lost = false;
@@ -112,6 +122,8 @@
     bool m_is_writing_to_caller = false;
     bool m_can_reuse = false;
     connection* m_connection = nullptr;
+    /// Id of the request, as sent to the server; valid during `run`.
+    std::string_view m_request_id;
     std::optional<http::response_head_parser> m_parser;
 };
 
--- a/libraries/caller/request_handler.hpp
+++ b/libraries/caller/request_handler.hpp
@@ -21,7 +21,6 @@
 /// Header that selects the class of work of a request.
 inline constexpr std::string_view class_header = "X-Cicadahub-Class";
 inline constexpr std::string_view idempotency_header = "Idempotency-Key";
-inline constexpr std::string_view request_id_header = "X-Request-Id";
 
 /// Class of a request without the class header.
 inline constexpr std::string_view default_class = "default";
@@ -147,6 +146,9 @@
     relay_attempt(const routing::target& target, const http::request& message,
                   http::reply_writer& reply, const admitted_request& it,
                   backend::backend_kind kind, bool use_new_connection);
+    /// Logs an attempt unless it brought an answer that promises nothing.
+    void log_attempt(const server_id& server, const http::request& message,
+                     const backend::relay_result& result) const;
     void count_completed(const admitted_request& it,
                          const backend::relay_result& result);
     [[noreturn]] void fail_request(const admitted_request& it,
--- a/libraries/caller/request_handler.ipp
+++ b/libraries/caller/request_handler.ipp
@@ -144,10 +144,10 @@
     {
         it.set(http::field::content_type, type->value());
     }
-    const auto id = message.find(request_id_header);
+    const auto id = message.find(backend::request_id_header);
     if (id != message.end())
     {
-        it.set(request_id_header, id->value());
+        it.set(backend::request_id_header, id->value());
     }
     it.body() = message.body();
     it.prepare_payload();
@@ -323,8 +323,29 @@
     backend::answer_relay relay(m_pool, m_limits, kind);
     running_requests::registration registration(m_running, it.hash,
                                                 [&relay] { relay.cancel(); });
-    co_return co_await relay.run(http::parse_endpoint(target.address), message,
-                                 reply, use_new_connection);
+    auto result = co_await relay.run(http::parse_endpoint(target.address),
+                                     message, reply, use_new_connection);
+    log_attempt(target.server, message, result);
+    co_return result;
+}
+
+template<control_gateway Control>
+void request_handler<Control>::log_attempt(
+    const server_id& server, const http::request& message,
+    const backend::relay_result& result) const
+{
+    // A line for each request would cost more than its relay.
+    if (result.end == backend::relay_end::complete &&
+        !promises_not_run(result.status))
+    {
+        return;
+    }
+    CICADAHUB_EVENT(INFO, request_attempted)
+        << "request=" << message[backend::request_id_header]
+        << " server=" << server << " end=" << backend::name_of(result.end)
+        << " status=" << result.status
+        << " names_request=" << outcome::name_of(result.request)
+        << " earlier_exchanges=" << result.earlier_exchanges;
 }
 
 template<control_gateway Control>
@@ -431,8 +452,8 @@
         case relay_end::failed_before_answer:
             it.has_run = true;
             // The reused connection may have been stale while new ones work.
-            use_new_connection = result.was_reused;
-            if (!result.was_reused)
+            use_new_connection = result.earlier_exchanges > 0;
+            if (result.earlier_exchanges == 0)
             {
                 excluded.push_back(target.server);
             }
