Standins: Let engines and services say untrue things of requests

The simulated engine and plain service answered each request once and truly, so that no test could show what cicadad does with a status that promises too much, or with a response to another request.

Both now repeat X-Request-Id in their responses and have the faults of the platform's worker: executed requests that are answered with a promise, and a response to another request in front. The engine can also turn requests away. Scripted servers answer the requests on a connection in turn.

--- a/tests/fakes/relay_run.hpp
+++ b/tests/fakes/relay_run.hpp
@@ -28,6 +28,12 @@
     {
     }
 
+    /// The server answers by the same script on each connection.
+    relay_run(std::vector<std::string> responses, connection_end end)
+        : relay_run(connection_scripts{std::move(responses)}, end)
+    {
+    }
+
     /// The server answers by a script for each connection.
     relay_run(connection_scripts scripts, connection_end end,
               const std::string& endless = {})
--- a/utilities/cicada-standin/engine_standin.cpp
+++ b/utilities/cicada-standin/engine_standin.cpp
@@ -171,6 +171,8 @@
     m_state.crash_on = reader.text_or("crash_on", m_state.crash_on);
     m_state.is_silent = reader.boolean_or("silent", m_state.is_silent);
     m_state.fails_loads = reader.boolean_or("fail_loads", m_state.fails_loads);
+    m_state.busy_answers = reader.integer_or("busy", m_state.busy_answers);
+    m_state.faults.read(reader);
     return http::json_response(http::status::ok, "{}");
 }
 
@@ -384,6 +386,9 @@
         http::path_of(message.target()) == "/v1/chat/completions";
     std::int64_t slowdown = 0;
     bool is_loaded = false;
+    bool is_busy = false;
+    response_faults::response_fault fault;
+    response_faults faults;
     {
         std::lock_guard lock(m_state.mutex);
         ++m_state.requests;
@@ -396,11 +401,24 @@
         is_loaded = m_state.loaded.contains(model);
         slowdown = std::max<std::int64_t>(1, (m_state.running + 1) /
                                                  m_state.settings.slots);
+        fault = m_state.faults.take_next();
+        faults = m_state.faults;
+        is_busy = !fault.is_promise && !fault.has_stale_response &&
+                  m_state.busy_answers > 0;
+        m_state.busy_answers -= is_busy ? 1 : 0;
     }
     if (!is_loaded)
     {
-        co_await reply.send(
-            error_response(http::status::not_found, "model_not_found"));
+        co_await send(
+            error_response(http::status::not_found, "model_not_found"), message,
+            reply);
+        co_return;
+    }
+    if (is_busy)
+    {
+        co_await send(
+            error_response(http::status::service_unavailable, "overloaded"),
+            message, reply);
         co_return;
     }
     run_guard guard(m_state, model);
@@ -429,24 +447,54 @@
     {
         throw boost::system::system_error(net::error::connection_aborted);
     }
-    if (is_stream)
+    if (fault.has_stale_response)
+    {
+        co_await reply.send(faults.stale_response());
+    }
+    if (fault.is_promise)
+    {
+        co_await send(faults.promise(), message, reply);
+    }
+    else if (is_stream)
     {
-        co_await stream(model, tokens, is_chat, reply);
+        co_await stream(message, model, tokens, reply);
     }
     else
     {
         const auto prompt =
             static_cast<std::int64_t>(message.body().size()) / 4;
-        co_await reply.send(make_completion(model, prompt, tokens, is_chat));
+        co_await send(make_completion(model, prompt, tokens, is_chat), message,
+                      reply);
     }
     guard.complete();
 }
 
-net::awaitable<void> engine_standin::stream(const std::string& model,
-                                            std::int64_t tokens, bool is_chat,
+net::awaitable<void> engine_standin::send(http::response it,
+                                          const http::request& message,
+                                          http::reply_writer& reply)
+{
+    {
+        std::lock_guard lock(m_state.mutex);
+        m_state.faults.name_request(it, message);
+    }
+    co_await reply.send(std::move(it));
+}
+
+net::awaitable<void> engine_standin::stream(const http::request& message,
+                                            const std::string& model,
+                                            std::int64_t tokens,
                                             http::reply_writer& reply)
 {
-    co_await reply.begin_stream(http::status::ok, "text/event-stream");
+    const bool is_chat =
+        http::path_of(message.target()) == "/v1/chat/completions";
+    http::response start{http::status::ok, 11};
+    start.set(http::field::content_type, "text/event-stream");
+    start.set(http::field::cache_control, "no-cache");
+    {
+        std::lock_guard lock(m_state.mutex);
+        m_state.faults.name_request(start, message);
+    }
+    co_await reply.begin_stream(std::move(start));
     for (std::int64_t i = 0; i < tokens; ++i)
     {
         if (i > 0)
--- a/utilities/cicada-standin/engine_standin.hpp
+++ b/utilities/cicada-standin/engine_standin.hpp
@@ -4,6 +4,7 @@
 #include "core/units.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
+#include "response_faults.hpp"
 
 #include <map>
 #include <mutex>
@@ -52,12 +53,16 @@
     std::string crash_on;
     std::atomic<bool> is_silent{false};
     bool fails_loads = false;
+    std::int64_t busy_answers = 0;
+    response_faults faults;
 };
 
 /// Simulates a model engine with an OpenAI-style API; there is one instance for
 /// each thread. `PUT /faults` sets `crash_on` (the process exits when a request
-/// body contains this text), `silent` (requests hang without an answer) and
-/// `fail_loads` (loads fail). `GET /stats` returns counters.
+/// body contains this text), `silent` (requests hang without an answer),
+/// `fail_loads` (loads fail), those of `response_faults`, and `busy` (number of
+/// requests, after those with a fault of their response, that are not executed
+/// but answered with 503). `GET /stats` returns counters.
 class engine_standin
 {
 public:
@@ -69,8 +74,12 @@
 private:
     net::awaitable<void> complete(const http::request& message,
                                   http::reply_writer& reply);
-    net::awaitable<void> stream(const std::string& model, std::int64_t tokens,
-                                bool is_chat, http::reply_writer& reply);
+    /// Sends a response that names the request.
+    net::awaitable<void> send(http::response it, const http::request& message,
+                              http::reply_writer& reply);
+    net::awaitable<void> stream(const http::request& message,
+                                const std::string& model, std::int64_t tokens,
+                                http::reply_writer& reply);
     net::awaitable<http::response> load(const http::request& message,
                                         std::string_view name_member);
     net::awaitable<http::response> unload(const http::request& message,
--- a/utilities/cicada-standin/service_standin.cpp
+++ b/utilities/cicada-standin/service_standin.cpp
@@ -24,6 +24,7 @@
         const json_reader reader(json);
         m_lost_answers = reader.integer_or("lose_answers", m_lost_answers);
         m_work = milliseconds(reader.integer_or("work_ms", m_work.count()));
+        m_faults.read(reader);
         co_await reply.send(http::json_response(http::status::ok, "{}"));
         co_return;
     }
@@ -39,11 +40,20 @@
         reply.abort_stream();
         throw boost::system::system_error(net::error::connection_aborted);
     }
+    const auto fault = m_faults.take_next();
+    if (fault.has_stale_response)
+    {
+        co_await reply.send(m_faults.stale_response());
+    }
     boost::json::object json;
     json["path"] = path;
     json["runs"] = runs;
-    co_await reply.send(
-        http::json_response(http::status::ok, boost::json::serialize(json)));
+    http::response answer =
+        fault.is_promise ? m_faults.promise()
+                         : http::json_response(http::status::ok,
+                                               boost::json::serialize(json));
+    m_faults.name_request(answer, message);
+    co_await reply.send(std::move(answer));
 }
 
 http::response service_standin::stats() const
--- a/utilities/cicada-standin/service_standin.hpp
+++ b/utilities/cicada-standin/service_standin.hpp
@@ -2,6 +2,7 @@
 
 #include "core/units.hpp"
 #include "http/server.hpp"
+#include "response_faults.hpp"
 
 #include <map>
 #include <string>
@@ -14,8 +15,8 @@
 /// Simulates a plain service. It counts the executions of each request,
 /// identified by `X-Request-Id` or, without that field, by its body;
 /// `GET /stats` returns the counts. `PUT /faults` sets `lose_answers` (number
-/// of calls that are executed without a response) and `work_ms` (execution
-/// time).
+/// of calls that are executed without a response), `work_ms` (execution time)
+/// and those of `response_faults`.
 class service_standin
 {
 public:
@@ -32,6 +33,7 @@
     std::uint64_t m_keys_seen = 0;
     std::int64_t m_lost_answers = 0;
     milliseconds m_work{1};
+    response_faults m_faults;
 };
 
 } // namespace cicadahub::standin
