Backend: Believe only proven statements of servers that nothing ran

Callers of cicadad got 408, 421, 429 or 503, each a promise that nothing ran, for requests that an engine or a service had executed, and got other requests' answers.

Cause: nothing identified a response. Any 404, 429 or 503 on an engine's connection counted as 'not executed', also the late response to an earlier request, so that the request went to another server and its caller was refused as not run. 408 and 421, every status of a streamed response, and all statuses of a plain service went to the caller as they were, and into the saved outcome of an Idempotency-Key.

The relay now gathers facts and outcome::meaning_of decides, without I/O. Each forwarded request has an X-Request-Id, one of our own if the caller gave none. A response that names another request is no answer, nor is one with more bytes behind it that does not name the request. An engine's 404, 429 or 503 is believed if it names an id of our own, or on a connection that carried no request before; an id that a caller chose may have been used there already. Everything else with a status that promises is a failure with unknown outcome (502, or 504 for a call that must not run twice), and its connection is closed.

A success that names no request is still relayed on a used connection.

--- a/libraries/backend/answer_relay.cpp
+++ b/libraries/backend/answer_relay.cpp
@@ -18,6 +18,8 @@
 namespace
 {
 
+using outcome::response_meaning;
+
 /// Tokens of an answer that is not streamed, from the `usage` that engines
 /// report in it.
 std::int64_t tokens_of(const std::string& body)
@@ -112,7 +114,7 @@
 net::awaitable<relay_result> answer_relay::run(const http::endpoint& address,
                                                const http::request& message,
                                                http::reply_writer& reply,
-                                               bool use_new_connection)
+                                               send_options how)
 {
     m_result = {};
     m_can_reuse = false;
@@ -120,7 +122,7 @@
     try
     {
         // GCC 12 miscompiles `co_await` inside a conditional expression.
-        if (use_new_connection)
+        if (how.use_new_connection)
         {
             server = co_await m_pool.connect(address);
         }
@@ -133,7 +135,8 @@
     {
         co_return m_result;
     }
-    m_result.earlier_exchanges = server->completed_exchanges;
+    m_result.response.earlier_exchanges = server->completed_exchanges;
+    m_result.response.has_unique_id = how.has_unique_id;
     m_request_id = message[request_id_header];
     if (m_is_cancelled)
     {
@@ -182,7 +185,8 @@
     {
         m_pool.release(address, std::move(server));
     }
-    else if (m_result.end == relay_end::failed_before_answer)
+    else if (m_result.end == relay_end::failed_before_answer &&
+             m_result.response.status == 0)
     {
         m_pool.drop_idle(address);
     }
@@ -195,37 +199,54 @@
 {
     co_await http::read_response_head(server, m_parser, method);
     const auto& head = m_parser->get();
-    m_result.status = head.result_int();
-    m_result.request = party_named(head[request_id_header], m_request_id);
+    read_facts(head);
     m_result.end = relay_end::interrupted;
-    if (http::is_event_stream(head[http::field::content_type]))
+    const bool is_stream =
+        http::is_event_stream(head[http::field::content_type]);
+    const response_meaning meaning = outcome::meaning_of(m_result.response);
+    const bool is_believed = meaning == response_meaning::answer ||
+                             meaning == response_meaning::turned_away ||
+                             meaning == response_meaning::not_here;
+    if (is_believed && !is_stream)
+    {
+        co_await relay_non_streamed(server, reply);
+    }
+    else if (meaning == response_meaning::answer)
     {
         co_await relay_stream(server, reply);
     }
     else
     {
-        co_await relay_non_streamed(server, reply);
+        end_without_answer(meaning);
     }
 }
 
-bool answer_relay::has_not_run(http::status code)
+void answer_relay::read_facts(const http::beast_http::response_header<>& head)
 {
-    if (m_kind != backend_kind::engine)
-    {
-        return false;
-    }
-    if (code == http::status::not_found)
+    auto& facts = m_result.response;
+    facts.status = head.result_int();
+    facts.request = party_named(head[request_id_header], m_request_id);
+    facts.states_not_run = m_kind == backend_kind::engine &&
+                           (head.result() == http::status::not_found ||
+                            head.result() == http::status::too_many_requests ||
+                            head.result() == http::status::service_unavailable);
+}
+
+void answer_relay::end_without_answer(response_meaning meaning)
+{
+    switch (meaning)
     {
+    case response_meaning::not_here:
         m_result.end = relay_end::model_not_loaded;
-        return true;
-    }
-    if (code == http::status::service_unavailable ||
-        code == http::status::too_many_requests)
-    {
+        break;
+    case response_meaning::turned_away:
         m_result.end = relay_end::server_busy;
-        return true;
+        break;
+    default:
+        m_result.end = relay_end::failed_before_answer;
+        // What follows on the connection may belong to any request.
+        m_can_reuse = false;
     }
-    return false;
 }
 
 net::awaitable<void> answer_relay::relay_non_streamed(connection& server,
@@ -235,8 +256,11 @@
         co_await http::read_full_response(server, *m_parser);
     http::response& answer = received.message;
     m_can_reuse = answer.keep_alive();
-    if (has_not_run(answer.result()))
+    m_result.response.has_bytes_behind = server.buf.size() > 0;
+    const response_meaning meaning = outcome::meaning_of(m_result.response);
+    if (meaning != response_meaning::answer)
     {
+        end_without_answer(meaning);
         co_return;
     }
     m_result.tokens = tokens_of(answer.body());
--- a/libraries/backend/answer_relay.hpp
+++ b/libraries/backend/answer_relay.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision/outcome/response_meaning.hpp"
+#include "decision/outcome/backend_response.hpp"
 #include "http/client.hpp"
 #include "http/reply_writer.hpp"
 #include "http/response_reading.hpp"
@@ -27,7 +27,9 @@
     model_not_loaded,
     /// The server answered that it is too busy; the request did not run.
     server_busy,
-    /// The connection failed before the head of an answer was read.
+    /// No answer to the request was received: the connection failed before its
+    /// head was read, or the response is not shown to be the request's, or its
+    /// status would promise without proof that the request did not run.
     failed_before_answer,
     /// The answer ended early, or a gap in it exceeded the limit.
     interrupted,
@@ -43,14 +45,10 @@
 struct relay_result
 {
     relay_end end = relay_end::not_sent;
-    /// HTTP status of the response; 0 if no head of one was received.
-    unsigned status = 0;
-    /// The request that the response names.
-    outcome::named_party request = outcome::named_party::missing;
-    /// Exchanges that the connection had completed before this one. If there
-    /// are any, a failure may be due to a stale connection and says nothing
-    /// about the server.
-    std::uint32_t earlier_exchanges = 0;
+    /// Of the response; the status is 0 if no head of one was received. After
+    /// earlier exchanges a failure may be due to a stale connection and says
+    /// nothing about the server.
+    outcome::backend_response_facts response;
     std::int64_t tokens = 0;
     std::optional<time_point> first_token_at;
     /// The server closed the connection while the request was being sent or
@@ -69,11 +67,19 @@
     milliseconds answer{300'000};
 };
 
+/// How one request is sent.
+struct send_options
+{
+    bool use_new_connection = false;
+    /// No other request has the id of this one.
+    bool has_unique_id = false;
+};
+
 enum class backend_kind
 {
     /// A status of 404, 429 or 503 means that the request did not run.
     engine,
-    /// Answers go to the caller whatever their status.
+    /// No status means that the request did not run.
     plain_service,
 };
 
@@ -89,7 +95,7 @@
     net::awaitable<relay_result> run(const http::endpoint& address,
                                      const http::request& message,
                                      http::reply_writer& reply,
-                                     bool use_new_connection);
+                                     send_options how);
 
     /// Cancels the exchange by closing the connection to the server.
     void cancel();
@@ -103,15 +109,14 @@
     net::awaitable<void> relay_head(connection& server,
                                     http::reply_writer& reply,
                                     http::verb method);
+    void read_facts(const http::beast_http::response_header<>& head);
+    /// Ends an exchange whose response is not relayed.
+    void end_without_answer(outcome::response_meaning meaning);
     net::awaitable<void> relay_non_streamed(connection& server,
                                             http::reply_writer& reply);
     net::awaitable<void> relay_stream(connection& server,
                                       http::reply_writer& reply);
     static void close(connection& server);
-    /// True if the status means that the request did not run; the end of the
-    /// result is then set.
-    bool has_not_run(http::status code);
-
     http::client_pool& m_pool;
     relay_limits m_limits;
     backend_kind m_kind;
--- a/libraries/caller/request_handler.hpp
+++ b/libraries/caller/request_handler.hpp
@@ -34,6 +34,7 @@
 inline constexpr milliseconds running_retry{500};
 
 inline constexpr std::size_t attempt_id_bytes = 8;
+inline constexpr std::size_t request_id_prefix_bytes = 8;
 
 /// Pause before the next attempt at a request.
 inline constexpr milliseconds attempt_pause{20};
@@ -69,6 +70,8 @@
         request_counts_key counts_key;
         /// An attempt may have run on a server.
         bool has_run = false;
+        /// The caller gave no id, so that the request has one of ours.
+        bool has_own_request_id = false;
     };
 
     /// Ends a suspect's isolation on a server at the end of its scope.
@@ -106,7 +109,9 @@
                            const class_id& work_class,
                            const configuration::caller_key& key);
     http::request make_forwarded_request(const http::request& message,
-                                         std::string_view target) const;
+                                         std::string_view target);
+    /// An id that no other request has.
+    std::string make_request_id();
 
     net::awaitable<routing::target>
     find_target(const model_id& model, const std::vector<server_id>& excluded,
@@ -168,6 +173,8 @@
     snapshot_reader<routing::routing_table> m_routes;
     request_counter m_request_counter;
     running_requests m_running;
+    std::string m_request_id_prefix;
+    std::uint64_t m_last_request_id = 0;
 };
 
 } // namespace cicadahub::caller
--- a/libraries/caller/request_handler.ipp
+++ b/libraries/caller/request_handler.ipp
@@ -12,7 +12,8 @@
     : m_context(context), m_state(state), m_control(control),
       m_registry(registry), m_metrics(metrics), m_limiters(limiters),
       m_pool(pool), m_limits(limits), m_configuration(state.configuration),
-      m_routes(state.routes)
+      m_routes(state.routes),
+      m_request_id_prefix(random_hex(request_id_prefix_bytes) + "-")
 {
 }
 
@@ -115,7 +116,6 @@
                                 const class_id& work_class,
                                 const configuration::caller_key& key)
 {
-    (void)message;
     const auto& configuration = m_configuration.current();
     const auto* found = configuration->find(work_class);
     if (found == nullptr)
@@ -126,6 +126,7 @@
     it.arrival = monotonic_clock::now();
     it.deadline = it.arrival + found->first_token_within;
     it.hash = key.hash;
+    it.has_own_request_id = message[backend::request_id_header].empty();
     it.counts_key = {work_class, key.organisation};
     return it;
 }
@@ -133,7 +134,7 @@
 template<control_gateway Control>
 http::request
 request_handler<Control>::make_forwarded_request(const http::request& message,
-                                                 std::string_view target) const
+                                                 std::string_view target)
 {
     // Only the fields that the server needs are forwarded, so that no server
     // ever sees a caller's key.
@@ -144,16 +145,20 @@
     {
         it.set(http::field::content_type, type->value());
     }
-    const auto id = message.find(backend::request_id_header);
-    if (id != message.end())
-    {
-        it.set(backend::request_id_header, id->value());
-    }
+    const std::string_view id = message[backend::request_id_header];
+    it.set(backend::request_id_header,
+           id.empty() ? make_request_id() : std::string(id));
     it.body() = message.body();
     it.prepare_payload();
     return it;
 }
 
+template<control_gateway Control>
+std::string request_handler<Control>::make_request_id()
+{
+    return m_request_id_prefix + std::to_string(++m_last_request_id);
+}
+
 template<control_gateway Control>
 net::awaitable<void>
 request_handler<Control>::serve_models(const http::request& message,
@@ -323,8 +328,9 @@
     backend::answer_relay relay(m_pool, m_limits, kind);
     running_requests::registration registration(m_running, it.hash,
                                                 [&relay] { relay.cancel(); });
-    auto result = co_await relay.run(http::parse_endpoint(target.address),
-                                     message, reply, use_new_connection);
+    auto result =
+        co_await relay.run(http::parse_endpoint(target.address), message, reply,
+                           {use_new_connection, it.has_own_request_id});
     log_attempt(target.server, message, result);
     co_return result;
 }
@@ -336,16 +342,16 @@
 {
     // A line for each request would cost more than its relay.
     if (result.end == backend::relay_end::complete &&
-        !promises_not_run(result.status))
+        !promises_not_run(result.response.status))
     {
         return;
     }
     CICADAHUB_EVENT(INFO, request_attempted)
         << "request=" << message[backend::request_id_header]
         << " server=" << server << " end=" << backend::name_of(result.end)
-        << " status=" << result.status
-        << " names_request=" << outcome::name_of(result.request)
-        << " earlier_exchanges=" << result.earlier_exchanges;
+        << " status=" << result.response.status
+        << " names_request=" << outcome::name_of(result.response.request)
+        << " earlier_exchanges=" << result.response.earlier_exchanges;
 }
 
 template<control_gateway Control>
@@ -452,8 +458,8 @@
         case relay_end::failed_before_answer:
             it.has_run = true;
             // The reused connection may have been stale while new ones work.
-            use_new_connection = result.earlier_exchanges > 0;
-            if (result.earlier_exchanges == 0)
+            use_new_connection = result.response.earlier_exchanges > 0;
+            if (result.response.earlier_exchanges == 0)
             {
                 excluded.push_back(target.server);
             }
--- a/libraries/caller/request_handler_services.ipp
+++ b/libraries/caller/request_handler_services.ipp
@@ -164,8 +164,9 @@
     relay.buffer_answer();
     running_requests::registration registration(m_running, it.hash,
                                                 [&relay] { relay.cancel(); });
-    auto result = co_await relay.run(http::parse_endpoint(target.address),
-                                     message, reply, true);
+    auto result =
+        co_await relay.run(http::parse_endpoint(target.address), message, reply,
+                           {true, it.has_own_request_id});
     log_attempt(target.server, message, result);
     co_return result;
 }
--- a/tests/backend/answer_relay_test.cpp
+++ b/tests/backend/answer_relay_test.cpp
@@ -30,7 +30,7 @@
             http::reply_writer& reply) -> net::awaitable<relay_result>
         {
             relay_result result =
-                co_await subject.run(server, message, reply, true);
+                co_await subject.run(server, message, reply, {true});
             if (result.end != relay_end::complete)
             {
                 reply.abort_stream();
