Caller: Repeat a request at the same server on a new connection

A request that an engine turned away could go to the same engine again, over the connection of its first attempt: the wake path names any server that has the model. A second copy of the first response names the request, so that it passes for the response to the repeat: a promise for an attempt that runs.

Cause: only the attempt right after a failure on a used connection asked for a new one.

An attempt now uses a new connection if the request was sent to the server before; no response to an earlier attempt can arrive there.

Before: cicadad.a_repeat_at_the_same_server_uses_a_new_connection failed; the 25 attempts at one request used connections with 8, 9, ... 32 earlier exchanges. Now all but the first have none.

--- a/libraries/caller/request_handler.ipp
+++ b/libraries/caller/request_handler.ipp
@@ -407,7 +407,7 @@
 {
     using backend::relay_end;
     std::vector<server_id> excluded;
-    bool use_new_connection = false;
+    std::vector<server_id> sent_to;
     int attempts_that_ran = 0;
     for (;;)
     {
@@ -429,11 +429,14 @@
         {
             isolated.emplace(m_control.suspects(), target.server);
         }
-        const backend::relay_result result = co_await relay_attempt(
-            target, message, reply, it, backend::backend_kind::engine,
-            use_new_connection);
+        // A late copy of the response to an earlier attempt would name the
+        // request too, but cannot arrive on a new connection.
+        const bool is_repeat = std::find(sent_to.begin(), sent_to.end(),
+                                         target.server) != sent_to.end();
+        const backend::relay_result result =
+            co_await relay_attempt(target, message, reply, it,
+                                   backend::backend_kind::engine, is_repeat);
         isolated.reset();
-        use_new_connection = false;
         if (result.end == relay_end::complete)
         {
             count_completed(it, result);
@@ -443,6 +446,10 @@
             }
             co_return;
         }
+        if (result.end != relay_end::not_sent && !is_repeat)
+        {
+            sent_to.push_back(target.server);
+        }
         if (result.is_connection_lost)
         {
             it.has_run = true;
@@ -457,8 +464,7 @@
             break;
         case relay_end::failed_before_answer:
             it.has_run = true;
-            // The reused connection may have been stale while new ones work.
-            use_new_connection = result.response.earlier_exchanges > 0;
+            // A reused connection may have been stale while new ones work.
             if (result.response.earlier_exchanges == 0)
             {
                 excluded.push_back(target.server);
--- a/tests/system/cicadad_promise_test.cpp
+++ b/tests/system/cicadad_promise_test.cpp
@@ -241,5 +241,50 @@
     EXPECT_TRUE(seen.is_not_run());
 }
 
+/// Values of `earlier_exchanges` of the attempts at a request, in order.
+std::vector<int> earlier_exchanges(const std::string& log,
+                                   const std::string& id)
+{
+    std::vector<int> seen;
+    std::istringstream in(log);
+    for (std::string line; std::getline(in, line);)
+    {
+        const std::string mark = " earlier_exchanges=";
+        const std::size_t at = line.find(mark);
+        if (line.find("request=" + id + " ") != std::string::npos &&
+            at != std::string::npos)
+        {
+            seen.push_back(std::stoi(line.substr(at + mark.size())));
+        }
+    }
+    return seen;
+}
+
+// Guards against a second copy of the response to the first attempt, which
+// names the request and would be taken for that to its repeat.
+TEST(cicadad, a_repeat_at_the_same_server_uses_a_new_connection)
+{
+    fleet it(1, 1);
+    warm_up(it);
+    set_target(it, short_target);
+    it.set_fault(it.engines[0], R"({"busy":1000})");
+    EXPECT_EQ(complete_as(it, "repeated").status / 100, 5U);
+    std::vector<int> seen;
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            seen =
+                earlier_exchanges(it.daemons[0].program->output(), "repeated");
+            return seen.size() > 1;
+        }));
+    EXPECT_EQ(seen,
+              [&]
+              {
+                  std::vector<int> expected(seen.size(), 0);
+                  expected[0] = seen[0];
+                  return expected;
+              }());
+}
+
 } // namespace
 } // namespace cicadahub::system_tests
