Core: Count refusals as they are sent

Metrics and fares of cicadad counted no-capacity, target-unreachable and other promises for requests that may have been executed, while their callers got outcome-unknown.

Cause: the promise was taken back when the refusal was sent, after it had been counted where it was caught. refused_error now takes it back where the refusal is thrown, so that all who catch it see what is sent.

--- a/libraries/core/errors.hpp
+++ b/libraries/core/errors.hpp
@@ -15,11 +15,13 @@
 };
 
 /// Ends the handling of a request: the caller gets `reason()` as the response.
+/// It never makes an untrue promise, so that what is counted is what is sent.
 class refused_error : public error
 {
 public:
     explicit refused_error(const refusal& it)
-        : error(std::string(name_of(it.kind))), m_refusal(it)
+        : error(std::string(name_of(without_untrue_promise(it).kind))),
+          m_refusal(without_untrue_promise(it))
     {
     }
 
--- a/tests/core/refusal_test.cpp
+++ b/tests/core/refusal_test.cpp
@@ -1,4 +1,4 @@
-#include "core/refusal.hpp"
+#include "core/errors.hpp"
 
 #include <gtest/gtest.h>
 
@@ -22,6 +22,14 @@
     EXPECT_FALSE(it.is_not_run);
 }
 
+// Guards against counts of refusals that differ from what was sent.
+TEST_P(refusals, are_thrown_as_they_are_sent)
+{
+    const refusal given{kind(), false, seconds(1)};
+    EXPECT_EQ(refused_error(given).reason().kind,
+              without_untrue_promise(given).kind);
+}
+
 TEST_P(refusals, keep_their_kind_for_a_request_that_was_not_executed)
 {
     EXPECT_EQ(without_untrue_promise({kind(), true, {}}).kind, kind());
--- a/tests/system/cicadad_promise_test.cpp
+++ b/tests/system/cicadad_promise_test.cpp
@@ -286,5 +286,26 @@
               }());
 }
 
+// Guards against counts of promises that were never sent: of a request that may
+// have been executed the caller gets another refusal.
+TEST(cicadad, a_refusal_is_counted_as_it_was_sent)
+{
+    fleet it(1, 1);
+    it.set_fault(it.plain_service, R"({"lose_answers":9})");
+    const answer seen =
+        call(it.daemons[0].callers, http::verb::get, "/services/open/x");
+    EXPECT_EQ(seen.refusal(), "outcome-unknown");
+    const std::string metrics =
+        call(it.daemons[0].callers, http::verb::get, "/metrics").body;
+    EXPECT_NE(metrics.find(R"(refusals_total{reason="outcome-unknown"} 1)"),
+              std::string::npos)
+        << metrics;
+    EXPECT_EQ(metrics.find(R"(reason="no-capacity")"), std::string::npos);
+    const std::string counts =
+        call(it.daemons[0].operators, http::verb::get, "/fares").body;
+    EXPECT_NE(counts.find(R"("outcome-unknown":1)"), std::string::npos)
+        << counts;
+}
+
 } // namespace
 } // namespace cicadahub::system_tests
