Caller: Keep running after a streamed answer to a call with a key

A service that answered a call with an Idempotency-Key with an event stream ended the whole daemon: all of its callers lost their connections, and the outcome of the call was not saved until its limit.

Cause: a stream goes to the caller as it arrives, so that the relay buffers no answer; the handler used the buffered one without a look.

Such a call now ends with its stream, and its outcome is saved as unknown, so that a repeat is refused and not executed.

Before: cicadad.a_streamed_answer_to_a_call_with_a_key_is_not_replayed failed; /healthz got no connection after the stream. It passes now, with the once and cicadad tests.

--- a/libraries/caller/request_handler_services.ipp
+++ b/libraries/caller/request_handler_services.ipp
@@ -139,6 +139,13 @@
             m_control.report_outcome(intent, attempt, std::nullopt, false);
             throw refused_error({refusal_kind::outcome_unknown, false});
         }
+        if (!result.buffered_answer)
+        {
+            // A stream has gone to the caller as it arrived; it is not saved.
+            m_control.report_outcome(intent, attempt, std::nullopt, false);
+            count_completed(it, result);
+            co_return;
+        }
         const http::response& buffered_answer = *result.buffered_answer;
         once::saved_answer answer{
             buffered_answer.result_int(),
--- a/tests/system/cicadad_promise_test.cpp
+++ b/tests/system/cicadad_promise_test.cpp
@@ -121,6 +121,38 @@
                std::get<1>(it.param).name;
     });
 
+// Guards against a streamed answer to a call with a key, which cannot be saved:
+// the daemon took it for a saved one, and ended.
+TEST(cicadad, a_streamed_answer_to_a_call_with_a_key_is_not_replayed)
+{
+    fleet it(1, 1);
+    it.set_fault(it.plain_service,
+                 R"({"unproven_promises":9,"promised_status":200,)"
+                 R"("promises_as_streams":true})");
+    const call_fields fields{{"Authorization", "Bearer key-of-a"},
+                             {"Idempotency-Key", "k1"}};
+    const auto post = [&]
+    {
+        return call(it.daemons[0].callers, http::verb::post,
+                    "/services/ledger/post", "{}", fields);
+    };
+    const answer first = post();
+    EXPECT_EQ(first.status, 200U);
+    EXPECT_NE(first.body.find("data:"), std::string::npos);
+    EXPECT_EQ(call(it.daemons[0].callers, http::verb::get, "/healthz").status,
+              200U);
+    answer repeat;
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            repeat = post();
+            return repeat.refusal() == "outcome-unknown";
+        },
+        milliseconds(5'000)))
+        << repeat.status << " " << repeat.body;
+    EXPECT_EQ(service_runs(it), 1);
+}
+
 class engine_promises
     : public testing::TestWithParam<std::tuple<bool, fault_case>>
 {
