Once: Replay no stored promise that a request was not executed

Cause: the ledger replays any stored answer, although an attempt saves one only after it has dispatched the request, so that such a status can't be true.

verdict_for now gives outcome-unknown for it, and for a record that lacks its answer.

Before: 4 of 7 rows of once/saved_statuses failed (408, 421, 429, 503); all pass.

--- a/libraries/decision/once/intent_ledger.cpp
+++ b/libraries/decision/once/intent_ledger.cpp
@@ -1,6 +1,7 @@
 #include "decision/once/intent_ledger.hpp"
 
 #include "core/invariant.hpp"
+#include "core/refusal.hpp"
 
 #include <algorithm>
 
@@ -55,6 +56,12 @@
     switch (it.record.state)
     {
     case intent_state::answered:
+        // An attempt that was answered had dispatched the request, so that a
+        // stored promise of the opposite cannot be replayed.
+        if (!it.record.answer || promises_not_run(it.record.answer->status))
+        {
+            return {dispatch_verdict::outcome_unknown, std::nullopt};
+        }
         return {dispatch_verdict::answered, it.record.answer};
     case intent_state::outcome_unknown:
         return {dispatch_verdict::outcome_unknown, std::nullopt};
--- a/tests/decision/intent_ledger_test.cpp
+++ b/tests/decision/intent_ledger_test.cpp
@@ -1,4 +1,6 @@
 #include "decision/once/intent_ledger.hpp"
+
+#include "core/refusal.hpp"
 #include "simulation.hpp"
 
 #include <gtest/gtest.h>
@@ -282,5 +284,39 @@
         once_case{"everything_again", 7, 0.2, 0.1, 0.2, milliseconds(2'000)}),
     [](const auto& it) { return it.param.name; });
 
+class saved_statuses : public testing::TestWithParam<unsigned>
+{
+};
+
+// Guards against a stored answer whose status promises that the request was not
+// executed: the attempt that saved it had dispatched the request.
+TEST_P(saved_statuses, make_no_promise)
+{
+    const time_point now{};
+    const intent_key key("k");
+    const fingerprint request("f");
+    ledger_document stored;
+    intent& it = stored.intents[key];
+    it.request = request;
+    it.attempt = attempt_id("first");
+    it.state = intent_state::answered;
+    it.answer = saved_answer{GetParam(), "application/json", "{}"};
+    it.kept_for = milliseconds(60'000);
+    intent_ledger ledger(ledger_timing{});
+    ledger.on_adopted(stored, epoch_number(1), now);
+    const action_list actions =
+        ledger.on_dispatch_request(1, key, request, attempt_id("second"), now);
+    ASSERT_EQ(actions.size(), 1U);
+    const auto* reply = std::get_if<reply_action>(&actions.front());
+    ASSERT_NE(reply, nullptr);
+    EXPECT_EQ(reply->result.verdict, promises_not_run(GetParam())
+                                         ? dispatch_verdict::outcome_unknown
+                                         : dispatch_verdict::answered);
+}
+
+INSTANTIATE_TEST_SUITE_P(once, saved_statuses,
+                         testing::Values(200U, 404U, 408U, 421U, 429U, 500U,
+                                         503U));
+
 } // namespace
 } // namespace cicadahub::once
