--- a/tests/entry/disruption_run.hpp
+++ b/tests/entry/disruption_run.hpp
@@ -256,9 +256,9 @@
         }
         it.is_leaving = true;
         const std::int64_t incarnation = it.incarnation();
-        const auto if_same = [this, &it, incarnation](auto event)
+        const auto if_same = [&it, incarnation](auto event)
         {
-            return [this, &it, incarnation, event]
+            return [&it, incarnation, event]
             {
                 if (it.incarnation() == incarnation)
                 {
@@ -666,7 +666,7 @@
                     m_highest_fence = std::max(m_highest_fence, epoch);
                     exchange(
                         it, record, order.incarnation,
-                        [this, order, epoch](engine& at)
+                        [order, epoch](engine& at)
                         { return carry_out(at, order, epoch); },
                         [this, &it, order](replicas::order_answer answer)
                         { take_answer(it, order, answer); });
