Http: Bound what is read of a caller's request

A caller could send chunk sizes, chunk extensions or trailers without end: the connection's buffer grew with them, at the speed of the link, for all of the time that a request may take to arrive. The timer at the end of that time could not stop it, since it cancels a pending read and there is none while bytes are always ready. Pipelined bytes waited in a receive buffer of up to 32 MB.

Requests are now read by a loop that bounds the head as a whole, the bytes beside the body and the buffer, and looks at the deadline itself. The receive buffer of accepted connections is fixed.

Before, 5 of the 10 cases of `endless_callers` failed: the server accepted all of the 32 MB that the test sends at most, where it allows 8 MB.

--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -3,6 +3,7 @@
 #include "core/errors.hpp"
 #include "core/structured_log.hpp"
 #include "http/reply_writer.hpp"
+#include "http/response_limits.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -12,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <concepts>
@@ -32,6 +34,10 @@
 inline constexpr std::size_t discard_limit_bytes = 64 * 1024;
 inline constexpr milliseconds discard_timeout{500};
 
+/// Limits of chunk sizes, chunk extensions and trailers in one request, see
+/// `response_limits.hpp`.
+inline constexpr std::size_t request_framing_limit_bytes = 64 * 1024;
+
 /// Limits of one listener on the requests and connections of its clients.
 struct server_limits
 {
@@ -87,6 +93,14 @@
     std::shared_ptr<state> m_state;
 };
 
+/// Reads what `parser` has not read yet of a request. Returns
+/// `operation_aborted` after the deadline, `header_limit` if the head is too
+/// long, `buffer_overflow` if the framing of the body is.
+net::awaitable<boost::system::error_code>
+read_request(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buf,
+             beast_http::request_parser<beast_http::string_body>& parser,
+             std::size_t header_limit, const read_deadline& deadline);
+
 /// HTTP/1.1 server that assigns its connections to its lanes in round-robin
 /// order.
 template<request_handler Handler>
@@ -150,6 +164,9 @@
 {
     m_acceptor.open(address.protocol());
     m_acceptor.set_option(net::socket_base::reuse_address(true));
+    // Accepted sockets inherit it.
+    m_acceptor.set_option(
+        net::socket_base::receive_buffer_size(receive_buffer_bytes));
     m_acceptor.bind(address);
     m_acceptor.listen();
 }
@@ -197,7 +214,7 @@
 {
     boost::system::error_code ec;
     stream.socket().set_option(net::ip::tcp::no_delay(true), ec);
-    boost::beast::flat_buffer buf;
+    boost::beast::flat_buffer buf(read_buffer_limit_bytes);
     read_deadline deadline(stream);
     try
     {
@@ -238,6 +255,8 @@
     constexpr auto token = net::as_tuple(net::use_awaitable);
     beast_http::request_parser<beast_http::string_body> parser;
     parser.header_limit(m_limits.header_bytes);
+    buf.max_size(std::max(read_buffer_limit_bytes,
+                          m_limits.header_bytes + first_read_bytes));
     parser.body_limit(m_limits.body_bytes);
     if (buf.size() == 0)
     {
@@ -253,7 +272,8 @@
     busy_guard guard(m_busy);
     stream.expires_never();
     deadline.arm(m_limits.read_timeout);
-    auto [ec, n] = co_await beast_http::async_read(stream, buf, parser, token);
+    const auto ec = co_await read_request(stream, buf, parser,
+                                          m_limits.header_bytes, deadline);
     deadline.disarm();
     if (ec)
     {
--- /dev/null
+++ b/tests/http/server_test.cpp
@@ -0,0 +1,92 @@
+#include "http/server.hpp"
+
+#include "endless_responses.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+namespace cicadahub::http
+{
+namespace
+{
+
+/// Request whose last part is sent again and again until the server closes.
+using endless_request = fakes::endless_response;
+
+struct empty_handler
+{
+    net::awaitable<void> serve(request&, reply_writer& reply)
+    {
+        response answer{status::ok, 11};
+        answer.prepare_payload();
+        co_await reply.send(std::move(answer));
+    }
+};
+
+std::vector<endless_request> endless_requests()
+{
+    const std::string line = "POST /aaaaaa HTTP/1.1\r\n";
+    const std::string padded =
+        line + "Padding: " + std::string(64 - line.size() - 11, 'a') + "\r\n";
+    const std::string field = "Field: " + std::string(64 - 9, 'a') + "\r\n";
+    const std::string chunked = line + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string letters(64, 'a');
+    return {
+        {"bytes_that_are_no_head", "", letters},
+        {"target", "POST /", letters},
+        {"field", line + "Field: ", letters},
+        {"fields", padded, field},
+        {"chunk_size", chunked, "0000"},
+        {"chunk_extension", chunked + "1;", letters},
+        {"chunk_extensions", chunked,
+         "1;" + std::string(4'000, 'a') + "\r\n1\r\n"},
+        {"trailer", chunked + "0\r\nField: ", letters},
+        {"trailers", chunked + "0\r\n", field},
+        {"chunks", chunked, "40\r\n" + letters + "\r\n"},
+    };
+}
+
+class endless_callers : public testing::TestWithParam<endless_request>
+{
+};
+
+// Guards against memory that a caller without an end of its request takes.
+TEST_P(endless_callers, are_refused_long_before_the_timeout)
+{
+    constexpr std::size_t most_sent_bytes = 8 * 1024 * 1024;
+    net::io_context context(1);
+    empty_handler handler;
+    server_limits limits;
+    limits.body_bytes = 64 * 1024;
+    limits.read_timeout = milliseconds(3'000);
+    server<empty_handler> subject({net::ip::address_v4::loopback(), 0}, limits,
+                                  {{context, handler}});
+    subject.start();
+    std::thread serving([&] { context.run(); });
+    net::io_context callers;
+    net::ip::tcp::socket caller(callers);
+    caller.connect(subject.local_endpoint());
+    boost::system::error_code ec;
+    const time_point began = monotonic_clock::now();
+    std::size_t sent = net::write(caller, net::buffer(GetParam().start), ec);
+    const std::string block = fakes::repeated(GetParam().block);
+    while (!ec && sent < 4 * most_sent_bytes)
+    {
+        sent += net::write(caller, net::buffer(block), ec);
+    }
+    EXPECT_LE(sent, most_sent_bytes);
+    EXPECT_LT(monotonic_clock::now() - began, limits.read_timeout);
+    context.stop();
+    serving.join();
+}
+
+INSTANTIATE_TEST_SUITE_P(server, endless_callers,
+                         testing::ValuesIn(endless_requests()),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
+} // namespace
+} // namespace cicadahub::http
