Platform: Give up on a list whose pages never end

A store that answered each request for a page with one more to come kept a daemon listing without end, while the objects listed so far filled its memory. A list now has a limit of pages and of bytes; over it the list fails and is retried like any other that failed.

Before, both cases of `endless_lists` had not ended after 10 s and were killed.

--- a/libraries/platform/object_client.cpp
+++ b/libraries/platform/object_client.cpp
@@ -20,6 +20,11 @@
 constexpr std::size_t write_mark_bytes = 8;
 constexpr milliseconds write_retry_delay{50};
 
+/// Limits of one list, over all of its pages: some 500 objects or 1 MB a page.
+/// In memory the objects take several times the bytes of their text.
+constexpr std::size_t list_limit_pages = 256;
+constexpr std::size_t list_limit_bytes = 8 * 1024 * 1024;
+
 constexpr std::array<std::string_view, 8> collection_names{
     "configurations", "hosts",   "leases", "placements",
     "members",        "intents", "audits", "servers"};
@@ -106,11 +111,20 @@
     listing result;
     std::optional<store_era> era;
     std::optional<std::string> after = std::string();
+    std::size_t pages = 0;
+    std::size_t bytes = 0;
     while (after)
     {
         const auto answer =
             co_await call(m_dialect.list(where, *after), m_timing.call_timeout);
         expect_ok(answer);
+        ++pages;
+        bytes += answer.body().size();
+        if (pages > list_limit_pages || bytes > list_limit_bytes)
+        {
+            throw platform_error("the list of " + std::string(name_of(where)) +
+                                 " is too long");
+        }
         if (era.value_or(m_era) != m_era)
         {
             throw platform_error("the store was restored while it was listed");
