Http: Wait before accepting again after a failure

Without a free file descriptor each attempt to accept a connection fails at once, and the listener tried again at once: a processor core was busy with it for as long as callers held the descriptors. It now waits 50 ms in between.

--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -29,6 +29,10 @@
 /// HTTP/1.1; older callers cannot read chunks.
 inline constexpr unsigned first_version_with_chunks = 11;
 
+/// Pause after a connection could not be accepted, for example because no file
+/// descriptor is free; until then each attempt fails at once.
+inline constexpr milliseconds accept_retry_delay{50};
+
 /// Limits of the unread input that is received and discarded after a request
 /// was refused.
 inline constexpr std::size_t discard_limit_bytes = 64 * 1024;
@@ -205,6 +209,12 @@
             net::co_spawn(to.context, session(std::move(stream), to.handler),
                           net::detached);
         }
+        else if (m_acceptor.is_open())
+        {
+            net::steady_timer timer(m_lanes.front().context,
+                                    accept_retry_delay);
+            co_await timer.async_wait(token);
+        }
     }
 }
 
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -6,7 +6,9 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 
 namespace cicadahub::http
 {
@@ -88,5 +90,49 @@
                          [](const auto& it)
                          { return std::string(it.param.name); });
 
+/// Leaves the process without a free descriptor while it exists.
+class no_free_descriptor
+{
+public:
+    no_free_descriptor()
+    {
+        ::getrlimit(RLIMIT_NOFILE, &m_former);
+        const int next = ::dup(STDIN_FILENO);
+        ::close(next);
+        rlimit lower = m_former;
+        lower.rlim_cur = static_cast<rlim_t>(next);
+        ::setrlimit(RLIMIT_NOFILE, &lower);
+    }
+    ~no_free_descriptor() { ::setrlimit(RLIMIT_NOFILE, &m_former); }
+    no_free_descriptor(const no_free_descriptor&) = delete;
+    no_free_descriptor& operator=(const no_free_descriptor&) = delete;
+
+private:
+    rlimit m_former{};
+};
+
+// Guards against a processor that is busy with connections that cannot be
+// accepted, and against a server that accepts none afterwards.
+TEST(server, waits_while_no_descriptor_is_free)
+{
+    constexpr std::size_t most_handlers = 100;
+    net::io_context context(1);
+    empty_handler handler;
+    server<empty_handler> subject({net::ip::address_v4::loopback(), 0},
+                                  server_limits{}, {{context, handler}});
+    subject.start();
+    net::io_context callers;
+    net::ip::tcp::socket caller(callers);
+    caller.open(net::ip::tcp::v4());
+    {
+        const no_free_descriptor none;
+        caller.connect(subject.local_endpoint());
+        EXPECT_LE(context.run_for(milliseconds(300)), most_handlers);
+    }
+    net::write(caller, net::buffer("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 27));
+    context.run_for(milliseconds(300));
+    EXPECT_GT(caller.available(), 0U);
+}
+
 } // namespace
 } // namespace cicadahub::http
