Tests: Leave streams unread by their callers

Streams of whole events have no fault of their own, so that they end with their callers or their deadline.

--- a/tests/system/endless_test.cpp
+++ b/tests/system/endless_test.cpp
@@ -36,6 +36,22 @@
     *out << it.name;
 }
 
+/// Callers that send a request and then read nothing.
+class silent_callers
+{
+public:
+    void add(const std::string& address, const std::string& request)
+    {
+        net::ip::tcp::socket& it = m_sockets.emplace_back(m_context);
+        it.connect(http::parse_endpoint(address));
+        net::write(it, net::buffer(request));
+    }
+
+private:
+    net::io_context m_context;
+    std::vector<net::ip::tcp::socket> m_sockets;
+};
+
 class endless_answers : public testing::TestWithParam<endless_case>
 {
 protected:
@@ -96,6 +112,31 @@
         }
     }
 
+    void expect_bounded_memory_with_silent_callers() const
+    {
+        begin_fault();
+        silent_callers callers;
+        for (std::size_t n = 0; n < concurrent_requests; ++n)
+        {
+            const std::string id = "silent-" + std::to_string(n);
+            std::string head =
+                GetParam().is_stream
+                    ? "POST /once/x HTTP/1.1\r\nModel: m1\r\nToken-Count: "
+                      "20,16\r\nPrompt-Prefix: aa:10,bb:10\r\n"
+                      "Deadline-Ms: 8000\r\n"
+                    : "POST /post/1 HTTP/1.1\r\nDeadline-Ms: 3000\r\n";
+            head += "Host: trust.example\r\nRequest-Id: " + id +
+                    "\r\nAuthorization: Bearer key-of-trust\r\n"
+                    "Content-Length: 0\r\n\r\n";
+            callers.add(m_fleet.daemons[0].callers, head);
+        }
+        std::this_thread::sleep_for(most_waiting);
+        EXPECT_GT(total("endless_bytes"), 0);
+        EXPECT_EQ(other_request().status, 200U);
+        EXPECT_LT(m_fleet.daemons[0].program->peak_memory_bytes(),
+                  most_resident_bytes);
+    }
+
     platform_fleet m_fleet{1};
 };
 
@@ -138,46 +179,20 @@
     EXPECT_LT(program.peak_memory_bytes(), most_resident_bytes);
 }
 
-/// Callers that send a request and then read nothing.
-class silent_callers
+// Guards against a process killed for its memory while its callers do not read.
+TEST_P(endless_answers, leave_memory_bounded_while_callers_do_not_read)
 {
-public:
-    void add(const std::string& address, const std::string& request)
-    {
-        net::ip::tcp::socket& it = m_sockets.emplace_back(m_context);
-        it.connect(http::parse_endpoint(address));
-        net::write(it, net::buffer(request));
-    }
+    expect_bounded_memory_with_silent_callers();
+}
 
-private:
-    net::io_context m_context;
-    std::vector<net::ip::tcp::socket> m_sockets;
+class endless_streams : public endless_answers
+{
 };
 
-// Guards against a process killed for its memory while its callers do not read.
-TEST_P(endless_answers, leave_memory_bounded_while_callers_do_not_read)
+// The same, with events that a caller might want.
+TEST_P(endless_streams, leave_memory_bounded_while_callers_do_not_read)
 {
-    begin_fault();
-    silent_callers callers;
-    for (std::size_t n = 0; n < concurrent_requests; ++n)
-    {
-        const std::string id = "silent-" + std::to_string(n);
-        std::string head =
-            GetParam().is_stream
-                ? "POST /once/x HTTP/1.1\r\nModel: m1\r\nToken-Count: "
-                  "20,16\r\nPrompt-Prefix: aa:10,bb:10\r\n"
-                  "Deadline-Ms: 8000\r\n"
-                : "POST /post/1 HTTP/1.1\r\nDeadline-Ms: 3000\r\n";
-        head += "Host: trust.example\r\nRequest-Id: " + id +
-                "\r\nAuthorization: Bearer key-of-trust\r\n"
-                "Content-Length: 0\r\n\r\n";
-        callers.add(m_fleet.daemons[0].callers, head);
-    }
-    std::this_thread::sleep_for(most_waiting);
-    EXPECT_GT(total("endless_bytes"), 0);
-    EXPECT_EQ(other_request().status, 200U);
-    EXPECT_LT(m_fleet.daemons[0].program->peak_memory_bytes(),
-              most_resident_bytes);
+    expect_bounded_memory_with_silent_callers();
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -193,5 +208,11 @@
         endless_case{"chunk_extension_of_stream", "chunk_extension", true}),
     [](const auto& it) { return std::string(it.param.name); });
 
+INSTANTIATE_TEST_SUITE_P(platform_path, endless_streams,
+                         testing::Values(endless_case{"events", "events",
+                                                      true}),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
 } // namespace
 } // namespace cicadahub::system_tests
