--- a/tests/backend/answer_relay_test.cpp
+++ b/tests/backend/answer_relay_test.cpp
@@ -108,7 +108,8 @@
                          [](const auto& it)
                          { return std::string(it.param.name); });
 
-class endless_relayed_answers : public testing::TestWithParam<fakes::endless_response>
+class endless_relayed_answers
+    : public testing::TestWithParam<fakes::endless_response>
 {
 };
 
