Entry: Hold less of what orders and peers answer

The limit on memory for responses that are being read counts for each pool of connections. Four pools of 32 MB could hold 128 of the 160 MB of the smallest hosts; those for orders and peers, whose responses are small, now have 8 MB each, so that all hold 80 MB at most.

--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -18,6 +18,11 @@
 /// Answers to orders and reports name no request: on a connection that carried
 /// another one, a late second response to that could be taken for them.
 constexpr std::size_t idle_order_connections = 0;
+/// The pools of a daemon together hold at most half the memory of the smallest
+/// host, 160 MB. Reports and answers to orders are small, and relayed lists
+/// come one at a time.
+constexpr http::response_limits control_responses{.held_bytes =
+                                                      8 * 1024 * 1024};
 /// The store answers within milliseconds; a call that times out is retried well
 /// within the 2 s in which a change must reach every daemon.
 constexpr platform::client_timing store_timing{milliseconds(600),
@@ -59,8 +64,9 @@
       m_reload(std::move(reload)),
       m_state(m_context, m_settings, dialects.documents),
       m_platform_pool(m_context, connect_timeout, idle_connections),
-      m_order_pool(m_context, connect_timeout, idle_order_connections),
-      m_peer_pool(m_context, connect_timeout, 1),
+      m_order_pool(m_context, connect_timeout, idle_order_connections,
+                   control_responses),
+      m_peer_pool(m_context, connect_timeout, 1, control_responses),
       m_store(m_platform_pool, m_settings.store, store_timing, dialects.store,
               [this] { on_store_restored(); }),
       m_placement(m_context, m_order_pool, m_store,
