Entry: Log who suspects a request, and for how long no server was heard

The record of RECOVER can't tell whether hosts that were cut off spread their own fault: a host did not log what it hears of suspects, nor from whom, and no line told a server that fails from a host that reaches none. Both are logged now (`seen_by`, `servers_silent_ms`), before any change of logic.

--- a/libraries/decision/suspicion/suspect_table.cpp
+++ b/libraries/decision/suspicion/suspect_table.cpp
@@ -15,18 +15,20 @@
     return ++it.crashes;
 }
 
-void suspect_table::on_notice(const fingerprint& request, std::uint32_t crashes,
+bool suspect_table::on_notice(const fingerprint& request, std::uint32_t crashes,
                               time_point now)
 {
     if (crashes == 0)
     {
         m_suspects.erase(request);
-        return;
+        return false;
     }
     evict_entries(now);
     suspect& it = m_suspects[request];
     it.last_seen = now;
+    const bool is_news = crashes > it.crashes;
     it.crashes = std::max(it.crashes, crashes);
+    return is_news;
 }
 
 void suspect_table::on_completed(const fingerprint& request)
--- a/libraries/decision/suspicion/suspect_table.hpp
+++ b/libraries/decision/suspicion/suspect_table.hpp
@@ -36,7 +36,8 @@
     std::uint32_t on_crash(const fingerprint& request, time_point now);
 
     /// Another daemon reports this number of crashes; 0 clears the request.
-    void on_notice(const fingerprint& request, std::uint32_t crashes,
+    /// Returns true if more crashes are known now than before.
+    bool on_notice(const fingerprint& request, std::uint32_t crashes,
                    time_point now);
 
     /// The request completed, which clears it of suspicion.
--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -32,9 +32,10 @@
       m_configuration(state.configuration), m_arrived(monotonic_clock::now()),
       m_exchange(state.pool, servers,
                  {[this] { return may_send(); },
-                  [this](const server_notice& it)
+                  [this](const server_notice& it) { on_notice(it); },
+                  [this]
                   {
-                      on_notice(it);
+                      m_state.last_server_contact = monotonic_clock::now();
                   }}),
       m_waiter(state.waiting.make_waiter())
 {
@@ -168,9 +169,15 @@
          {"framing", result.framing ? http::name_of(*result.framing) : ""},
          {"partial_event_bytes", result.partial_event_bytes},
          {"took_ms", time_since(sent_at).count()},
+         {"servers_silent_ms", servers_silent_ms()},
          {"reason", result.reason}});
 }
 
+std::int64_t active_request::servers_silent_ms() const
+{
+    return time_since(m_state.last_server_contact).count();
+}
+
 void active_request::record_crash(const exchange_result& result)
 {
     if (result.end == exchange_end::answered ||
@@ -189,7 +196,10 @@
     log_event(severity::warning, event_number::request_suspected,
               {{"request", m_request.id.value()},
                {"fingerprint", m_fingerprint.value()},
-               {"crashes", crashes}});
+               {"crashes", crashes},
+               {"server", m_attempted->entry.id.value()},
+               {"servers_silent_ms", servers_silent_ms()},
+               {"seen_by", m_state.settings.name.value()}});
 }
 
 void active_request::update_health(const exchange_result& result,
--- a/libraries/entry/active_request.hpp
+++ b/libraries/entry/active_request.hpp
@@ -74,6 +74,8 @@
     /// `status` is that of a forwarded response; 0 if there is none.
     void record_outcome(std::string_view outcome, unsigned status = 0) const;
     bool is_stream() const;
+    /// Time since any server last sent this host anything.
+    std::int64_t servers_silent_ms() const;
 
     entry_state& m_state;
     const server_dialect& m_servers;
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -226,10 +226,17 @@
     m_mirror.on_digest(it);
     for (const auto& notice : it.digest.crashes)
     {
-        m_state.suspects.on_notice(
+        const bool is_news = m_state.suspects.on_notice(
             suspicion::fingerprint(notice.fingerprint),
             static_cast<std::uint32_t>(std::max(0, notice.crashes)),
             it.received_at);
+        if (is_news)
+        {
+            log_event(severity::info, event_number::request_suspected,
+                      {{"fingerprint", notice.fingerprint},
+                       {"crashes", notice.crashes},
+                       {"seen_by", it.digest.sender}});
+        }
     }
     for (const auto& leaving : it.digest.leaving_servers)
     {
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -47,6 +47,9 @@
     time_point accept_deadline = time_point::max();
     time_point wait_deadline = time_point::max();
     bool has_servers = false;
+    /// Last time at which a response, or a part of one, arrived from any
+    /// server.
+    time_point last_server_contact = monotonic_clock::now();
     /// Moving average of the prompt tokens of a request.
     double mean_prompt_tokens = 500;
 
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -239,6 +239,7 @@
                                        stream_progress& progress)
 {
     co_await http::read_response_head(server, m_parser, m_method);
+    m_handlers.on_contact();
     const auto& head = m_parser->get();
     m_result.head = m_dialect.read_answer(head, id, sender);
     const auto meaning = outcome::meaning_of(m_result.head->facts);
@@ -346,6 +347,7 @@
         set_timeout(server);
         const auto events = co_await reader.read_some();
         m_result.partial_event_bytes = reader.partial_event_bytes();
+        m_handlers.on_contact();
         if (!events)
         {
             break;
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -80,6 +80,8 @@
     std::function<bool()> may_send;
     /// Called with what each head of a response says of its server.
     std::function<void(const server_notice&)> on_notice;
+    /// Called when bytes of a response arrived.
+    std::function<void()> on_contact;
 };
 
 /// Sends a request to a backend server and forwards the response. Of a stream
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -56,8 +56,8 @@
     exchange subject(run.pool(), dialect,
                      {[may_send] { return may_send; },
                       [&seen](const server_notice& notice)
-                      {
-                          seen.is_leaving = notice.is_leaving;
+                      { seen.is_leaving = notice.is_leaving; },
+                      [] {
                       }});
     const http::request message{method, "/", 11};
     const forwarding added;
@@ -253,8 +253,8 @@
           m_exchange(m_run.pool(), adapter::servers,
                      {[] { return true; },
                       [this](const server_notice& it)
-                      {
-                          m_is_leaving = m_is_leaving || it.is_leaving;
+                      { m_is_leaving = m_is_leaving || it.is_leaving; },
+                      [] {
                       }})
     {
     }
