Tests: Cut hosts off from all servers

Each daemon of a test fleet can have links of its own to the servers: the store as that host sees it names other addresses, at which the test forwards connections until it cuts them (silent, reset, or refusing new ones).

A holder of the placement lease without links keeps it; a model that nobody has loaded is refused at the others for 8 s.

--- /dev/null
+++ b/tests/system/cut_off_test.cpp
@@ -0,0 +1,310 @@
+#include "core/refusal.hpp"
+#include "platform_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <sstream>
+#include <thread>
+
+namespace cicadahub::system_tests
+{
+namespace
+{
+
+using fakes::link_state;
+
+/// Time after a cut from which the hosts that are cut off must serve.
+constexpr milliseconds contact_time{3'000};
+constexpr milliseconds warm_up{500};
+constexpr milliseconds measured_time{3'000};
+constexpr milliseconds request_gap{20};
+constexpr std::size_t daemons_per_data_centre = 3;
+/// Callers of each host before a cut, and as many more from then on, so that
+/// the open connections do not suffice.
+constexpr std::size_t callers_per_host = 2;
+
+struct cut_case
+{
+    const char* name;
+    link_state state;
+    /// The first hosts are cut off, this many.
+    std::size_t hosts;
+};
+
+void PrintTo(const cut_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+struct sent_request
+{
+    std::string id;
+    time_point at;
+    unsigned status = 0;
+    bool must_run_once = false;
+};
+
+using request_list = std::vector<sent_request>;
+
+/// Sends requests of all kinds to one host, one after the other, until
+/// `is_over`.
+request_list send_requests(const platform_fleet& fleet, std::size_t host,
+                           const std::string& caller,
+                           const std::atomic<bool>& is_over)
+{
+    request_list sent;
+    for (std::size_t n = 0; !is_over; ++n)
+    {
+        std::this_thread::sleep_for(request_gap);
+        sent_request it;
+        it.id = caller + "-" + std::to_string(n);
+        it.at = monotonic_clock::now();
+        switch (n % 4)
+        {
+        case 0:
+            it.status = fleet.stream(host, it.id, "m1").status;
+            break;
+        case 1:
+            it.must_run_once = true;
+            it.status =
+                fleet.stream(host, it.id, "m2", "key-of-trust", "/once/x")
+                    .status;
+            break;
+        case 2:
+            it.status =
+                fleet.plain(host, it.id, http::verb::get, "/read/1").status;
+            break;
+        default:
+            it.must_run_once = true;
+            it.status =
+                fleet.plain(host, it.id, http::verb::post, "/post/1").status;
+            break;
+        }
+        sent.push_back(std::move(it));
+    }
+    return sent;
+}
+
+struct served_share
+{
+    std::size_t sent = 0;
+    std::size_t served = 0;
+
+    void add(const request_list& from, time_point begin, time_point end)
+    {
+        for (const sent_request& it : from)
+        {
+            if (it.at >= begin && it.at < end)
+            {
+                ++sent;
+                served += it.status == 200 ? 1 : 0;
+            }
+        }
+    }
+
+    double share() const
+    {
+        return sent == 0
+                   ? 0
+                   : static_cast<double>(served) / static_cast<double>(sent);
+    }
+};
+
+/// How often each request was executed, by all servers together.
+std::map<std::string, std::int64_t> count_runs(const platform_fleet& fleet)
+{
+    std::map<std::string, std::int64_t> runs;
+    for (const auto* group : {&fleet.engines, &fleet.services})
+    {
+        for (const auto& it : *group)
+        {
+            const answer seen = call(it.address, http::verb::get, "/runs");
+            for (const auto& entry : parse_json_object(seen.body))
+            {
+                runs[std::string(entry.key())] += entry.value().as_int64();
+            }
+        }
+    }
+    return runs;
+}
+
+void check_promises(const platform_fleet& fleet, const request_list& sent)
+{
+    const auto runs = count_runs(fleet);
+    for (const sent_request& it : sent)
+    {
+        const auto at = runs.find(it.id);
+        const std::int64_t n = at == runs.end() ? 0 : at->second;
+        EXPECT_FALSE(n > 0 && promises_not_run(it.status))
+            << it.id << " ran, status " << it.status;
+        EXPECT_FALSE(n > 1 && it.must_run_once) << it.id << " ran " << n;
+    }
+}
+
+bool has_logged(const platform_fleet& fleet, std::size_t host,
+                const std::string& text)
+{
+    return fleet.daemons[host].program->output().find(text) !=
+           std::string::npos;
+}
+
+class hosts_without_links : public testing::TestWithParam<cut_case>
+{
+};
+
+// Guards against hosts that refuse or fail their callers' requests because they
+// themselves reach no server, while other hosts reach all.
+TEST_P(hosts_without_links, serve_as_well_as_the_others)
+{
+    const cut_case& it = GetParam();
+    platform_fleet fleet(static_cast<int>(it.hosts + daemons_per_data_centre),
+                         true);
+    std::atomic<bool> is_over = false;
+    const std::size_t hosts = fleet.daemons.size();
+    std::vector<request_list> sent(2 * callers_per_host * hosts);
+    std::vector<std::thread> callers;
+    callers.reserve(sent.size());
+    const auto add_callers = [&]
+    {
+        for (std::size_t n = 0; n < callers_per_host * hosts; ++n)
+        {
+            const std::size_t at = callers.size();
+            callers.emplace_back(
+                [&, at]
+                {
+                    sent[at] = send_requests(fleet, at % hosts,
+                                             "c" + std::to_string(at), is_over);
+                });
+        }
+    };
+    add_callers();
+    std::this_thread::sleep_for(warm_up);
+    for (std::size_t n = 0; n < it.hosts; ++n)
+    {
+        fleet.daemons[n].links->set_state(it.state);
+    }
+    add_callers();
+    const time_point begin = monotonic_clock::now() + contact_time;
+    const time_point end = begin + measured_time;
+    std::this_thread::sleep_until(end);
+    for (std::size_t n = 0; n < it.hosts; ++n)
+    {
+        fleet.daemons[n].links->set_state(link_state::open);
+    }
+    is_over = true;
+    for (std::thread& caller : callers)
+    {
+        caller.join();
+    }
+    served_share cut_off;
+    served_share others;
+    for (std::size_t n = 0; n < sent.size(); ++n)
+    {
+        (n % hosts < it.hosts ? cut_off : others).add(sent[n], begin, end);
+        check_promises(fleet, sent[n]);
+    }
+    EXPECT_GT(others.share(), 0.9);
+    EXPECT_GE(cut_off.share(), others.share() * 2 / 3)
+        << cut_off.served << " of " << cut_off.sent << ", the others "
+        << others.served << " of " << others.sent;
+    // As many requests must pass, not only as large a share of fewer.
+    EXPECT_GE(static_cast<double>(cut_off.sent) / static_cast<double>(it.hosts),
+              static_cast<double>(others.sent) /
+                  static_cast<double>(daemons_per_data_centre) / 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    platform_path, hosts_without_links,
+    testing::Values(cut_case{"one_silent", link_state::silent, 1},
+                    cut_case{"one_reset", link_state::reset, 1},
+                    cut_case{"one_refusing", link_state::refusing, 1},
+                    cut_case{"data_centre_silent", link_state::silent, 3},
+                    cut_case{"data_centre_reset", link_state::reset, 3}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+// Guards against a request that callers send often and that every host refuses,
+// because hosts whose links were reset took it for the cause of crashes.
+TEST(platform_path, a_request_on_links_that_are_reset_is_not_suspected)
+{
+    platform_fleet fleet(4, true);
+    std::atomic<bool> is_over = false;
+    std::vector<std::thread> callers;
+    for (std::size_t host = 0; host < daemons_per_data_centre; ++host)
+    {
+        callers.emplace_back(
+            [&, host]
+            {
+                for (std::size_t n = 0; !is_over; ++n)
+                {
+                    fleet.stream(host,
+                                 "h" + std::to_string(host) + "-" +
+                                     std::to_string(n),
+                                 "m1");
+                }
+            });
+    }
+    for (int round = 0; round < 3; ++round)
+    {
+        for (const link_state to : {link_state::reset, link_state::open})
+        {
+            for (std::size_t host = 0; host < daemons_per_data_centre; ++host)
+            {
+                fleet.daemons[host].links->set_state(to);
+                std::this_thread::sleep_for(request_gap);
+            }
+            std::this_thread::sleep_for(warm_up);
+        }
+    }
+    is_over = true;
+    for (std::thread& it : callers)
+    {
+        it.join();
+    }
+    for (std::size_t host = 0; host < fleet.daemons.size(); ++host)
+    {
+        EXPECT_EQ(
+            fleet.stream(host, "last-" + std::to_string(host), "m1").status,
+            200U);
+        EXPECT_FALSE(has_logged(fleet, host, "suspect-request"));
+    }
+}
+
+// Guards against models that nobody loads because the holder of the placement
+// lease keeps it while it reaches no server.
+TEST(platform_path, orders_come_from_a_host_that_reaches_the_servers)
+{
+    platform_fleet fleet(3, true);
+    const auto is_holder = [&](std::size_t host)
+    {
+        return has_logged(fleet, host, "lease_won shard=placement");
+    };
+    std::size_t holder = 0;
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            holder = 0;
+            while (holder < fleet.daemons.size() && !is_holder(holder))
+            {
+                ++holder;
+            }
+            return holder < fleet.daemons.size();
+        }));
+    fleet.daemons[holder].links->set_state(link_state::silent);
+    // Nobody else notices, so that only the holder's own probes can tell.
+    const std::size_t other = (holder + 1) % fleet.daemons.size();
+    unsigned status = 0;
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            status = fleet.stream(other, "wanted", "m3").status;
+            return status == 200;
+        },
+        milliseconds(8'000)))
+        << status;
+}
+
+} // namespace
+} // namespace cicadahub::system_tests
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -11,6 +11,10 @@
 namespace
 {
 
+constexpr int daemons_per_data_centre = 3;
+/// Loopback hosts from here on are the ends of links.
+constexpr unsigned first_link_host = 100;
+
 boost::json::object route(const std::string& name, const std::string& prefix,
                           const std::string& kind, const std::string& service)
 {
@@ -49,7 +53,7 @@
 
 } // namespace
 
-platform_fleet::platform_fleet(int daemon_count)
+platform_fleet::platform_fleet(int daemon_count, bool has_links)
 {
     store = free_address();
     m_store_program = std::make_unique<process>(
@@ -77,15 +81,29 @@
         it.callers = free_address(host);
         it.readiness = free_address(host);
         it.settings_file = m_folder + "/" + it.name + ".toml";
+        if (has_links)
+        {
+            it.links =
+                std::make_unique<host_links>(host + first_link_host, store);
+            for (const auto* group : {&engines, &services})
+            {
+                for (const worker& server : *group)
+                {
+                    it.links->add_server(server.address);
+                }
+            }
+        }
         std::ofstream(it.settings_file)
-            << "node = \"" << it.name << "\"\nzone = \"dc-1\"\n"
+            << "node = \"" << it.name << "\"\nzone = \"dc-"
+            << n / daemons_per_data_centre + 1 << "\"\n"
             << "portRange = [" << port << "," << port << "]\n"
             << "seeds = [\"" << loopback_host(2) << ":9\",\""
             << loopback_host(3) << ":9\"]\n"
             << "something_new = 3\n[listen]\nfront = \"" << it.callers
             << "\"\nready = \"" << it.readiness << "\"\n[bounds]\ngraceS = 8\n"
             << "leaseMs = 1500\nbudgetRatio = 0.2\nbudgetExtra = 50\n"
-            << "[platform]\naddress = \"" << store << "\"\n";
+            << "[platform]\naddress = \""
+            << (it.links ? it.links->store() : store) << "\"\n";
         daemons.push_back(std::move(it));
     }
     for (std::size_t n = 0; n < daemons.size(); ++n)
--- a/tests/system/platform_fleet.hpp
+++ b/tests/system/platform_fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet.hpp"
+#include "host_links.hpp"
 
 namespace cicadahub::system_tests
 {
@@ -18,6 +19,7 @@
         std::string callers;
         std::string readiness;
         std::string settings_file;
+        std::unique_ptr<host_links> links;
     };
 
     struct worker
@@ -27,7 +29,9 @@
         std::string address;
     };
 
-    explicit platform_fleet(int daemon_count);
+    /// `has_links` gives each daemon links of its own to the servers. The
+    /// data centres have three daemons each.
+    explicit platform_fleet(int daemon_count, bool has_links = false);
 
     void start_daemon(std::size_t n);
     bool is_ready(std::size_t n) const;
@@ -58,8 +62,6 @@
     std::vector<worker> services;
 
 private:
-    void write_settings(const daemon& it) const;
-
     std::string m_folder = make_folder();
     std::unique_ptr<process> m_store_program;
 };
