Entry: Serve callers through other hosts while cut off from the servers

Cause: a request could reach a server over the links of its own host only. Each failure was taken for one of the server, so that the next server was tried on the same links.

A host now tells the two apart: after a failure, or while requests wait and all servers are silent, it opens connections to up to five servers of all services. If none opens, it is cut off until one does, tells the others in its digests and sends its requests through one that is not. The other host makes one attempt at the server that was chosen, directly, with its own knowledge of the server's leave, pause and incarnation; authentication, rates, retry budget, attempts and deadline stay with the host that the caller talks to. Requests of which nothing was sent go the new way without counting as a retry; repeatable ones that wait on silent connections are repeated within the budget; others wait.

--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -45,6 +45,8 @@
     CICADAHUB_ROW(server_gone),
     CICADAHUB_ROW(server_suspended),
     CICADAHUB_ROW(server_paused),
+    CICADAHUB_ROW(host_cut_off),
+    CICADAHUB_ROW(host_reconnected),
     CICADAHUB_ROW(peer_connected),
     CICADAHUB_ROW(peer_lost),
     CICADAHUB_ROW(peer_frame_malformed),
--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -42,6 +42,8 @@
     server_gone = 522,
     server_suspended = 523,
     server_paused = 524,
+    host_cut_off = 530,
+    host_reconnected = 531,
     peer_connected = 600,
     peer_lost = 601,
     peer_frame_malformed = 602,
--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -12,14 +12,6 @@
 /// A request is refused after this many sends that no server executed.
 constexpr std::uint32_t max_sends_without_run = 3;
 
-/// True for 5xx responses. 504 is excluded: a server that runs out of time is
-/// not faulty.
-bool is_server_error(const exchange_result& result)
-{
-    return result.answer && result.answer->result_int() >= 500 &&
-           result.answer->result() != http::status::gateway_timeout;
-}
-
 } // namespace
 
 active_request::active_request(entry_state& state,
@@ -30,13 +22,8 @@
     : m_state(state), m_servers(servers), m_message(message),
       m_request(std::move(request)), m_reply(reply),
       m_configuration(state.configuration), m_arrived(monotonic_clock::now()),
-      m_exchange(state.pool, servers,
-                 {[this] { return may_send(); },
-                  [this](const server_notice& it) { on_notice(it); },
-                  [this]
-                  {
-                      m_state.last_server_contact = monotonic_clock::now();
-                  }}),
+      m_observer(state, m_request.id),
+      m_exchange(state.pool, servers, m_observer.handlers()),
       m_waiter(state.waiting.make_waiter())
 {
 }
@@ -95,41 +82,29 @@
     co_await attempt_until_answered();
 }
 
-bool active_request::may_send() const
+const peer* active_request::choose_relay() const
 {
-    return m_attempted->accepts_requests(monotonic_clock::now());
-}
-
-void active_request::on_notice(const server_notice& it)
-{
-    const serving::server_entry& entry = m_attempted->entry;
-    if (it.is_leaving &&
-        m_state.servers.on_leaving(entry.id, entry.incarnation, "response"))
+    std::vector<const peer*> near;
+    std::vector<const peer*> far;
+    for (const auto& [name, it] : m_state.fleet.peers())
     {
-        m_state.on_server_leaving();
-    }
-    if (!it.pause)
-    {
-        return;
-    }
-    const double draw = std::uniform_real_distribution<>()(m_state.random);
-    if (m_attempted->pause.on_requested(monotonic_clock::now(), *it.pause,
-                                        draw))
-    {
-        log_event(severity::info, event_number::server_paused,
-                  {{"server", entry.id.value()},
-                   {"request", m_request.id.value()},
-                   {"incarnation", entry.incarnation},
-                   {"pause_ms", it.pause->count()}});
+        if (it.digest.is_cut_off || it.digest.is_leaving ||
+            m_excluded_relays.contains(name))
+        {
+            continue;
+        }
+        const bool is_near =
+            it.digest.data_centre == m_state.settings.data_centre.value();
+        (is_near ? near : far).push_back(&it);
     }
+    // Traffic between data centres costs more.
+    const auto& from = near.empty() ? far : near;
+    return from.empty() ? nullptr : from[m_state.random() % from.size()];
 }
 
 net::awaitable<exchange_result>
 active_request::attempt(const server_table::record_pointer& record)
 {
-    const running_guard guard(record, m_copy ? std::optional(m_copy->model)
-                                             : std::nullopt);
-    m_attempted = record;
     const time_point now = monotonic_clock::now();
     forwarding added;
     added.server = record->entry.id;
@@ -138,122 +113,83 @@
         added.organisation = m_organisation->name;
     }
     added.after_event = m_progress.last_event;
-    ++m_sends;
-    exchange_result result = co_await m_exchange.run(
-        record->entry.address, m_message, added, m_request.id, m_reply,
-        m_progress, m_deadline,
-        !m_attempted_addresses.insert(record->entry.address).second);
-    record_attempt(result, *record, now);
+    exchange_path path{record->entry.address,
+                       m_attempted_addresses.contains(record->entry.address),
+                       std::nullopt};
+    const peer* relay = m_state.reach.is_cut_off() ? choose_relay() : nullptr;
+    m_relay = relay == nullptr ? std::string() : relay->digest.sender;
+    m_observer.begin(record, m_relay);
+    exchange_result result;
+    if (relay != nullptr)
+    {
+        path.address = relay->address;
+        path.relay = relayed_request{
+            {}, record->entry.incarnation, m_fingerprint, false};
+        result = co_await m_exchange.run(std::move(path), m_message, added,
+                                         m_request.id, m_reply, m_progress,
+                                         m_deadline);
+    }
+    else
+    {
+        // The daemon that forwards a request counts it itself.
+        const running_guard running(
+            record, m_copy ? std::optional(m_copy->model) : std::nullopt);
+        const wait_guard waiting(m_state.reach, [this] { on_cut_off(); });
+        result = co_await m_exchange.run(std::move(path), m_message, added,
+                                         m_request.id, m_reply, m_progress,
+                                         m_deadline);
+    }
+    m_observer.log(result, now);
     co_return result;
 }
 
-void active_request::record_attempt(const exchange_result& result,
-                                    const server_record& record,
-                                    time_point sent_at) const
+void active_request::on_cut_off()
 {
-    m_state.metrics.count_attempt(name_of(result.end), time_since(sent_at));
-    const outcome::response_facts head =
-        result.head.value_or(answer_head{}).facts;
-    log_event(
-        severity::info, event_number::request_attempted,
-        {{"request", m_request.id.value()},
-         {"server", record.entry.id.value()},
-         {"end", name_of(result.end)},
-         {"status", head.status},
-         {"names_request", outcome::name_of(head.request)},
-         {"names_server", outcome::name_of(head.server)},
-         {"states_not_run", head.states_not_run},
-         {"earlier_exchanges", result.earlier_exchanges},
-         {"running", record.running},
-         {"running_elsewhere", record.running_elsewhere},
-         {"framing", result.framing ? http::name_of(*result.framing) : ""},
-         {"partial_event_bytes", result.partial_event_bytes},
-         {"took_ms", time_since(sent_at).count()},
-         {"servers_silent_ms", servers_silent_ms()},
-         {"reason", result.reason}});
+    if (is_repeatable())
+    {
+        m_exchange.give_up_if_silent(reachability::server_reach::silence_limit);
+    }
 }
 
-std::int64_t active_request::servers_silent_ms() const
+bool active_request::is_repeatable() const
 {
-    return time_since(m_state.last_server_contact).count();
+    // Behind events without an id a stream could only begin anew.
+    const bool can_go_on =
+        !m_progress.first_event_at || m_progress.last_event.has_value();
+    return m_route->kind == serving::request_kind::repeatable ||
+           (is_stream() && m_route->is_resumable && can_go_on);
 }
 
-void active_request::record_crash(const exchange_result& result)
+bool active_request::is_retryable(const exchange_result& result) const
 {
-    if (result.end == exchange_end::answered ||
-        result.end == exchange_end::streamed)
-    {
-        m_state.suspects.on_completed(m_fingerprint);
-        return;
-    }
-    if (!result.is_connection_lost)
+    if (result.end != exchange_end::failed && !is_server_error(result))
     {
-        return;
+        return false;
     }
-    const std::uint32_t crashes =
-        m_state.suspects.on_crash(m_fingerprint, monotonic_clock::now());
-    m_state.send_update_soon();
-    log_event(severity::warning, event_number::request_suspected,
-              {{"request", m_request.id.value()},
-               {"fingerprint", m_fingerprint.value()},
-               {"crashes", crashes},
-               {"server", m_attempted->entry.id.value()},
-               {"servers_silent_ms", servers_silent_ms()},
-               {"seen_by", m_state.settings.name.value()}});
+    return is_repeatable() && m_runs < m_route->max_attempts;
 }
 
-void active_request::update_health(const exchange_result& result,
-                                   server_record& record)
+bool active_request::is_repeated_elsewhere(const exchange_result& result,
+                                           bool is_cut_off)
 {
-    const time_point now = monotonic_clock::now();
-    if (result.end == exchange_end::not_here && m_copy)
+    if (time_left(monotonic_clock::now()) < min_processing_time)
     {
-        record.on_absent(*m_copy);
-    }
-    bool is_suspended = false;
-    if (result.end == exchange_end::not_sent)
-    {
-        record.health.on_unreachable(now);
-        is_suspended = true;
-    }
-    else if ((result.end == exchange_end::failed || is_server_error(result)) &&
-             !result.notice.pause)
-    {
-        is_suspended = record.health.on_failure(now);
-    }
-    else if (result.end == exchange_end::answered ||
-             result.end == exchange_end::streamed)
-    {
-        record.health.on_success();
-    }
-    if (is_suspended)
-    {
-        log_event(severity::warning, event_number::server_suspended,
-                  {{"server", record.entry.id.value()},
-                   {"request", m_request.id.value()},
-                   {"end", name_of(result.end)},
-                   {"failure_share", record.health.failure_share()},
-                   {"reason", result.reason}});
+        return false;
     }
-}
-
-bool active_request::is_retryable(const exchange_result& result) const
-{
-    if (result.end != exchange_end::failed && !is_server_error(result))
+    if (result.is_relay_unavailable)
     {
-        return false;
+        // Without a daemon that forwards it, the request goes to the server
+        // directly, which ends this.
+        m_excluded_relays.insert(m_relay);
+        return true;
     }
-    // Behind events without an id a stream could only begin anew.
-    const bool can_go_on =
-        !m_progress.first_event_at || m_progress.last_event.has_value();
-    const bool is_repeatable =
-        m_route->kind == serving::request_kind::repeatable ||
-        (is_stream() && m_route->is_resumable && can_go_on);
-    return is_repeatable && m_runs < m_route->max_attempts;
+    return is_cut_off && result.end == exchange_end::not_sent &&
+           choose_relay() != nullptr;
 }
 
 bool active_request::prepare_retry(const exchange_result& result,
-                                   const server_table::record_pointer& record)
+                                   const server_table::record_pointer& record,
+                                   bool is_cut_off)
 {
     const time_point now = monotonic_clock::now();
     const bool is_unsent = result.end == exchange_end::not_sent ||
@@ -273,7 +209,10 @@
     {
         return false;
     }
-    m_excluded_servers.insert(record->entry.id);
+    if (!is_cut_off)
+    {
+        m_excluded_servers.insert(record->entry.id);
+    }
     // A request of which no byte was sent costs no server any work, so the next
     // attempt is not charged to the retry budget.
     return is_unsent || m_state.retry_budget_of(m_service->name).take(now);
@@ -290,13 +229,19 @@
             co_return;
         }
         exchange_result result = co_await attempt(record);
-        update_health(result, *record);
-        record_crash(result);
+        const bool is_cut_off =
+            co_await m_observer.end(result, m_copy, m_fingerprint);
         if (m_state.waiting.size() > 0)
         {
             m_state.waiting.wake_all();
         }
-        if (m_is_caller_gone || !prepare_retry(result, record))
+        if (!m_is_caller_gone && is_repeated_elsewhere(result, is_cut_off))
+        {
+            continue;
+        }
+        ++m_sends;
+        m_attempted_addresses.insert(record->entry.address);
+        if (m_is_caller_gone || !prepare_retry(result, record, is_cut_off))
         {
             co_await finish(std::move(result));
             co_return;
--- a/libraries/entry/active_request.hpp
+++ b/libraries/entry/active_request.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/routing/server_choice.hpp"
+#include "entry/attempt_observer.hpp"
 #include "entry/entry_state.hpp"
 #include "entry/exchange.hpp"
 
@@ -48,10 +49,6 @@
     void authenticate();
     void charge();
     void refuse_suspect();
-    /// Handles what the server of the current attempt says of itself.
-    void on_notice(const server_notice& it);
-    bool may_send() const;
-    void record_crash(const exchange_result& result);
     void choose_service();
     net::awaitable<void> attempt_until_answered();
     net::awaitable<server_table::record_pointer> wait_for_server();
@@ -61,21 +58,27 @@
     /// Decides after an attempt whether the request is sent to another server;
     /// if so, excludes this one and takes the retry from the budget.
     bool prepare_retry(const exchange_result& result,
-                       const server_table::record_pointer& record);
+                       const server_table::record_pointer& record,
+                       bool is_cut_off);
+    /// Decides after an attempt whether the request, of which nothing was sent,
+    /// is sent on another way. That is no retry.
+    bool is_repeated_elsewhere(const exchange_result& result, bool is_cut_off);
+    /// The daemon that forwards the next attempt while this host is cut off;
+    /// null if there is none.
+    const peer* choose_relay() const;
+    /// True if the request may be executed once more after an unknown outcome.
+    bool is_repeatable() const;
     bool is_retryable(const exchange_result& result) const;
-    void update_health(const exchange_result& result, server_record& record);
+    /// This host was cut off during an attempt.
+    void on_cut_off();
     net::awaitable<void> finish(exchange_result result);
     [[noreturn]] void refuse(refusal_kind reason, milliseconds retry_after);
     void refuse_if_unservable(time_point now, const server_pick& pick);
     milliseconds estimated_wait(time_point now) const;
     milliseconds time_left(time_point now) const;
-    void record_attempt(const exchange_result& result,
-                        const server_record& record, time_point sent_at) const;
     /// `status` is that of a forwarded response; 0 if there is none.
     void record_outcome(std::string_view outcome, unsigned status = 0) const;
     bool is_stream() const;
-    /// Time since any server last sent this host anything.
-    std::int64_t servers_silent_ms() const;
 
     entry_state& m_state;
     const server_dialect& m_servers;
@@ -100,9 +103,12 @@
     std::uint32_t m_runs = 0;
     std::uint32_t m_sends = 0;
     stream_progress m_progress;
+    attempt_observer m_observer;
     exchange m_exchange;
-    /// Server of the current attempt.
-    server_table::record_pointer m_attempted;
+    /// Name of the daemon that forwards the current attempt; empty if none.
+    std::string m_relay;
+    /// Daemons that did not forward the request.
+    std::set<std::string> m_excluded_relays;
     wait_queue::waiter_pointer m_waiter;
     bool m_has_retried_same_server = false;
     bool m_is_caller_gone = false;
--- /dev/null
+++ b/libraries/entry/attempt_observer.cpp
@@ -0,0 +1,191 @@
+#include "entry/attempt_observer.hpp"
+
+#include "core/structured_log.hpp"
+
+namespace cicadahub::entry
+{
+
+namespace
+{
+
+milliseconds time_since(time_point moment)
+{
+    return std::chrono::duration_cast<milliseconds>(monotonic_clock::now() -
+                                                    moment);
+}
+
+} // namespace
+
+exchange_handlers attempt_observer::handlers()
+{
+    return {[this] { return may_send(); },
+            [this](const server_notice& it) { on_notice(it); },
+            [this]
+            {
+                m_state.last_server_contact = monotonic_clock::now();
+                m_state.reach.reach().on_contact(m_state.last_server_contact);
+            }};
+}
+
+void attempt_observer::begin(server_table::record_pointer record,
+                             std::string relay)
+{
+    m_record = std::move(record);
+    m_relay = std::move(relay);
+}
+
+bool attempt_observer::may_send() const
+{
+    return m_record->accepts_requests(monotonic_clock::now());
+}
+
+void attempt_observer::on_notice(const server_notice& it)
+{
+    const serving::server_entry& entry = m_record->entry;
+    if (it.is_leaving &&
+        m_state.servers.on_leaving(entry.id, entry.incarnation, "response"))
+    {
+        m_state.on_server_leaving();
+    }
+    // A pause is asked of the host that sent the request.
+    if (!it.pause || !m_relay.empty())
+    {
+        return;
+    }
+    const double draw = std::uniform_real_distribution<>()(m_state.random);
+    if (m_record->pause.on_requested(monotonic_clock::now(), *it.pause, draw))
+    {
+        log_event(severity::info, event_number::server_paused,
+                  {{"server", entry.id.value()},
+                   {"request", m_request.value()},
+                   {"incarnation", entry.incarnation},
+                   {"pause_ms", it.pause->count()}});
+    }
+}
+
+net::awaitable<bool>
+attempt_observer::end(const exchange_result& result,
+                      const std::optional<replicas::copy_name>& copy,
+                      const suspicion::fingerprint& fingerprint)
+{
+    if (result.end == exchange_end::answered ||
+        result.end == exchange_end::streamed)
+    {
+        m_state.suspects.on_completed(fingerprint);
+    }
+    const bool has_failed_to_connect = result.end == exchange_end::not_sent;
+    if (!m_relay.empty())
+    {
+        // The daemon that forwarded the request examined the failure.
+        if (!result.is_relay_unavailable && !has_failed_to_connect)
+        {
+            update_health(result, copy);
+        }
+        co_return false;
+    }
+    if (result.end == exchange_end::failed && m_state.reach.is_cut_off())
+    {
+        co_return true;
+    }
+    if (!has_failed_to_connect && !result.is_connection_lost)
+    {
+        update_health(result, copy);
+        co_return false;
+    }
+    const bool is_cut_off = co_await m_state.reach.examine();
+    if (is_cut_off)
+    {
+        co_return true;
+    }
+    update_health(result, copy);
+    if (result.is_connection_lost)
+    {
+        record_crash(fingerprint);
+    }
+    co_return false;
+}
+
+void attempt_observer::record_crash(const suspicion::fingerprint& fingerprint)
+{
+    const std::uint32_t crashes =
+        m_state.suspects.on_crash(fingerprint, monotonic_clock::now());
+    m_state.send_update_soon();
+    log_event(severity::warning, event_number::request_suspected,
+              {{"request", m_request.value()},
+               {"fingerprint", fingerprint.value()},
+               {"crashes", crashes},
+               {"server", m_record->entry.id.value()},
+               {"servers_silent_ms", servers_silent_ms()},
+               {"seen_by", m_state.settings.name.value()}});
+}
+
+void attempt_observer::update_health(
+    const exchange_result& result,
+    const std::optional<replicas::copy_name>& copy)
+{
+    const time_point now = monotonic_clock::now();
+    server_record& record = *m_record;
+    if (result.end == exchange_end::not_here && copy)
+    {
+        record.on_absent(*copy);
+    }
+    bool is_suspended = false;
+    if (result.end == exchange_end::not_sent)
+    {
+        record.health.on_unreachable(now);
+        is_suspended = true;
+    }
+    else if ((result.end == exchange_end::failed || is_server_error(result)) &&
+             !result.notice.pause)
+    {
+        is_suspended = record.health.on_failure(now);
+    }
+    else if (result.end == exchange_end::answered ||
+             result.end == exchange_end::streamed)
+    {
+        record.health.on_success();
+    }
+    if (is_suspended)
+    {
+        log_event(severity::warning, event_number::server_suspended,
+                  {{"server", record.entry.id.value()},
+                   {"request", m_request.value()},
+                   {"end", name_of(result.end)},
+                   {"failure_share", record.health.failure_share()},
+                   {"servers_silent_ms", servers_silent_ms()},
+                   {"reason", result.reason}});
+    }
+}
+
+void attempt_observer::log(const exchange_result& result,
+                           time_point sent_at) const
+{
+    m_state.metrics.count_attempt(name_of(result.end), time_since(sent_at));
+    const outcome::response_facts head =
+        result.head.value_or(answer_head{}).facts;
+    log_event(
+        severity::info, event_number::request_attempted,
+        {{"request", m_request.value()},
+         {"server", m_record->entry.id.value()},
+         {"end", name_of(result.end)},
+         {"status", head.status},
+         {"names_request", outcome::name_of(head.request)},
+         {"names_server", outcome::name_of(head.server)},
+         {"states_not_run", head.states_not_run},
+         {"earlier_exchanges", result.earlier_exchanges},
+         {"running", m_record->running},
+         {"running_elsewhere", m_record->running_elsewhere},
+         {"framing", result.framing ? http::name_of(*result.framing) : ""},
+         {"partial_event_bytes", result.partial_event_bytes},
+         {"took_ms", time_since(sent_at).count()},
+         {"servers_silent_ms", servers_silent_ms()},
+         {"relay", m_relay},
+         {"reason", result.reason}});
+}
+
+std::int64_t attempt_observer::servers_silent_ms() const
+{
+    return time_since(m_state.last_server_contact).count();
+}
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/attempt_observer.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "entry/entry_state.hpp"
+#include "entry/exchange.hpp"
+
+namespace cicadahub::entry
+{
+
+/// Takes in what the attempts of one request show of servers: notices, health
+/// and crashes, and whether a failure is due to this host's own links.
+class attempt_observer
+{
+public:
+    attempt_observer(entry_state& state, request_id request)
+        : m_state(state), m_request(std::move(request))
+    {
+    }
+
+    /// Handlers for the exchanges of the request, valid as long as this object.
+    exchange_handlers handlers();
+
+    /// The next attempt goes to this server; empty `relay` if it goes there
+    /// directly, else the name of the daemon that forwards it.
+    void begin(server_table::record_pointer record, std::string relay = {});
+
+    /// Examines the failure of the attempt. Returns true if this host is cut
+    /// off, so that the failure says nothing of the server; otherwise counts it
+    /// for the server's health and, if the server is gone, against the request.
+    net::awaitable<bool> end(const exchange_result& result,
+                             const std::optional<replicas::copy_name>& copy,
+                             const suspicion::fingerprint& fingerprint);
+
+    void log(const exchange_result& result, time_point sent_at) const;
+
+private:
+    bool may_send() const;
+    void on_notice(const server_notice& it);
+    void update_health(const exchange_result& result,
+                       const std::optional<replicas::copy_name>& copy);
+    void record_crash(const suspicion::fingerprint& fingerprint);
+    /// Time since any server last sent this host anything.
+    std::int64_t servers_silent_ms() const;
+
+    entry_state& m_state;
+    request_id m_request;
+    server_table::record_pointer m_record;
+    std::string m_relay;
+};
+
+} // namespace cicadahub::entry
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -103,6 +103,7 @@
     it.number = ++m_number;
     it.data_centre = m_state.settings.data_centre.value();
     it.is_leaving = m_state.is_draining;
+    it.is_cut_off = m_state.reach.is_cut_off();
     it.processor_share = m_state.settings.processor_share;
     it.is_update = is_update;
     for (const auto& [request, crashes] :
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -27,6 +27,8 @@
 /// within the 2 s in which a change must reach every daemon.
 constexpr platform::client_timing store_timing{milliseconds(600),
                                                milliseconds(3'000)};
+/// What a relayed request has in its head beside the caller's fields.
+constexpr std::uint32_t relay_header_bytes = 4 * 1024;
 constexpr std::string_view metrics_path = "/metrics";
 /// Interval between reads of the list of members. Starting hosts announce
 /// themselves by digest; the list covers announcements that were lost.
@@ -91,6 +93,7 @@
           },
           [this](const peer& it) { on_digest(it); },
           [this] { return m_placement.is_held(); }),
+      m_relay(m_state, dialects.callers, dialects.servers, m_objects),
       m_requests(m_state, dialects.callers, dialects.servers),
       m_readiness([this] { return is_ready(); }, m_state.metrics),
       m_caller_server(m_settings.callers, limits_of({}),
@@ -99,7 +102,7 @@
                          {{m_context, m_readiness}}),
       m_relay_server(m_settings.fleet, http::server_limits{},
                      {{m_context, m_relay}}),
-      m_mirror(m_state, m_store, m_peer_pool, m_relay,
+      m_mirror(m_state, m_store, m_peer_pool, m_objects,
                {[this](const platform::stored_object& it)
                 { on_configuration(it); },
                 [this] { on_servers_changed(); },
@@ -191,6 +194,10 @@
                    {"routes", next->routes.size()},
                    {"organisations", next->organisations.size()}});
         m_caller_server.set_limits(limits_of(next->limits));
+        http::server_limits relay_limits = limits_of(next->limits);
+        relay_limits.header_bytes += relay_header_bytes;
+        relay_limits.idle_timeout = http::server_limits{}.idle_timeout;
+        m_relay_server.set_limits(relay_limits);
         m_state.configuration = std::move(next);
         m_state.update_rate_shares(monotonic_clock::now());
         m_state.waiting.wake_all();
@@ -221,6 +228,12 @@
     m_state.waiting.wake_all();
 }
 
+void entry_daemon::on_reach_changed()
+{
+    m_digests.send_update_to_all_soon();
+    m_state.waiting.wake_all();
+}
+
 void entry_daemon::on_digest(const peer& it)
 {
     m_mirror.on_digest(it);
@@ -396,6 +409,7 @@
     m_mirror.start();
     m_placement.start();
     m_digests.start();
+    m_state.reach.start([this] { on_reach_changed(); });
     net::co_spawn(m_context, follow_members(), net::detached);
     m_relay_server.start();
     m_caller_server.start();
@@ -420,6 +434,7 @@
     m_state.accept_deadline = began + balancer_detection_delay;
     m_state.wait_deadline = limit - refusal_reserve;
     m_caller_server.begin_drain();
+    m_relay_server.begin_drain();
     co_await m_placement.release();
     m_digests.send_digest();
     while (monotonic_clock::now() < began + balancer_detection_delay)
@@ -427,7 +442,11 @@
         co_await pause(m_context, drain_poll_period);
     }
     m_caller_server.stop_accepting();
-    while (m_caller_server.busy_count() > 0 && monotonic_clock::now() < limit)
+    const auto is_busy = [&]
+    {
+        return m_caller_server.busy_count() + m_relay_server.busy_count() > 0;
+    };
+    while (is_busy() && monotonic_clock::now() < limit)
     {
         co_await pause(m_context, drain_poll_period);
     }
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -4,6 +4,7 @@
 #include "entry/object_relay.hpp"
 #include "entry/placement_controller.hpp"
 #include "entry/request_handler.hpp"
+#include "entry/request_relay.hpp"
 #include "entry/store_mirror.hpp"
 #include "http/server.hpp"
 
@@ -59,6 +60,8 @@
     void wait_for_signal();
     void on_configuration(const platform::stored_object& it);
     void on_servers_changed();
+    /// This host was cut off from the servers, or is no longer.
+    void on_reach_changed();
     /// The platform's store was restored from an older copy.
     void on_store_restored();
     void on_digest(const peer& it);
@@ -78,12 +81,13 @@
     platform::store m_store;
     placement_controller m_placement;
     digest_exchange m_digests;
-    object_relay m_relay;
+    object_relay m_objects;
+    request_relay m_relay;
     request_handler m_requests;
     readiness_handler m_readiness;
     http::server<request_handler> m_caller_server;
     http::server<readiness_handler> m_readiness_server;
-    http::server<object_relay> m_relay_server;
+    http::server<request_relay> m_relay_server;
     store_mirror m_mirror;
     net::signal_set m_signals;
     /// Name of the peer that last reported holding the placement lease; empty
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -23,7 +23,8 @@
     : context(io), settings(given), servers(documents), waiting(io),
       suspects(suspicion::suspicion_limits{max_crashes, suspect_retention,
                                            max_suspects}),
-      pool(io, connect_timeout, idle_connections_per_server)
+      pool(io, connect_timeout, idle_connections_per_server),
+      reach(io, pool, servers, random)
 {
 }
 
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -6,6 +6,7 @@
 #include "entry/demand_table.hpp"
 #include "entry/entry_metrics.hpp"
 #include "entry/fleet_view.hpp"
+#include "entry/reach_monitor.hpp"
 #include "entry/server_table.hpp"
 #include "entry/settings.hpp"
 #include "entry/wait_queue.hpp"
@@ -54,6 +55,7 @@
     double mean_prompt_tokens = 500;
 
     std::mt19937_64 random{std::random_device{}()};
+    reach_monitor reach;
 
     /// Called on changes that other daemons need to learn of at once.
     std::function<void()> send_update_soon;
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -24,6 +24,10 @@
 /// the server announces, so that no request is sent while the server closes it.
 constexpr double reusable_timeout_fraction = 0.6;
 
+/// The same for connections to other daemons, which state no timeout; they
+/// close idle connections after 75 s.
+constexpr milliseconds relay_idle_limit{30'000};
+
 /// True for hop-by-hop fields of a response, and for Content-Length, which is
 /// recomputed.
 bool is_hop_by_hop(http::field it)
@@ -101,6 +105,12 @@
     return names.at(static_cast<std::size_t>(it));
 }
 
+bool is_server_error(const exchange_result& result)
+{
+    return result.answer && result.answer->result_int() >= 500 &&
+           result.answer->result() != http::status::gateway_timeout;
+}
+
 exchange::exchange(http::client_pool& pool, const server_dialect& dialect,
                    exchange_handlers handlers)
     : m_pool(pool), m_dialect(dialect), m_handlers(std::move(handlers))
@@ -117,6 +127,16 @@
     }
 }
 
+void exchange::give_up_if_silent(milliseconds limit)
+{
+    if (m_connection != nullptr &&
+        m_last_contact + limit <= monotonic_clock::now())
+    {
+        boost::system::error_code ec;
+        m_connection->stream.socket().close(ec);
+    }
+}
+
 void exchange::set_timeout(connection& server)
 {
     const auto left = m_deadline - monotonic_clock::now();
@@ -125,11 +145,11 @@
 }
 
 net::awaitable<exchange_result>
-exchange::run(const http::endpoint& address, const http::request& message,
+exchange::run(exchange_path path, const http::request& message,
               forwarding added, const request_id& id, http::reply_writer& reply,
-              stream_progress& progress, time_point deadline,
-              bool use_new_connection)
+              stream_progress& progress, time_point deadline)
 {
+    m_path = std::move(path);
     m_result = {};
     m_deadline = deadline;
     m_has_sent = false;
@@ -139,23 +159,24 @@
     try
     {
         // GCC 12 miscompiles `co_await` inside a conditional expression.
-        if (use_new_connection)
+        if (m_path.use_new_connection && !m_path.relay)
         {
-            server = co_await m_pool.connect(address);
+            server = co_await m_pool.connect(m_path.address);
         }
         else
         {
-            server = co_await m_pool.acquire(address);
+            server = co_await m_pool.acquire(m_path.address);
         }
     }
     catch (const boost::system::system_error& reason)
     {
         m_result.reason = reason.code().message();
+        m_result.is_relay_unavailable = m_path.relay.has_value();
         co_return m_result;
     }
     if (m_is_cancelled)
     {
-        m_pool.release(address, std::move(server));
+        m_pool.release(m_path.address, std::move(server));
         m_result.end = exchange_end::caller_gone;
         co_return m_result;
     }
@@ -165,11 +186,12 @@
         m_deadline - monotonic_clock::now());
     if (left.count() <= 0 || !m_handlers.may_send())
     {
-        m_pool.release(address, std::move(server));
+        m_pool.release(m_path.address, std::move(server));
         m_result.end = exchange_end::withheld;
         co_return m_result;
     }
     m_connection = server.get();
+    m_last_contact = monotonic_clock::now();
     m_result.earlier_exchanges = server->completed_exchanges;
     try
     {
@@ -192,28 +214,54 @@
         {
             m_result.end =
                 m_has_sent ? exchange_end::failed : exchange_end::not_sent;
-            m_result.is_connection_lost =
-                m_has_sent && is_lost_connection(reason.code());
+            m_result.is_relay_unavailable = !m_has_sent && m_path.relay;
+            m_result.is_connection_lost = m_has_sent && !m_path.relay &&
+                                          is_lost_connection(reason.code());
         }
     }
     m_connection = nullptr;
-    release_connection(address, std::move(server));
+    release_connection(std::move(server));
     co_return m_result;
 }
 
-void exchange::release_connection(const http::endpoint& address,
-                                  http::client_pool::connection_pointer server)
+void exchange::release_connection(http::client_pool::connection_pointer server)
 {
     if (m_can_reuse && server->buf.size() == 0)
     {
-        m_pool.release(address, std::move(server));
+        if (m_path.relay)
+        {
+            server->reusable_until = monotonic_clock::now() + relay_idle_limit;
+        }
+        m_pool.release(m_path.address, std::move(server));
         return;
     }
     if (m_result.end == exchange_end::failed ||
         m_result.end == exchange_end::not_sent)
     {
         // Connections to one server usually fail together.
-        m_pool.drop_idle(address);
+        m_pool.drop_idle(m_path.address);
+    }
+}
+
+std::string exchange::head_of(const http::request& message,
+                              const forwarding& added) const
+{
+    if (!m_path.relay)
+    {
+        return m_dialect.forward_head(message, added);
+    }
+    relayed_request it = *m_path.relay;
+    it.added = added;
+    it.use_new_connection = m_path.use_new_connection;
+    return relayed_head(message, it);
+}
+
+void exchange::on_contact()
+{
+    m_last_contact = monotonic_clock::now();
+    if (!m_path.relay)
+    {
+        m_handlers.on_contact();
     }
 }
 
@@ -222,7 +270,7 @@
                                     const forwarding& added)
 {
     set_timeout(server);
-    const std::string head = m_dialect.forward_head(message, added);
+    const std::string head = head_of(message, added);
     const std::array<net::const_buffer, 2> bytes{net::buffer(head),
                                                  net::buffer(message.body())};
     auto [ec, n] = co_await net::async_write(server.stream, bytes, no_throw);
@@ -239,8 +287,19 @@
                                        stream_progress& progress)
 {
     co_await http::read_response_head(server, m_parser, m_method);
-    m_handlers.on_contact();
+    on_contact();
     const auto& head = m_parser->get();
+    if (m_path.relay)
+    {
+        if (auto end = read_relay_end(head))
+        {
+            co_await read_full_response(server);
+            m_result.end = end->end;
+            m_result.is_relay_unavailable = end->is_unavailable;
+            m_result.reason = std::move(end->reason);
+            co_return;
+        }
+    }
     m_result.head = m_dialect.read_answer(head, id, sender);
     const auto meaning = outcome::meaning_of(m_result.head->facts);
     if (m_result.head->facts.request == outcome::named_party::expected)
@@ -347,7 +406,7 @@
         set_timeout(server);
         const auto events = co_await reader.read_some();
         m_result.partial_event_bytes = reader.partial_event_bytes();
-        m_handlers.on_contact();
+        on_contact();
         if (!events)
         {
             break;
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "entry/dialects.hpp"
+#include "entry/exchange_end.hpp"
+#include "entry/relay_codec.hpp"
 #include "http/body_framing.hpp"
 #include "http/client.hpp"
 #include "http/reply_writer.hpp"
@@ -14,34 +16,6 @@
 
 namespace net = boost::asio;
 
-/// How an exchange with a backend server ended.
-enum class exchange_end
-{
-    /// The complete stream has been forwarded to the caller.
-    streamed,
-    /// The result holds a complete response, to be sent to the caller.
-    answered,
-    /// No byte of the request was sent.
-    not_sent,
-    /// The same, because the server meanwhile leaves or asked for a pause, or
-    /// because the deadline passed.
-    withheld,
-    /// The server reported that it has not executed the request: it is full or
-    /// cannot meet the deadline.
-    turned_away,
-    /// The same, because another server now has the address, or the model is
-    /// not loaded.
-    not_here,
-    /// Bytes of the request were sent, but no response that can be forwarded
-    /// was received: the request may have been executed.
-    failed,
-    /// The deadline of the request has passed.
-    out_of_time,
-    caller_gone,
-};
-
-std::string_view name_of(exchange_end it);
-
 /// What the caller has received of a stream, from all servers that produced
 /// parts of it.
 struct stream_progress
@@ -63,15 +37,34 @@
     /// Exchanges that the connection had completed before this one.
     std::uint32_t earlier_exchanges = 0;
     /// The server closed or reset the connection after it had received bytes of
-    /// the request, as when its process crashes.
+    /// the request, as when its process crashes. False if another daemon
+    /// forwarded the request: only that daemon sees how the server ended it.
     bool is_connection_lost = false;
     /// Empty if no head of a response was received.
     std::optional<http::body_framing> framing;
+    /// The daemon that should have forwarded the request has not sent it.
+    bool is_relay_unavailable = false;
     /// Bytes of an event at the end of a stream that lacks its end.
     std::size_t partial_event_bytes = 0;
     std::string reason;
 };
 
+/// True for 5xx responses. 504 is excluded: a server that runs out of time is
+/// not faulty.
+bool is_server_error(const exchange_result& result);
+
+/// The way from this daemon to a server.
+struct exchange_path
+{
+    /// The server, or the daemon that forwards the request to it.
+    http::endpoint address;
+    /// For a request that was sent to this server before: a second copy of the
+    /// response to its earlier attempt would name the same request.
+    bool use_new_connection = false;
+    /// Set if another daemon forwards the request.
+    std::optional<relayed_request> relay;
+};
+
 /// Links of an exchange to what is known of the server that it talks to.
 struct exchange_handlers
 {
@@ -80,7 +73,7 @@
     std::function<bool()> may_send;
     /// Called with what each head of a response says of its server.
     std::function<void(const server_notice&)> on_notice;
-    /// Called when bytes of a response arrived.
+    /// Called when bytes of a response arrived from the server itself.
     std::function<void()> on_contact;
 };
 
@@ -96,14 +89,13 @@
 
     /// `deadline` covers the complete exchange, not each of its steps; the
     /// server is told the time that is left of it.
-    /// `use_new_connection` is for a request that was sent to this address
-    /// before: a second copy of the response to its earlier attempt would name
-    /// the same request.
     net::awaitable<exchange_result>
-    run(const http::endpoint& address, const http::request& message,
-        forwarding added, const request_id& id, http::reply_writer& reply,
-        stream_progress& progress, time_point deadline,
-        bool use_new_connection);
+    run(exchange_path path, const http::request& message, forwarding added,
+        const request_id& id, http::reply_writer& reply,
+        stream_progress& progress, time_point deadline);
+
+    /// Ends the exchange as failed if nothing arrived for this long.
+    void give_up_if_silent(milliseconds limit);
 
     /// Closes the connection to the server, so that the server stops working on
     /// a request whose caller has disconnected.
@@ -114,6 +106,9 @@
 
     net::awaitable<void> send(connection& server, const http::request& message,
                               const forwarding& added);
+    std::string head_of(const http::request& message,
+                        const forwarding& added) const;
+    void on_contact();
     net::awaitable<void> receive(connection& server, const request_id& id,
                                  const server_id& sender,
                                  http::reply_writer& reply,
@@ -126,17 +121,18 @@
                                         http::reply_writer& reply,
                                         stream_progress& progress);
     void set_timeout(connection& server);
-    void release_connection(const http::endpoint& address,
-                            http::client_pool::connection_pointer server);
+    void release_connection(http::client_pool::connection_pointer server);
 
     http::client_pool& m_pool;
     const server_dialect& m_dialect;
     exchange_handlers m_handlers;
+    exchange_path m_path;
     exchange_result m_result;
     std::optional<http::response_head_parser> m_parser;
     http::verb m_method = http::verb::unknown;
     time_point m_deadline{};
     connection* m_connection = nullptr;
+    time_point m_last_contact{};
     bool m_is_cancelled = false;
     bool m_is_writing_to_caller = false;
     bool m_has_sent = false;
--- a/libraries/entry/fleet_view.cpp
+++ b/libraries/entry/fleet_view.cpp
@@ -86,6 +86,7 @@
 {
     known.number = update.number;
     known.is_leaving = update.is_leaving;
+    known.is_cut_off = update.is_cut_off;
     known.configuration_version = update.configuration_version;
     known.servers_changed_version = update.servers_changed_version;
     known.reaches_store = update.reaches_store;
@@ -179,6 +180,11 @@
     std::unordered_map<std::string, std::uint32_t> sum;
     for (const auto& [name, it] : m_peers)
     {
+        if (it.digest.is_cut_off)
+        {
+            // It can't know which of its requests still run.
+            continue;
+        }
         for (const auto& work : it.digest.work)
         {
             sum[work.server] += static_cast<std::uint32_t>(work.running);
--- /dev/null
+++ b/libraries/entry/reach_monitor.cpp
@@ -0,0 +1,192 @@
+#include "entry/reach_monitor.hpp"
+
+#include "core/structured_log.hpp"
+#include "daemon/pause.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace cicadahub::entry
+{
+
+namespace
+{
+
+using daemon::no_throw;
+
+constexpr milliseconds check_period{100};
+/// Many round trips, and less than the second after which a lost opening packet
+/// is sent again.
+constexpr milliseconds probe_timeout{300};
+/// The first server of a probe has this long before the others are tried.
+constexpr milliseconds first_target_time{100};
+constexpr std::size_t max_targets = 5;
+/// A request that fails this soon after a probe needs no other one.
+constexpr milliseconds probe_lifetime{50};
+/// Servers close connections on which no request arrives.
+constexpr milliseconds probe_connection_lifetime{1'000};
+
+} // namespace
+
+reach_monitor::reach_monitor(net::io_context& context, http::client_pool& pool,
+                             const server_table& servers,
+                             std::mt19937_64& random)
+    : m_context(context), m_pool(pool), m_servers(servers), m_random(random),
+      m_probe_ended(context)
+{
+    m_probe_ended.expires_at(std::chrono::steady_clock::time_point::max());
+}
+
+void reach_monitor::start(std::function<void()> on_change)
+{
+    m_on_change = std::move(on_change);
+    net::co_spawn(m_context, run(), net::detached);
+}
+
+net::awaitable<void> reach_monitor::run()
+{
+    while (true)
+    {
+        co_await daemon::pause(m_context, check_period);
+        if (m_reach.is_probe_due(monotonic_clock::now()))
+        {
+            co_await probe();
+        }
+    }
+}
+
+net::awaitable<bool> reach_monitor::examine()
+{
+    m_reach.on_failure();
+    const time_point now = monotonic_clock::now();
+    if (m_reach.is_probing())
+    {
+        co_await m_probe_ended.async_wait(no_throw);
+    }
+    else if (!is_cut_off() && m_reach.last_connected() + probe_lifetime < now)
+    {
+        co_await probe();
+    }
+    co_return is_cut_off();
+}
+
+std::vector<http::endpoint> reach_monitor::choose_targets() const
+{
+    std::vector<reachability::probe_target> known;
+    std::vector<http::endpoint> addresses;
+    for (const auto& [id, record] : m_servers.records())
+    {
+        if (!record->entry.is_leaving)
+        {
+            known.push_back({id, record->entry.service});
+            addresses.push_back(record->entry.address);
+        }
+    }
+    std::vector<http::endpoint> targets;
+    for (const std::size_t it :
+         reachability::choose_targets(known, max_targets, m_random()))
+    {
+        targets.push_back(addresses[it]);
+    }
+    return targets;
+}
+
+net::awaitable<void> reach_monitor::probe()
+{
+    m_reach.on_probe_began(monotonic_clock::now());
+    const std::vector<http::endpoint> targets = choose_targets();
+    const std::span<const http::endpoint> all(targets);
+    const auto it = std::make_shared<attempt>(m_context);
+    if (!all.empty())
+    {
+        connect_to(it, all.first(1));
+        net::steady_timer others_at(m_context, first_target_time);
+        others_at.async_wait([it](boost::system::error_code)
+                             { it->changed.cancel(); });
+        if (!it->is_decided())
+        {
+            co_await it->changed.async_wait(no_throw);
+        }
+    }
+    if (all.size() > 1 && !it->has_connected)
+    {
+        connect_to(it, all.subspan(1));
+    }
+    co_await wait(it);
+    const bool has_changed = m_reach.on_probe_ended(
+        it->has_connected, targets.size(), monotonic_clock::now());
+    m_probe_ended.cancel();
+    if (has_changed)
+    {
+        log_event(is_cut_off() ? severity::warning : severity::info,
+                  is_cut_off() ? event_number::host_cut_off
+                               : event_number::host_reconnected,
+                  {{"probed_servers", targets.size()}});
+        m_on_change();
+        notify_waiting();
+    }
+}
+
+void reach_monitor::notify_waiting()
+{
+    if (!is_cut_off())
+    {
+        return;
+    }
+    for (const auto& it : m_waiting)
+    {
+        it();
+    }
+}
+
+void reach_monitor::connect_to(const attempt_pointer& it,
+                               std::span<const http::endpoint> servers)
+{
+    it->pending += servers.size();
+    for (const http::endpoint& server : servers)
+    {
+        net::co_spawn(m_context, connect(it, server), net::detached);
+    }
+}
+
+net::awaitable<void> reach_monitor::connect(attempt_pointer it,
+                                            http::endpoint server)
+{
+    try
+    {
+        auto connection = co_await m_pool.connect(server, probe_timeout);
+        connection->reusable_until =
+            monotonic_clock::now() + probe_connection_lifetime;
+        m_pool.keep(server, std::move(connection));
+        it->has_connected = true;
+    }
+    catch (const boost::system::system_error&)
+    {
+        // Who waits for the attempt sees that it has not connected.
+    }
+    --it->pending;
+    it->changed.cancel();
+}
+
+net::awaitable<void> reach_monitor::wait(attempt_pointer it)
+{
+    while (!it->is_decided())
+    {
+        co_await it->changed.async_wait(no_throw);
+    }
+}
+
+wait_guard::wait_guard(reach_monitor& monitor, std::function<void()> on_cut_off)
+    : m_monitor(monitor), m_handler(monitor.m_waiting.insert(
+                              monitor.m_waiting.end(), std::move(on_cut_off)))
+{
+    m_monitor.m_reach.on_wait_began(monotonic_clock::now());
+}
+
+wait_guard::~wait_guard()
+{
+    m_monitor.m_waiting.erase(m_handler);
+    m_monitor.m_reach.on_wait_ended();
+}
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/reach_monitor.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "decision/reachability/server_reach.hpp"
+#include "entry/server_table.hpp"
+#include "http/client.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace cicadahub::entry
+{
+
+namespace net = boost::asio;
+
+/// Finds out by probes whether this host can open connections to backend
+/// servers. A connection that a probe opens is kept for requests.
+class reach_monitor
+{
+public:
+    reach_monitor(net::io_context& context, http::client_pool& pool,
+                  const server_table& servers, std::mt19937_64& random);
+
+    /// `on_change` is called when the host was cut off or is no longer.
+    void start(std::function<void()> on_change);
+
+    bool is_cut_off() const { return m_reach.is_cut_off(); }
+    reachability::server_reach& reach() { return m_reach; }
+
+    /// Called after a connection failed; returns whether the host is cut off,
+    /// after a probe if need be.
+    net::awaitable<bool> examine();
+
+private:
+    friend class wait_guard;
+
+    /// An attempt to connect to one or several servers, which several
+    /// coroutines may wait for.
+    struct attempt
+    {
+        explicit attempt(net::io_context& context) : changed(context)
+        {
+            changed.expires_at(std::chrono::steady_clock::time_point::max());
+        }
+
+        bool is_decided() const { return has_connected || pending == 0; }
+
+        /// Cancelled on each change.
+        net::steady_timer changed;
+        std::size_t pending = 0;
+        bool has_connected = false;
+    };
+    using attempt_pointer = std::shared_ptr<attempt>;
+
+    net::awaitable<void> run();
+    net::awaitable<void> probe();
+    /// Tells the waiting requests that the host is cut off. Their handlers only
+    /// close connections, so that the list does not change meanwhile.
+    void notify_waiting();
+    std::vector<http::endpoint> choose_targets() const;
+    /// Connects to the servers, all at the same time.
+    void connect_to(const attempt_pointer& it,
+                    std::span<const http::endpoint> servers);
+    net::awaitable<void> connect(attempt_pointer it, http::endpoint server);
+    static net::awaitable<void> wait(attempt_pointer it);
+
+    net::io_context& m_context;
+    http::client_pool& m_pool;
+    const server_table& m_servers;
+    std::mt19937_64& m_random;
+    std::function<void()> m_on_change;
+    reachability::server_reach m_reach;
+    /// Cancelled when a probe ends.
+    net::steady_timer m_probe_ended;
+    /// Handlers of the requests that wait for servers.
+    std::list<std::function<void()>> m_waiting;
+};
+
+/// Counts a request as waiting for a server while it exists.
+class wait_guard
+{
+public:
+    /// `on_cut_off` is called if the host is cut off meanwhile.
+    wait_guard(reach_monitor& monitor, std::function<void()> on_cut_off);
+    ~wait_guard();
+    wait_guard(const wait_guard&) = delete;
+    wait_guard& operator=(const wait_guard&) = delete;
+
+private:
+    reach_monitor& m_monitor;
+    std::list<std::function<void()>>::iterator m_handler;
+};
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/request_relay.cpp
@@ -0,0 +1,81 @@
+#include "entry/request_relay.hpp"
+
+namespace cicadahub::entry
+{
+
+net::awaitable<void> request_relay::serve(http::request& message,
+                                          http::reply_writer& reply)
+{
+    if (is_relayed(message))
+    {
+        co_await forward(message, reply);
+        co_return;
+    }
+    co_await m_objects.serve(message, reply);
+}
+
+net::awaitable<void> request_relay::forward(http::request& message,
+                                            http::reply_writer& reply)
+{
+    const time_point now = monotonic_clock::now();
+    const relayed_request it = unwrap_relayed(message);
+    const serving::request request = m_callers.read_request(message);
+    const auto record = m_state.servers.find(it.added.server);
+    const bool is_known = record && record->entry.incarnation == it.incarnation;
+    if (!is_known || m_state.reach.is_cut_off() ||
+        now >= m_state.accept_deadline)
+    {
+        http::response refused =
+            make_relay_end({exchange_end::not_sent, true, {}});
+        co_await reply.send(std::move(refused));
+        co_return;
+    }
+    const auto copy = request.model ? std::optional(replicas::copy_name{
+                                          *request.model, request.adapter})
+                                    : std::nullopt;
+    const running_guard running(record, request.model);
+    attempt_observer observer(m_state, request.id);
+    observer.begin(record);
+    exchange run(m_state.pool, m_servers, observer.handlers());
+    // The sender decides whether the request may be sent again.
+    const wait_guard waiting(m_state.reach, [] {});
+    stream_progress progress;
+    reply.set_write_timeout(it.added.time_left);
+    reply.watch_caller([&run] { run.cancel(); });
+    // GCC 12 destroys temporaries of aggregates in a `co_await` twice.
+    exchange_path path{record->entry.address, it.use_new_connection,
+                       std::nullopt};
+    exchange_result result =
+        co_await run.run(std::move(path), message, it.added, request.id, reply,
+                         progress, now + it.added.time_left);
+    reply.stop_watching_caller();
+    observer.log(result, now);
+    co_await observer.end(result, copy, it.fingerprint);
+    co_await finish(std::move(result), progress.has_head, reply);
+}
+
+net::awaitable<void> request_relay::finish(exchange_result result,
+                                           bool has_head,
+                                           http::reply_writer& reply) const
+{
+    if (result.end == exchange_end::streamed)
+    {
+        co_return;
+    }
+    if (has_head)
+    {
+        // The other daemon goes on with the stream, or breaks it off.
+        reply.abort_stream();
+        co_return;
+    }
+    if (result.end == exchange_end::answered)
+    {
+        co_await reply.send(std::move(*result.answer));
+        co_return;
+    }
+    http::response end =
+        make_relay_end({result.end, false, std::move(result.reason)});
+    co_await reply.send(std::move(end));
+}
+
+} // namespace cicadahub::entry
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -96,4 +96,6 @@
   19: double processor_share
   /// Servers that the platform's list does not show as leaving yet.
   20: list<LeavingServer> leaving_servers
+  /// True if the sender can open no connection to any backend server.
+  21: bool is_cut_off
 }
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -87,13 +87,19 @@
 
 net::awaitable<client_pool::connection_pointer>
 client_pool::connect(const endpoint& address)
+{
+    co_return co_await connect(address, m_connect_timeout);
+}
+
+net::awaitable<client_pool::connection_pointer>
+client_pool::connect(const endpoint& address, milliseconds timeout)
 {
     auto connection =
         std::make_unique<client_connection>(m_context, m_limits, m_budget);
     connection->stream.socket().open(address.protocol());
     connection->stream.socket().set_option(
         net::socket_base::receive_buffer_size(receive_buffer_bytes));
-    connection->stream.expires_after(m_connect_timeout);
+    connection->stream.expires_after(timeout);
     co_await connection->stream.async_connect(address, net::use_awaitable);
     connection->stream.socket().set_option(net::ip::tcp::no_delay(true));
     connection->stream.socket().non_blocking(true);
@@ -104,6 +110,11 @@
 void client_pool::release(const endpoint& address, connection_pointer it)
 {
     ++it->completed_exchanges;
+    keep(address, std::move(it));
+}
+
+void client_pool::keep(const endpoint& address, connection_pointer it)
+{
     it->stream.expires_never();
     it->deadline = time_point::max();
     auto& idle = m_idle[address];
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -60,11 +60,16 @@
 
     /// Opens a new connection, even if there are idle ones.
     net::awaitable<connection_pointer> connect(const endpoint& address);
+    net::awaitable<connection_pointer> connect(const endpoint& address,
+                                               milliseconds timeout);
 
     /// Returns a connection whose exchange is complete to the pool. It is
     /// closed if the pool is full or the server sent more than the response.
     void release(const endpoint& address, connection_pointer it);
 
+    /// Adds a connection that carried no request to the pool, if there is room.
+    void keep(const endpoint& address, connection_pointer it);
+
     /// Closes every idle connection to a server. After a failure on one of
     /// them the others are likely dead too.
     void drop_idle(const endpoint& address);
