Placement: Give the lease up while no server can be reached

What callers saw: for 14 s nobody loaded a model; other hosts refused requests for it with target-unreachable. The holder of the placement lease was among the hosts that were cut off, kept the lease and reported server_unreachable 330 times.

Cause: the lease is kept for as long as the store answers, whether or not orders can be delivered. A host that is cut off releases it now and does not compete; ranks of the others leave it out. A failed order or report is examined like a failed request, so that a holder without requests of its own notices too.

--- a/libraries/daemon/shard_elector.cpp
+++ b/libraries/daemon/shard_elector.cpp
@@ -179,6 +179,11 @@
 net::awaitable<void> shard_elector::release()
 {
     m_is_stopped = true;
+    co_await resign();
+}
+
+net::awaitable<void> shard_elector::resign()
+{
     while (m_is_writing)
     {
         co_await pause(m_context, poll_pause);
--- a/libraries/daemon/shard_elector.hpp
+++ b/libraries/daemon/shard_elector.hpp
@@ -36,6 +36,10 @@
     /// stops competing for it.
     net::awaitable<void> release();
 
+    /// The same, but goes on competing for the shard, as far as the rank
+    /// allows.
+    net::awaitable<void> resign();
+
     /// Applies an object of the leases collection; ignores those of other
     /// shards.
     void apply(const platform::stored_object& it);
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -75,6 +75,7 @@
                   {m_settings, dialects.servers, m_state.servers, m_state.fleet,
                    m_state.demand, m_state.waiting, m_state.metrics,
                    [this] { return m_state.configuration; }, m_state.random,
+                   m_state.reach,
                    [this]
                    {
                        m_state.on_server_leaving();
@@ -231,6 +232,10 @@
 void entry_daemon::on_reach_changed()
 {
     m_digests.send_update_to_all_soon();
+    if (m_state.reach.is_cut_off())
+    {
+        net::co_spawn(m_context, m_placement.resign(), net::detached);
+    }
     m_state.waiting.wake_all();
 }
 
--- a/libraries/entry/placement_controller.cpp
+++ b/libraries/entry/placement_controller.cpp
@@ -51,8 +51,8 @@
     std::uint32_t rank = 0;
     for (const auto& [name, it] : fleet.peers())
     {
-        const bool is_eligible =
-            it.digest.reaches_store && !it.digest.is_leaving;
+        const bool is_eligible = it.digest.reaches_store &&
+                                 !it.digest.is_leaving && !it.digest.is_cut_off;
         rank += is_eligible && sort_key(it.digest.processor_share, name) < own;
     }
     return rank;
@@ -125,7 +125,7 @@
 bool placement_controller::can_acquire_lease() const
 {
     if (m_inputs.fleet.placement_holder() != nullptr ||
-        m_inputs.configuration() == nullptr)
+        m_inputs.reach.is_cut_off() || m_inputs.configuration() == nullptr)
     {
         return false;
     }
@@ -148,6 +148,14 @@
     co_await m_shard.release();
 }
 
+net::awaitable<void> placement_controller::resign()
+{
+    if (is_held())
+    {
+        co_await m_shard.resign();
+    }
+}
+
 void placement_controller::on_holder_digest(const peer& holder)
 {
     if (holder.digest.__isset.lease_version)
@@ -351,10 +359,10 @@
 {
     auto answer = replicas::order_answer::unknown;
     std::string reason;
+    bool is_withheld = false;
     const auto record = m_inputs.servers.find(it.server);
     if (record)
     {
-        bool is_withheld = false;
         const auto may_send = [&]
         {
             is_withheld =
@@ -377,6 +385,10 @@
             answer = is_withheld ? replicas::order_answer::withheld : answer;
         }
     }
+    if (!reason.empty() && !is_withheld)
+    {
+        co_await m_inputs.reach.examine();
+    }
     m_inputs.metrics.count_order(name_of(answer));
     log_event(answer == replicas::order_answer::unknown ? severity::warning
                                                         : severity::info,
@@ -453,6 +465,7 @@
         co_return;
     }
     const time_point asked_at = monotonic_clock::now();
+    bool has_failed = false;
     bool is_withheld = false;
     const auto may_send = [&]
     {
@@ -504,9 +517,14 @@
         {
             co_return;
         }
+        has_failed = true;
         log_event(severity::warning, event_number::server_unreachable,
                   {{"server", id.value()}, {"reason", reason.what()}});
     }
+    if (has_failed)
+    {
+        co_await m_inputs.reach.examine();
+    }
 }
 
 } // namespace cicadahub::entry
--- a/libraries/entry/placement_controller.hpp
+++ b/libraries/entry/placement_controller.hpp
@@ -5,6 +5,7 @@
 #include "entry/demand_table.hpp"
 #include "entry/entry_metrics.hpp"
 #include "entry/fleet_view.hpp"
+#include "entry/reach_monitor.hpp"
 #include "entry/server_table.hpp"
 #include "entry/settings.hpp"
 #include "entry/wait_queue.hpp"
@@ -29,6 +30,7 @@
     std::function<std::shared_ptr<const serving::configuration>()>
         configuration;
     std::mt19937_64& random;
+    reach_monitor& reach;
     /// Called when an answer said that its server leaves.
     std::function<void()> on_server_leaving;
 };
@@ -44,6 +46,8 @@
 
     void start();
     net::awaitable<void> release();
+    /// Releases the lease, since this host reaches no server.
+    net::awaitable<void> resign();
     /// The platform's store was restored from an older copy.
     void on_store_restored() { m_shard.on_store_restored(); }
 
