Suspicion: Count a crash only if the server is gone

What callers saw: after the links of three hosts were reset, the request that callers send most was refused with 422 by all hosts, for as long as anybody watched.

Cause: a host took each connection that ended for a crash of the server, and told the others, who believed it. Three such ends suffice, and the links of a host end many at once.

Now the server is asked whether it still accepts connections, one connection for all requests that it had. If it does, it has not crashed. If it does not, and this host reaches another server, it has. Otherwise the host is cut off and says nothing; notices of a host that is cut off are ignored.

The case `once` of reset_links (new connections are accepted again at once) failed before and passes; it replaces a_request_on_links_that_are_reset, which is the case `for_long`. explain.an_interrupted_response expected a suspicion because of a stream that broke off at a server that goes on accepting connections; it expects none now, and explain.a_crashed_server expects it of one that crashed.

--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -92,13 +92,25 @@
         update_health(result, copy);
         co_return false;
     }
-    const bool is_cut_off = co_await m_state.reach.examine();
-    if (is_cut_off)
+    const time_point failed_at = monotonic_clock::now();
+    // A server that still accepts connections has not crashed.
+    bool is_gone = has_failed_to_connect;
+    if (!is_gone)
     {
-        co_return true;
+        const http::endpoint server = m_record->entry.address;
+        const bool is_accepting = co_await m_state.reach.is_accepting(server);
+        is_gone = !is_accepting;
+    }
+    if (is_gone)
+    {
+        const bool is_cut_off = co_await m_state.reach.examine(failed_at);
+        if (is_cut_off)
+        {
+            co_return true;
+        }
     }
     update_health(result, copy);
-    if (result.is_connection_lost)
+    if (result.is_connection_lost && is_gone)
     {
         record_crash(fingerprint);
     }
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -244,6 +244,11 @@
     m_mirror.on_digest(it);
     for (const auto& notice : it.digest.crashes)
     {
+        // A host that reaches no server can't tell who ended a connection.
+        if (it.digest.is_cut_off)
+        {
+            break;
+        }
         const bool is_news = m_state.suspects.on_notice(
             suspicion::fingerprint(notice.fingerprint),
             static_cast<std::uint32_t>(std::max(0, notice.crashes)),
--- a/libraries/entry/reach_monitor.cpp
+++ b/libraries/entry/reach_monitor.cpp
@@ -21,8 +21,9 @@
 /// The first server of a probe has this long before the others are tried.
 constexpr milliseconds first_target_time{100};
 constexpr std::size_t max_targets = 5;
-/// A request that fails this soon after a probe needs no other one.
-constexpr milliseconds probe_lifetime{50};
+/// Checks of a server within this time share a result.
+constexpr milliseconds check_lifetime{100};
+constexpr std::size_t max_checks = 256;
 /// Servers close connections on which no request arrives.
 constexpr milliseconds probe_connection_lifetime{1'000};
 
@@ -55,15 +56,14 @@
     }
 }
 
-net::awaitable<bool> reach_monitor::examine()
+net::awaitable<bool> reach_monitor::examine(time_point failed_at)
 {
     m_reach.on_failure();
-    const time_point now = monotonic_clock::now();
     if (m_reach.is_probing())
     {
         co_await m_probe_ended.async_wait(no_throw);
     }
-    else if (!is_cut_off() && m_reach.last_connected() + probe_lifetime < now)
+    else if (!is_cut_off() && m_reach.last_connected() <= failed_at)
     {
         co_await probe();
     }
@@ -165,6 +165,7 @@
         // Who waits for the attempt sees that it has not connected.
     }
     --it->pending;
+    it->decided_at = monotonic_clock::now();
     it->changed.cancel();
 }
 
@@ -189,4 +190,27 @@
     m_monitor.m_reach.on_wait_ended();
 }
 
+net::awaitable<bool> reach_monitor::is_accepting(http::endpoint server)
+{
+    const time_point now = monotonic_clock::now();
+    const auto is_over = [now](const attempt& it)
+    {
+        return it.is_decided() && it.decided_at + check_lifetime < now;
+    };
+    if (m_checks.size() >= max_checks)
+    {
+        std::erase_if(m_checks,
+                      [&](const auto& it) { return is_over(*it.second); });
+    }
+    attempt_pointer& known = m_checks[server];
+    if (!known || is_over(*known))
+    {
+        known = std::make_shared<attempt>(m_context);
+        connect_to(known, std::span(&server, 1));
+    }
+    const attempt_pointer check = known;
+    co_await wait(check);
+    co_return check->has_connected;
+}
+
 } // namespace cicadahub::entry
--- a/libraries/entry/reach_monitor.hpp
+++ b/libraries/entry/reach_monitor.hpp
@@ -18,7 +18,8 @@
 namespace net = boost::asio;
 
 /// Finds out by probes whether this host can open connections to backend
-/// servers. A connection that a probe opens is kept for requests.
+/// servers, and whether a server still accepts any. A connection that a probe
+/// opens is kept for requests.
 class reach_monitor
 {
 public:
@@ -32,8 +33,12 @@
     reachability::server_reach& reach() { return m_reach; }
 
     /// Called after a connection failed; returns whether the host is cut off,
-    /// after a probe if need be.
-    net::awaitable<bool> examine();
+    /// after a probe unless one has connected since `failed_at`.
+    net::awaitable<bool> examine(time_point failed_at);
+
+    /// True if the server accepts a new connection. Checks of one server within
+    /// a short time share one connection.
+    net::awaitable<bool> is_accepting(http::endpoint server);
 
 private:
     friend class wait_guard;
@@ -53,6 +58,7 @@
         net::steady_timer changed;
         std::size_t pending = 0;
         bool has_connected = false;
+        time_point decided_at{};
     };
     using attempt_pointer = std::shared_ptr<attempt>;
 
@@ -76,6 +82,7 @@
     reachability::server_reach m_reach;
     /// Cancelled when a probe ends.
     net::steady_timer m_probe_ended;
+    std::map<http::endpoint, attempt_pointer> m_checks;
     /// Handlers of the requests that wait for servers.
     std::list<std::function<void()>> m_waiting;
 };
--- a/tests/system/cut_off_test.cpp
+++ b/tests/system/cut_off_test.cpp
@@ -246,9 +246,25 @@
                     cut_case{"data_centre_reset", link_state::reset, 3}),
     [](const auto& it) { return std::string(it.param.name); });
 
+struct reset_case
+{
+    const char* name;
+    /// Time for which new connections are refused.
+    milliseconds refused_for;
+};
+
+void PrintTo(const reset_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class reset_links : public testing::TestWithParam<reset_case>
+{
+};
+
 // Guards against a request that callers send often and that every host refuses,
 // because hosts whose links were reset took it for the cause of crashes.
-TEST(platform_path, a_request_on_links_that_are_reset_is_not_suspected)
+TEST_P(reset_links, cause_no_suspicion)
 {
     platform_fleet fleet(4, true);
     std::atomic<bool> is_over = false;
@@ -269,15 +285,15 @@
     }
     for (int round = 0; round < 3; ++round)
     {
-        for (const link_state to : {link_state::reset, link_state::open})
+        for (std::size_t host = 0; host < daemons_per_data_centre; ++host)
         {
-            for (std::size_t host = 0; host < daemons_per_data_centre; ++host)
-            {
-                fleet.daemons[host].links->set_state(to);
-                std::this_thread::sleep_for(request_gap);
-            }
-            std::this_thread::sleep_for(warm_up);
+            host_links& links = *fleet.daemons[host].links;
+            links.set_state(link_state::reset);
+            std::this_thread::sleep_for(GetParam().refused_for);
+            links.set_state(link_state::open);
+            std::this_thread::sleep_for(request_gap);
         }
+        std::this_thread::sleep_for(warm_up);
     }
     is_over = true;
     for (std::thread& it : callers)
@@ -293,6 +309,13 @@
     }
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    platform_path, reset_links,
+    testing::Values(reset_case{"once", milliseconds(0)},
+                    reset_case{"shortly", milliseconds(20)},
+                    reset_case{"for_long", milliseconds(600)}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 // Guards against models that nobody loads because the holder of the placement
 // lease keeps it while it reaches no server.
 TEST(platform_path, orders_come_from_a_host_that_reaches_the_servers)
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -739,9 +739,27 @@
                        std::string::npos &&
                    text.find("framing=until-close") != std::string::npos &&
                    text.find("reason=partial message") != std::string::npos &&
-                   text.find("request_suspected") != std::string::npos &&
                    text.find("request_answered") != std::string::npos;
         }));
+    // The server still accepts connections, so that it has not crashed.
+    EXPECT_EQ(explain_output(fleet, "broke").find("request_suspected"),
+              std::string::npos);
+}
+
+TEST(explain, a_crashed_server)
+{
+    platform_fleet fleet(1);
+    EXPECT_TRUE(is_complete_stream(fleet.stream(0, "warm", "m1")));
+    fleet.set_fault(fleet.engines[0].address, R"({"crash_after_run":true})");
+    fleet.stream(0, "crashed", "m1");
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            const std::string text = explain_output(fleet, "crashed");
+            return text.find("request_attempted server=e1 end=failed") !=
+                       std::string::npos &&
+                   text.find("request_suspected") != std::string::npos;
+        }));
 }
 
 TEST(explain, a_slow_cold_start)
