--- a/tests/system/promise_load_test.cpp
+++ b/tests/system/promise_load_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <atomic>
 #include <map>
 #include <random>
@@ -19,6 +20,10 @@
 constexpr std::size_t caller_count = 6;
 constexpr milliseconds load_time{4'000};
 constexpr milliseconds fault_gap{15};
+/// Faults of servers for each change of a host's links.
+constexpr std::size_t faults_per_cut = 8;
+
+using fakes::link_state;
 
 using status_by_request = std::map<std::string, unsigned>;
 
@@ -100,17 +105,40 @@
     return found;
 }
 
-class faulty_servers : public testing::TestWithParam<std::uint64_t>
+link_state draw_link_state(std::mt19937_64& random)
+{
+    // Most of the time most links are open.
+    constexpr std::array states{link_state::open,  link_state::open,
+                                link_state::open,  link_state::silent,
+                                link_state::reset, link_state::refusing};
+    return states[random() % states.size()];
+}
+
+struct load_case
+{
+    std::uint64_t seed;
+    /// The links of each host are cut and healed meanwhile.
+    bool has_cuts;
+};
+
+void PrintTo(const load_case& it, std::ostream* out)
+{
+    *out << (it.has_cuts ? "cuts_" : "") << "seed_" << it.seed;
+}
+
+class faulty_servers : public testing::TestWithParam<load_case>
 {
 };
 
 // Guards against requests that run twice, and against refused requests that
 // run, while servers give refusals of other requests, promises that they do not
-// state, no answers and pauses, in any order and on connections of any history.
+// state, no answers and pauses, in any order and on connections of any history,
+// and while hosts lose their links to them and forward requests for each other.
 TEST_P(faulty_servers, never_make_a_promise_untrue)
 {
-    const platform_fleet fleet(2);
-    std::mt19937_64 random(GetParam() + fakes::seed_offset());
+    const platform_fleet fleet(GetParam().has_cuts ? 3 : 2,
+                               GetParam().has_cuts);
+    std::mt19937_64 random(GetParam().seed + fakes::seed_offset());
     std::vector<std::string> servers;
     for (const auto* group : {&fleet.engines, &fleet.services})
     {
@@ -132,8 +160,20 @@
     while (monotonic_clock::now() < end)
     {
         fleet.set_fault(servers[random() % servers.size()], draw_fault(random));
+        if (GetParam().has_cuts && random() % faults_per_cut == 0)
+        {
+            fleet.daemons[random() % fleet.daemons.size()].links->set_state(
+                draw_link_state(random));
+        }
         std::this_thread::sleep_for(fault_gap);
     }
+    for (const auto& it : fleet.daemons)
+    {
+        if (it.links)
+        {
+            it.links->set_state(link_state::open);
+        }
+    }
     is_over = true;
     for (std::thread& it : callers)
     {
@@ -166,10 +206,12 @@
     EXPECT_GT(served, 0U);
 }
 
-INSTANTIATE_TEST_SUITE_P(platform_path, faulty_servers,
-                         testing::Values(1U, 2U, 3U),
-                         [](const auto& it)
-                         { return "seed_" + std::to_string(it.param); });
+INSTANTIATE_TEST_SUITE_P(
+    platform_path, faulty_servers,
+    testing::Values(load_case{1, false}, load_case{2, false},
+                    load_case{3, false}, load_case{1, true}, load_case{2, true},
+                    load_case{3, true}),
+    [](const auto& it) { return testing::PrintToString(it.param); });
 
 } // namespace
 } // namespace cicadahub::system_tests
