Http: Bear a server that is silent for a second and a half

Cause: TCP_USER_TIMEOUT was 2 s, and it also decides when keep-alive probes give up, whatever their number: Linux closes a connection at the first look, one a second, at which a probe is unanswered and nothing has come for that long. A sound server that said nothing for 1 to 1.5 s lost its connections, and the requests on them. The options are now set in one place, for all connections of client pools and for orders of cicadad, which set one of its own.

--- a/libraries/backend/engine_client.cpp
+++ b/libraries/backend/engine_client.cpp
@@ -1,5 +1,6 @@
 #include "backend/engine_client.hpp"
 
+#include "http/dead_peer_detection.hpp"
 #include "http/message_head.hpp"
 #include "http/response_reading.hpp"
 
@@ -8,7 +9,6 @@
 
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <netinet/tcp.h>
 
 namespace cicadahub::backend
 {
@@ -56,16 +56,6 @@
     }
 }
 
-/// Makes the kernel drop the connection when sent bytes stay unacknowledged for
-/// this long, which bounds how late an order can arrive.
-void set_tcp_user_timeout(net::ip::tcp::socket& socket, milliseconds limit)
-{
-    using user_timeout =
-        net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-    boost::system::error_code ec;
-    socket.set_option(user_timeout(static_cast<int>(limit.count())), ec);
-}
-
 std::set<model_id> model_set(const json_reader& reader, std::string_view member)
 {
     std::set<model_id> models;
@@ -102,7 +92,10 @@
     }
     try
     {
-        set_tcp_user_timeout(connection->stream.socket(), m_order_timeout);
+        // Bounds how late an order can arrive.
+        http::dead_peer_timing timing;
+        timing.unacknowledged = m_order_timeout;
+        http::set_dead_peer_timing(connection->stream.socket(), timing);
         connection->set_timeout(m_order_timeout);
         const std::string head = http::serialize_head(message);
         co_await net::async_write(connection->stream,
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -1,5 +1,6 @@
 #include "http/client.hpp"
 
+#include "http/dead_peer_detection.hpp"
 #include "http/message_head.hpp"
 #include "http/response_reading.hpp"
 
@@ -7,35 +8,12 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
-#include <netinet/tcp.h>
-
 namespace cicadahub::http
 {
 
 namespace
 {
 
-constexpr milliseconds unacknowledged_timeout{2'000};
-constexpr int keep_alive_interval_seconds = 1;
-constexpr int keep_alive_probes = 2;
-
-/// Makes the kernel close a connection whose peer no longer acknowledges data,
-/// for example because a firewall or load balancer lost the connection's state.
-/// A slow server still acknowledges, so that its connection stays open.
-void enable_dead_peer_detection(net::ip::tcp::socket& socket)
-{
-    using net::detail::socket_option::integer;
-    boost::system::error_code ec;
-    const auto limit = static_cast<int>(unacknowledged_timeout.count());
-    socket.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(limit), ec);
-    socket.set_option(net::socket_base::keep_alive(true), ec);
-    socket.set_option(
-        integer<IPPROTO_TCP, TCP_KEEPIDLE>(keep_alive_interval_seconds), ec);
-    socket.set_option(
-        integer<IPPROTO_TCP, TCP_KEEPINTVL>(keep_alive_interval_seconds), ec);
-    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(keep_alive_probes), ec);
-}
-
 net::awaitable<response> exchange(client_connection& connection,
                                   request message, milliseconds timeout)
 {
@@ -103,7 +81,7 @@
     co_await connection->stream.async_connect(address, net::use_awaitable);
     connection->stream.socket().set_option(net::ip::tcp::no_delay(true));
     connection->stream.socket().non_blocking(true);
-    enable_dead_peer_detection(connection->stream.socket());
+    set_dead_peer_timing(connection->stream.socket(), default_dead_peer_timing);
     co_return connection;
 }
 
