--- a/libraries/entry/relay_codec.cpp
+++ b/libraries/entry/relay_codec.cpp
@@ -26,6 +26,8 @@
 constexpr std::string_view connection_field = "Cicadahub-Relay-Connection";
 constexpr std::string_view end_field = "Cicadahub-Relay-End";
 constexpr std::string_view reason_field = "Cicadahub-Relay-Reason";
+/// Longer times are not those of a request.
+constexpr std::chrono::hours longest_request{24};
 constexpr std::string_view unavailable = "unavailable";
 
 constexpr std::array all_ends{
@@ -135,6 +137,11 @@
     it.added.server = server_id(std::string(message[server_field]));
     it.incarnation = number_in(message, incarnation_field);
     it.added.time_left = milliseconds(number_in(message, time_field));
+    if (it.added.time_left < milliseconds(0) ||
+        it.added.time_left > longest_request)
+    {
+        throw malformed_document("a relayed request has no valid deadline");
+    }
     it.fingerprint =
         suspicion::fingerprint(std::string(message[fingerprint_field]));
     if (auto name = text_in(message, organisation_field))
--- a/tests/decision/server_reach_test.cpp
+++ b/tests/decision/server_reach_test.cpp
@@ -33,6 +33,11 @@
     bool is_cut_off;
 };
 
+void PrintTo(const verdict_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
 class verdicts : public testing::TestWithParam<verdict_case>
 {
 };
--- a/tests/entry/relay_codec_test.cpp
+++ b/tests/entry/relay_codec_test.cpp
@@ -93,6 +93,11 @@
     const char* value;
 };
 
+void PrintTo(const malformed_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
 class malformed_relays : public testing::TestWithParam<malformed_case>
 {
 };
@@ -108,12 +113,15 @@
 
 INSTANTIATE_TEST_SUITE_P(
     relay_codec, malformed_relays,
-    testing::Values(malformed_case{"no_incarnation",
-                                   "Cicadahub-Relay-Incarnation", ""},
-                    malformed_case{"text", "Cicadahub-Relay-Incarnation", "x"},
-                    malformed_case{"no_time", "Cicadahub-Relay-Time-Left", ""},
-                    malformed_case{"too_long", "Cicadahub-Relay-Time-Left",
-                                   "99999999999999999999"}),
+    testing::Values(
+        malformed_case{"no_incarnation", "Cicadahub-Relay-Incarnation", ""},
+        malformed_case{"text", "Cicadahub-Relay-Incarnation", "x"},
+        malformed_case{"no_time", "Cicadahub-Relay-Time-Left", ""},
+        malformed_case{"negative", "Cicadahub-Relay-Time-Left", "-1"},
+        malformed_case{"beyond_any_request", "Cicadahub-Relay-Time-Left",
+                       "9000000000000000000"},
+        malformed_case{"too_long", "Cicadahub-Relay-Time-Left",
+                       "99999999999999999999"}),
     [](const auto& it) { return std::string(it.param.name); });
 
 class relay_ends : public testing::TestWithParam<exchange_end>
