Entry: Check servers that are silent for long

A server that is gone without a word holds its requests until the kernel gives its connections up, which takes 3.5 s and more since a silent second is borne. If a server has sent this host nothing for 1.7 s while requests wait there, the host opens a connection to it, at most one a second. If that fails and another server can be reached, the requests that wait there have failed. A server that is only slow is left alone.

--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -134,7 +134,8 @@
         // The daemon that forwards a request counts it itself.
         const running_guard running(
             record, m_copy ? std::optional(m_copy->model) : std::nullopt);
-        const wait_guard waiting(m_state.reach, [this] { on_cut_off(); });
+        const wait_guard waiting(m_state.reach, record, m_exchange,
+                                 [this] { return is_repeatable(); });
         result = co_await m_exchange.run(std::move(path), m_message, added,
                                          m_request.id, m_reply, m_progress,
                                          m_deadline);
@@ -143,14 +144,6 @@
     co_return result;
 }
 
-void active_request::on_cut_off()
-{
-    if (is_repeatable())
-    {
-        m_exchange.give_up_if_silent(reachability::server_reach::silence_limit);
-    }
-}
-
 bool active_request::is_repeatable() const
 {
     // Behind events without an id a stream could only begin anew.
--- a/libraries/entry/active_request.hpp
+++ b/libraries/entry/active_request.hpp
@@ -69,8 +69,6 @@
     /// True if the request may be executed once more after an unknown outcome.
     bool is_repeatable() const;
     bool is_retryable(const exchange_result& result) const;
-    /// This host was cut off during an attempt.
-    void on_cut_off();
     net::awaitable<void> finish(exchange_result result);
     [[noreturn]] void refuse(refusal_kind reason, milliseconds retry_after);
     void refuse_if_unservable(time_point now, const server_pick& pick);
--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -23,7 +23,8 @@
             [this]
             {
                 m_state.last_server_contact = monotonic_clock::now();
-                m_state.reach.reach().on_contact(m_state.last_server_contact);
+                m_record->last_contact = m_state.last_server_contact;
+                m_state.reach.on_contact(m_state.last_server_contact);
             }};
 }
 
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -127,11 +127,12 @@
     }
 }
 
-void exchange::give_up_if_silent(milliseconds limit)
+void exchange::give_up_if_silent(milliseconds limit, std::string_view reason)
 {
     if (m_connection != nullptr &&
         m_last_contact + limit <= monotonic_clock::now())
     {
+        m_give_up_reason = reason;
         boost::system::error_code ec;
         m_connection->stream.socket().close(ec);
     }
@@ -154,6 +155,7 @@
     m_deadline = deadline;
     m_has_sent = false;
     m_can_reuse = false;
+    m_give_up_reason = {};
     m_method = message.method();
     http::client_pool::connection_pointer server;
     try
@@ -201,7 +203,9 @@
     }
     catch (const boost::system::system_error& reason)
     {
-        m_result.reason = reason.code().message();
+        m_result.reason = m_give_up_reason.empty()
+                              ? reason.code().message()
+                              : std::string(m_give_up_reason);
         if (m_is_cancelled || m_is_writing_to_caller)
         {
             m_result.end = exchange_end::caller_gone;
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -94,8 +94,9 @@
         const request_id& id, http::reply_writer& reply,
         stream_progress& progress, time_point deadline);
 
-    /// Ends the exchange as failed if nothing arrived for this long.
-    void give_up_if_silent(milliseconds limit);
+    /// Ends the exchange as failed if nothing arrived for this long; `reason`
+    /// is for the log.
+    void give_up_if_silent(milliseconds limit, std::string_view reason);
 
     /// Closes the connection to the server, so that the server stops working on
     /// a request whose caller has disconnected.
@@ -133,6 +134,7 @@
     time_point m_deadline{};
     connection* m_connection = nullptr;
     time_point m_last_contact{};
+    std::string_view m_give_up_reason;
     bool m_is_cancelled = false;
     bool m_is_writing_to_caller = false;
     bool m_has_sent = false;
--- a/libraries/entry/reach_monitor.cpp
+++ b/libraries/entry/reach_monitor.cpp
@@ -2,10 +2,14 @@
 
 #include "core/structured_log.hpp"
 #include "daemon/pause.hpp"
+#include "http/dead_peer_detection.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+#include <set>
+
 namespace cicadahub::entry
 {
 
@@ -21,6 +25,10 @@
 /// The first server of a probe has this long before the others are tried.
 constexpr milliseconds first_target_time{100};
 constexpr std::size_t max_targets = 5;
+/// A sound server may be silent for somewhat less than this.
+constexpr milliseconds server_silence_limit{1'700};
+static_assert(server_silence_limit > http::longest_sound_silence);
+constexpr milliseconds server_check_period{1'000};
 /// Checks of a server within this time share a result.
 constexpr milliseconds check_lifetime{100};
 constexpr std::size_t max_checks = 256;
@@ -49,7 +57,9 @@
     while (true)
     {
         co_await daemon::pause(m_context, check_period);
-        if (m_reach.is_probe_due(monotonic_clock::now()))
+        const time_point now = monotonic_clock::now();
+        check_silent_servers(now);
+        if (m_reach.is_probe_due(now))
         {
             co_await probe();
         }
@@ -123,19 +133,69 @@
                                : event_number::host_reconnected,
                   {{"probed_servers", targets.size()}});
         m_on_change();
-        notify_waiting();
+        if (is_cut_off())
+        {
+            give_up_repeatable();
+        }
     }
 }
 
-void reach_monitor::notify_waiting()
+void reach_monitor::give_up_repeatable()
 {
-    if (!is_cut_off())
+    // Only closes connections, so that the list does not change meanwhile.
+    for (const waiting_exchange& it : m_waiting)
     {
-        return;
+        if (it.may_repeat())
+        {
+            it.waiting->give_up_if_silent(
+                reachability::server_reach::silence_limit,
+                "this host is cut off");
+        }
     }
-    for (const auto& it : m_waiting)
+}
+
+void reach_monitor::check_silent_servers(time_point now)
+{
+    std::set<server_table::record_pointer> silent;
+    for (const waiting_exchange& it : m_waiting)
+    {
+        if (now >=
+            std::max(it.began, it.server->last_contact) + server_silence_limit)
+        {
+            silent.insert(it.server);
+        }
+    }
+    for (const auto& it : silent)
     {
-        it();
+        if (now >= it->last_check + server_check_period)
+        {
+            it->last_check = now;
+            net::co_spawn(m_context, check(it), net::detached);
+        }
+    }
+}
+
+net::awaitable<void> reach_monitor::check(server_table::record_pointer server)
+{
+    const time_point began = monotonic_clock::now();
+    const http::endpoint address = server->entry.address;
+    const bool is_alive = co_await is_accepting(address);
+    if (is_alive)
+    {
+        co_return;
+    }
+    const bool is_host_cut_off = co_await examine(began);
+    if (is_host_cut_off || server->last_contact >= began)
+    {
+        co_return;
+    }
+    for (const waiting_exchange& it : m_waiting)
+    {
+        if (it.server == server)
+        {
+            it.waiting->give_up_if_silent(server_silence_limit,
+                                          "the server accepts no connection");
+        }
     }
 }
 
@@ -177,16 +237,20 @@
     }
 }
 
-wait_guard::wait_guard(reach_monitor& monitor, std::function<void()> on_cut_off)
-    : m_monitor(monitor), m_handler(monitor.m_waiting.insert(
-                              monitor.m_waiting.end(), std::move(on_cut_off)))
+wait_guard::wait_guard(reach_monitor& monitor,
+                       server_table::record_pointer server, exchange& waiting,
+                       std::function<bool()> may_repeat)
+    : m_monitor(monitor), m_entry(monitor.m_waiting.insert(
+                              monitor.m_waiting.end(),
+                              {std::move(server), &waiting,
+                               std::move(may_repeat), monotonic_clock::now()}))
 {
-    m_monitor.m_reach.on_wait_began(monotonic_clock::now());
+    m_monitor.m_reach.on_wait_began(m_entry->began);
 }
 
 wait_guard::~wait_guard()
 {
-    m_monitor.m_waiting.erase(m_handler);
+    m_monitor.m_waiting.erase(m_entry);
     m_monitor.m_reach.on_wait_ended();
 }
 
--- a/libraries/entry/reach_monitor.hpp
+++ b/libraries/entry/reach_monitor.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/reachability/server_reach.hpp"
+#include "entry/exchange.hpp"
 #include "entry/server_table.hpp"
 #include "http/client.hpp"
 
@@ -17,6 +18,15 @@
 
 namespace net = boost::asio;
 
+/// An exchange that waits for a server to which it goes directly.
+struct waiting_exchange
+{
+    server_table::record_pointer server;
+    exchange* waiting;
+    std::function<bool()> may_repeat;
+    time_point began;
+};
+
 /// Finds out by probes whether this host can open connections to backend
 /// servers, and whether a server still accepts any. A connection that a probe
 /// opens is kept for requests.
@@ -30,7 +40,9 @@
     void start(std::function<void()> on_change);
 
     bool is_cut_off() const { return m_reach.is_cut_off(); }
-    reachability::server_reach& reach() { return m_reach; }
+
+    /// Bytes arrived from a server.
+    void on_contact(time_point now) { m_reach.on_contact(now); }
 
     /// Called after a connection failed; returns whether the host is cut off,
     /// after a probe unless one has connected since `failed_at`.
@@ -64,9 +76,13 @@
 
     net::awaitable<void> run();
     net::awaitable<void> probe();
-    /// Tells the waiting requests that the host is cut off. Their handlers only
-    /// close connections, so that the list does not change meanwhile.
-    void notify_waiting();
+    /// This host is cut off: ends the exchanges that wait on silent connections
+    /// and may be repeated.
+    void give_up_repeatable();
+    /// Checks servers that have been silent for long while exchanges wait.
+    void check_silent_servers(time_point now);
+    /// Ends the exchanges that wait for the server if it accepts no connection.
+    net::awaitable<void> check(server_table::record_pointer server);
     std::vector<http::endpoint> choose_targets() const;
     /// Connects to the servers, all at the same time.
     void connect_to(const attempt_pointer& it,
@@ -83,23 +99,24 @@
     /// Cancelled when a probe ends.
     net::steady_timer m_probe_ended;
     std::map<http::endpoint, attempt_pointer> m_checks;
-    /// Handlers of the requests that wait for servers.
-    std::list<std::function<void()>> m_waiting;
+    std::list<waiting_exchange> m_waiting;
 };
 
-/// Counts a request as waiting for a server while it exists.
+/// Counts an exchange as waiting for its server while the guard exists, so that
+/// it is ended if the server or this host turns out to be cut off.
 class wait_guard
 {
 public:
-    /// `on_cut_off` is called if the host is cut off meanwhile.
-    wait_guard(reach_monitor& monitor, std::function<void()> on_cut_off);
+    /// `may_repeat` tells whether the request may be executed once more.
+    wait_guard(reach_monitor& monitor, server_table::record_pointer server,
+               exchange& waiting, std::function<bool()> may_repeat);
     ~wait_guard();
     wait_guard(const wait_guard&) = delete;
     wait_guard& operator=(const wait_guard&) = delete;
 
 private:
     reach_monitor& m_monitor;
-    std::list<std::function<void()>>::iterator m_handler;
+    std::list<waiting_exchange>::iterator m_entry;
 };
 
 } // namespace cicadahub::entry
--- a/libraries/entry/request_relay.cpp
+++ b/libraries/entry/request_relay.cpp
@@ -38,7 +38,7 @@
     observer.begin(record);
     exchange run(m_state.pool, m_servers, observer.handlers());
     // The sender decides whether the request may be sent again.
-    const wait_guard waiting(m_state.reach, [] {});
+    const wait_guard waiting(m_state.reach, record, run, [] { return false; });
     stream_progress progress;
     reply.set_write_timeout(it.added.time_left);
     reply.watch_caller([&run] { run.cancel(); });
--- a/libraries/entry/server_table.hpp
+++ b/libraries/entry/server_table.hpp
@@ -36,6 +36,10 @@
     std::uint32_t running_elsewhere = 0;
     sharing::server_health health;
     sharing::server_pause pause;
+    /// Last time at which the server sent this daemon anything.
+    time_point last_contact{};
+    /// Last check whether the server still accepts connections.
+    time_point last_check{};
     /// The server said itself that it leaves; the platform's list may say so
     /// later or never.
     bool has_announced_leaving = false;
--- a/tests/system/cut_off_test.cpp
+++ b/tests/system/cut_off_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <future>
 #include <map>
 #include <sstream>
 #include <thread>
@@ -350,5 +351,76 @@
         << status;
 }
 
+/// Links of a host to the first engine and the first server of the plain
+/// service.
+constexpr std::size_t engine_link = 0;
+constexpr std::size_t service_link = 2;
+
+struct silent_case
+{
+    const char* name;
+    std::size_t link;
+    bool is_stream;
+};
+
+void PrintTo(const silent_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class silent_servers : public testing::TestWithParam<silent_case>
+{
+};
+
+// Guards against requests that are given up or run again, and against servers
+// that are suspected, because a sound server says nothing for a second.
+TEST_P(silent_servers, are_waited_for_if_they_go_on_after_a_second)
+{
+    constexpr milliseconds silence{1'300};
+    platform_fleet fleet(2, true);
+    host_links& links = *fleet.daemons[0].links;
+    const auto send = [&](const std::string& id)
+    {
+        return GetParam().is_stream
+                   ? fleet.stream(0, id, "m1", "key-of-trust", "/once/x")
+                   : fleet.plain(0, id, http::verb::post, "/post/1");
+    };
+    EXPECT_EQ(send("warm").status, 200U);
+    links.set_state(GetParam().link, link_state::silent);
+    const time_point began = monotonic_clock::now();
+    auto answered = std::async(std::launch::async, [&] { return send("r"); });
+    std::this_thread::sleep_until(began + silence);
+    links.set_state(GetParam().link, link_state::open);
+    EXPECT_EQ(answered.get().status, 200U);
+    EXPECT_EQ(count_runs(fleet)["r"], 1);
+    EXPECT_FALSE(has_logged(fleet, 0, "host_cut_off"));
+    EXPECT_FALSE(has_logged(fleet, 1, "request_suspected"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    platform_path, silent_servers,
+    testing::Values(silent_case{"engine", engine_link, true},
+                    silent_case{"service", service_link, false}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+// A server that is gone without a word must not hold a request that another one
+// can serve until its deadline.
+TEST(platform_path, a_request_at_a_dead_server_is_repeated_in_time)
+{
+    platform_fleet fleet(1, true);
+    for (int n = 0; n < 2; ++n)
+    {
+        EXPECT_EQ(fleet
+                      .plain(0, "warm-" + std::to_string(n), http::verb::get,
+                             "/read/1")
+                      .status,
+                  200U);
+    }
+    fleet.daemons[0].links->set_state(service_link, link_state::silent);
+    const time_point began = monotonic_clock::now();
+    EXPECT_EQ(fleet.plain(0, "r", http::verb::get, "/read/1").status, 200U);
+    EXPECT_LT(monotonic_clock::now() - began, milliseconds(2'500));
+}
+
 } // namespace
 } // namespace cicadahub::system_tests
--- a/tests/system/host_links.cpp
+++ b/tests/system/host_links.cpp
@@ -54,6 +54,11 @@
         });
 }
 
+void host_links::set_state(std::size_t server, fakes::link_state to)
+{
+    run([&] { m_links.at(server)->set_state(to); });
+}
+
 void host_links::set_state(fakes::link_state to)
 {
     run(
--- a/tests/system/host_links.hpp
+++ b/tests/system/host_links.hpp
@@ -28,6 +28,8 @@
     const std::string& store() const { return m_store; }
 
     void set_state(fakes::link_state to);
+    /// The state of the link to one server, by the order of `add_server`.
+    void set_state(std::size_t server, fakes::link_state to);
 
 private:
     /// Runs `task` on the thread of the links and waits for its end.
