Routing: Keep rejections by brittle servers within their limit

Servers of a service may say that they are brittle: one that has to reject more than N requests in a second, from all hosts together, fails, and how many it lets wait can fall at any time (LIMIT). Hosts did not read it, and each went on sending by what it last knew of the server's load.

Each host now keeps its part of the limit, sent and undecided requests included; where the limit is lower than the number of hosts, only as many hosts send to the server and the others relay through them.

--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -82,14 +82,31 @@
     co_await attempt_until_answered();
 }
 
-const peer* active_request::choose_relay() const
+bool active_request::needs_relay(const server_record& server,
+                                 time_point now) const
 {
+    return m_state.reach.is_cut_off() ||
+           !m_state.is_entitled(m_state.settings.name, server, now);
+}
+
+bool active_request::is_usable(const server_record& server,
+                               time_point now) const
+{
+    return needs_relay(server, now)
+               ? m_state.reach.is_cut_off() || choose_relay(server) != nullptr
+               : m_state.may_send(server, now);
+}
+
+const peer* active_request::choose_relay(const server_record& server) const
+{
+    const time_point now = monotonic_clock::now();
     std::vector<const peer*> near;
     std::vector<const peer*> far;
     for (const auto& [name, it] : m_state.fleet.peers())
     {
         if (it.digest.is_cut_off || it.digest.is_leaving ||
-            m_excluded_relays.contains(name))
+            m_excluded_relays.contains(name) ||
+            !m_state.is_entitled(daemon_id(name), server, now))
         {
             continue;
         }
@@ -116,7 +133,8 @@
     exchange_path path{record->entry.address,
                        m_attempted_addresses.contains(record->entry.address),
                        std::nullopt};
-    const peer* relay = m_state.reach.is_cut_off() ? choose_relay() : nullptr;
+    const peer* relay =
+        needs_relay(*record, now) ? choose_relay(*record) : nullptr;
     m_relay = relay == nullptr ? std::string() : relay->digest.sender;
     m_observer.begin(record, m_relay);
     exchange_result result;
@@ -163,6 +181,7 @@
 }
 
 bool active_request::is_repeated_elsewhere(const exchange_result& result,
+                                           const server_record& server,
                                            bool is_cut_off)
 {
     if (time_left(monotonic_clock::now()) < min_processing_time)
@@ -177,7 +196,7 @@
         return true;
     }
     return is_cut_off && result.end == exchange_end::not_sent &&
-           choose_relay() != nullptr;
+           choose_relay(server) != nullptr;
 }
 
 bool active_request::prepare_retry(const exchange_result& result,
@@ -228,7 +247,8 @@
         {
             m_state.waiting.wake_all();
         }
-        if (!m_is_caller_gone && is_repeated_elsewhere(result, is_cut_off))
+        if (!m_is_caller_gone &&
+            is_repeated_elsewhere(result, *record, is_cut_off))
         {
             continue;
         }
--- a/libraries/entry/active_request.hpp
+++ b/libraries/entry/active_request.hpp
@@ -62,10 +62,16 @@
                        bool is_cut_off);
     /// Decides after an attempt whether the request, of which nothing was sent,
     /// is sent on another way. That is no retry.
-    bool is_repeated_elsewhere(const exchange_result& result, bool is_cut_off);
-    /// The daemon that forwards the next attempt while this host is cut off;
-    /// null if there is none.
-    const peer* choose_relay() const;
+    bool is_repeated_elsewhere(const exchange_result& result,
+                               const server_record& server, bool is_cut_off);
+    /// A daemon that may forward an attempt at the server; null if there is
+    /// none.
+    const peer* choose_relay(const server_record& server) const;
+    /// True if attempts at the server go through another daemon: this host is
+    /// cut off, or the server is brittle and not this host's to use.
+    bool needs_relay(const server_record& server, time_point now) const;
+    /// True if the server may be sent a request now.
+    bool is_usable(const server_record& server, time_point now) const;
     /// True if the request may be executed once more after an unknown outcome.
     bool is_repeatable() const;
     bool is_retryable(const exchange_result& result) const;
--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -33,16 +33,54 @@
 {
     m_record = std::move(record);
     m_relay = std::move(relay);
+    m_sent.reset();
 }
 
-bool attempt_observer::may_send() const
+bool attempt_observer::may_send()
 {
-    return m_record->accepts_requests(monotonic_clock::now());
+    const time_point now = monotonic_clock::now();
+    if (!m_record->accepts_requests(now))
+    {
+        return false;
+    }
+    if (!m_relay.empty())
+    {
+        return true;
+    }
+    if (!m_state.may_send(*m_record, now))
+    {
+        return false;
+    }
+    const auto brittle = m_state.brittle_services.find(m_record->entry.service);
+    if (brittle != m_state.brittle_services.end())
+    {
+        m_sent = brittle->second.on_sent(m_record->entry.id, now);
+    }
+    return true;
+}
+
+void attempt_observer::count_rejection(const exchange_result& result)
+{
+    const auto brittle = m_state.brittle_services.find(m_record->entry.service);
+    if (!m_sent || brittle == m_state.brittle_services.end())
+    {
+        return;
+    }
+    if (result.end == exchange_end::turned_away && !result.notice.pause)
+    {
+        brittle->second.on_rejected(m_record->entry.id, *m_sent,
+                                    monotonic_clock::now());
+    }
+    else
+    {
+        brittle->second.on_accepted(m_record->entry.id, *m_sent);
+    }
 }
 
 void attempt_observer::on_notice(const server_notice& it)
 {
     const serving::server_entry& entry = m_record->entry;
+    m_state.on_brittle_notice(*m_record, it);
     if (it.is_leaving &&
         m_state.servers.on_leaving(entry.id, entry.incarnation, "response"))
     {
@@ -69,6 +107,7 @@
                       const std::optional<replicas::copy_name>& copy,
                       const suspicion::fingerprint& fingerprint)
 {
+    count_rejection(result);
     if (result.end == exchange_end::answered ||
         result.end == exchange_end::streamed)
     {
@@ -193,6 +232,8 @@
          {"took_ms", time_since(sent_at).count()},
          {"servers_silent_ms", servers_silent_ms()},
          {"relay", m_relay},
+         {"is_brittle",
+          m_state.brittle_services.contains(m_record->entry.service)},
          {"reason", result.reason}});
 }
 
--- a/libraries/entry/attempt_observer.hpp
+++ b/libraries/entry/attempt_observer.hpp
@@ -33,7 +33,9 @@
     void log(const exchange_result& result, time_point sent_at) const;
 
 private:
-    bool may_send() const;
+    /// Called immediately before the first byte.
+    bool may_send();
+    void count_rejection(const exchange_result& result);
     void on_notice(const server_notice& it);
     void update_health(const exchange_result& result,
                        const std::optional<replicas::copy_name>& copy);
@@ -45,6 +47,8 @@
     request_id m_request;
     server_table::record_pointer m_record;
     std::string m_relay;
+    /// Set once the request was sent to the server directly.
+    std::optional<sharing::brittle_service::send_number> m_sent;
 };
 
 } // namespace cicadahub::entry
--- a/libraries/entry/dialects.hpp
+++ b/libraries/entry/dialects.hpp
@@ -43,10 +43,15 @@
 /// What the head of any response says of the server that sent it.
 struct server_notice
 {
+    /// False if another server sent the response; nothing else is set then.
+    bool is_from_server = false;
     /// The server leaves and wants no more requests.
     bool is_leaving = false;
     /// The server wants no requests from this host for this long.
     std::optional<milliseconds> pause;
+    /// The server is brittle: it fails if it has to reject more requests than
+    /// this in a second.
+    std::optional<std::uint32_t> brittle_limit;
 };
 
 struct answer_head
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -75,10 +75,10 @@
                   {m_settings, dialects.servers, m_state.servers, m_state.fleet,
                    m_state.demand, m_state.waiting, m_state.metrics,
                    [this] { return m_state.configuration; }, m_state.random,
-                   m_state.reach,
-                   [this]
+                   m_state.reach, [this] { m_state.on_server_leaving(); },
+                   [this](const server_record& server, const server_notice& it)
                    {
-                       m_state.on_server_leaving();
+                       m_state.on_brittle_notice(server, it);
                    }},
                   [this]
                   {
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -1,5 +1,7 @@
 #include "entry/entry_state.hpp"
 
+#include "core/structured_log.hpp"
+
 namespace cicadahub::entry
 {
 
@@ -69,6 +71,83 @@
     }
 }
 
+void entry_state::on_brittle_notice(const server_record& server,
+                                    const server_notice& it)
+{
+    const service_id& service = server.entry.service;
+    if (!it.is_from_server ||
+        (!it.brittle_limit && !brittle_services.contains(service)))
+    {
+        return;
+    }
+    const time_point now = monotonic_clock::now();
+    sharing::brittle_service& known = brittle_services[service];
+    const auto before = known.limit(now);
+    known.on_answer(server.entry.id, it.brittle_limit, now);
+    const auto after = known.limit(now);
+    if (before != after)
+    {
+        log_event(severity::info, event_number::service_brittle,
+                  {{"service", service.value()},
+                   {"server", server.entry.id.value()},
+                   {"is_brittle", after.has_value()},
+                   {"limit", after.value_or(0)},
+                   {"hosts", fleet.host_count(now)}});
+    }
+}
+
+sharing::host_position entry_state::position_of(const daemon_id& host,
+                                                const server_record& server,
+                                                std::uint32_t limit,
+                                                time_point now) const
+{
+    sharing::host_position it{fleet.host_count(now), 0};
+    if (limit >= it.hosts)
+    {
+        return it;
+    }
+    // All hosts order themselves in the same way, differently for each server.
+    const auto weight = [&](const std::string& name)
+    {
+        return std::pair(
+            std::hash<std::string>{}(name + '|' + server.entry.id.value()),
+            name);
+    };
+    const auto own = weight(host.value());
+    for (const auto& [name, peer] : fleet.peers())
+    {
+        it.rank += weight(name) < own ? 1 : 0;
+    }
+    it.rank += weight(settings.name.value()) < own ? 1 : 0;
+    return it;
+}
+
+bool entry_state::may_send(const server_record& server, time_point now) const
+{
+    const auto known = brittle_services.find(server.entry.service);
+    if (known == brittle_services.end())
+    {
+        return true;
+    }
+    const auto limit = known->second.limit(now);
+    return !limit || known->second.may_send(
+                         server.entry.id,
+                         position_of(settings.name, server, *limit, now), now);
+}
+
+bool entry_state::is_entitled(const daemon_id& host,
+                              const server_record& server, time_point now) const
+{
+    const auto known = brittle_services.find(server.entry.service);
+    if (known == brittle_services.end())
+    {
+        return true;
+    }
+    const auto limit = known->second.limit(now);
+    return !limit || known->second.is_entitled(
+                         position_of(host, server, *limit, now), now);
+}
+
 sharing::retry_budget& entry_state::retry_budget_of(const service_id& service)
 {
     const auto known = retry_budgets.find(service);
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/sharing/brittle_service.hpp"
 #include "decision/sharing/fleet_rate.hpp"
 #include "decision/sharing/retry_budget.hpp"
 #include "decision/suspicion/suspect_table.hpp"
@@ -42,6 +43,7 @@
     http::client_pool pool;
     std::map<organisation_id, sharing::fleet_rate> rates;
     std::map<service_id, sharing::retry_budget> retry_budgets;
+    std::map<service_id, sharing::brittle_service> brittle_services;
     bool is_draining = false;
     /// While draining: requests that arrive after `accept_deadline`, and those
     /// still queued at `wait_deadline`, are refused.
@@ -66,6 +68,23 @@
     /// Recomputes this host's share of each rate from the current demand.
     void update_rate_shares(time_point now);
     sharing::retry_budget& retry_budget_of(const service_id& service);
+
+    /// Takes in what an answer of a server says of how brittle it is.
+    void on_brittle_notice(const server_record& server,
+                           const server_notice& it);
+    /// Whether a host may send a server one more request now, as far as
+    /// brittle servers are concerned.
+    bool may_send(const server_record& server, time_point now) const;
+    /// Whether a host, this one or a peer, is among those that may send to the
+    /// server.
+    bool is_entitled(const daemon_id& host, const server_record& server,
+                     time_point now) const;
+
+private:
+    sharing::host_position position_of(const daemon_id& host,
+                                       const server_record& server,
+                                       std::uint32_t limit,
+                                       time_point now) const;
 };
 
 } // namespace cicadahub::entry
--- a/libraries/entry/placement_controller.cpp
+++ b/libraries/entry/placement_controller.cpp
@@ -415,6 +415,7 @@
 {
     const serving::server_entry& entry = record.entry;
     const server_notice it = m_inputs.dialect.read_notice(answer, entry.id);
+    m_inputs.on_notice(record, it);
     if (it.is_leaving &&
         m_inputs.servers.on_leaving(entry.id, entry.incarnation, source))
     {
--- a/libraries/entry/request_routing.cpp
+++ b/libraries/entry/request_routing.cpp
@@ -46,7 +46,7 @@
             continue;
         }
         is_any_unpaused = true;
-        if (m_excluded_servers.contains(id))
+        if (m_excluded_servers.contains(id) || !is_usable(*record, now))
         {
             continue;
         }
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -19,6 +19,7 @@
 constexpr milliseconds plain_call_time{10};
 /// A request that was on its way when the pause was asked for may come so late.
 constexpr milliseconds pause_grace{500};
+constexpr milliseconds fall_time{1'000};
 constexpr int crash_status = 134;
 constexpr int events_per_stream = 8;
 constexpr int events_before_break = 2;
@@ -170,6 +171,14 @@
         m_endless = reader.text_or("endless", m_endless);
         m_sheds_placement =
             reader.boolean_or("shed_placement", m_sheds_placement);
+        if (json.contains("brittle"))
+        {
+            m_brittle_limit = reader.integer("brittle");
+        }
+        if (json.contains("room"))
+        {
+            m_room = reader.integer("room");
+        }
         if (json.contains("shed_s"))
         {
             m_sheds_until =
@@ -189,6 +198,11 @@
         co_await reply.send(answer_runs());
         co_return;
     }
+    if (monotonic_clock::now() < m_down_until)
+    {
+        reply.abort_stream();
+        throw boost::system::system_error(net::error::connection_aborted);
+    }
     const auto expected = message["Expect-Instance"];
     if (!expected.empty() && expected != m_settings.id)
     {
@@ -235,6 +249,10 @@
     {
         it.set("Server-Leaving", "1");
     }
+    if (m_brittle_limit)
+    {
+        it.set("Server-Brittle", std::to_string(*m_brittle_limit));
+    }
 }
 
 http::response worker_standin::stale_refusal()
@@ -257,6 +275,23 @@
     }
 }
 
+void worker_standin::count_rejection()
+{
+    const time_point now = monotonic_clock::now();
+    while (!m_rejections.empty() && m_rejections.front() + seconds(1) < now)
+    {
+        m_rejections.pop_front();
+    }
+    m_rejections.push_back(now);
+    if (m_brittle_limit && m_room &&
+        static_cast<std::int64_t>(m_rejections.size()) > *m_brittle_limit)
+    {
+        ++m_falls;
+        m_rejections.clear();
+        m_down_until = now + fall_time;
+    }
+}
+
 http::response worker_standin::shed(std::string_view request)
 {
     const time_point now = monotonic_clock::now();
@@ -318,6 +353,7 @@
                         {"running", m_running},
                         {"organisations", organisations},
                         {"arrivals_in_pause", m_arrivals_in_pause},
+                        {"falls", m_falls},
                         {"keys_seen", m_keys_seen},
                         {"endless_bytes", m_endless_bytes},
                         {"orders", m_orders},
@@ -446,8 +482,10 @@
         co_await reply.send(shed(message["Request-Id"]));
         co_return;
     }
-    if (m_running >= m_settings.slots)
+    if (m_running >=
+        std::min(m_settings.slots, m_room.value_or(m_settings.slots)))
     {
+        count_rejection();
         co_await reply.send(
             refusal(http::status::service_unavailable, message["Request-Id"]));
         co_return;
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -6,6 +6,7 @@
 
 #include <boost/json/object.hpp>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -51,8 +52,12 @@
 /// `stale_id`, or none if that is empty) and `endless` (responses never end: in
 /// the "head", in "interim" responses, in a "chunk_extension", in the "body",
 /// which has no length and in a stream is one event, or with whole "events";
-/// empty for none). `GET /stats` returns counters and `GET /runs` how often
-/// each request was executed.
+/// empty for none), `brittle` (limit that responses announce) and `room`
+/// (requests that it runs at the same time, if fewer than its slots; from then
+/// on, after more rejections for want of room in a second than the limit, the
+/// server fails, which is counted as `falls`, and for a second closes all
+/// connections). `GET /stats`
+/// returns counters and `GET /runs` how often each request was executed.
 class worker_standin
 {
 public:
@@ -74,6 +79,8 @@
     http::response stale_refusal();
     bool is_shedding() const;
     void count_arrival_in_pause();
+    /// Counts a rejection for want of room, which may make the server fail.
+    void count_rejection();
     /// The rejection that asks for a pause; counts requests that come within
     /// it.
     http::response shed(std::string_view request);
@@ -122,6 +129,11 @@
     std::int64_t m_endless_bytes = 0;
     time_point m_sheds_until{};
     bool m_sheds_placement = false;
+    std::optional<std::int64_t> m_brittle_limit;
+    std::optional<std::int64_t> m_room;
+    std::deque<time_point> m_rejections;
+    std::int64_t m_falls = 0;
+    time_point m_down_until{};
     /// From here to `m_sheds_until` no request should come.
     std::optional<time_point> m_pause_begins_at;
     std::int64_t m_arrivals_in_pause = 0;
