--- a/libraries/entry/request_relay.cpp
+++ b/libraries/entry/request_relay.cpp
@@ -3,6 +3,27 @@
 namespace cicadahub::entry
 {
 
+namespace
+{
+
+/// Cancels an exchange when its caller leaves, while the object exists.
+class leave_watch
+{
+public:
+    leave_watch(http::reply_writer& reply, exchange& run) : m_reply(reply)
+    {
+        m_reply.watch_caller([&run] { run.cancel(); });
+    }
+    ~leave_watch() { m_reply.stop_watching_caller(); }
+    leave_watch(const leave_watch&) = delete;
+    leave_watch& operator=(const leave_watch&) = delete;
+
+private:
+    http::reply_writer& m_reply;
+};
+
+} // namespace
+
 net::awaitable<void> request_relay::serve(http::request& message,
                                           http::reply_writer& reply)
 {
@@ -41,14 +62,16 @@
     const wait_guard waiting(m_state.reach, record, run, [] { return false; });
     stream_progress progress;
     reply.set_write_timeout(it.added.time_left);
-    reply.watch_caller([&run] { run.cancel(); });
     // GCC 12 destroys temporaries of aggregates in a `co_await` twice.
     exchange_path path{record->entry.address, it.use_new_connection,
                        std::nullopt};
-    exchange_result result =
-        co_await run.run(std::move(path), message, it.added, request.id, reply,
-                         progress, now + it.added.time_left);
-    reply.stop_watching_caller();
+    exchange_result result;
+    {
+        const leave_watch watch(reply, run);
+        result =
+            co_await run.run(std::move(path), message, it.added, request.id,
+                             reply, progress, now + it.added.time_left);
+    }
     observer.log(result, now);
     co_await observer.end(result, copy, it.fingerprint);
     co_await finish(std::move(result), progress.has_head, reply);
--- a/tests/system/explain_events_test.cpp
+++ b/tests/system/explain_events_test.cpp
@@ -66,6 +66,29 @@
     expect_no_line(fleet, "of_another_service", "server_paused");
 }
 
+TEST(explained_events, a_host_that_is_cut_off)
+{
+    platform_fleet fleet(2, true);
+    fleet.plain(0, "before", http::verb::get, "/read/1");
+    fleet.daemons[0].links->set_state(fakes::link_state::reset);
+    fleet.plain(0, "r", http::verb::get, "/read/1");
+    EXPECT_TRUE(is_explained_by(fleet, "r", "host_cut_off"));
+    expect_no_line(fleet, "before", "host_cut_off");
+}
+
+TEST(explained_events, a_brittle_server)
+{
+    platform_fleet fleet(1);
+    fleet.plain(0, "before", http::verb::get, "/read/1");
+    for (const auto& it : fleet.services)
+    {
+        fleet.set_fault(it.address, R"({"brittle":3})");
+    }
+    fleet.plain(0, "r", http::verb::get, "/read/1");
+    EXPECT_TRUE(is_explained_by(fleet, "r", "service_brittle"));
+    expect_no_line(fleet, "before", "service_brittle");
+}
+
 // Without the lease, no adapter is loaded.
 TEST(explained_events, a_restored_store)
 {
--- a/utilities/cicadactl/explain.cpp
+++ b/utilities/cicadactl/explain.cpp
@@ -101,9 +101,10 @@
 /// of its outcome.
 bool is_surrounding_event(std::string_view name)
 {
-    constexpr std::array<std::string_view, 4> names{
-        "server_paused", "server_leaving", "server_suspended",
-        "store_restored"};
+    constexpr std::array<std::string_view, 7> names{
+        "server_paused",  "server_leaving", "server_suspended",
+        "store_restored", "host_cut_off",   "host_reconnected",
+        "service_brittle"};
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
