Digests: Go on after a digest that cannot be processed

Reported by operators of similar systems: one malformed message or unexpected error takes a process down. Here an exception while a digest is processed ended the loop that receives them: the daemon went on, and heard no other host until its restart. Shown by a handler that throws; the second digest was not received before, it is now. FIXME: other detached loops still end silently on exceptions that are no error of ours.

--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -361,7 +361,17 @@
             co_await daemon::pause(m_state.context, receive_retry_pause);
             continue;
         }
-        on_datagram(std::string_view(buf.data(), n), from);
+        try
+        {
+            on_datagram(std::string_view(buf.data(), n), from);
+        }
+        catch (const std::exception& reason)
+        {
+            // Ending the loop would leave this daemon deaf to all others.
+            log_event(severity::error, event_number::peer_frame_malformed,
+                      {{"from", from.address().to_string()},
+                       {"reason", reason.what()}});
+        }
     }
 }
 
