--- a/tests/system/cut_off_test.cpp
+++ b/tests/system/cut_off_test.cpp
@@ -127,27 +127,9 @@
     }
 };
 
-/// How often each request was executed, by all servers together.
-std::map<std::string, std::int64_t> count_runs(const platform_fleet& fleet)
-{
-    std::map<std::string, std::int64_t> runs;
-    for (const auto* group : {&fleet.engines, &fleet.services})
-    {
-        for (const auto& it : *group)
-        {
-            const answer seen = call(it.address, http::verb::get, "/runs");
-            for (const auto& entry : parse_json_object(seen.body))
-            {
-                runs[std::string(entry.key())] += entry.value().as_int64();
-            }
-        }
-    }
-    return runs;
-}
-
 void check_promises(const platform_fleet& fleet, const request_list& sent)
 {
-    const auto runs = count_runs(fleet);
+    const auto runs = fleet.count_runs();
     for (const sent_request& it : sent)
     {
         const auto at = runs.find(it.id);
@@ -392,7 +374,7 @@
     std::this_thread::sleep_until(began + silence);
     links.set_state(GetParam().link, link_state::open);
     EXPECT_EQ(answered.get().status, 200U);
-    EXPECT_EQ(count_runs(fleet)["r"], 1);
+    EXPECT_EQ(fleet.count_runs()["r"], 1);
     EXPECT_FALSE(has_logged(fleet, 0, "host_cut_off"));
     EXPECT_FALSE(has_logged(fleet, 1, "request_suspected"));
 }
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -248,6 +248,23 @@
     return sum;
 }
 
+std::map<std::string, std::int64_t> platform_fleet::count_runs() const
+{
+    std::map<std::string, std::int64_t> runs;
+    for (const auto* group : {&engines, &services})
+    {
+        for (const worker& it : *group)
+        {
+            const answer seen = call(it.address, http::verb::get, "/runs");
+            for (const auto& entry : parse_json_object(seen.body))
+            {
+                runs[std::string(entry.key())] += entry.value().as_int64();
+            }
+        }
+    }
+    return runs;
+}
+
 bool platform_fleet::is_memory_respected() const
 {
     return std::all_of(engines.begin(), engines.end(),
--- a/tests/system/platform_fleet.hpp
+++ b/tests/system/platform_fleet.hpp
@@ -3,6 +3,8 @@
 #include "fleet.hpp"
 #include "host_links.hpp"
 
+#include <map>
+
 namespace cicadahub::system_tests
 {
 
@@ -55,6 +57,8 @@
     /// Sum of a counter over all engines.
     std::int64_t engine_total(const std::string& member) const;
     bool is_memory_respected() const;
+    /// How often each request was executed, by all servers together.
+    std::map<std::string, std::int64_t> count_runs() const;
 
     std::string store;
     std::vector<daemon> daemons;
--- a/tests/system/promise_load_test.cpp
+++ b/tests/system/promise_load_test.cpp
@@ -69,24 +69,6 @@
     return seen;
 }
 
-/// How often each request was executed, by all servers together.
-std::map<std::string, std::int64_t> count_runs(const platform_fleet& fleet)
-{
-    std::map<std::string, std::int64_t> runs;
-    for (const auto* group : {&fleet.engines, &fleet.services})
-    {
-        for (const auto& it : *group)
-        {
-            const answer seen = call(it.address, http::verb::get, "/runs");
-            for (const auto& entry : parse_json_object(seen.body))
-            {
-                runs[std::string(entry.key())] += entry.value().as_int64();
-            }
-        }
-    }
-    return runs;
-}
-
 /// Lines of the daemons' logs that name a request.
 std::string lines_of(const platform_fleet& fleet, const std::string& request)
 {
@@ -179,7 +161,7 @@
     {
         it.join();
     }
-    const auto runs = count_runs(fleet);
+    const auto runs = fleet.count_runs();
     std::size_t served = 0;
     std::size_t refused_and_run = 0;
     std::size_t run_twice = 0;
--- a/tests/system/relay_test.cpp
+++ b/tests/system/relay_test.cpp
@@ -260,18 +260,7 @@
     {
         it.join();
     }
-    std::map<std::string, std::int64_t> runs;
-    for (const auto* group : {&m_fleet.engines, &m_fleet.services})
-    {
-        for (const auto& it : *group)
-        {
-            const answer counted = call(it.address, http::verb::get, "/runs");
-            for (const auto& entry : parse_json_object(counted.body))
-            {
-                runs[std::string(entry.key())] += entry.value().as_int64();
-            }
-        }
-    }
+    auto runs = m_fleet.count_runs();
     std::size_t served = 0;
     for (const auto& part : seen)
     {
