Tests: Crash servers by a part of prompts

Requests that are never alike share one part of their prompts, and each server that begins to answer one ends.

--- /dev/null
+++ b/tests/system/crashing_part_test.cpp
@@ -0,0 +1,281 @@
+#include "platform_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+namespace cicadahub::system_tests
+{
+namespace
+{
+
+constexpr int daemon_count = 4;
+constexpr std::size_t engine_count = 8;
+constexpr std::size_t callers_per_daemon = 2;
+constexpr milliseconds request_gap{50};
+constexpr milliseconds crashing_request_gap{500};
+constexpr milliseconds engine_restart_time{1'000};
+constexpr milliseconds poll_period{20};
+/// Time from the fifth crash in which all hosts learn of it.
+constexpr milliseconds contact_time{3'000};
+constexpr std::size_t counted_crashes = 5;
+/// Requests that may still reach servers after that.
+constexpr std::size_t allowed_crashes = 3;
+constexpr milliseconds measured_time{2'000};
+
+/// Engines that are started again, as new ones, a while after they crashed.
+class restarted_engines
+{
+public:
+    restarted_engines(platform_fleet& fleet, std::string faults)
+        : m_fleet(fleet), m_faults(std::move(faults))
+    {
+        for (std::size_t n = 0; n < engine_count; ++n)
+        {
+            start_one();
+        }
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~restarted_engines()
+    {
+        m_is_over = true;
+        m_thread.join();
+    }
+
+    restarted_engines(const restarted_engines&) = delete;
+    restarted_engines& operator=(const restarted_engines&) = delete;
+
+    std::vector<time_point> crashes()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_crashes;
+    }
+
+    void kill(std::size_t n)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (n < m_indexes.size())
+        {
+            m_fleet.engines[m_indexes[n]].program->kill();
+        }
+    }
+
+private:
+    void start_one()
+    {
+        const std::size_t at =
+            m_fleet.add_worker("engines", "c" + std::to_string(++m_started),
+                               {"--megabytes", "250", "--preload", "m1"});
+        m_fleet.set_fault(m_fleet.engines[at].address, m_faults);
+        m_indexes.push_back(at);
+    }
+
+    void run()
+    {
+        std::vector<time_point> ended;
+        while (!m_is_over)
+        {
+            std::this_thread::sleep_for(poll_period);
+            const std::lock_guard lock(m_mutex);
+            const time_point now = monotonic_clock::now();
+            std::erase_if(m_indexes,
+                          [&](std::size_t it)
+                          {
+                              auto& engine = m_fleet.engines[it];
+                              if (!engine.program->has_ended())
+                              {
+                                  return false;
+                              }
+                              call(m_fleet.store, http::verb::delete_,
+                                   "/v1/objects/servers/" + engine.id);
+                              m_crashes.push_back(now);
+                              ended.push_back(now);
+                              return true;
+                          });
+            while (!ended.empty() && ended.front() + engine_restart_time <= now)
+            {
+                ended.erase(ended.begin());
+                start_one();
+            }
+        }
+    }
+
+    platform_fleet& m_fleet;
+    std::string m_faults;
+    std::mutex m_mutex;
+    std::vector<std::size_t> m_indexes;
+    std::vector<time_point> m_crashes;
+    int m_started = 0;
+    std::atomic<bool> m_is_over = false;
+    std::thread m_thread;
+};
+
+struct sent_request
+{
+    time_point at;
+    answer received;
+};
+
+/// Callers that send requests to hosts by turns until they are stopped.
+class caller
+{
+public:
+    caller(const platform_fleet& fleet, std::string name, std::string prompt,
+           std::size_t first_host, std::size_t host_step, milliseconds gap)
+        : m_thread(
+              [=, this, &fleet]
+              {
+                  std::size_t host = first_host;
+                  for (std::size_t n = 0; !m_is_over; ++n)
+                  {
+                      const std::string id = name + "-" + std::to_string(n);
+                      const time_point at = monotonic_clock::now();
+                      // Behind the shared parts each request has its own.
+                      m_sent.push_back(
+                          {at, fleet.stream_prompt(host, id, "m1",
+                                                   prompt + "," + id + ":10")});
+                      host = (host + host_step) % fleet.daemons.size();
+                      std::this_thread::sleep_until(at + gap);
+                  }
+              })
+    {
+    }
+
+    const std::vector<sent_request>& stop()
+    {
+        m_is_over = true;
+        if (m_thread.joinable())
+        {
+            m_thread.join();
+        }
+        return m_sent;
+    }
+
+    ~caller() { stop(); }
+    caller(const caller&) = delete;
+    caller& operator=(const caller&) = delete;
+
+private:
+    std::vector<sent_request> m_sent;
+    std::atomic<bool> m_is_over = false;
+    std::thread m_thread;
+};
+
+std::vector<std::unique_ptr<caller>> make_callers(const platform_fleet& fleet)
+{
+    std::vector<std::unique_ptr<caller>> callers;
+    for (std::size_t n = 0; n < daemon_count * callers_per_daemon; ++n)
+    {
+        callers.push_back(std::make_unique<caller>(
+            fleet, "sound" + std::to_string(n), "shared:10",
+            n % fleet.daemons.size(), 0, request_gap));
+    }
+    return callers;
+}
+
+struct part_case
+{
+    const char* name;
+    const char* faults;
+    bool restarts_hosts = false;
+};
+
+void PrintTo(const part_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class crashing_parts : public testing::TestWithParam<part_case>
+{
+};
+
+// Guards against a part of prompts that crashes one server after the other,
+// because the requests that bear it have nothing else in common.
+TEST_P(crashing_parts, are_refused_after_a_few_crashes)
+{
+    platform_fleet fleet(daemon_count);
+    restarted_engines engines(fleet, GetParam().faults);
+    auto sound = make_callers(fleet);
+    caller crashing(fleet, "crashing", "shared:10,crashing:10", 0, 1,
+                    crashing_request_gap);
+    ASSERT_TRUE(eventually(
+        [&] { return engines.crashes().size() >= counted_crashes; }));
+    const time_point fifth = engines.crashes()[counted_crashes - 1];
+    std::this_thread::sleep_until(fifth + contact_time);
+    const std::size_t before = engines.crashes().size();
+    if (GetParam().restarts_hosts)
+    {
+        for (std::size_t n = 0; n < daemon_count; ++n)
+        {
+            fleet.start_daemon(n);
+            EXPECT_TRUE(eventually([&] { return fleet.is_ready(n); }));
+        }
+    }
+    std::this_thread::sleep_until(fifth + 2 * contact_time);
+    const time_point begin = monotonic_clock::now();
+    std::this_thread::sleep_for(measured_time);
+    const std::size_t after = engines.crashes().size();
+    crashing.stop();
+    std::size_t served = 0;
+    std::size_t sent = 0;
+    for (const auto& from : sound)
+    {
+        for (const sent_request& it : from->stop())
+        {
+            EXPECT_NE(it.received.status, 422U);
+            sent += it.at >= begin ? 1 : 0;
+            served += it.at >= begin && it.received.status == 200 ? 1 : 0;
+        }
+    }
+    EXPECT_LE(after - before, allowed_crashes) << after << " in all";
+    EXPECT_GT(sent, 0U);
+    EXPECT_GE(served, sent / 2) << served << " of " << sent;
+    std::cout << "crashes " << before << " and then " << after - before
+              << ", served " << served << " of " << sent << "\n";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    platform_path, crashing_parts,
+    testing::Values(part_case{"chunked", R"({"crash_part":"crashing"})"},
+                    part_case{"until_close",
+                              R"({"crash_part":"crashing","unframed":true})"},
+                    part_case{"hosts_restart", R"({"crash_part":"crashing"})",
+                              true}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+// Guards against sound parts that are refused because servers crash by
+// themselves.
+TEST(platform_path, crashes_by_chance_refuse_no_request)
+{
+    platform_fleet fleet(daemon_count);
+    restarted_engines engines(fleet, "{}");
+    auto sound = make_callers(fleet);
+    // A part that is seldom used, and two that each request has.
+    sound.push_back(std::make_unique<caller>(
+        fleet, "seldom", "shared:10,seldom:10", 0, 1, milliseconds(400)));
+    for (std::size_t n = 0; n < 12; ++n)
+    {
+        std::this_thread::sleep_for(milliseconds(400));
+        engines.kill(0);
+        engines.kill(1);
+        std::this_thread::sleep_for(2 * poll_period);
+    }
+    std::size_t served = 0;
+    for (const auto& from : sound)
+    {
+        for (const sent_request& it : from->stop())
+        {
+            EXPECT_NE(it.received.status, 422U);
+            served += it.received.status == 200 ? 1 : 0;
+        }
+    }
+    EXPECT_GT(engines.crashes().size(), counted_crashes);
+    EXPECT_GT(served, 0U);
+}
+
+} // namespace
+} // namespace cicadahub::system_tests
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -220,6 +220,20 @@
                  {"Deadline-Ms", "8000"}});
 }
 
+answer platform_fleet::stream_prompt(std::size_t n, const std::string& id,
+                                     const std::string& model,
+                                     const std::string& prompt) const
+{
+    return call(daemons[n].callers, http::verb::post, "/stream/x", id,
+                {{"Host", "trust.example"},
+                 {"Request-Id", id},
+                 {"Authorization", "Bearer key-of-trust"},
+                 {"Model", model},
+                 {"Token-Count", "30,16"},
+                 {"Prompt-Prefix", prompt},
+                 {"Deadline-Ms", "8000"}});
+}
+
 answer platform_fleet::plain(std::size_t n, const std::string& id,
                              http::verb method, const std::string& path,
                              const std::string& key) const
--- a/tests/system/platform_fleet.hpp
+++ b/tests/system/platform_fleet.hpp
@@ -49,6 +49,10 @@
                   const std::string& model,
                   const std::string& key = "key-of-trust",
                   const std::string& path = "/stream/x") const;
+    /// The same with parts of the prompt, and a body that no other request has.
+    answer stream_prompt(std::size_t n, const std::string& id,
+                         const std::string& model,
+                         const std::string& prompt) const;
     answer plain(std::size_t n, const std::string& id, http::verb method,
                  const std::string& path,
                  const std::string& key = "key-of-trust") const;
--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -83,14 +83,29 @@
     }
 }
 
+bool process::has_ended()
+{
+    int raw = 0;
+    if (!m_has_ended && ::waitpid(m_pid, &raw, WNOHANG) == m_pid)
+    {
+        end(raw);
+    }
+    return m_has_ended;
+}
+
+void process::end(int raw)
+{
+    m_has_ended = true;
+    m_status = WIFEXITED(raw) ? WEXITSTATUS(raw) : 128 + WTERMSIG(raw);
+}
+
 int process::wait()
 {
     if (!m_has_ended)
     {
         int raw = 0;
         ::waitpid(m_pid, &raw, 0);
-        m_has_ended = true;
-        m_status = WIFEXITED(raw) ? WEXITSTATUS(raw) : 128 + WTERMSIG(raw);
+        end(raw);
     }
     return m_status;
 }
--- a/tests/system/process.hpp
+++ b/tests/system/process.hpp
@@ -24,6 +24,9 @@
     void pause() const { signal(SIGSTOP); }
     void resume() const { signal(SIGCONT); }
 
+    /// True if the process has exited.
+    bool has_ended();
+
     /// Waits for the process to exit; returns its exit status, or 128 + the
     /// number of the signal that killed it.
     int wait();
@@ -34,6 +37,8 @@
     std::size_t peak_memory_bytes() const;
 
 private:
+    void end(int raw);
+
     pid_t m_pid = -1;
     std::string m_output_file;
     bool m_has_ended = false;
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -161,6 +161,7 @@
             reader.boolean_or("unnumbered", m_are_events_unnumbered);
         m_crashes_after_run =
             reader.boolean_or("crash_after_run", m_crashes_after_run);
+        m_crash_part = reader.text_or("crash_part", m_crash_part);
         m_unproven_promises =
             reader.integer_or("unproven_promises", m_unproven_promises);
         m_stale_refusals =
@@ -616,6 +617,14 @@
     co_await reply.write_chunk(body);
 }
 
+bool worker_standin::makes_server_crash(const http::request& message) const
+{
+    const std::string_view prompt = message["Prompt-Prefix"];
+    return !m_crash_part.empty() &&
+           ("," + std::string(prompt)).find("," + m_crash_part + ":") !=
+               std::string::npos;
+}
+
 net::awaitable<void> worker_standin::stream(const http::request& message,
                                             http::reply_writer& reply)
 {
@@ -629,6 +638,12 @@
         reply.set_stream_framing(http::body_framing::until_close);
     }
     co_await reply.begin_stream(std::move(head));
+    if (makes_server_crash(message))
+    {
+        co_await pause(m_settings.event_gap);
+        co_await reply.write_chunk("id: 1\nda");
+        std::_Exit(crash_status);
+    }
     const bool is_broken = m_broken_streams > 0;
     m_broken_streams -= is_broken ? 1 : 0;
     const int first = parse_number(message["Last-Event-Id"]) + 1;
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -45,8 +45,10 @@
 /// many seconds requests are turned away with the rest of that time as the
 /// pause; orders and reports too with `shed_placement`), `unnumbered` (events
 /// have no id), `crash_after_run` (the process ends while it executes the next
-/// request), `unproven_promises` (number of requests that are executed and
-/// answered with `promised_status` without the statement that they were not),
+/// request), `crash_part` (the process ends when it begins to answer a request
+/// with this part in its prompt), `unproven_promises` (number of requests that
+/// are executed and answered with `promised_status` without the statement that
+/// they were not),
 /// `stale_refusals` (number of requests in front of whose response a refusal of
 /// another request arrives, with `promised_status`; it names the request
 /// `stale_id`, or none if that is empty) and `endless` (responses never end: in
@@ -73,6 +75,7 @@
     net::awaitable<void> run(http::request& message, http::reply_writer& reply);
     net::awaitable<void> stream(const http::request& message,
                                 http::reply_writer& reply);
+    bool makes_server_crash(const http::request& message) const;
     /// Marks a response if the server leaves.
     void announce(http::response& it) const;
     /// The refusal of another request that arrives in front of a response.
@@ -121,6 +124,7 @@
     bool m_is_leaving = false;
     bool m_are_events_unnumbered = false;
     bool m_crashes_after_run = false;
+    std::string m_crash_part;
     std::int64_t m_unproven_promises = 0;
     std::int64_t m_stale_refusals = 0;
     std::int64_t m_promised_status = 503;
