Suspicion: Find the part of prompts that crashes servers

Cause: a suspect was the hash of a whole request, so that each such request was unknown when it came. Ruled out: crashes that are not recognised (each has suspects within 10 ms), and suspects that don't reach the other hosts.

Now each crash accuses the parts of all requests in flight on the server, merged over hosts by the server's start. A complete answer that began after a crash clears its parts of it; a part with three crashes one after the other, of different requests, is refused, and explains the crashes for its neighbours. Digests tell crashes and clearings at once and refused parts for as long as they are, also to a host that has just started. Two trials find out whether the part is sound again. request_suspected logs the parts.

The test's first form left one server that the part did not crash; it crashes all now.

--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -51,6 +51,8 @@
     learnt_from_peer = 603,
     caller_vanished = 701,
     request_suspected = 702,
+    prompt_part_refused = 703,
+    prompt_part_cleared = 704,
     request_waits = 710,
     request_attempted = 711,
     request_answered = 712,
--- a/libraries/decision/suspicion/suspect_table.hpp
+++ b/libraries/decision/suspicion/suspect_table.hpp
@@ -14,6 +14,9 @@
 /// Hash of a request that identifies its repetitions.
 using fingerprint = strong_type<struct suspect_fingerprint_tag, std::string>;
 
+/// Hash of a part of a prompt, which several requests may share.
+using part_fingerprint = strong_type<struct part_fingerprint_tag, std::string>;
+
 struct suspicion_limits
 {
     /// Crashes after which a request is refused.
--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -22,7 +22,7 @@
     : m_state(state), m_servers(servers), m_message(message),
       m_request(std::move(request)), m_reply(reply),
       m_configuration(state.configuration), m_arrived(monotonic_clock::now()),
-      m_observer(state, m_request.id),
+      m_observer(state, m_request),
       m_exchange(state.pool, servers, m_observer.handlers()),
       m_waiter(state.waiting.make_waiter())
 {
@@ -71,6 +71,7 @@
     // request beyond its deadline.
     m_reply.set_write_timeout(time_left(m_arrived));
     refuse_suspect();
+    refuse_crashing_part();
     charge();
     m_reply.watch_caller(
         [this]
@@ -240,6 +241,8 @@
             record_outcome("caller-gone");
             co_return;
         }
+        // What is known of its parts may have changed while it waited.
+        refuse_crashing_part();
         exchange_result result = co_await attempt(record);
         const bool is_cut_off =
             co_await m_observer.end(result, m_copy, m_fingerprint);
--- a/libraries/entry/active_request.hpp
+++ b/libraries/entry/active_request.hpp
@@ -49,6 +49,8 @@
     void authenticate();
     void charge();
     void refuse_suspect();
+    /// Refuses the request if a part of its prompt crashes servers.
+    void refuse_crashing_part();
     void choose_service();
     net::awaitable<void> attempt_until_answered();
     net::awaitable<server_table::record_pointer> wait_for_server();
@@ -116,6 +118,8 @@
     wait_queue::waiter_pointer m_waiter;
     bool m_has_retried_same_server = false;
     bool m_is_caller_gone = false;
+    /// The request may show whether a part of its prompt is sound again.
+    bool m_is_trial = false;
 };
 
 } // namespace cicadahub::entry
--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -1,6 +1,7 @@
 #include "entry/attempt_observer.hpp"
 
 #include "core/structured_log.hpp"
+#include "entry/crash_notices.hpp"
 
 namespace cicadahub::entry
 {
@@ -14,8 +15,31 @@
                                                     moment);
 }
 
+bool is_success(const exchange_result& result)
+{
+    constexpr unsigned first_failure_status = 300;
+    return !result.answer || result.answer->result_int() < first_failure_status;
+}
+
+std::string text_of(const std::vector<suspicion::part_fingerprint>& parts)
+{
+    std::string text;
+    for (const auto& it : parts)
+    {
+        text.append(text.empty() ? "" : " ").append(it.value());
+    }
+    return text;
+}
+
 } // namespace
 
+attempt_observer::attempt_observer(entry_state& state,
+                                   const serving::request& request)
+    : m_state(state), m_request(request.id),
+      m_parts(shared_parts_of(request.prompt))
+{
+}
+
 exchange_handlers attempt_observer::handlers()
 {
     return {[this] { return may_send(); },
@@ -39,7 +63,9 @@
 bool attempt_observer::may_send()
 {
     const time_point now = monotonic_clock::now();
-    if (!m_record->accepts_requests(now))
+    m_sent_at = now;
+    if (!m_record->accepts_requests(now) ||
+        (!m_is_trial && m_state.find_crashing_part(m_parts, now)))
     {
         return false;
     }
@@ -112,6 +138,7 @@
         result.end == exchange_end::streamed)
     {
         m_state.suspects.on_completed(fingerprint);
+        co_await record_answer(result);
     }
     const bool has_failed_to_connect = result.end == exchange_end::not_sent;
     if (!m_relay.empty())
@@ -152,13 +179,53 @@
     update_health(result, copy);
     if (result.is_connection_lost && is_gone)
     {
-        record_crash(fingerprint);
+        record_crash(fingerprint, failed_at);
     }
     co_return false;
 }
 
-void attempt_observer::record_crash(const suspicion::fingerprint& fingerprint)
+net::awaitable<void>
+attempt_observer::record_answer(const exchange_result& result)
+{
+    suspicion::crash_attribution& parts = m_state.crashing_parts;
+    if (parts.is_empty() || !result.answer_began || !is_success(result) ||
+        !parts.is_any_accused(m_parts))
+    {
+        co_return;
+    }
+    if (result.framing == http::body_framing::until_close)
+    {
+        // A crash between two events looks like the end of the answer.
+        const http::endpoint server = m_record->entry.address;
+        const bool is_accepting = co_await m_state.reach.is_accepting(server);
+        if (!is_accepting)
+        {
+            co_return;
+        }
+    }
+    const auto cleared = parts.on_completed(m_parts, *result.answer_began,
+                                            monotonic_clock::now());
+    for (const auto& it : cleared.readmitted)
+    {
+        log_event(severity::warning, event_number::prompt_part_cleared,
+                  {{"part", it.value()},
+                   {"request", m_request.value()},
+                   {"seen_by", m_state.settings.name.value()}});
+    }
+    if (cleared.has_cleared)
+    {
+        m_state.send_update_to_all_soon();
+    }
+}
+
+void attempt_observer::record_crash(const suspicion::fingerprint& fingerprint,
+                                    time_point crashed_at)
 {
+    suspicion::server_crash crash;
+    crash.key = {m_record->entry.id, m_record->entry.incarnation};
+    crash.at = crashed_at;
+    crash.requests.push_back({fingerprint, m_sent_at, m_parts});
+    m_state.crashing_parts.on_crash(crash, true, crashed_at);
     const std::uint32_t crashes =
         m_state.suspects.on_crash(fingerprint, monotonic_clock::now());
     m_state.send_update_soon();
@@ -168,6 +235,7 @@
                {"crashes", crashes},
                {"server", m_record->entry.id.value()},
                {"servers_silent_ms", servers_silent_ms()},
+               {"prompt_parts", text_of(m_parts)},
                {"seen_by", m_state.settings.name.value()}});
 }
 
--- a/libraries/entry/attempt_observer.hpp
+++ b/libraries/entry/attempt_observer.hpp
@@ -11,10 +11,7 @@
 class attempt_observer
 {
 public:
-    attempt_observer(entry_state& state, request_id request)
-        : m_state(state), m_request(std::move(request))
-    {
-    }
+    attempt_observer(entry_state& state, const serving::request& request);
 
     /// Handlers for the exchanges of the request, valid as long as this object.
     exchange_handlers handlers();
@@ -32,6 +29,14 @@
 
     void log(const exchange_result& result, time_point sent_at) const;
 
+    const std::vector<suspicion::part_fingerprint>& parts() const
+    {
+        return m_parts;
+    }
+
+    /// The request is sent although a part of its prompt crashed servers.
+    void admit_crashing_part() { m_is_trial = true; }
+
 private:
     /// Called immediately before the first byte.
     bool may_send();
@@ -39,12 +44,18 @@
     void on_notice(const server_notice& it);
     void update_health(const exchange_result& result,
                        const std::optional<replicas::copy_name>& copy);
-    void record_crash(const suspicion::fingerprint& fingerprint);
+    void record_crash(const suspicion::fingerprint& fingerprint,
+                      time_point crashed_at);
+    net::awaitable<void> record_answer(const exchange_result& result);
     /// Time since any server last sent this host anything.
     std::int64_t servers_silent_ms() const;
 
     entry_state& m_state;
     request_id m_request;
+    /// Parts of the prompt that other requests may have too.
+    std::vector<suspicion::part_fingerprint> m_parts;
+    bool m_is_trial = false;
+    time_point m_sent_at{};
     server_table::record_pointer m_record;
     std::string m_relay;
     /// Set once the request was sent to the server directly.
--- /dev/null
+++ b/libraries/entry/crash_notices.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/units.hpp"
+#include "decision/suspicion/crash_attribution.hpp"
+#include "digest_types.h"
+#include "entry/fleet_view.hpp"
+#include "serving/request.hpp"
+
+namespace cicadahub::entry
+{
+
+/// Hashes of the parts of a prompt that other requests may share: all but the
+/// last.
+std::vector<suspicion::part_fingerprint>
+shared_parts_of(const std::vector<serving::prompt_part>& prompt);
+
+/// Adds what this host knows of parts of prompts that crash servers to a
+/// digest.
+void add_crash_notices(fleet::wire::Digest& to,
+                       suspicion::crash_attribution& from, time_point now);
+
+/// Takes in what the digest of a peer says of such parts, and logs the parts
+/// that are refused from now on or no longer.
+void apply_crash_notices(const peer& from, suspicion::crash_attribution& to);
+
+} // namespace cicadahub::entry
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "core/structured_log.hpp"
 #include "daemon/pause.hpp"
+#include "entry/crash_notices.hpp"
 #include "fleet/digest_codec.hpp"
 #include "fleet/frame_codec.hpp"
 
@@ -117,6 +118,7 @@
             it.crashes.push_back(std::move(notice));
         }
     }
+    add_crash_notices(it, m_state.crashing_parts, now);
     for (const auto& [id, record] : m_state.servers.records())
     {
         if (record->has_announced_leaving)
@@ -276,6 +278,15 @@
     }
 }
 
+void digest_exchange::send_digest_to(const net::ip::udp::endpoint& peer)
+{
+    const time_point now = monotonic_clock::now();
+    fleet::wire::Digest it = make_digest(now, false);
+    add_demand(it, now);
+    add_work(it, false);
+    send(it, {peer});
+}
+
 void digest_exchange::send_update()
 {
     const time_point now = monotonic_clock::now();
@@ -409,9 +420,17 @@
                       {{"peer", sender}, {"reason", reason.what()}});
         }
     }
+    const auto known = m_state.fleet.peers().find(sender);
+    const bool has_started =
+        known == m_state.fleet.peers().end() ||
+        known->second.digest.incarnation != digest.incarnation;
     if (m_state.fleet.on_digest(digest, address, monotonic_clock::now()))
     {
         m_on_digest(m_state.fleet.peers().at(sender));
+        if (has_started && !m_state.crashing_parts.is_empty())
+        {
+            send_digest_to(from);
+        }
     }
 }
 
--- a/libraries/entry/digest_exchange.hpp
+++ b/libraries/entry/digest_exchange.hpp
@@ -50,6 +50,8 @@
     void add_demand(fleet::wire::Digest& to, time_point now);
     void add_peers(fleet::wire::Digest& to);
     void send_update();
+    /// Sends a host that has just started what the others know.
+    void send_digest_to(const net::ip::udp::endpoint& peer);
     void send(const fleet::wire::Digest& digest,
               const std::set<net::ip::udp::endpoint>& to);
     /// Address of the holder of the placement lease; empty if the holder is
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -3,6 +3,7 @@
 #include "core/json_reader.hpp"
 #include "core/structured_log.hpp"
 #include "daemon/pause.hpp"
+#include "entry/crash_notices.hpp"
 
 #include <csignal>
 
@@ -119,6 +120,14 @@
     {
         m_digests.send_update_soon();
     };
+    m_state.send_update_to_all_soon = [this]
+    {
+        m_digests.send_update_to_all_soon();
+    };
+    m_state.is_placement_holder = [this]
+    {
+        return m_placement.is_held();
+    };
     m_state.on_server_leaving = [this]
     {
         m_digests.send_update_to_all_soon();
@@ -261,6 +270,7 @@
                        {"seen_by", it.digest.sender}});
         }
     }
+    apply_crash_notices(it, m_state.crashing_parts);
     for (const auto& leaving : it.digest.leaving_servers)
     {
         const bool is_news = m_state.servers.on_leaving(
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -71,6 +71,18 @@
     }
 }
 
+std::optional<suspicion::part_fingerprint> entry_state::find_crashing_part(
+    const std::vector<suspicion::part_fingerprint>& parts, time_point now)
+{
+    auto found = crashing_parts.find_refused(parts, now);
+    for (const auto& it : crashing_parts.take_new_causes())
+    {
+        log_event(severity::warning, event_number::prompt_part_refused,
+                  {{"part", it.value()}, {"seen_by", settings.name.value()}});
+    }
+    return found;
+}
+
 void entry_state::on_brittle_notice(const server_record& server,
                                     const server_notice& it)
 {
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -3,6 +3,7 @@
 #include "decision/sharing/brittle_service.hpp"
 #include "decision/sharing/fleet_rate.hpp"
 #include "decision/sharing/retry_budget.hpp"
+#include "decision/suspicion/crash_attribution.hpp"
 #include "decision/suspicion/suspect_table.hpp"
 #include "entry/demand_table.hpp"
 #include "entry/entry_metrics.hpp"
@@ -38,6 +39,7 @@
     demand_table demand;
     wait_queue waiting;
     suspicion::suspect_table suspects;
+    suspicion::crash_attribution crashing_parts;
     entry_metrics metrics;
     /// Connections to backend servers for callers' requests.
     http::client_pool pool;
@@ -62,6 +64,12 @@
     /// Called on changes that other daemons need to learn of at once.
     std::function<void()> send_update_soon;
 
+    /// The same for a change that each daemon needs to learn of.
+    std::function<void()> send_update_to_all_soon;
+
+    /// True while this daemon holds the placement lease.
+    std::function<bool()> is_placement_holder;
+
     /// Called when a response said that its server leaves.
     std::function<void()> on_server_leaving;
 
@@ -69,6 +77,12 @@
     void update_rate_shares(time_point now);
     sharing::retry_budget& retry_budget_of(const service_id& service);
 
+    /// A part among these that crashes servers, so that a request with it is
+    /// refused; empty if there is none.
+    std::optional<suspicion::part_fingerprint>
+    find_crashing_part(const std::vector<suspicion::part_fingerprint>& parts,
+                       time_point now);
+
     /// Takes in what an answer of a server says of how brittle it is.
     void on_brittle_notice(const server_record& server,
                            const server_notice& it);
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -327,6 +327,7 @@
         co_await relay_stream(server, reply, progress);
         co_return;
     }
+    m_result.answer_began = m_last_contact;
     http::response answer = co_await read_full_response(server);
     switch (meaning)
     {
@@ -417,6 +418,8 @@
         }
         if (!events->empty())
         {
+            m_result.answer_began =
+                m_result.answer_began.value_or(m_last_contact);
             co_await forward_events(*events, reply, progress);
         }
     }
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -44,6 +44,9 @@
     std::optional<http::body_framing> framing;
     /// The daemon that should have forwarded the request has not sent it.
     bool is_relay_unavailable = false;
+    /// Arrival of the first event of a stream, or of the head of another
+    /// answer.
+    std::optional<time_point> answer_began;
     /// Bytes of an event at the end of a stream that lacks its end.
     std::size_t partial_event_bytes = 0;
     std::string reason;
--- a/libraries/entry/fleet_view.cpp
+++ b/libraries/entry/fleet_view.cpp
@@ -96,6 +96,9 @@
         known.work = update.work;
     }
     known.crashes = update.crashes;
+    known.crashed_servers = update.crashed_servers;
+    known.refused_parts = update.refused_parts;
+    known.cleared_parts = update.cleared_parts;
     known.holdings = update.holdings;
     known.leaving_servers = update.leaving_servers;
     known.__isset.placement_epoch = update.__isset.placement_epoch;
--- a/libraries/entry/request_admission.cpp
+++ b/libraries/entry/request_admission.cpp
@@ -93,6 +93,24 @@
     }
 }
 
+void active_request::refuse_crashing_part()
+{
+    const time_point now = monotonic_clock::now();
+    const auto part = m_state.find_crashing_part(m_observer.parts(), now);
+    if (!part || (m_is_trial && m_runs == 0))
+    {
+        return;
+    }
+    // One host decides on trials, so that they are few.
+    m_is_trial = m_sends == 0 && m_state.is_placement_holder() &&
+                 m_state.crashing_parts.try_admit(*part, now);
+    if (!m_is_trial)
+    {
+        refuse(refusal_kind::suspect_request, {});
+    }
+    m_observer.admit_crashing_part();
+}
+
 void active_request::choose_service()
 {
     const auto& shares = m_route->services;
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -58,6 +58,35 @@
   2: i32 crashes
 }
 
+/// A request of the sender that was in flight on a server when it crashed.
+struct CrashedRequest {
+  /// Hash of the request.
+  1: string request
+  /// Time from the sending to the crash.
+  2: i32 sent_before_ms
+  /// Hashes of the parts of its prompt that other requests may share.
+  3: list<string> parts
+}
+
+/// A crash that the sender has seen, with its own requests on that server.
+struct CrashedServer {
+  1: string server
+  2: i64 incarnation
+  /// Time since the crash.
+  3: i32 age_ms
+  4: list<CrashedRequest> requests
+}
+
+/// A part of prompts by its hash.
+struct PromptPart {
+  1: string part
+  /// Time since its last crash, or since the complete answer that clears it
+  /// began.
+  2: i32 age_ms
+  /// Requests admitted to find out whether a refused part is sound again.
+  3: i32 trials
+}
+
 /// A server that said in a response that it leaves.
 struct LeavingServer {
   1: string server
@@ -98,4 +127,11 @@
   20: list<LeavingServer> leaving_servers
   /// True if the sender can open no connection to any backend server.
   21: bool is_cut_off
+  /// Crashes of the last seconds.
+  22: list<CrashedServer> crashed_servers
+  /// Parts of prompts that crash servers; all that the sender refuses.
+  23: list<PromptPart> refused_parts
+  /// Parts that answers completed on within the last seconds, although servers
+  /// had crashed while requests with them ran.
+  24: list<PromptPart> cleared_parts
 }
--- a/tests/system/crashing_part_test.cpp
+++ b/tests/system/crashing_part_test.cpp
@@ -33,6 +33,11 @@
     restarted_engines(platform_fleet& fleet, std::string faults)
         : m_fleet(fleet), m_faults(std::move(faults))
     {
+        for (std::size_t n = 0; n < fleet.engines.size(); ++n)
+        {
+            fleet.set_fault(fleet.engines[n].address, m_faults);
+            m_indexes.push_back(n);
+        }
         for (std::size_t n = 0; n < engine_count; ++n)
         {
             start_one();
