Tests: Let servers name the rate that they take

The stand-in names a limit and counts what comes from all hosts in a sliding 4 s. The callers of these runs all sent at the same moments; the test staggers them from here on.

--- /dev/null
+++ b/tests/system/limited_server_test.cpp
@@ -0,0 +1,194 @@
+#include "platform_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <cmath>
+#include <thread>
+
+namespace cicadahub::system_tests
+{
+namespace
+{
+
+constexpr int daemon_count = 9;
+constexpr std::size_t callers_per_daemon = 2;
+constexpr milliseconds request_gap{50};
+constexpr milliseconds warm_up{500};
+constexpr milliseconds measured_time{7'000};
+constexpr double window_seconds = 4;
+
+/// Requests that a server may get in a window from all hosts together.
+std::int64_t allowed_requests(const std::string& limit)
+{
+    constexpr double tolerance = 1.5;
+    constexpr double extra = 5;
+    return std::llround(tolerance * window_seconds * std::stod(limit) + extra);
+}
+
+struct limit_case
+{
+    const char* name;
+    std::string limit;
+    /// Servers of the service that name the limit, of two.
+    std::size_t servers;
+    /// Share of all requests that must be served.
+    double served_share;
+    bool restarts_hosts = false;
+};
+
+void PrintTo(const limit_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+struct load_result
+{
+    std::atomic<std::size_t> sent = 0;
+    std::atomic<std::size_t> served = 0;
+    std::atomic<std::size_t> late_refusals = 0;
+};
+
+/// Callers at all hosts that send until the object is destroyed.
+class load
+{
+public:
+    load(const platform_fleet& fleet, load_result& result)
+    {
+        for (std::size_t n = 0; n < daemon_count * callers_per_daemon; ++n)
+        {
+            m_callers.emplace_back([this, &fleet, &result, n]
+                                   { run(fleet, result, n); });
+        }
+    }
+
+    ~load()
+    {
+        m_is_over = true;
+        for (std::thread& it : m_callers)
+        {
+            it.join();
+        }
+    }
+
+    load(const load&) = delete;
+    load& operator=(const load&) = delete;
+
+private:
+    void run(const platform_fleet& fleet, load_result& result, std::size_t n)
+    {
+        // Not all at the same moment.
+        std::this_thread::sleep_for(request_gap * n /
+                                    (daemon_count * callers_per_daemon));
+        for (std::size_t k = 0; !m_is_over; ++k)
+        {
+            const std::string id =
+                "c" + std::to_string(n) + "-" + std::to_string(k);
+            const time_point at = monotonic_clock::now();
+            const answer got =
+                fleet.plain(n % daemon_count, id, http::verb::post, "/post/1");
+            ++result.sent;
+            result.served += got.status == 200 ? 1 : 0;
+            // The route's time is 3 s.
+            const bool is_late =
+                got.status != 200 &&
+                monotonic_clock::now() > at + milliseconds(1'500);
+            result.late_refusals += is_late ? 1 : 0;
+            std::this_thread::sleep_until(at + request_gap);
+        }
+    }
+
+    std::atomic<bool> m_is_over = false;
+    std::vector<std::thread> m_callers;
+};
+
+class limited_servers : public testing::TestWithParam<limit_case>
+{
+};
+
+// Guards against a server that gets more requests than it said it takes, since
+// each host knows what it sends itself only.
+TEST_P(limited_servers, get_no_more_than_they_take)
+{
+    const limit_case& it = GetParam();
+    platform_fleet fleet(daemon_count);
+    load_result all;
+    std::size_t sent_before = 0;
+    std::size_t served_before = 0;
+    {
+        const load running(fleet, all);
+        std::this_thread::sleep_for(warm_up);
+        for (std::size_t n = 0; n < it.servers; ++n)
+        {
+            fleet.set_fault(fleet.services[n].address,
+                            R"({"limit":")" + it.limit + R"("})");
+        }
+        std::this_thread::sleep_for(warm_up);
+        sent_before = all.sent;
+        served_before = all.served;
+        if (it.restarts_hosts)
+        {
+            for (std::size_t n = 0; n < 3; ++n)
+            {
+                std::this_thread::sleep_for(warm_up);
+                fleet.start_daemon(n);
+            }
+        }
+        std::this_thread::sleep_for(measured_time);
+    }
+    const auto sent = static_cast<double>(all.sent - sent_before);
+    const auto served = static_cast<double>(all.served - served_before);
+    for (std::size_t n = 0; n < it.servers; ++n)
+    {
+        EXPECT_LE(read_stat(fleet.services[n].address, "most_limited_arrivals"),
+                  allowed_requests(it.limit));
+        EXPECT_GE(read_stat(fleet.services[n].address, "most_limited_arrivals"),
+                  std::llround(window_seconds * std::stod(it.limit) / 2));
+    }
+    EXPECT_GE(served, it.served_share * sent);
+    EXPECT_LE(all.late_refusals, all.sent / 50);
+    std::cout << "served " << served << " of " << sent << ", most arrivals "
+              << read_stat(fleet.services[0].address, "most_limited_arrivals")
+              << " of " << allowed_requests(it.limit) << ", late refusals "
+              << all.late_refusals << "\n";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    platform_path, limited_servers,
+    testing::Values(limit_case{"one_of_two", "1.6", 1, 0.9},
+                    limit_case{"below_one", "0.4", 1, 0.9},
+                    limit_case{"all", "5", 2, 0},
+                    limit_case{"many_a_second", "30", 2, 0.1},
+                    limit_case{"hosts_restart", "2.5", 2, 0, true}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+// Guards against servers that are used too little after their limit ended.
+TEST(platform_path, a_limit_ends_with_the_next_answer)
+{
+    platform_fleet fleet(daemon_count);
+    load_result limited;
+    {
+        const load running(fleet, limited);
+        for (const auto& it : fleet.services)
+        {
+            fleet.set_fault(it.address, R"({"limit":"2"})");
+        }
+        std::this_thread::sleep_for(milliseconds(2'000));
+    }
+    for (const auto& it : fleet.services)
+    {
+        fleet.set_fault(it.address, R"({"limit":""})");
+    }
+    load_result after;
+    {
+        const load running(fleet, after);
+        std::this_thread::sleep_for(milliseconds(2'000));
+        after.sent = 0;
+        after.served = 0;
+        std::this_thread::sleep_for(milliseconds(2'000));
+    }
+    EXPECT_GT(after.served, after.sent * 9 / 10);
+}
+
+} // namespace
+} // namespace cicadahub::system_tests
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -20,6 +20,9 @@
 /// A request that was on its way when the pause was asked for may come so late.
 constexpr milliseconds pause_grace{500};
 constexpr milliseconds fall_time{1'000};
+/// All hosts know a limit after this time.
+constexpr milliseconds limit_grace{700};
+constexpr milliseconds limit_window{4'000};
 constexpr int crash_status = 134;
 constexpr int events_per_stream = 8;
 constexpr int events_before_break = 2;
@@ -172,6 +175,13 @@
         m_endless = reader.text_or("endless", m_endless);
         m_sheds_placement =
             reader.boolean_or("shed_placement", m_sheds_placement);
+        if (json.contains("limit"))
+        {
+            m_rate_limit = reader.text("limit");
+            m_limit_counts_from = monotonic_clock::now() + limit_grace;
+            m_limited_arrivals.clear();
+            m_most_limited_arrivals = 0;
+        }
         if (json.contains("brittle"))
         {
             m_brittle_limit = reader.integer("brittle");
@@ -211,6 +221,7 @@
             refusal(http::status::misdirected_request, message["Request-Id"]));
         co_return;
     }
+    count_limited_arrival();
     const bool is_placement = path == "/v1/report" || path == "/v1/order";
     if (is_placement && m_sheds_placement && is_shedding())
     {
@@ -250,6 +261,10 @@
     {
         it.set("Server-Leaving", "1");
     }
+    if (!m_rate_limit.empty())
+    {
+        it.set("Server-Limit", m_rate_limit);
+    }
     if (m_brittle_limit)
     {
         it.set("Server-Brittle", std::to_string(*m_brittle_limit));
@@ -276,6 +291,21 @@
     }
 }
 
+void worker_standin::count_limited_arrival()
+{
+    const time_point now = monotonic_clock::now();
+    if (m_rate_limit.empty() || now < m_limit_counts_from)
+    {
+        return;
+    }
+    std::erase_if(m_limited_arrivals,
+                  [&](time_point at) { return at + limit_window < now; });
+    m_limited_arrivals.push_back(now);
+    m_most_limited_arrivals =
+        std::max(m_most_limited_arrivals,
+                 static_cast<std::int64_t>(m_limited_arrivals.size()));
+}
+
 void worker_standin::count_rejection()
 {
     const time_point now = monotonic_clock::now();
@@ -355,6 +385,7 @@
                         {"organisations", organisations},
                         {"arrivals_in_pause", m_arrivals_in_pause},
                         {"falls", m_falls},
+                        {"most_limited_arrivals", m_most_limited_arrivals},
                         {"keys_seen", m_keys_seen},
                         {"endless_bytes", m_endless_bytes},
                         {"orders", m_orders},
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -54,12 +54,13 @@
 /// `stale_id`, or none if that is empty) and `endless` (responses never end: in
 /// the "head", in "interim" responses, in a "chunk_extension", in the "body",
 /// which has no length and in a stream is one event, or with whole "events";
-/// empty for none), `brittle` (limit that responses announce) and `room`
-/// (requests that it runs at the same time, if fewer than its slots; from then
-/// on, after more rejections for want of room in a second than the limit, the
-/// server fails, which is counted as `falls`, and for a second closes all
-/// connections). `GET /stats`
-/// returns counters and `GET /runs` how often each request was executed.
+/// empty for none), `limit` (requests a second, as text, that responses say the
+/// server takes from all hosts together; empty for none), `brittle` (limit that
+/// responses announce) and `room` (requests that it runs at the same time, if
+/// fewer than its slots; from then on, after more rejections for want of room
+/// in a second than the limit, the server fails, which is counted as `falls`,
+/// and for a second closes all connections). `GET /stats` returns counters and
+/// `GET /runs` how often each request was executed.
 class worker_standin
 {
 public:
@@ -82,6 +83,8 @@
     http::response stale_refusal();
     bool is_shedding() const;
     void count_arrival_in_pause();
+    /// Counts a request against the rate limit, over a sliding window.
+    void count_limited_arrival();
     /// Counts a rejection for want of room, which may make the server fail.
     void count_rejection();
     /// The rejection that asks for a pause; counts requests that come within
@@ -133,6 +136,11 @@
     std::int64_t m_endless_bytes = 0;
     time_point m_sheds_until{};
     bool m_sheds_placement = false;
+    std::string m_rate_limit;
+    /// Requests count against the limit from here on.
+    time_point m_limit_counts_from{};
+    std::deque<time_point> m_limited_arrivals;
+    std::int64_t m_most_limited_arrivals = 0;
     std::optional<std::int64_t> m_brittle_limit;
     std::optional<std::int64_t> m_room;
     std::deque<time_point> m_rejections;
