Routing: Keep to the rate that a server takes from all hosts

What callers saw: servers that named a limit of 1.4 to 2.1 requests a second got up to 40 in 4 s (LIMIT).

Cause: nothing read the notice, and nothing shared a rate of a server among hosts. Ruled out: repeats and orders (all attempts in the window were first ones, all were streamed).

Now the limit is kept by server and incarnation, with the time of the answer, and told to all hosts at once. One host sends to the server, the same at all hosts in contact, and keeps a bucket without savings from others; the rest relay through it, so that the rate goes where the requests are. Hosts apart from each other have a sender each, with the part of the limit that their number is of all hosts. A request that can't be sent in its time is refused at once with the time until it can. Placement takes the server for paused, asks no reports of it, and loads its models elsewhere. Weighed: equal parts (a request every few minutes at 420 hosts), parts by demand (late, and a second protocol).

--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -46,6 +46,7 @@
     CICADAHUB_ROW(server_suspended),
     CICADAHUB_ROW(server_paused),
     CICADAHUB_ROW(service_brittle),
+    CICADAHUB_ROW(server_limited),
     CICADAHUB_ROW(host_cut_off),
     CICADAHUB_ROW(host_reconnected),
     CICADAHUB_ROW(peer_connected),
--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -43,6 +43,7 @@
     server_suspended = 523,
     server_paused = 524,
     service_brittle = 525,
+    server_limited = 526,
     host_cut_off = 530,
     host_reconnected = 531,
     peer_connected = 600,
--- /dev/null
+++ b/libraries/decision/sharing/server_limit.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/units.hpp"
+
+#include <optional>
+
+namespace cicadahub::sharing
+{
+
+/// What a server said of the rate that it takes from all hosts together, and
+/// this host's tokens for it. One host sends to a limited server and the others
+/// relay through it, so that its tokens are all that there are.
+class server_limit
+{
+public:
+    /// A server that takes nothing is still asked this often, to learn when the
+    /// limit ends.
+    static constexpr double min_requests_per_second = 0.1;
+    /// Tokens for this long can be saved, beside one.
+    static constexpr double burst_seconds = 0.5;
+    /// A server that nobody hears anything of is no longer taken for limited.
+    static constexpr milliseconds notice_lifetime{60'000};
+
+    /// An answer of the server, or another host's report of one that arrived at
+    /// `heard_at`; empty if the answer named no limit. Ignored if it is older
+    /// than what is known. Returns true if the limit changed.
+    bool on_answer(std::optional<double> requests_per_second,
+                   time_point heard_at, time_point now);
+
+    bool is_limited(time_point now) const;
+    /// Requests a second from all hosts; empty if the server is not limited.
+    std::optional<double> requests_per_second(time_point now) const;
+    /// Time of the answer that told the limit, or told that it ended; empty if
+    /// the server never named one.
+    std::optional<time_point> heard_at() const { return m_heard_at; }
+
+    /// This host is the one that sends to the server, with a part of the limit
+    /// from 0 to 1. It begins without tokens, as the one before may have used
+    /// them.
+    void on_sender(double part, time_point now);
+    /// Another host is.
+    void on_not_sender() { m_is_sender = false; }
+
+    /// Time until this host may send a request, if it is the one that sends; 0
+    /// if it may now.
+    milliseconds time_to_send(time_point now) const;
+    void on_sent(time_point now);
+
+    /// The host that sends had no token for this host, one of `hosts`.
+    void on_withheld(std::size_t hosts, time_point now);
+    /// Time until this host may ask the one that sends; 0 if it may now.
+    milliseconds time_to_ask(time_point now) const;
+
+private:
+    double rate(time_point now) const;
+    double tokens(time_point now) const;
+    void settle(time_point now);
+
+    std::optional<double> m_requests_per_second;
+    std::optional<time_point> m_heard_at;
+    bool m_is_sender = false;
+    double m_part = 1;
+    double m_tokens = 0;
+    time_point m_settled_at{};
+    time_point m_withheld_until{};
+};
+
+} // namespace cicadahub::sharing
--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -87,15 +87,22 @@
                                  time_point now) const
 {
     return m_state.reach.is_cut_off() ||
-           !m_state.is_entitled(m_state.settings.name, server, now);
+           !m_state.is_entitled(m_state.settings.name, server, now) ||
+           (server.limit.is_limited(now) &&
+            m_state.limit_sender(server) != m_state.settings.name.value());
 }
 
 bool active_request::is_usable(const server_record& server,
                                time_point now) const
 {
-    return needs_relay(server, now)
-               ? m_state.reach.is_cut_off() || choose_relay(server) != nullptr
-               : m_state.may_send(server, now);
+    if (!needs_relay(server, now))
+    {
+        return m_state.may_send(server, now);
+    }
+    // Without a daemon that relays, a host that is cut off tries directly.
+    const bool may_go_directly =
+        m_state.reach.is_cut_off() && !server.limit.is_limited(now);
+    return may_go_directly || choose_relay(server) != nullptr;
 }
 
 const peer* active_request::choose_relay(const server_record& server) const
@@ -103,10 +110,13 @@
     const time_point now = monotonic_clock::now();
     std::vector<const peer*> near;
     std::vector<const peer*> far;
+    const std::string only = server.limit.is_limited(now)
+                                 ? m_state.limit_sender(server)
+                                 : std::string();
     for (const auto& [name, it] : m_state.fleet.peers())
     {
-        if (it.digest.is_cut_off || it.digest.is_leaving ||
-            m_excluded_relays.contains(name) ||
+        if ((!only.empty() && name != only) || it.digest.is_cut_off ||
+            it.digest.is_leaving || m_excluded_relays.contains(name) ||
             !m_state.is_entitled(daemon_id(name), server, now))
         {
             continue;
@@ -222,7 +232,10 @@
     {
         return false;
     }
-    if (!is_cut_off)
+    // A server that only had no token for the request may have one soon.
+    const bool is_over_limit =
+        result.end == exchange_end::withheld && record->limit.is_limited(now);
+    if (!is_cut_off && !is_over_limit)
     {
         m_excluded_servers.insert(record->entry.id);
     }
--- a/libraries/entry/active_request.hpp
+++ b/libraries/entry/active_request.hpp
@@ -43,6 +43,10 @@
         bool has_eligible_server = false;
         /// Shortest time left, if every eligible server asked for a pause.
         std::optional<milliseconds> pause_left;
+        /// Shortest time until a server with a limit gets another request, and
+        /// the rate of all such servers, if no other server is eligible.
+        std::optional<milliseconds> limit_left;
+        double limit_rate = 0;
     };
 
     void find_route();
--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -77,6 +77,7 @@
     {
         return false;
     }
+    m_state.on_sent(*m_record, now);
     const auto brittle = m_state.brittle_services.find(m_record->entry.service);
     if (brittle != m_state.brittle_services.end())
     {
@@ -106,7 +107,7 @@
 void attempt_observer::on_notice(const server_notice& it)
 {
     const serving::server_entry& entry = m_record->entry;
-    m_state.on_brittle_notice(*m_record, it);
+    m_state.on_server_notice(*m_record, it);
     if (it.is_leaving &&
         m_state.servers.on_leaving(entry.id, entry.incarnation, "response"))
     {
@@ -143,6 +144,11 @@
     const bool has_failed_to_connect = result.end == exchange_end::not_sent;
     if (!m_relay.empty())
     {
+        if (result.end == exchange_end::withheld)
+        {
+            const time_point now = monotonic_clock::now();
+            m_record->limit.on_withheld(m_state.fleet.host_count(now), now);
+        }
         // The daemon that forwarded the request examined the failure.
         if (!result.is_relay_unavailable && !has_failed_to_connect)
         {
--- a/libraries/entry/dialects.hpp
+++ b/libraries/entry/dialects.hpp
@@ -52,6 +52,8 @@
     /// The server is brittle: it fails if it has to reject more requests than
     /// this in a second.
     std::optional<std::uint32_t> brittle_limit;
+    /// Requests a second that the server takes from all hosts together.
+    std::optional<double> rate_limit;
 };
 
 struct answer_head
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -33,6 +33,9 @@
 /// some digests still learn of them.
 constexpr milliseconds crash_notice_lifetime{3'000};
 constexpr std::size_t max_crash_notices = 64;
+/// The host that sends to a server with a limit hears of it more often.
+constexpr milliseconds limit_notice_lifetime{20'000};
+constexpr std::size_t max_limit_notices = 256;
 constexpr auto no_throw = net::as_tuple(net::use_awaitable);
 
 net::ip::udp::endpoint datagram_endpoint(const http::endpoint& it)
@@ -129,10 +132,34 @@
             it.leaving_servers.push_back(std::move(leaving));
         }
     }
+    add_limits(it, now);
     m_fill(it, now);
     return it;
 }
 
+void digest_exchange::add_limits(fleet::wire::Digest& to, time_point now) const
+{
+    to.__isset.limited_servers = true;
+    for (const auto& [id, record] : m_state.servers.records())
+    {
+        const auto heard_at = record->limit.heard_at();
+        if (!heard_at || *heard_at + limit_notice_lifetime < now ||
+            to.limited_servers.size() >= max_limit_notices)
+        {
+            continue;
+        }
+        fleet::wire::LimitedServer& it = to.limited_servers.emplace_back();
+        it.server = id.value();
+        it.incarnation = record->entry.incarnation;
+        it.age_ms = static_cast<std::int32_t>(
+            std::chrono::duration_cast<milliseconds>(now - *heard_at).count());
+        if (const auto limit = record->limit.requests_per_second(now))
+        {
+            it.__set_requests_per_second(*limit);
+        }
+    }
+}
+
 void digest_exchange::add_pending_demand(fleet::wire::Digest& to,
                                          time_point now) const
 {
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -77,9 +77,9 @@
                    m_state.demand, m_state.waiting, m_state.metrics,
                    [this] { return m_state.configuration; }, m_state.random,
                    m_state.reach, [this] { m_state.on_server_leaving(); },
-                   [this](const server_record& server, const server_notice& it)
+                   [this](server_record& server, const server_notice& it)
                    {
-                       m_state.on_brittle_notice(server, it);
+                       m_state.on_server_notice(server, it);
                    }},
                   [this]
                   {
@@ -271,6 +271,10 @@
         }
     }
     apply_crash_notices(it, m_state.crashing_parts);
+    for (const auto& limited : it.digest.limited_servers)
+    {
+        m_state.on_limit_notice(limited, it);
+    }
     for (const auto& leaving : it.digest.leaving_servers)
     {
         const bool is_news = m_state.servers.on_leaving(
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -83,6 +83,54 @@
     return found;
 }
 
+void entry_state::on_server_notice(server_record& server,
+                                   const server_notice& it)
+{
+    on_brittle_notice(server, it);
+    if (it.is_from_server)
+    {
+        on_limit(server, it.rate_limit, monotonic_clock::now(),
+                 settings.name.value());
+    }
+}
+
+void entry_state::on_limit_notice(const fleet::wire::LimitedServer& it,
+                                  const peer& from)
+{
+    const auto record = servers.find(server_id(it.server));
+    if (!record || record->entry.incarnation != it.incarnation)
+    {
+        return;
+    }
+    const auto limit = it.__isset.requests_per_second
+                           ? std::optional(it.requests_per_second)
+                           : std::nullopt;
+    on_limit(*record, limit, from.received_at - milliseconds(it.age_ms),
+             from.digest.sender);
+}
+
+void entry_state::on_limit(server_record& server, std::optional<double> limit,
+                           time_point heard_at, const std::string& seen_by)
+{
+    if (!server.limit.on_answer(limit, heard_at, monotonic_clock::now()))
+    {
+        return;
+    }
+    const bool is_own = seen_by == settings.name.value();
+    log_event(severity::info, event_number::server_limited,
+              {{"server", server.entry.id.value()},
+               {"incarnation", server.entry.incarnation},
+               {"is_limited", limit.has_value()},
+               {"requests_per_second", limit.value_or(0)},
+               {"sender", limit_sender(server)},
+               {"seen_by", seen_by}});
+    if (is_own)
+    {
+        send_update_to_all_soon();
+    }
+    waiting.wake_all();
+}
+
 void entry_state::on_brittle_notice(const server_record& server,
                                     const server_notice& it)
 {
@@ -134,8 +182,15 @@
     return it;
 }
 
-bool entry_state::may_send(const server_record& server, time_point now) const
+bool entry_state::may_send(const server_record& server, time_point now)
 {
+    const auto record = servers.find(server.entry.id);
+    if (server.limit.is_limited(now) &&
+        (!record || limit_sender(server) != settings.name.value() ||
+         limit_wait(*record, now).count() > 0))
+    {
+        return false;
+    }
     const auto known = brittle_services.find(server.entry.service);
     if (known == brittle_services.end())
     {
@@ -147,6 +202,69 @@
                          position_of(settings.name, server, *limit, now), now);
 }
 
+void entry_state::on_sent(server_record& server, time_point now)
+{
+    if (server.limit.is_limited(now))
+    {
+        server.limit.on_sent(now);
+    }
+}
+
+std::string entry_state::limit_sender(const server_record& server) const
+{
+    std::string sender;
+    std::size_t least = 0;
+    const auto consider = [&](const std::string& name)
+    {
+        const std::size_t weight =
+            std::hash<std::string>{}(name + '|' + server.entry.id.value());
+        if (sender.empty() ||
+            std::pair(weight, name) < std::pair(least, sender))
+        {
+            sender = name;
+            least = weight;
+        }
+    };
+    if (!reach.is_cut_off() && !is_draining)
+    {
+        consider(settings.name.value());
+    }
+    for (const auto& [name, it] : fleet.peers())
+    {
+        if (it.digest.__isset.limited_servers && !it.digest.is_cut_off &&
+            !it.digest.is_leaving)
+        {
+            consider(name);
+        }
+    }
+    return sender;
+}
+
+milliseconds entry_state::limit_wait(server_record& server, time_point now)
+{
+    if (limit_sender(server) != settings.name.value())
+    {
+        server.limit.on_not_sender();
+        return server.limit.time_to_ask(now);
+    }
+    // Hosts that are not in contact may send to the server too.
+    const auto in_contact = static_cast<double>(1 + fleet.peers().size());
+    server.limit.on_sender(
+        in_contact / static_cast<double>(fleet.host_count(now)), now);
+    return server.limit.time_to_send(now);
+}
+
+double entry_state::limit_rate(const server_record& server,
+                               time_point now) const
+{
+    const double all =
+        std::max(sharing::server_limit::min_requests_per_second,
+                 server.limit.requests_per_second(now).value_or(0));
+    return limit_sender(server) == settings.name.value()
+               ? all
+               : all / static_cast<double>(fleet.host_count(now));
+}
+
 bool entry_state::is_entitled(const daemon_id& host,
                               const server_record& server, time_point now) const
 {
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -83,18 +83,36 @@
     find_crashing_part(const std::vector<suspicion::part_fingerprint>& parts,
                        time_point now);
 
-    /// Takes in what an answer of a server says of how brittle it is.
-    void on_brittle_notice(const server_record& server,
-                           const server_notice& it);
-    /// Whether a host may send a server one more request now, as far as
-    /// brittle servers are concerned.
-    bool may_send(const server_record& server, time_point now) const;
+    /// Takes in what an answer of a server says of how brittle it is and of the
+    /// rate that it takes.
+    void on_server_notice(server_record& server, const server_notice& it);
+    /// Takes in what another host heard of the rate that a server takes.
+    void on_limit_notice(const fleet::wire::LimitedServer& it,
+                         const peer& from);
+    /// Whether this host may send a server one more request now, as far as
+    /// brittle servers and limits are concerned.
+    bool may_send(const server_record& server, time_point now);
+    /// Counts a request that is sent to the server.
+    void on_sent(server_record& server, time_point now);
+
+    /// Name of the host that sends to a server with a limit, the same at all
+    /// hosts in contact; empty if there is none.
+    std::string limit_sender(const server_record& server) const;
+    /// Time until this host may send a request to a server with a limit, or
+    /// relay one; 0 if it may now.
+    milliseconds limit_wait(server_record& server, time_point now);
+    /// Requests a second that this host can expect to get to such a server.
+    double limit_rate(const server_record& server, time_point now) const;
     /// Whether a host, this one or a peer, is among those that may send to the
     /// server.
     bool is_entitled(const daemon_id& host, const server_record& server,
                      time_point now) const;
 
 private:
+    void on_brittle_notice(const server_record& server,
+                           const server_notice& it);
+    void on_limit(server_record& server, std::optional<double> limit,
+                  time_point heard_at, const std::string& seen_by);
     sharing::host_position position_of(const daemon_id& host,
                                        const server_record& server,
                                        std::uint32_t limit,
--- a/libraries/entry/fleet_view.cpp
+++ b/libraries/entry/fleet_view.cpp
@@ -99,6 +99,8 @@
     known.crashed_servers = update.crashed_servers;
     known.refused_parts = update.refused_parts;
     known.cleared_parts = update.cleared_parts;
+    known.__isset.limited_servers = update.__isset.limited_servers;
+    known.limited_servers = update.limited_servers;
     known.holdings = update.holdings;
     known.leaving_servers = update.leaving_servers;
     known.__isset.placement_epoch = update.__isset.placement_epoch;
--- a/libraries/entry/placement_controller.cpp
+++ b/libraries/entry/placement_controller.cpp
@@ -220,7 +220,8 @@
         auto& servers = m_servers[service->name];
         const auto [known, is_new] =
             servers.try_emplace(id, replicas::server_state(record->entry, now));
-        known->second.set_paused(record->pause.is_active(now));
+        known->second.set_paused(record->pause.is_active(now) ||
+                                 record->limit.is_limited(now));
         if (is_new)
         {
             continue;
@@ -366,7 +367,7 @@
         const auto may_send = [&]
         {
             is_withheld =
-                !is_held() || !record->accepts_requests(monotonic_clock::now());
+                !is_held() || !record->accepts_orders(monotonic_clock::now());
             return !is_withheld;
         };
         try
@@ -448,7 +449,7 @@
             const auto record = m_inputs.servers.find(id);
             if ((state.is_confirmed() && !is_due) || state.awaits_answer() ||
                 now < m_report_requested_at[id] + report_period || !record ||
-                !record->accepts_requests(now))
+                !record->accepts_orders(now))
             {
                 continue;
             }
@@ -470,7 +471,7 @@
     bool is_withheld = false;
     const auto may_send = [&]
     {
-        is_withheld = !record->accepts_requests(monotonic_clock::now());
+        is_withheld = !record->accepts_orders(monotonic_clock::now());
         return !is_withheld;
     };
     try
--- a/libraries/entry/placement_controller.hpp
+++ b/libraries/entry/placement_controller.hpp
@@ -34,7 +34,7 @@
     /// Called when an answer said that its server leaves.
     std::function<void()> on_server_leaving;
     /// Called with what the head of each answer says of its server.
-    std::function<void(const server_record&, const server_notice&)> on_notice;
+    std::function<void(server_record&, const server_notice&)> on_notice;
 };
 
 /// Orders loads and unloads on the servers of the whole fleet while this daemon
--- a/libraries/entry/request_routing.cpp
+++ b/libraries/entry/request_routing.cpp
@@ -14,6 +14,7 @@
 /// Added to the load time for the order, the report of its completion and the
 /// network latency to the server.
 constexpr milliseconds load_overhead{300};
+constexpr double milliseconds_per_second = 1'000;
 
 } // namespace
 
@@ -29,6 +30,7 @@
     std::vector<routing::choice_candidate> candidates;
     server_pick result;
     bool is_any_unpaused = false;
+    bool is_any_unlimited = false;
     for (const auto& [id, record] : m_state.servers.records())
     {
         const auto& entry = record->entry;
@@ -46,6 +48,21 @@
             continue;
         }
         is_any_unpaused = true;
+        if (record->limit.is_limited(now))
+        {
+            result.limit_rate += m_state.limit_rate(*record, now);
+            const milliseconds wait = m_state.limit_wait(*record, now);
+            result.limit_left =
+                std::min(wait, result.limit_left.value_or(wait));
+            if (wait.count() > 0)
+            {
+                continue;
+            }
+        }
+        else
+        {
+            is_any_unlimited = true;
+        }
         if (m_excluded_servers.contains(id) || !is_usable(*record, now))
         {
             continue;
@@ -62,6 +79,10 @@
     {
         result.pause_left.reset();
     }
+    if (is_any_unlimited)
+    {
+        result.limit_left.reset();
+    }
     const auto choice = m_copy
                             ? routing::choose_engine(candidates, m_affinity,
                                                      m_state.mean_prompt_tokens,
@@ -128,6 +149,19 @@
     {
         refuse(refusal_kind::target_unreachable, estimate);
     }
+    if (pick.limit_left)
+    {
+        const std::size_t ahead = m_state.waiting.count(m_copy);
+        const milliseconds wait =
+            *pick.limit_left +
+            milliseconds(static_cast<std::int64_t>(milliseconds_per_second *
+                                                   static_cast<double>(ahead) /
+                                                   pick.limit_rate));
+        if (wait + min_processing_time > left)
+        {
+            refuse(refusal_kind::no_capacity, wait);
+        }
+    }
     const milliseconds pause = pick.pause_left.value_or(milliseconds(0));
     if (left < min_processing_time ||
         (!m_copy && pause + min_processing_time > left))
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -26,6 +26,11 @@
     return !entry.is_leaving && !pause.is_active(now);
 }
 
+bool server_record::accepts_orders(time_point now) const
+{
+    return accepts_requests(now) && !limit.is_limited(now);
+}
+
 void server_record::on_absent(const replicas::copy_name& copy)
 {
     const auto forget = [&](serving::holdings& held)
--- a/libraries/entry/server_table.hpp
+++ b/libraries/entry/server_table.hpp
@@ -2,6 +2,7 @@
 
 #include "decision/replicas/types.hpp"
 #include "decision/sharing/server_health.hpp"
+#include "decision/sharing/server_limit.hpp"
 #include "decision/sharing/server_pause.hpp"
 #include "entry/dialects.hpp"
 
@@ -36,6 +37,7 @@
     std::uint32_t running_elsewhere = 0;
     sharing::server_health health;
     sharing::server_pause pause;
+    sharing::server_limit limit;
     /// Last time at which the server sent this daemon anything.
     time_point last_contact{};
     /// Last check whether the server still accepts connections.
@@ -46,6 +48,9 @@
 
     /// True if new requests may be sent to the server.
     bool accepts_requests(time_point now) const;
+    /// The same for orders and for requests for reports. A server that names a
+    /// limit gets callers' requests only.
+    bool accepts_orders(time_point now) const;
     const serving::holdings& models() const;
     bool holds(const replicas::copy_name& copy) const;
     /// The server reported that it does not hold the copy.
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -87,6 +87,16 @@
   3: i32 trials
 }
 
+/// What a server said of the requests that it takes from all hosts together.
+struct LimitedServer {
+  1: string server
+  2: i64 incarnation
+  /// Absent if the server no longer names a limit.
+  3: optional double requests_per_second
+  /// Time since the answer that said so.
+  4: i32 age_ms
+}
+
 /// A server that said in a response that it leaves.
 struct LeavingServer {
   1: string server
@@ -134,4 +144,7 @@
   /// Parts that answers completed on within the last seconds, although servers
   /// had crashed while requests with them ran.
   24: list<PromptPart> cleared_parts
+  /// Absent if the sender does not share out the limits of servers, so that
+  /// requests for them can't be relayed through it.
+  25: optional list<LimitedServer> limited_servers
 }
