Reach: Take an answer for the proof that servers are reached

What callers saw: where links to servers accept connections that then hang, or that are reset at once, a host served next to nothing (504 after the whole time, 502), and told other hosts that requests crash servers (422 at hosts that were not cut off).

Cause: a probe that connects says that a server is reached, but a proxy, a full backlog or a stopped process accepts without a server behind it; and a reset before the first byte of an answer raised no doubt.

In doubt by silence, by a connection lost before its answer and while cut off, a probe asks for a report on a connection of its own; any answer counts. A refused connection alone still takes a connection for the proof, which requests then use. Servers that ask for a pause or name a limit are not asked. A crash needs another server that answers.

--- a/libraries/decision/reachability/server_reach.cpp
+++ b/libraries/decision/reachability/server_reach.cpp
@@ -86,16 +86,16 @@
     m_last_probe = now;
 }
 
-bool server_reach::on_probe_ended(bool has_connected, std::size_t targets,
+bool server_reach::on_probe_ended(bool has_reached, std::size_t targets,
                                   time_point now)
 {
     m_is_probing = false;
-    if (has_connected)
+    if (has_reached)
     {
-        m_last_connected = now;
+        m_last_reached = now;
     }
     const bool is_cut_off =
-        !has_connected && (m_is_cut_off || targets >= min_targets_for_verdict);
+        !has_reached && (m_is_cut_off || targets >= min_targets_for_verdict);
     return std::exchange(m_is_cut_off, is_cut_off) != is_cut_off;
 }
 
--- a/libraries/decision/reachability/server_reach.hpp
+++ b/libraries/decision/reachability/server_reach.hpp
@@ -11,7 +11,7 @@
 namespace cicadahub::reachability
 {
 
-/// A server that a probe may open a connection to.
+/// A server that a probe may ask.
 struct probe_target
 {
     server_id server;
@@ -25,10 +25,10 @@
                                         std::size_t count,
                                         std::uint64_t random);
 
-/// Decides whether this host can open connections to backend servers at all. A
-/// host that can't is cut off: its callers are served through other hosts, and
-/// what it sees of servers says nothing about them. Only new connections count,
-/// since open ones may go on while new ones are refused.
+/// Decides whether this host reaches any backend server by new connections. A
+/// host that doesn't is cut off: its callers are served through other hosts,
+/// and what it sees of servers says nothing about them. Open connections don't
+/// count, since they may go on while new ones fail.
 class server_reach
 {
 public:
@@ -56,17 +56,16 @@
 
     void on_probe_began(time_point now);
 
-    /// The probe opened a connection, or failed to open one to any of its
-    /// `targets`. One server that fails shows nothing about this host.
-    /// Returns true if `is_cut_off` has changed.
-    bool on_probe_ended(bool has_connected, std::size_t targets,
-                        time_point now);
+    /// The probe reached a server, or none of its `targets`. One server that
+    /// fails shows nothing about this host. Returns true if `is_cut_off` has
+    /// changed.
+    bool on_probe_ended(bool has_reached, std::size_t targets, time_point now);
 
     bool is_cut_off() const { return m_is_cut_off; }
     bool is_probing() const { return m_is_probing; }
 
-    /// Time of the last probe that opened a connection.
-    time_point last_connected() const { return m_last_connected; }
+    /// Time of the last probe that reached a server.
+    time_point last_reached() const { return m_last_reached; }
 
 private:
     bool is_silent(time_point now) const;
@@ -74,7 +73,7 @@
     std::size_t m_waiting = 0;
     time_point m_waits_since{};
     time_point m_last_contact{};
-    time_point m_last_connected{};
+    time_point m_last_reached{};
     time_point m_last_probe{};
     bool m_has_doubt = false;
     bool m_is_probing = false;
--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -174,9 +174,14 @@
         const bool is_accepting = co_await m_state.reach.is_accepting(server);
         is_gone = !is_accepting;
     }
-    if (is_gone)
+    const bool is_unanswered = result.is_connection_lost && !result.head;
+    if (is_gone || is_unanswered)
     {
-        const bool is_cut_off = co_await m_state.reach.examine(failed_at);
+        const reach_proof needed = result.is_connection_lost
+                                       ? reach_proof::answer
+                                       : reach_proof::connection;
+        const bool is_cut_off =
+            co_await m_state.reach.examine(failed_at, needed);
         if (is_cut_off)
         {
             co_return true;
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -433,7 +433,8 @@
     m_mirror.start();
     m_placement.start();
     m_digests.start();
-    m_state.reach.start([this] { on_reach_changed(); });
+    m_state.reach.start(m_dialects.servers.make_report_request,
+                        [this] { on_reach_changed(); });
     net::co_spawn(m_context, follow_members(), net::detached);
     m_relay_server.start();
     m_caller_server.start();
--- a/libraries/entry/placement_controller.cpp
+++ b/libraries/entry/placement_controller.cpp
@@ -388,7 +388,8 @@
     }
     if (!reason.empty() && !is_withheld)
     {
-        co_await m_inputs.reach.examine(monotonic_clock::now());
+        co_await m_inputs.reach.examine(monotonic_clock::now(),
+                                        reach_proof::answer);
     }
     m_inputs.metrics.count_order(name_of(answer));
     log_event(answer == replicas::order_answer::unknown ? severity::warning
@@ -525,7 +526,8 @@
     }
     if (has_failed)
     {
-        co_await m_inputs.reach.examine(monotonic_clock::now());
+        co_await m_inputs.reach.examine(monotonic_clock::now(),
+                                        reach_proof::answer);
     }
 }
 
--- a/libraries/entry/reach_monitor.cpp
+++ b/libraries/entry/reach_monitor.cpp
@@ -3,9 +3,12 @@
 #include "core/structured_log.hpp"
 #include "daemon/pause.hpp"
 #include "http/dead_peer_detection.hpp"
+#include "http/response_reading.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 #include <set>
@@ -46,8 +49,10 @@
     m_probe_ended.expires_at(std::chrono::steady_clock::time_point::max());
 }
 
-void reach_monitor::start(std::function<void()> on_change)
+void reach_monitor::start(question_maker make_question,
+                          std::function<void()> on_change)
 {
+    m_make_question = std::move(make_question);
     m_on_change = std::move(on_change);
     net::co_spawn(m_context, run(), net::detached);
 }
@@ -61,55 +66,63 @@
         check_silent_servers(now);
         if (m_reach.is_probe_due(now))
         {
-            co_await probe();
+            co_await probe(reach_proof::answer);
         }
     }
 }
 
-net::awaitable<bool> reach_monitor::examine(time_point failed_at)
+bool reach_monitor::has_proof_since(time_point moment, reach_proof needed) const
+{
+    return moment < (needed == reach_proof::answer ? m_last_answer
+                                                   : m_reach.last_reached());
+}
+
+net::awaitable<bool> reach_monitor::examine(time_point failed_at,
+                                            reach_proof needed)
 {
     m_reach.on_failure();
-    if (m_reach.is_probing())
+    while (m_reach.is_probing())
     {
         co_await m_probe_ended.async_wait(no_throw);
     }
-    else if (!is_cut_off() && m_reach.last_connected() <= failed_at)
+    if (!is_cut_off() && !has_proof_since(failed_at, needed))
     {
-        co_await probe();
+        co_await probe(needed);
     }
     co_return is_cut_off();
 }
 
-std::vector<http::endpoint> reach_monitor::choose_targets() const
+std::vector<server_table::record_pointer> reach_monitor::choose_targets() const
 {
+    const time_point now = monotonic_clock::now();
     std::vector<reachability::probe_target> known;
-    std::vector<http::endpoint> addresses;
+    std::vector<server_table::record_pointer> records;
     for (const auto& [id, record] : m_servers.records())
     {
-        if (!record->entry.is_leaving)
+        if (record->accepts_orders(now))
         {
             known.push_back({id, record->entry.service});
-            addresses.push_back(record->entry.address);
+            records.push_back(record);
         }
     }
-    std::vector<http::endpoint> targets;
+    std::vector<server_table::record_pointer> targets;
     for (const std::size_t it :
          reachability::choose_targets(known, max_targets, m_random()))
     {
-        targets.push_back(addresses[it]);
+        targets.push_back(records[it]);
     }
     return targets;
 }
 
-net::awaitable<void> reach_monitor::probe()
+net::awaitable<void> reach_monitor::probe(reach_proof needed)
 {
     m_reach.on_probe_began(monotonic_clock::now());
-    const std::vector<http::endpoint> targets = choose_targets();
-    const std::span<const http::endpoint> all(targets);
+    const std::vector<server_table::record_pointer> targets = choose_targets();
+    const std::span<const server_table::record_pointer> all(targets);
     const auto it = std::make_shared<attempt>(m_context);
     if (!all.empty())
     {
-        connect_to(it, all.first(1));
+        ask(it, all.first(1), needed);
         net::steady_timer others_at(m_context, first_target_time);
         others_at.async_wait([it](boost::system::error_code)
                              { it->changed.cancel(); });
@@ -118,13 +131,13 @@
             co_await it->changed.async_wait(no_throw);
         }
     }
-    if (all.size() > 1 && !it->has_connected)
+    if (all.size() > 1 && !it->has_reached)
     {
-        connect_to(it, all.subspan(1));
+        ask(it, all.subspan(1), needed);
     }
     co_await wait(it);
     const bool has_changed = m_reach.on_probe_ended(
-        it->has_connected, targets.size(), monotonic_clock::now());
+        it->has_reached, targets.size(), monotonic_clock::now());
     m_probe_ended.cancel();
     if (has_changed)
     {
@@ -184,7 +197,8 @@
     {
         co_return;
     }
-    const bool is_host_cut_off = co_await examine(began);
+    const bool is_host_cut_off =
+        co_await examine(began, reach_proof::connection);
     if (is_host_cut_off || server->last_contact >= began)
     {
         co_return;
@@ -199,34 +213,77 @@
     }
 }
 
-void reach_monitor::connect_to(const attempt_pointer& it,
-                               std::span<const http::endpoint> servers)
+void reach_monitor::ask(const attempt_pointer& it,
+                        std::span<const server_table::record_pointer> servers,
+                        reach_proof needed)
 {
     it->pending += servers.size();
-    for (const http::endpoint& server : servers)
+    for (const auto& server : servers)
     {
-        net::co_spawn(m_context, connect(it, server), net::detached);
+        if (needed == reach_proof::answer)
+        {
+            net::co_spawn(m_context, wait_for_answer(it, server),
+                          net::detached);
+        }
+        else
+        {
+            net::co_spawn(m_context, connect(it, server->entry.address),
+                          net::detached);
+        }
     }
 }
 
+void reach_monitor::end(const attempt_pointer& it, bool has_reached)
+{
+    it->has_reached = it->has_reached || has_reached;
+    --it->pending;
+    it->decided_at = monotonic_clock::now();
+    it->changed.cancel();
+}
+
 net::awaitable<void> reach_monitor::connect(attempt_pointer it,
                                             http::endpoint server)
 {
+    bool has_connected = false;
     try
     {
         auto connection = co_await m_pool.connect(server, probe_timeout);
         connection->reusable_until =
             monotonic_clock::now() + probe_connection_lifetime;
         m_pool.keep(server, std::move(connection));
-        it->has_connected = true;
+        has_connected = true;
     }
     catch (const boost::system::system_error&)
     {
         // Who waits for the attempt sees that it has not connected.
     }
-    --it->pending;
-    it->decided_at = monotonic_clock::now();
-    it->changed.cancel();
+    end(it, has_connected);
+}
+
+net::awaitable<void>
+reach_monitor::wait_for_answer(attempt_pointer it,
+                               server_table::record_pointer server)
+{
+    bool has_answered = false;
+    try
+    {
+        auto connection =
+            co_await m_pool.connect(server->entry.address, probe_timeout);
+        connection->set_timeout(probe_timeout);
+        http::request question = m_make_question(server->entry.id);
+        co_await http::beast_http::async_write(connection->stream, question,
+                                               net::use_awaitable);
+        std::optional<http::response_head_parser> parser;
+        co_await http::read_response_head(*connection, parser,
+                                          question.method());
+        has_answered = true;
+        m_last_answer = monotonic_clock::now();
+    }
+    catch (const boost::system::system_error&)
+    {
+        // Who waits for the attempt sees that there was no answer.
+    }
+    end(it, has_answered);
 }
 
 net::awaitable<void> reach_monitor::wait(attempt_pointer it)
@@ -270,11 +327,12 @@
     if (!known || is_over(*known))
     {
         known = std::make_shared<attempt>(m_context);
-        connect_to(known, std::span(&server, 1));
+        known->pending = 1;
+        net::co_spawn(m_context, connect(known, server), net::detached);
     }
     const attempt_pointer check = known;
     co_await wait(check);
-    co_return check->has_connected;
+    co_return check->has_reached;
 }
 
 } // namespace cicadahub::entry
--- a/libraries/entry/reach_monitor.hpp
+++ b/libraries/entry/reach_monitor.hpp
@@ -27,17 +27,29 @@
     time_point began;
 };
 
-/// Finds out by probes whether this host can open connections to backend
-/// servers, and whether a server still accepts any. A connection that a probe
-/// opens is kept for requests.
+/// What shows that this host reaches a server.
+enum class reach_proof
+{
+    /// A connection that opens. The probe keeps it for requests.
+    connection,
+    /// An answer, on a connection of its own: something between this host and
+    /// the servers may accept connections without a server behind it.
+    answer,
+};
+
+/// Finds out by probes whether this host reaches backend servers, and whether a
+/// server still accepts connections.
 class reach_monitor
 {
 public:
+    /// Makes the request that a probe asks a server.
+    using question_maker = std::function<http::request(const server_id&)>;
+
     reach_monitor(net::io_context& context, http::client_pool& pool,
                   const server_table& servers, std::mt19937_64& random);
 
     /// `on_change` is called when the host was cut off or is no longer.
-    void start(std::function<void()> on_change);
+    void start(question_maker make_question, std::function<void()> on_change);
 
     bool is_cut_off() const { return m_reach.is_cut_off(); }
 
@@ -45,8 +57,8 @@
     void on_contact(time_point now) { m_reach.on_contact(now); }
 
     /// Called after a connection failed; returns whether the host is cut off,
-    /// after a probe unless one has connected since `failed_at`.
-    net::awaitable<bool> examine(time_point failed_at);
+    /// after a probe unless there was such a proof since `failed_at`.
+    net::awaitable<bool> examine(time_point failed_at, reach_proof needed);
 
     /// True if the server accepts a new connection. Checks of one server within
     /// a short time share one connection.
@@ -64,18 +76,20 @@
             changed.expires_at(std::chrono::steady_clock::time_point::max());
         }
 
-        bool is_decided() const { return has_connected || pending == 0; }
+        bool is_decided() const { return has_reached || pending == 0; }
 
         /// Cancelled on each change.
         net::steady_timer changed;
         std::size_t pending = 0;
-        bool has_connected = false;
+        /// One of the servers gave the proof.
+        bool has_reached = false;
         time_point decided_at{};
     };
     using attempt_pointer = std::shared_ptr<attempt>;
 
     net::awaitable<void> run();
-    net::awaitable<void> probe();
+    net::awaitable<void> probe(reach_proof needed);
+    bool has_proof_since(time_point moment, reach_proof needed) const;
     /// This host is cut off: ends the exchanges that wait on silent connections
     /// and may be repeated.
     void give_up_repeatable();
@@ -83,18 +97,23 @@
     void check_silent_servers(time_point now);
     /// Ends the exchanges that wait for the server if it accepts no connection.
     net::awaitable<void> check(server_table::record_pointer server);
-    std::vector<http::endpoint> choose_targets() const;
-    /// Connects to the servers, all at the same time.
-    void connect_to(const attempt_pointer& it,
-                    std::span<const http::endpoint> servers);
+    std::vector<server_table::record_pointer> choose_targets() const;
+    void ask(const attempt_pointer& it,
+             std::span<const server_table::record_pointer> servers,
+             reach_proof needed);
     net::awaitable<void> connect(attempt_pointer it, http::endpoint server);
+    net::awaitable<void> wait_for_answer(attempt_pointer it,
+                                         server_table::record_pointer server);
+    static void end(const attempt_pointer& it, bool has_reached);
     static net::awaitable<void> wait(attempt_pointer it);
 
     net::io_context& m_context;
     http::client_pool& m_pool;
     const server_table& m_servers;
     std::mt19937_64& m_random;
+    question_maker m_make_question;
     std::function<void()> m_on_change;
+    time_point m_last_answer{};
     reachability::server_reach m_reach;
     /// Cancelled when a probe ends.
     net::steady_timer m_probe_ended;
--- a/tests/decision/crash_attribution_test.cpp
+++ b/tests/decision/crash_attribution_test.cpp
@@ -329,7 +329,10 @@
 
     bool happens(int per_second)
     {
-        return m_simulation.happens(per_second * step_time.count() / 1'000.0);
+        constexpr double milliseconds_per_second = 1'000;
+        return m_simulation.happens(per_second *
+                                    static_cast<double>(step_time.count()) /
+                                    milliseconds_per_second);
     }
 
     std::size_t pick(std::size_t n)
--- a/tests/fakes/cuttable_link.hpp
+++ b/tests/fakes/cuttable_link.hpp
@@ -33,6 +33,13 @@
     reset,
     /// Open connections go on, and new ones are refused.
     refusing,
+    /// Nothing passes; connections are accepted, as by a proxy or a stopped
+    /// process.
+    accepting_silent,
+    /// Open connections were reset, and new ones are accepted and reset.
+    accepting_reset,
+    /// Open connections go on, and new ones are accepted and reset.
+    resetting_new,
 };
 
 /// Forwards TCP connections from one address to another until it is cut.
@@ -54,14 +61,15 @@
         boost::system::error_code ec;
         m_acceptor->close(ec);
         m_queue_fillers.clear();
-        if (to == link_state::reset)
+        if (to == link_state::reset || to == link_state::accepting_reset)
         {
             for (const auto& it : m_sockets)
             {
                 reset(*it);
             }
         }
-        if (to == link_state::open)
+        if (to != link_state::silent && to != link_state::reset &&
+            to != link_state::refusing)
         {
             listen();
         }
@@ -131,6 +139,12 @@
                 co_return;
             }
             auto from = std::make_shared<socket>(std::move(accepted));
+            if (m_state == link_state::accepting_reset ||
+                m_state == link_state::resetting_new)
+            {
+                reset(*from);
+                continue;
+            }
             auto to = std::make_shared<socket>(m_context);
             m_sockets.push_back(from);
             m_sockets.push_back(to);
@@ -158,7 +172,8 @@
         {
             const auto [failure, n] =
                 co_await from->async_read_some(net::buffer(buf), no_throw);
-            while (m_state == link_state::silent)
+            while (m_state == link_state::silent ||
+                   m_state == link_state::accepting_silent)
             {
                 net::steady_timer timer(m_context, silence_poll);
                 co_await timer.async_wait(no_throw);
--- a/tests/system/cut_off_test.cpp
+++ b/tests/system/cut_off_test.cpp
@@ -222,11 +222,18 @@
 
 INSTANTIATE_TEST_SUITE_P(
     platform_path, hosts_without_links,
-    testing::Values(cut_case{"one_silent", link_state::silent, 1},
-                    cut_case{"one_reset", link_state::reset, 1},
-                    cut_case{"one_refusing", link_state::refusing, 1},
-                    cut_case{"data_centre_silent", link_state::silent, 3},
-                    cut_case{"data_centre_reset", link_state::reset, 3}),
+    testing::Values(
+        cut_case{"one_silent", link_state::silent, 1},
+        cut_case{"one_reset", link_state::reset, 1},
+        cut_case{"one_refusing", link_state::refusing, 1},
+        cut_case{"data_centre_silent", link_state::silent, 3},
+        cut_case{"data_centre_reset", link_state::reset, 3},
+        cut_case{"one_accepting_silent", link_state::accepting_silent, 1},
+        cut_case{"data_centre_accepting_silent", link_state::accepting_silent,
+                 3},
+        cut_case{"one_accepting_reset", link_state::accepting_reset, 1},
+        cut_case{"data_centre_accepting_reset", link_state::accepting_reset, 3},
+        cut_case{"one_resetting_new", link_state::resetting_new, 1}),
     [](const auto& it) { return std::string(it.param.name); });
 
 struct reset_case
