Standin: Count rejections of brittle servers from the fall of their room

Trace: five rejections in the moment in which the server first said that it is brittle, one a second later, after its room fell; the stand-in counted all of them in one second. Only rejections from the time when fewer may wait make a server fail by the users' rule; the test checks the same from there.

--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -189,6 +189,8 @@
         if (json.contains("room"))
         {
             m_room = reader.integer("room");
+            // Rejections from before the room fell make no server fail.
+            m_rejections.clear();
         }
         if (json.contains("shed_s"))
         {
