--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -92,8 +92,7 @@
             m_state.limit_sender(server) != m_state.settings.name.value());
 }
 
-bool active_request::is_usable(const server_record& server,
-                               time_point now) const
+bool active_request::is_usable(server_record& server, time_point now) const
 {
     if (!needs_relay(server, now))
     {
--- a/libraries/entry/active_request.hpp
+++ b/libraries/entry/active_request.hpp
@@ -77,7 +77,7 @@
     /// cut off, or the server is brittle and not this host's to use.
     bool needs_relay(const server_record& server, time_point now) const;
     /// True if the server may be sent a request now.
-    bool is_usable(const server_record& server, time_point now) const;
+    bool is_usable(server_record& server, time_point now) const;
     /// True if the request may be executed once more after an unknown outcome.
     bool is_repeatable() const;
     bool is_retryable(const exchange_result& result) const;
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -182,12 +182,12 @@
     return it;
 }
 
-bool entry_state::may_send(const server_record& server, time_point now)
+bool entry_state::may_send(server_record& server, time_point now)
 {
-    const auto record = servers.find(server.entry.id);
-    if (server.limit.is_limited(now) &&
-        (!record || limit_sender(server) != settings.name.value() ||
-         limit_wait(*record, now).count() > 0))
+    const bool is_withheld = server.limit.is_limited(now) &&
+                             (limit_sender(server) != settings.name.value() ||
+                              limit_wait(server, now).count() > 0);
+    if (is_withheld)
     {
         return false;
     }
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -91,7 +91,7 @@
                          const peer& from);
     /// Whether this host may send a server one more request now, as far as
     /// brittle servers and limits are concerned.
-    bool may_send(const server_record& server, time_point now);
+    bool may_send(server_record& server, time_point now);
     /// Counts a request that is sent to the server.
     void on_sent(server_record& server, time_point now);
 
@@ -99,7 +99,7 @@
     /// hosts in contact; empty if there is none.
     std::string limit_sender(const server_record& server) const;
     /// Time until this host may send a request to a server with a limit, or
-    /// relay one; 0 if it may now.
+    /// relay one; 0 if it may now. Tells the limit whether this host sends.
     milliseconds limit_wait(server_record& server, time_point now);
     /// Requests a second that this host can expect to get to such a server.
     double limit_rate(const server_record& server, time_point now) const;
