Tests: Let a request end before the event that does not explain it

Trace: the request before the cut ended in the same millisecond in which the host was found to be cut off, and lines of the log have whole milliseconds. The test now waits for two; it checks the same.

--- a/tests/system/explain_events_test.cpp
+++ b/tests/system/explain_events_test.cpp
@@ -36,12 +36,21 @@
     EXPECT_EQ(explanation(fleet, request).find(name), std::string::npos);
 }
 
+/// Sends a request that ends before the event. Lines of the log have whole
+/// milliseconds.
+void send_before(const platform_fleet& fleet)
+{
+    constexpr milliseconds log_resolution{1};
+    fleet.plain(0, "before", http::verb::get, "/read/1");
+    std::this_thread::sleep_for(2 * log_resolution);
+}
+
 // Events of a server or of the store name no request. Those of other times, or
 // of servers that the request was not sent to, don't belong to it.
 TEST(explained_events, a_leaving_server)
 {
     platform_fleet fleet(1);
-    fleet.plain(0, "before", http::verb::get, "/read/1");
+    send_before(fleet);
     fleet.set_fault(fleet.services[0].address, R"({"leaving":true})");
     fleet.set_fault(fleet.services[1].address, R"({"leaving":true})");
     fleet.plain(0, "r", http::verb::get, "/read/1");
@@ -69,7 +78,7 @@
 TEST(explained_events, a_host_that_is_cut_off)
 {
     platform_fleet fleet(2, true);
-    fleet.plain(0, "before", http::verb::get, "/read/1");
+    send_before(fleet);
     fleet.daemons[0].links->set_state(fakes::link_state::reset);
     fleet.plain(0, "r", http::verb::get, "/read/1");
     EXPECT_TRUE(is_explained_by(fleet, "r", "host_cut_off"));
@@ -79,7 +88,7 @@
 TEST(explained_events, a_brittle_server)
 {
     platform_fleet fleet(1);
-    fleet.plain(0, "before", http::verb::get, "/read/1");
+    send_before(fleet);
     for (const auto& it : fleet.services)
     {
         fleet.set_fault(it.address, R"({"brittle":3})");
@@ -93,7 +102,7 @@
 TEST(explained_events, a_restored_store)
 {
     platform_fleet fleet(1);
-    fleet.plain(0, "before", http::verb::get, "/read/1");
+    send_before(fleet);
     fleet.set_fault(fleet.store, R"({"keep_copy":true})");
     auto waiting = std::async(std::launch::async,
                               [&] { return fleet.stream(0, "r", "m1/a1"); });
