Entry: Order hosts and scan crashes in one place

limit_sender repeated the order of hosts that position_of has; a completed answer scanned the known crashes once to see whether its parts are accused and once to clear them, and now only the second time.

--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -199,12 +199,12 @@
 attempt_observer::record_answer(const exchange_result& result)
 {
     suspicion::crash_attribution& parts = m_state.crashing_parts;
-    if (parts.is_empty() || !result.answer_began || !is_success(result) ||
-        !parts.is_any_accused(m_parts))
+    if (parts.is_empty() || !result.answer_began || !is_success(result))
     {
         co_return;
     }
-    if (result.framing == http::body_framing::until_close)
+    if (result.framing == http::body_framing::until_close &&
+        parts.is_any_accused(m_parts))
     {
         // A crash between two events looks like the end of the answer.
         const http::endpoint server = m_record->entry.address;
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -18,6 +18,14 @@
 /// requests over the hosts; the rest covers partitions between hosts.
 constexpr double slack_share_for_imbalance = 0.7;
 
+/// All hosts order themselves in the same way, differently for each server.
+std::pair<std::size_t, std::string> rank_of(const std::string& host,
+                                            const server_record& server)
+{
+    return {std::hash<std::string>{}(host + '|' + server.entry.id.value()),
+            host};
+}
+
 } // namespace
 
 entry_state::entry_state(net::io_context& io, const entry_settings& given,
@@ -166,19 +174,12 @@
     {
         return it;
     }
-    // All hosts order themselves in the same way, differently for each server.
-    const auto weight = [&](const std::string& name)
-    {
-        return std::pair(
-            std::hash<std::string>{}(name + '|' + server.entry.id.value()),
-            name);
-    };
-    const auto own = weight(host.value());
+    const auto own = rank_of(host.value(), server);
     for (const auto& [name, peer] : fleet.peers())
     {
-        it.rank += weight(name) < own ? 1 : 0;
+        it.rank += rank_of(name, server) < own ? 1 : 0;
     }
-    it.rank += weight(settings.name.value()) < own ? 1 : 0;
+    it.rank += rank_of(settings.name.value(), server) < own ? 1 : 0;
     return it;
 }
 
@@ -212,17 +213,13 @@
 
 std::string entry_state::limit_sender(const server_record& server) const
 {
-    std::string sender;
-    std::size_t least = 0;
+    std::pair<std::size_t, std::string> first;
     const auto consider = [&](const std::string& name)
     {
-        const std::size_t weight =
-            std::hash<std::string>{}(name + '|' + server.entry.id.value());
-        if (sender.empty() ||
-            std::pair(weight, name) < std::pair(least, sender))
+        auto rank = rank_of(name, server);
+        if (first.second.empty() || rank < first)
         {
-            sender = name;
-            least = weight;
+            first = std::move(rank);
         }
     };
     if (!reach.is_cut_off() && !is_draining)
@@ -237,7 +234,7 @@
             consider(name);
         }
     }
-    return sender;
+    return first.second;
 }
 
 milliseconds entry_state::limit_wait(server_record& server, time_point now)
