Routing: Let requests wait for room at servers that rejected them

A request that the only server of its model rejected for want of room was refused at once, however much time it had left: the server counted as tried. Hosts learn of each other's requests about a second late, so that this comes with every burst.

Repeats are paid from the retry budget as before.

--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -11,6 +11,8 @@
 
 /// A request is refused after this many sends that no server executed.
 constexpr std::uint32_t max_sends_without_run = 3;
+/// The same for servers that only had no room when the request came.
+constexpr std::uint32_t max_rejections = 8;
 
 } // namespace
 
@@ -223,8 +225,12 @@
     {
         ++m_runs;
     }
+    m_rejections += is_rejection(result) ? 1 : 0;
+    const bool may_send_again =
+        m_sends - m_runs - m_rejections < max_sends_without_run &&
+        m_rejections < max_rejections;
     const bool is_allowed =
-        is_not_run ? m_sends - m_runs < max_sends_without_run
+        is_not_run ? may_send_again
                    : is_retryable(result) &&
                          !m_state.suspects.is_refused(m_fingerprint);
     if (!is_allowed || time_left(now) < min_processing_time)
@@ -240,7 +246,8 @@
         m_booking = place_booking{record, m_state.limit_sender_run(*record),
                                   now + *result.limit_wait};
     }
-    if (!is_cut_off && !is_over_limit)
+    // So may one that had no room.
+    if (!is_cut_off && !is_over_limit && !is_rejection(result))
     {
         m_excluded_servers.insert(record->entry.id);
     }
--- a/libraries/entry/active_request.hpp
+++ b/libraries/entry/active_request.hpp
@@ -48,6 +48,8 @@
         std::optional<milliseconds> limit_left;
         /// The server that gets one then.
         server_table::record_pointer limited;
+        /// Shortest time until a server that had no room may be tried again.
+        std::optional<milliseconds> full_for;
         /// A place at `record` is to be booked.
         bool books_place = false;
     };
@@ -130,6 +132,8 @@
     /// Attempts that a server executed or may have executed, out of `m_sends`.
     std::uint32_t m_runs = 0;
     std::uint32_t m_sends = 0;
+    /// Of them, those that a server had no room for.
+    std::uint32_t m_rejections = 0;
     std::optional<place_booking> m_booking;
     /// The next attempt asks for a place if it is withheld.
     bool m_books_place = false;
--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -49,6 +49,10 @@
                 m_state.last_server_contact = monotonic_clock::now();
                 m_record->last_contact = m_state.last_server_contact;
                 m_state.reach.on_contact(m_state.last_server_contact);
+            },
+            [this]
+            {
+                m_record->room.on_accepted(m_sent_at);
             }};
 }
 
@@ -58,6 +62,8 @@
     m_record = std::move(record);
     m_relay = std::move(relay);
     m_sent.reset();
+    // Not only when it is sent: other requests may choose the server meanwhile.
+    m_record->room.on_sent(monotonic_clock::now());
 }
 
 bool attempt_observer::may_send()
@@ -93,7 +99,7 @@
     {
         return;
     }
-    if (result.end == exchange_end::turned_away && !result.notice.pause)
+    if (is_rejection(result))
     {
         brittle->second.on_rejected(m_record->entry.id, *m_sent,
                                     monotonic_clock::now());
@@ -269,6 +275,11 @@
     {
         record.on_absent(*copy);
     }
+    if (is_rejection(result))
+    {
+        record.room.on_rejected(
+            m_sent_at, now, std::uniform_real_distribution<>()(m_state.random));
+    }
     bool is_suspended = false;
     if (result.end == exchange_end::not_sent)
     {
@@ -284,6 +295,7 @@
              result.end == exchange_end::streamed)
     {
         record.health.on_success();
+        record.room.on_ended();
     }
     if (is_suspended)
     {
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -111,6 +111,11 @@
            result.answer->result() != http::status::gateway_timeout;
 }
 
+bool is_rejection(const exchange_result& result)
+{
+    return result.end == exchange_end::turned_away && !result.notice.pause;
+}
+
 exchange::exchange(http::client_pool& pool, const server_dialect& dialect,
                    exchange_handlers handlers)
     : m_pool(pool), m_dialect(dialect), m_handlers(std::move(handlers))
@@ -419,8 +424,11 @@
         }
         if (!events->empty())
         {
-            m_result.answer_began =
-                m_result.answer_began.value_or(m_last_contact);
+            if (!m_result.answer_began)
+            {
+                m_result.answer_began = m_last_contact;
+                m_handlers.on_first_event();
+            }
             co_await forward_events(*events, reply, progress);
         }
     }
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -59,6 +59,9 @@
 /// not faulty.
 bool is_server_error(const exchange_result& result);
 
+/// True if the server had no room for the request.
+bool is_rejection(const exchange_result& result);
+
 /// The way from this daemon to a server.
 struct exchange_path
 {
@@ -81,6 +84,8 @@
     std::function<void(const server_notice&)> on_notice;
     /// Called when bytes of a response arrived from the server itself.
     std::function<void()> on_contact;
+    /// Called before the first event of the exchange is forwarded.
+    std::function<void()> on_first_event;
 };
 
 /// Sends a request to a backend server and forwards the response. Of a stream
--- a/libraries/entry/request_routing.cpp
+++ b/libraries/entry/request_routing.cpp
@@ -72,6 +72,13 @@
         {
             continue;
         }
+        const milliseconds full_for = record->room.time_to_try(now);
+        if (full_for.count() > 0)
+        {
+            result.full_for =
+                std::min(full_for, result.full_for.value_or(full_for));
+            continue;
+        }
         const std::uint32_t slots =
             m_service->engine ? m_service->engine->slots : entry.slots;
         candidates.push_back(
@@ -271,6 +278,10 @@
             recheck = std::min(recheck, *choice.limit_left);
             m_state.book_if_sender(*choice.limited, m_request.id, now);
         }
+        if (choice.full_for)
+        {
+            recheck = std::min(recheck, *choice.full_for);
+        }
         m_waiter->copy = m_copy;
         m_waiter->priority =
             m_organisation != nullptr && m_organisation->priority
--- a/libraries/entry/server_table.hpp
+++ b/libraries/entry/server_table.hpp
@@ -4,6 +4,7 @@
 #include "decision/sharing/server_health.hpp"
 #include "decision/sharing/server_limit.hpp"
 #include "decision/sharing/server_pause.hpp"
+#include "decision/sharing/server_room.hpp"
 #include "entry/dialects.hpp"
 
 #include <map>
@@ -38,6 +39,7 @@
     sharing::server_health health;
     sharing::server_pause pause;
     sharing::server_limit limit;
+    sharing::server_room room;
     /// Last time at which the server sent this daemon anything.
     time_point last_contact{};
     /// Last check whether the server still accepts connections.
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -57,6 +57,7 @@
                      {[may_send] { return may_send; },
                       [&seen](const server_notice& notice)
                       { seen.is_leaving = notice.is_leaving; },
+                      [] {},
                       [] {
                       }});
     const http::request message{method, "/", 11};
@@ -255,6 +256,7 @@
                      {[] { return true; },
                       [this](const server_notice& it)
                       { m_is_leaving = m_is_leaving || it.is_leaving; },
+                      [] {},
                       [] {
                       }})
     {
