--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -47,6 +47,7 @@
     CICADAHUB_ROW(server_paused),
     CICADAHUB_ROW(service_brittle),
     CICADAHUB_ROW(server_limited),
+    CICADAHUB_ROW(service_versions_changed),
     CICADAHUB_ROW(host_cut_off),
     CICADAHUB_ROW(host_reconnected),
     CICADAHUB_ROW(peer_connected),
@@ -63,6 +64,8 @@
     CICADAHUB_ROW(request_refused),
     CICADAHUB_ROW(rate_exceeded),
     CICADAHUB_ROW(request_not_read),
+    CICADAHUB_ROW(stream_not_resumed),
+    CICADAHUB_ROW(stream_resumed),
     CICADAHUB_ROW(audit_segment_failed),
     CICADAHUB_ROW(malformed_object),
 };
--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -44,6 +44,7 @@
     server_paused = 524,
     service_brittle = 525,
     server_limited = 526,
+    service_versions_changed = 527,
     host_cut_off = 530,
     host_reconnected = 531,
     peer_connected = 600,
@@ -60,6 +61,8 @@
     request_refused = 713,
     rate_exceeded = 714,
     request_not_read = 715,
+    stream_not_resumed = 716,
+    stream_resumed = 717,
     audit_segment_failed = 800,
     malformed_object = 801,
 };
--- a/libraries/core/ids.hpp
+++ b/libraries/core/ids.hpp
@@ -19,6 +19,8 @@
 using route_id = strong_type<struct route_id_tag, std::string>;
 using key_id = strong_type<struct key_id_tag, std::string>;
 using shard_id = strong_type<struct shard_id_tag, std::string>;
+/// Version of the software that a backend server runs, not of its weights.
+using software_version = strong_type<struct software_version_tag, std::string>;
 using request_id = strong_type<struct request_id_tag, std::string>;
 
 /// Hex SHA-256 of a caller's API key. The key itself is never stored.
--- /dev/null
+++ b/libraries/decision/continuity/stream_origin.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/ids.hpp"
+
+#include <cstddef>
+
+namespace cicadahub::continuity
+{
+
+/// What began a stream. What two software versions write does not fit together,
+/// so that a stream goes on only at servers of the same origin.
+struct stream_origin
+{
+    service_id service;
+    software_version version;
+
+    friend auto operator<=>(const stream_origin&,
+                            const stream_origin&) = default;
+    friend bool operator==(const stream_origin&,
+                           const stream_origin&) = default;
+};
+
+/// Identifies a stream by a hash of the request that brought its first event,
+/// that request's organisation and its route, so that nobody finds another's.
+using stream_key = strong_type<struct stream_key_tag, std::string>;
+
+/// Hexadecimal digits of a key.
+inline constexpr std::size_t stream_key_digits = 16;
+
+/// `organisation` is empty if the route is public.
+stream_key key_of(const request_id& request,
+                  const organisation_id& organisation, const route_id& route);
+
+} // namespace cicadahub::continuity
--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -1,6 +1,7 @@
 #include "entry/active_request.hpp"
 
 #include "core/errors.hpp"
+#include "core/invariant.hpp"
 #include "core/structured_log.hpp"
 
 namespace cicadahub::entry
@@ -24,7 +25,7 @@
     : m_state(state), m_servers(servers), m_message(message),
       m_request(std::move(request)), m_reply(reply),
       m_configuration(state.configuration), m_arrived(monotonic_clock::now()),
-      m_observer(state, m_request),
+      m_observer(state, m_request, [this] { on_first_event(); }),
       m_exchange(state.pool, servers, m_observer.handlers()),
       m_waiter(state.waiting.make_waiter())
 {
@@ -63,6 +64,7 @@
     }
     find_route();
     authenticate();
+    co_await find_stream_origin();
     choose_service();
     const auto caller_timeout =
         m_request.caller_timeout.value_or(m_route->timeout);
@@ -135,6 +137,8 @@
 active_request::attempt(const server_table::record_pointer& record)
 {
     const time_point now = monotonic_clock::now();
+    m_attempt_origin = {record->entry.service, record->entry.version};
+    CICADAHUB_INVARIANT(!m_origin || *m_origin == m_attempt_origin);
     forwarding added;
     added.server = record->entry.id;
     if (m_organisation != nullptr)
@@ -174,6 +178,25 @@
     co_return result;
 }
 
+void active_request::on_first_event()
+{
+    // No response holds events of two origins.
+    CICADAHUB_INVARIANT(!m_origin || *m_origin == m_attempt_origin);
+    m_origin = m_attempt_origin;
+    if (!m_progress.first_event_at)
+    {
+        m_state.metrics.count_stream_began(m_is_taken_up);
+    }
+    if (is_stream() && m_route->is_resumable)
+    {
+        m_state.continuity.on_begun(
+            {continuity::key_of(m_request.id, organisation_name(),
+                                m_route->name),
+             *m_origin, m_arrived + m_route->timeout},
+            *m_route);
+    }
+}
+
 bool active_request::is_repeatable() const
 {
     // Behind events without an id a stream could only begin anew.
@@ -284,6 +307,12 @@
         const bool is_asked =
             result.limit_wait && *result.limit_wait > milliseconds(0);
         m_sends += is_asked ? 0 : 1;
+        if (m_progress.first_event_at)
+        {
+            m_first_byte_deadline =
+                std::min(m_deadline, m_progress.last_event_at +
+                                         m_route->first_byte_timeout);
+        }
         if (!is_asked)
         {
             m_attempted_addresses.insert(record->entry.address);
--- a/libraries/entry/active_request.hpp
+++ b/libraries/entry/active_request.hpp
@@ -69,7 +69,18 @@
     void refuse_suspect();
     /// Refuses the request if a part of its prompt crashes servers.
     void refuse_crashing_part();
+    /// Empty if the route is public.
+    organisation_id organisation_name() const;
     void choose_service();
+    /// For a request that takes up a stream: finds out what began it, and
+    /// refuses it if that is not known.
+    net::awaitable<void> find_stream_origin();
+    [[noreturn]] void refuse_to_resume(std::string_view reason);
+    /// Called before the first event of an attempt is forwarded.
+    void on_first_event();
+    /// False if the stream can't go on at the server.
+    bool has_origin(const serving::server_entry& server) const;
+    bool is_origin_listed() const;
     net::awaitable<void> attempt_until_answered();
     net::awaitable<server_table::record_pointer> wait_for_server();
     server_pick pick_server() const;
@@ -125,7 +136,7 @@
     suspicion::fingerprint m_fingerprint;
     time_point m_arrived{};
     time_point m_deadline{};
-    /// The caller gives up if it has received nothing by then.
+    /// The caller gives up if it has received nothing more by then.
     time_point m_first_byte_deadline{};
     std::set<server_id> m_excluded_servers;
     std::set<http::endpoint> m_attempted_addresses;
@@ -138,6 +149,10 @@
     /// The next attempt asks for a place if it is withheld.
     bool m_books_place = false;
     stream_progress m_progress;
+    /// What began the stream; set once the caller has an event of it.
+    std::optional<continuity::stream_origin> m_origin;
+    /// That of the current attempt.
+    continuity::stream_origin m_attempt_origin;
     attempt_observer m_observer;
     exchange m_exchange;
     /// Name of the daemon that forwards the current attempt; empty if none.
@@ -146,6 +161,8 @@
     std::set<std::string> m_excluded_relays;
     wait_queue::waiter_pointer m_waiter;
     bool m_has_retried_same_server = false;
+    /// The caller takes up a stream that broke off.
+    bool m_is_taken_up = false;
     bool m_is_caller_gone = false;
     /// The request may show whether a part of its prompt is sound again.
     bool m_is_trial = false;
--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -34,8 +34,10 @@
 } // namespace
 
 attempt_observer::attempt_observer(entry_state& state,
-                                   const serving::request& request)
+                                   const serving::request& request,
+                                   std::function<void()> on_first_event)
     : m_state(state), m_request(request.id),
+      m_on_first_event(std::move(on_first_event)),
       m_parts(shared_parts_of(request.prompt))
 {
 }
@@ -53,6 +55,7 @@
             [this]
             {
                 m_record->room.on_accepted(m_sent_at);
+                m_on_first_event();
             }};
 }
 
@@ -60,6 +63,7 @@
                              std::string relay)
 {
     m_record = std::move(record);
+    m_version = m_record->entry.version;
     m_relay = std::move(relay);
     m_sent.reset();
     // Not only when it is sent: other requests may choose the server meanwhile.
@@ -319,6 +323,7 @@
         severity::info, event_number::request_attempted,
         {{"request", m_request.value()},
          {"server", m_record->entry.id.value()},
+         {"software_version", m_version.value()},
          {"end", name_of(result.end)},
          {"status", head.status},
          {"names_request", outcome::name_of(head.request)},
--- a/libraries/entry/attempt_observer.hpp
+++ b/libraries/entry/attempt_observer.hpp
@@ -11,7 +11,10 @@
 class attempt_observer
 {
 public:
-    attempt_observer(entry_state& state, const serving::request& request);
+    /// `on_first_event` is called before the first event of an attempt's answer
+    /// is forwarded.
+    attempt_observer(entry_state& state, const serving::request& request,
+                     std::function<void()> on_first_event);
 
     /// Handlers for the exchanges of the request, valid as long as this object.
     exchange_handlers handlers();
@@ -52,11 +55,14 @@
 
     entry_state& m_state;
     request_id m_request;
+    std::function<void()> m_on_first_event;
     /// Parts of the prompt that other requests may have too.
     std::vector<suspicion::part_fingerprint> m_parts;
     bool m_is_trial = false;
     time_point m_sent_at{};
     server_table::record_pointer m_record;
+    /// That of the incarnation which the attempt is meant for.
+    software_version m_version;
     std::string m_relay;
     /// Set once the request was sent to the server directly.
     std::optional<sharing::brittle_service::send_number> m_sent;
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -305,6 +305,15 @@
     }
 }
 
+void digest_exchange::send_streams(fleet::wire::Digest message,
+                                   const http::endpoint& to)
+{
+    message.sender = m_state.settings.name.value();
+    message.incarnation = m_incarnation;
+    message.is_update = true;
+    send(message, {datagram_endpoint(to)});
+}
+
 void digest_exchange::send_digest_to(const net::ip::udp::endpoint& peer)
 {
     const time_point now = monotonic_clock::now();
@@ -447,6 +456,11 @@
                       {{"peer", sender}, {"reason", reason.what()}});
         }
     }
+    m_state.continuity.on_message(digest, address);
+    if (digest.number == 0)
+    {
+        return;
+    }
     const auto known = m_state.fleet.peers().find(sender);
     const bool has_started =
         known == m_state.fleet.peers().end() ||
--- a/libraries/entry/digest_exchange.hpp
+++ b/libraries/entry/digest_exchange.hpp
@@ -31,6 +31,9 @@
     /// placement lease.
     void send_update_to_all_soon();
     void add_address(const http::endpoint& address);
+    /// Sends lists of streams to one daemon. They are no state of this one:
+    /// they neither replace a digest nor are replaced by one.
+    void send_streams(fleet::wire::Digest message, const http::endpoint& to);
     /// Sends a full digest to all daemons immediately.
     void send_digest();
 
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -113,6 +113,21 @@
                 {
                     return m_placement.is_held();
                 }}),
+      m_versions(m_context, m_store, m_state.continuity,
+                 {[this] { return m_placement.is_held(); },
+                  [this]
+                  {
+                      return m_placement.epoch().value() ==
+                             epoch_floor(m_store.era()).value() + 1;
+                  },
+                  [this]
+                  {
+                      return m_state.is_draining;
+                  }}),
+      m_stream_record(
+          m_context, m_store, m_state.continuity,
+          [this] { return m_placement.is_held(); },
+          [this] { return m_state.is_draining; }),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
       m_started(monotonic_clock::now())
 {
@@ -124,6 +139,14 @@
     {
         m_digests.send_update_to_all_soon();
     };
+    m_state.continuity.set_handlers(
+        {[this](fleet::wire::Digest message, const http::endpoint& to)
+         { m_digests.send_streams(std::move(message), to); },
+         [this] { return m_stream_record.read(); },
+         [this]
+         {
+             return m_placement.is_held();
+         }});
     m_state.is_placement_holder = [this]
     {
         return m_placement.is_held();
@@ -209,6 +232,7 @@
         relay_limits.idle_timeout = http::server_limits{}.idle_timeout;
         m_relay_server.set_limits(relay_limits);
         m_state.configuration = std::move(next);
+        m_state.continuity.on_configuration(*m_state.configuration);
         m_state.update_rate_shares(monotonic_clock::now());
         m_state.waiting.wake_all();
         log_first_readiness();
@@ -233,6 +257,7 @@
 void entry_daemon::on_servers_changed()
 {
     m_state.has_servers = true;
+    m_state.continuity.on_servers_changed();
     log_first_readiness();
     m_placement.schedule_planning();
     m_state.waiting.wake_all();
@@ -296,7 +321,12 @@
     }
     if (it.digest.__isset.placement_epoch)
     {
+        const bool is_new_holder = m_holder != it.digest.sender;
         m_holder = it.digest.sender;
+        if (is_new_holder)
+        {
+            m_state.continuity.on_recorder_changed();
+        }
         m_placement.on_holder_digest(it);
         if (!m_placement.is_held())
         {
@@ -433,6 +463,8 @@
     m_mirror.start();
     m_placement.start();
     m_digests.start();
+    m_versions.start();
+    m_stream_record.start();
     m_state.reach.start(m_dialects.servers.make_report_request,
                         [this] { on_reach_changed(); });
     net::co_spawn(m_context, follow_members(), net::detached);
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -6,6 +6,8 @@
 #include "entry/request_handler.hpp"
 #include "entry/request_relay.hpp"
 #include "entry/store_mirror.hpp"
+#include "entry/stream_record.hpp"
+#include "entry/version_record.hpp"
 #include "http/server.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -89,6 +91,8 @@
     http::server<readiness_handler> m_readiness_server;
     http::server<request_relay> m_relay_server;
     store_mirror m_mirror;
+    version_record m_versions;
+    stream_record m_stream_record;
     net::signal_set m_signals;
     /// Name of the peer that last reported holding the placement lease; empty
     /// once it reports that it no longer does.
--- a/libraries/entry/entry_metrics.cpp
+++ b/libraries/entry/entry_metrics.cpp
@@ -38,6 +38,11 @@
     return std::chrono::duration<double>(it).count();
 }
 
+std::string kind_of(bool is_taken_up)
+{
+    return is_taken_up ? "taken-up" : "new";
+}
+
 } // namespace
 
 entry_metrics::entry_metrics()
@@ -47,6 +52,8 @@
                           "Requests that were refused, by reason.")),
       m_attempts(counters(m_registry, "cicadahub_entry_attempts_total",
                           "Sends to backend servers, by how they ended.")),
+      m_streams(counters(m_registry, "cicadahub_entry_streams_total",
+                         "Streams asked for and begun, new and taken up.")),
       m_orders(counters(m_registry, "cicadahub_entry_orders_total",
                         "Orders to backend servers, by their answer.")),
       m_request_time(times(m_registry, "cicadahub_entry_request_seconds",
@@ -98,6 +105,18 @@
     m_first_event.Observe(in_seconds(after));
 }
 
+void entry_metrics::count_stream_asked(bool is_taken_up)
+{
+    m_streams.Add({{"kind", kind_of(is_taken_up)}, {"step", "asked"}})
+        .Increment();
+}
+
+void entry_metrics::count_stream_began(bool is_taken_up)
+{
+    m_streams.Add({{"kind", kind_of(is_taken_up)}, {"step", "began"}})
+        .Increment();
+}
+
 void entry_metrics::count_order(std::string_view answer)
 {
     m_orders.Add({{"answer", std::string(answer)}}).Increment();
--- a/libraries/entry/entry_metrics.hpp
+++ b/libraries/entry/entry_metrics.hpp
@@ -25,6 +25,10 @@
     /// difference from `estimate`, which was made when the wait began.
     void observe_wait(milliseconds waited, milliseconds estimate);
     void observe_first_event(milliseconds after);
+    /// Streams that callers begin, or take up again: those asked for, and those
+    /// that went on to an event.
+    void count_stream_asked(bool is_taken_up);
+    void count_stream_began(bool is_taken_up);
     void count_order(std::string_view answer);
     void observe_load(milliseconds took);
 
@@ -36,6 +40,7 @@
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_refusals;
     prometheus::Family<prometheus::Counter>& m_attempts;
+    prometheus::Family<prometheus::Counter>& m_streams;
     prometheus::Family<prometheus::Counter>& m_orders;
     prometheus::Histogram& m_request_time;
     prometheus::Histogram& m_attempt_time;
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -34,7 +34,7 @@
       suspects(suspicion::suspicion_limits{max_crashes, suspect_retention,
                                            max_suspects}),
       pool(io, connect_timeout, idle_connections_per_server),
-      reach(io, pool, servers, random)
+      reach(io, pool, servers, random), continuity(io, servers, fleet)
 {
 }
 
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -11,6 +11,7 @@
 #include "entry/reach_monitor.hpp"
 #include "entry/server_table.hpp"
 #include "entry/settings.hpp"
+#include "entry/stream_continuity.hpp"
 #include "entry/wait_queue.hpp"
 #include "http/client.hpp"
 
@@ -60,6 +61,7 @@
 
     std::mt19937_64 random{std::random_device{}()};
     reach_monitor reach;
+    stream_continuity continuity;
 
     /// Called on changes that other daemons need to learn of at once.
     std::function<void()> send_update_soon;
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -386,6 +386,7 @@
     {
         progress.first_event_at = monotonic_clock::now();
     }
+    progress.last_event_at = monotonic_clock::now();
     m_is_writing_to_caller = true;
     co_await reply.write_chunk(events);
     m_is_writing_to_caller = false;
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -23,6 +23,7 @@
     bool has_head = false;
     std::optional<std::string> last_event;
     std::optional<time_point> first_event_at;
+    time_point last_event_at{};
 };
 
 struct exchange_result
--- a/libraries/entry/placement_controller.hpp
+++ b/libraries/entry/placement_controller.hpp
@@ -64,6 +64,7 @@
     /// The latest digest of the former holder no longer claims the lease.
     void on_holder_released() { m_shard.on_holder_claim_ended(); }
     bool is_held() const { return m_shard.is_held(); }
+    epoch_number epoch() const { return m_shard.epoch(); }
     /// If this daemon is the holder, adds to the digest its lease, the holdings
     /// of servers that have changed since the last digest and, in a full
     /// digest, the holdings of some of the others, round-robin.
--- a/libraries/entry/request_admission.cpp
+++ b/libraries/entry/request_admission.cpp
@@ -111,9 +111,68 @@
     m_observer.admit_crashing_part();
 }
 
+organisation_id active_request::organisation_name() const
+{
+    return m_organisation == nullptr ? organisation_id() : m_organisation->name;
+}
+
+net::awaitable<void> active_request::find_stream_origin()
+{
+    if (!is_stream())
+    {
+        co_return;
+    }
+    m_is_taken_up = m_route->is_resumable && m_request.after_event;
+    m_state.metrics.count_stream_asked(m_is_taken_up);
+    if (!m_is_taken_up)
+    {
+        co_return;
+    }
+    const std::string first =
+        m_request.resumes ? m_request.resumes->value() : std::string();
+    m_origin = co_await m_state.continuity.find_origin(
+        m_request, organisation_name(), *m_route);
+    if (!m_origin)
+    {
+        refuse_to_resume("its software version is not known");
+    }
+    log_event(severity::info, event_number::stream_resumed,
+              {{"request", m_request.id.value()},
+               {"resumes", first},
+               {"after_event", *m_request.after_event},
+               {"service", m_origin->service.value()},
+               {"software_version", m_origin->version.value()},
+               {"took_ms", time_since(m_arrived).count()}});
+}
+
+void active_request::refuse_to_resume(std::string_view reason)
+{
+    log_event(
+        severity::warning, event_number::stream_not_resumed,
+        {{"request", m_request.id.value()},
+         {"resumes",
+          m_request.resumes ? m_request.resumes->value() : std::string()},
+         {"reason", reason},
+         {"service", m_origin ? m_origin->service.value() : std::string()},
+         {"software_version",
+          m_origin ? m_origin->version.value() : std::string()},
+         {"is_past_known", m_state.continuity.is_past_known()},
+         {"took_ms", time_since(m_arrived).count()}});
+    refuse(refusal_kind::no_capacity, {});
+}
+
 void active_request::choose_service()
 {
-    const auto& shares = m_route->services;
+    auto shares = m_route->services;
+    if (m_origin)
+    {
+        std::erase_if(shares, [this](const serving::service_share& it)
+                      { return it.service != m_origin->service; });
+        if (shares.empty())
+        {
+            refuse_to_resume("its route no longer leads to its service");
+        }
+    }
     const auto drawn = routing::draw_by_weight(
         shares.size(), [&](std::size_t n) { return shares[n].weight; },
         m_state.random());
--- a/libraries/entry/request_relay.cpp
+++ b/libraries/entry/request_relay.cpp
@@ -55,7 +55,8 @@
                                           *request.model, request.adapter})
                                     : std::nullopt;
     const running_guard running(record, request.model);
-    attempt_observer observer(m_state, request);
+    // The host that the caller asked remembers what began the stream.
+    attempt_observer observer(m_state, request, [] {});
     observer.begin(record);
     exchange run(m_state.pool, m_servers, observer.handlers());
     // The sender decides whether the request may be sent again.
--- a/libraries/entry/request_routing.cpp
+++ b/libraries/entry/request_routing.cpp
@@ -17,6 +17,24 @@
 
 } // namespace
 
+bool active_request::has_origin(const serving::server_entry& server) const
+{
+    return !m_origin || (server.service == m_origin->service &&
+                         server.version == m_origin->version);
+}
+
+bool active_request::is_origin_listed() const
+{
+    const auto& records = m_state.servers.records();
+    return std::any_of(records.begin(), records.end(),
+                       [this](const auto& it)
+                       {
+                           const serving::server_entry& entry =
+                               it.second->entry;
+                           return !entry.is_leaving && has_origin(entry);
+                       });
+}
+
 milliseconds active_request::time_left(time_point now) const
 {
     return std::chrono::duration_cast<milliseconds>(m_deadline - now);
@@ -34,7 +52,7 @@
     {
         const auto& entry = record->entry;
         if (entry.service != m_service->name || entry.is_leaving ||
-            (m_copy && !record->holds(*m_copy)))
+            !has_origin(entry) || (m_copy && !record->holds(*m_copy)))
         {
             continue;
         }
@@ -154,7 +172,7 @@
     for (const auto& [id, record] : m_state.servers.records())
     {
         if (record->entry.service != m_service->name ||
-            record->entry.is_leaving)
+            record->entry.is_leaving || !has_origin(record->entry))
         {
             continue;
         }
@@ -200,6 +218,10 @@
     {
         refuse(refusal_kind::not_ready, retry_after_full);
     }
+    if (m_origin && !is_origin_listed())
+    {
+        refuse_to_resume("no server of its software version is left");
+    }
     if (m_copy && estimate + min_processing_time > left)
     {
         refuse(refusal_kind::target_unreachable, estimate);
--- /dev/null
+++ b/libraries/entry/stream_continuity.cpp
@@ -0,0 +1,358 @@
+#include "entry/stream_continuity.hpp"
+
+#include "core/structured_log.hpp"
+#include "decision/continuity/keeper_selection.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace cicadahub::entry
+{
+
+namespace
+{
+
+using continuity::begun_stream;
+using continuity::stream_key;
+using continuity::stream_origin;
+
+/// More than the streams that all hosts of the largest deployment begin within
+/// the longest time in which they can be taken up; 2 MB.
+constexpr std::size_t max_streams = 20'000;
+/// A server may begin streams this long after its version is no longer listed:
+/// all hosts learn of it in this time.
+constexpr milliseconds list_lag{5'000};
+/// Hosts in contact answer within a few milliseconds. The caller, which waits
+/// for its next event, is told early that nobody knows.
+constexpr milliseconds answer_limit{250};
+/// A datagram of this many streams is well below the largest.
+constexpr std::size_t max_streams_per_message = 200;
+
+fleet::wire::BegunStream to_wire(const begun_stream& it, time_point now)
+{
+    fleet::wire::BegunStream wire;
+    wire.key = it.key.value();
+    wire.service_name = it.origin.service.value();
+    wire.version = it.origin.version.value();
+    wire.left_ms = static_cast<std::int32_t>(
+        std::chrono::duration_cast<milliseconds>(it.until - now).count());
+    return wire;
+}
+
+} // namespace
+
+stream_continuity::stream_continuity(net::io_context& context,
+                                     const server_table& servers,
+                                     const fleet_view& fleet)
+    : m_context(context), m_servers(servers), m_fleet(fleet),
+      m_versions(monotonic_clock::now()), m_origins(max_streams)
+{
+}
+
+void stream_continuity::on_configuration(const serving::configuration& it)
+{
+    for (const serving::route& route : it.routes)
+    {
+        if (route.kind == serving::request_kind::stream && route.is_resumable)
+        {
+            m_longest_stream = std::max(m_longest_stream, route.timeout);
+        }
+    }
+    m_versions.set_retention(m_longest_stream + list_lag);
+}
+
+void stream_continuity::on_servers_changed()
+{
+    const time_point now = monotonic_clock::now();
+    continuity::service_versions::version_sets listed;
+    for (const auto& [id, record] : m_servers.records())
+    {
+        listed[record->entry.service].insert(record->entry.version);
+    }
+    const auto before = m_versions.current(now);
+    m_versions.on_listed(std::move(listed), now);
+    const auto after = m_versions.current(now);
+    if (before == after)
+    {
+        return;
+    }
+    for (const auto& [service, versions] : after)
+    {
+        std::string names;
+        for (const software_version& it : versions)
+        {
+            names.append(names.empty() ? "" : " ").append(it.value());
+        }
+        log_event(severity::info, event_number::service_versions_changed,
+                  {{"service", service.value()},
+                   {"versions", names},
+                   {"is_past_known", m_versions.is_past_known(now)}});
+    }
+    // Streams that began while there was one version were told to nobody.
+    m_unrecorded = ambiguous_streams(now);
+    tell(m_unrecorded, now);
+}
+
+void stream_continuity::on_recorder_changed()
+{
+    const time_point now = monotonic_clock::now();
+    m_unrecorded = ambiguous_streams(now);
+    if (const peer* recorder = m_fleet.placement_holder())
+    {
+        send(recorder->digest.sender, m_unrecorded, now);
+    }
+}
+
+void stream_continuity::on_recorded(
+    const continuity::service_versions::version_sets& it)
+{
+    m_versions.on_recorded(it, monotonic_clock::now());
+}
+
+continuity::service_versions::version_sets
+stream_continuity::versions_to_record()
+{
+    return m_versions.current(monotonic_clock::now());
+}
+
+bool stream_continuity::is_past_known() const
+{
+    return m_versions.is_past_known(monotonic_clock::now());
+}
+
+void stream_continuity::on_recorded(const stream_key& key,
+                                    const stream_origin& origin)
+{
+    // It may have begun at any time until now.
+    const time_point now = monotonic_clock::now();
+    m_origins.on_begun({key, origin, now + m_longest_stream}, now);
+}
+
+std::vector<begun_stream> stream_continuity::take_unrecorded()
+{
+    return std::exchange(m_unrecorded, {});
+}
+
+std::optional<stream_origin>
+stream_continuity::sole_origin(const serving::route& route,
+                               time_point now) const
+{
+    if (route.services.size() != 1)
+    {
+        return std::nullopt;
+    }
+    const service_id& service = route.services.front().service;
+    auto version = m_versions.sole_version(service, now);
+    if (!version)
+    {
+        return std::nullopt;
+    }
+    return stream_origin{service, std::move(*version)};
+}
+
+std::vector<begun_stream> stream_continuity::ambiguous_streams(time_point now)
+{
+    std::vector<begun_stream> streams = m_origins.all(now);
+    std::erase_if(
+        streams,
+        [&](const begun_stream& it) {
+            return m_versions.sole_version(it.origin.service, now).has_value();
+        });
+    return streams;
+}
+
+void stream_continuity::remember(const begun_stream& it, time_point now)
+{
+    if (!m_origins.find(it.key, now) && m_handlers.is_recorder())
+    {
+        m_unrecorded.push_back(it);
+    }
+    m_origins.on_begun(it, now);
+}
+
+void stream_continuity::on_begun(const begun_stream& it,
+                                 const serving::route& route)
+{
+    const time_point now = monotonic_clock::now();
+    if (sole_origin(route, now))
+    {
+        m_origins.on_begun(it, now);
+        return;
+    }
+    remember(it, now);
+    tell({it}, now);
+}
+
+std::vector<daemon_id> stream_continuity::keepers(const stream_key& stream,
+                                                  std::size_t count) const
+{
+    std::vector<daemon_id> names;
+    names.reserve(m_fleet.peers().size());
+    for (const auto& [name, it] : m_fleet.peers())
+    {
+        names.emplace_back(name);
+    }
+    auto selected = continuity::select_keepers(stream, names, count);
+    if (const peer* recorder = m_fleet.placement_holder())
+    {
+        const daemon_id name(recorder->digest.sender);
+        if (std::find(selected.begin(), selected.end(), name) == selected.end())
+        {
+            selected.push_back(name);
+        }
+    }
+    return selected;
+}
+
+void stream_continuity::tell(const std::vector<begun_stream>& streams,
+                             time_point now)
+{
+    std::map<daemon_id, std::vector<begun_stream>> by_keeper;
+    for (const begun_stream& it : streams)
+    {
+        for (const daemon_id& name : keepers(it.key, continuity::keeper_count))
+        {
+            by_keeper[name].push_back(it);
+        }
+    }
+    for (const auto& [name, kept] : by_keeper)
+    {
+        send(name.value(), kept, now);
+    }
+}
+
+void stream_continuity::send(const std::string& to,
+                             const std::vector<begun_stream>& streams,
+                             time_point now)
+{
+    const http::endpoint address = m_fleet.peers().at(to).address;
+    fleet::wire::Digest message;
+    for (std::size_t n = 0; n < streams.size(); ++n)
+    {
+        message.begun_streams.push_back(to_wire(streams[n], now));
+        if (message.begun_streams.size() == max_streams_per_message ||
+            n + 1 == streams.size())
+        {
+            m_handlers.send(std::exchange(message, {}), address);
+        }
+    }
+}
+
+net::awaitable<std::optional<stream_origin>>
+stream_continuity::find_origin(const serving::request& request,
+                               const organisation_id& organisation,
+                               const serving::route& route)
+{
+    if (auto sole = sole_origin(route, monotonic_clock::now()))
+    {
+        co_return sole;
+    }
+    if (!request.resumes)
+    {
+        co_return std::nullopt;
+    }
+    const stream_key key =
+        continuity::key_of(*request.resumes, organisation, route.name);
+    auto known = m_origins.find(key, monotonic_clock::now());
+    if (!known)
+    {
+        co_await ask(key);
+        known = m_origins.find(key, monotonic_clock::now());
+    }
+    if (!known)
+    {
+        // The hosts that knew it may all have started again.
+        co_await m_handlers.read_recorded();
+        known = m_origins.find(key, monotonic_clock::now());
+    }
+    if (!known)
+    {
+        co_return std::nullopt;
+    }
+    co_return known->origin;
+}
+
+net::awaitable<void> stream_continuity::ask(const stream_key& stream)
+{
+    question_pointer it;
+    const auto known = m_questions.find(stream);
+    if (known != m_questions.end())
+    {
+        it = known->second;
+    }
+    else
+    {
+        it = std::make_shared<question>(m_context);
+        it->answered.expires_after(answer_limit);
+        m_questions.emplace(stream, it);
+        fleet::wire::Digest message;
+        message.asked_streams.push_back(stream.value());
+        for (const daemon_id& name : keepers(stream, continuity::asked_count))
+        {
+            ++it->pending;
+            m_handlers.send(message, m_fleet.peers().at(name.value()).address);
+        }
+    }
+    if (it->pending > 0)
+    {
+        co_await it->answered.async_wait(net::as_tuple(net::use_awaitable));
+    }
+    const auto mine = m_questions.find(stream);
+    if (mine != m_questions.end() && mine->second == it)
+    {
+        m_questions.erase(mine);
+    }
+}
+
+void stream_continuity::on_message(const fleet::wire::Digest& it,
+                                   const http::endpoint& from)
+{
+    const time_point now = monotonic_clock::now();
+    for (const fleet::wire::BegunStream& told : it.begun_streams)
+    {
+        const stream_key key(told.key);
+        const bool is_known = !told.service_name.empty();
+        if (is_known)
+        {
+            remember({key,
+                      stream_origin{service_id(told.service_name),
+                                    software_version(told.version)},
+                      now + milliseconds(std::max(0, told.left_ms))},
+                     now);
+        }
+        const auto asked = m_questions.find(key);
+        if (asked == m_questions.end())
+        {
+            continue;
+        }
+        question& waiting = *asked->second;
+        waiting.pending -= waiting.pending > 0 ? 1 : 0;
+        if (is_known || waiting.pending == 0)
+        {
+            waiting.answered.cancel();
+        }
+    }
+    fleet::wire::Digest answer;
+    for (const std::string& asked : it.asked_streams)
+    {
+        if (answer.begun_streams.size() >= max_streams_per_message)
+        {
+            break;
+        }
+        const auto known = m_origins.find(stream_key(asked), now);
+        fleet::wire::BegunStream& told = answer.begun_streams.emplace_back();
+        if (known)
+        {
+            told = to_wire(*known, now);
+        }
+        told.key = asked;
+    }
+    if (!answer.begun_streams.empty())
+    {
+        m_handlers.send(std::move(answer), from);
+    }
+}
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/stream_continuity.hpp
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "decision/continuity/service_versions.hpp"
+#include "decision/continuity/stream_origins.hpp"
+#include "digest_types.h"
+#include "entry/fleet_view.hpp"
+#include "entry/server_table.hpp"
+#include "serving/configuration.hpp"
+#include "serving/request.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace cicadahub::entry
+{
+
+namespace net = boost::asio;
+
+/// Knows what began the streams that callers may take up. While every stream of
+/// a service can only have been begun by one software version, nothing is told
+/// or asked. Otherwise the host that serves a stream tells its origin to a few
+/// others, which any host that does not know it asks, and the holder of the
+/// placement lease records it in the platform's store.
+class stream_continuity
+{
+public:
+    /// Links to the other hosts and to the store.
+    struct handlers
+    {
+        /// Sends lists of streams to a host by datagram; a lost one is not sent
+        /// again.
+        std::function<void(fleet::wire::Digest message,
+                           const http::endpoint& to)>
+            send;
+        /// Reads the streams that are recorded in the store.
+        std::function<net::awaitable<void>()> read_recorded;
+        /// True if this host records streams.
+        std::function<bool()> is_recorder;
+    };
+
+    stream_continuity(net::io_context& context, const server_table& servers,
+                      const fleet_view& fleet);
+
+    void set_handlers(handlers given) { m_handlers = std::move(given); }
+
+    void on_configuration(const serving::configuration& it);
+    /// The list of servers, or what one of them runs, has changed.
+    void on_servers_changed();
+    /// Another host records streams now, or this one does.
+    void on_recorder_changed();
+
+    /// Versions that were recorded before this host started.
+    void on_recorded(const continuity::service_versions::version_sets& it);
+    /// Versions to be recorded for hosts that start later.
+    continuity::service_versions::version_sets versions_to_record();
+    bool is_past_known() const;
+
+    /// A stream that was recorded in the store.
+    void on_recorded(const continuity::stream_key& key,
+                     const continuity::stream_origin& origin);
+    /// Streams to be recorded, without those returned before.
+    std::vector<continuity::begun_stream> take_unrecorded();
+
+    /// The caller has got the first event of a stream.
+    void on_begun(const continuity::begun_stream& it,
+                  const serving::route& route);
+
+    /// What began the stream that a request takes up; empty if nobody in
+    /// contact knows. Asks other hosts and the store only if it may be one of
+    /// several.
+    net::awaitable<std::optional<continuity::stream_origin>>
+    find_origin(const serving::request& request,
+                const organisation_id& organisation,
+                const serving::route& route);
+
+    /// Another host told of streams, or asks for some.
+    void on_message(const fleet::wire::Digest& it, const http::endpoint& from);
+
+private:
+    struct question
+    {
+        explicit question(net::io_context& context) : answered(context) {}
+
+        net::steady_timer answered;
+        std::size_t pending = 0;
+    };
+    using question_pointer = std::shared_ptr<question>;
+
+    /// The origin of all streams of a route that can be taken up; empty if
+    /// there may be several.
+    std::optional<continuity::stream_origin>
+    sole_origin(const serving::route& route, time_point now) const;
+    void remember(const continuity::begun_stream& it, time_point now);
+    std::vector<continuity::begun_stream> ambiguous_streams(time_point now);
+    std::vector<daemon_id> keepers(const continuity::stream_key& stream,
+                                   std::size_t count) const;
+    /// Tells streams to the hosts that keep them.
+    void tell(const std::vector<continuity::begun_stream>& streams,
+              time_point now);
+    void send(const std::string& to,
+              const std::vector<continuity::begun_stream>& streams,
+              time_point now);
+    net::awaitable<void> ask(const continuity::stream_key& stream);
+
+    net::io_context& m_context;
+    const server_table& m_servers;
+    const fleet_view& m_fleet;
+    handlers m_handlers;
+    continuity::service_versions m_versions;
+    continuity::stream_origins m_origins;
+    /// Known streams that this host has not recorded yet.
+    std::vector<continuity::begun_stream> m_unrecorded;
+    milliseconds m_longest_stream{0};
+    std::map<continuity::stream_key, question_pointer> m_questions;
+};
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/version_record.cpp
@@ -0,0 +1,181 @@
+#include "entry/version_record.hpp"
+
+#include "core/errors.hpp"
+#include "core/json_reader.hpp"
+#include "core/structured_log.hpp"
+#include "daemon/pause.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace cicadahub::entry
+{
+
+namespace
+{
+
+using daemon::pause;
+using version_sets = continuity::service_versions::version_sets;
+
+constexpr const char* record_name = "streams";
+constexpr milliseconds retry_pause{300};
+/// The first holder writes the record a second or two after the start.
+constexpr milliseconds absent_pause{3'000};
+/// The holder looks this often whether the versions have changed.
+constexpr milliseconds check_period{100};
+
+boost::json::object to_json(const version_sets& versions)
+{
+    boost::json::object services;
+    for (const auto& [service, names] : versions)
+    {
+        boost::json::array list;
+        for (const software_version& it : names)
+        {
+            list.emplace_back(it.value());
+        }
+        services[service.value()] = std::move(list);
+    }
+    return {{"services", std::move(services)}};
+}
+
+version_sets versions_from(const boost::json::object& spec)
+{
+    const json_reader reader(spec);
+    version_sets versions;
+    for (const auto& member : reader.object("services"))
+    {
+        const auto* list = member.value().if_array();
+        if (list == nullptr)
+        {
+            throw malformed_document("versions must be a list");
+        }
+        for (const boost::json::value& it : *list)
+        {
+            const auto* name = it.if_string();
+            if (name == nullptr)
+            {
+                throw malformed_document("a version must be a string");
+            }
+            versions[service_id(std::string(member.key()))].insert(
+                software_version(std::string(*name)));
+        }
+    }
+    return versions;
+}
+
+} // namespace
+
+version_record::version_record(net::io_context& context, platform::store& store,
+                               stream_continuity& streams, handlers given)
+    : m_context(context), m_store(store), m_streams(streams),
+      m_handlers(std::move(given))
+{
+}
+
+void version_record::start()
+{
+    net::co_spawn(m_context, read_past(), net::detached);
+    net::co_spawn(m_context, write_changes(), net::detached);
+}
+
+net::awaitable<bool> version_record::read()
+{
+    m_stored =
+        co_await m_store.read(platform::collection::versions, record_name);
+    if (m_stored)
+    {
+        m_streams.on_recorded(versions_from(m_stored->spec));
+    }
+    co_return m_stored.has_value();
+}
+
+net::awaitable<void> version_record::read_past()
+{
+    while (!m_handlers.is_stopping() && !m_streams.is_past_known())
+    {
+        milliseconds next = absent_pause;
+        try
+        {
+            co_await read();
+        }
+        catch (const error& reason)
+        {
+            next = retry_pause;
+            log_event(severity::warning, event_number::platform_unreachable,
+                      {{"collection", "versions"}, {"reason", reason.what()}});
+        }
+        if (!m_streams.is_past_known())
+        {
+            co_await pause(m_context, next);
+        }
+    }
+}
+
+net::awaitable<void> version_record::write_changes()
+{
+    while (!m_handlers.is_stopping())
+    {
+        co_await pause(m_context, check_period);
+        if (!m_handlers.is_holder())
+        {
+            // Another holder may write in the meantime.
+            m_stored.reset();
+            continue;
+        }
+        milliseconds wait{0};
+        try
+        {
+            if (!m_stored)
+            {
+                const bool has_record = co_await read();
+                if (!has_record && m_handlers.is_first_holder())
+                {
+                    m_streams.on_recorded({});
+                }
+            }
+            const version_sets versions = m_streams.versions_to_record();
+            const bool is_written =
+                m_stored && m_stored->spec == to_json(versions);
+            if (!is_written && m_streams.is_past_known())
+            {
+                co_await write(versions);
+            }
+            else if (!m_stored)
+            {
+                wait = retry_pause;
+            }
+        }
+        catch (const error& reason)
+        {
+            wait = retry_pause;
+            m_stored.reset();
+            log_event(severity::warning, event_number::platform_unreachable,
+                      {{"collection", "versions"}, {"reason", reason.what()}});
+        }
+        co_await pause(m_context, wait);
+    }
+}
+
+net::awaitable<void> version_record::write(const version_sets& versions)
+{
+    platform::stored_object former;
+    if (m_stored)
+    {
+        former = *m_stored;
+    }
+    former.name = record_name;
+    const boost::json::object spec = to_json(versions);
+    const auto written =
+        co_await m_store.write(platform::collection::versions, former, spec);
+    if (written.outcome != platform::write_outcome::applied)
+    {
+        m_stored.reset();
+        co_return;
+    }
+    former.spec = spec;
+    former.version = written.version;
+    m_stored = std::move(former);
+}
+
+} // namespace cicadahub::entry
--- /dev/null
+++ b/libraries/entry/version_record.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "entry/stream_continuity.hpp"
+#include "platform/store.hpp"
+
+#include <functional>
+
+namespace cicadahub::entry
+{
+
+/// Keeps the software versions of the services in the platform's store, so that
+/// a host that starts knows of versions whose servers have left meanwhile, even
+/// if all hosts start at the same moment. The holder of the placement lease
+/// writes it, when the versions change.
+class version_record
+{
+public:
+    struct handlers
+    {
+        std::function<bool()> is_holder;
+        /// True if this host holds the first placement lease that there was, so
+        /// that no stream began before.
+        std::function<bool()> is_first_holder;
+        std::function<bool()> is_stopping;
+    };
+
+    version_record(net::io_context& context, platform::store& store,
+                   stream_continuity& streams, handlers given);
+
+    void start();
+
+private:
+    net::awaitable<void> read_past();
+    net::awaitable<void> write_changes();
+    /// True if there was a record.
+    net::awaitable<bool> read();
+    net::awaitable<void>
+    write(const continuity::service_versions::version_sets& versions);
+
+    net::io_context& m_context;
+    platform::store& m_store;
+    stream_continuity& m_streams;
+    handlers m_handlers;
+    std::optional<platform::stored_object> m_stored;
+};
+
+} // namespace cicadahub::entry
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -103,6 +103,19 @@
   2: i64 incarnation
 }
 
+/// A stream whose first event a caller has got, so that it goes on only at
+/// servers of the same service and software version.
+struct BegunStream {
+  /// Hash of the request that brought the first event, its organisation and its
+  /// route.
+  1: string key
+  /// Empty if the sender does not know what began the stream.
+  2: string service_name
+  3: string version
+  /// Time in which the caller may still take it up.
+  4: i32 left_ms
+}
+
 struct Digest {
   1: string sender
   2: i64 incarnation
@@ -147,4 +160,10 @@
   /// Absent if the sender does not share out the limits of servers, so that
   /// requests for them can't be relayed through it.
   25: optional list<LimitedServer> limited_servers
+  /// Streams that the receiver is to remember, or had asked for. Digests with
+  /// these or the next have the number 0 and nothing else: receivers take them
+  /// in any order, and no state from them.
+  26: list<BegunStream> begun_streams
+  /// Keys of streams that the sender does not know.
+  27: list<string> asked_streams
 }
--- a/libraries/platform/stored_object.hpp
+++ b/libraries/platform/stored_object.hpp
@@ -23,6 +23,10 @@
     audits,
     /// Backend servers; each registers itself.
     servers,
+    /// Software versions of the servers of each service.
+    versions,
+    /// What began the streams that callers may take up.
+    streams,
 };
 
 std::string_view name_of(collection it);
--- a/libraries/serving/request.hpp
+++ b/libraries/serving/request.hpp
@@ -36,6 +36,11 @@
     std::optional<model_id> model;
     std::optional<adapter_id> adapter;
     std::optional<token_counts> tokens;
+    /// Id of the last event that the caller has of a stream that it takes up.
+    std::optional<std::string> after_event;
+    /// The request that brought the first event of that stream; empty if the
+    /// caller does not name one.
+    std::optional<request_id> resumes;
     /// In the order of the prompt; the last part is specific to this request.
     std::vector<prompt_part> prompt;
 };
--- a/libraries/serving/server_entry.hpp
+++ b/libraries/serving/server_entry.hpp
@@ -25,6 +25,8 @@
     /// another incarnation.
     std::int64_t incarnation = 0;
     service_id service;
+    /// That of this incarnation; empty if the entry does not tell.
+    software_version version;
     endpoint address;
     data_centre_id data_centre;
     std::uint32_t slots = 1;
--- /dev/null
+++ b/tests/decision/continuity_test.cpp
@@ -0,0 +1,385 @@
+#include "decision/continuity/keeper_selection.hpp"
+#include "decision/continuity/service_versions.hpp"
+#include "decision/continuity/stream_origins.hpp"
+
+#include "simulation.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cicadahub::continuity
+{
+namespace
+{
+
+constexpr time_point start{std::chrono::seconds(100)};
+constexpr milliseconds retention{10'000};
+const service_id service("models");
+const software_version v1("v1");
+const software_version v2("v2");
+
+service_versions::version_sets versions(std::set<software_version> of_service)
+{
+    return {{service, std::move(of_service)}};
+}
+
+enum class past
+{
+    unread,
+    /// As recorded before this host started.
+    none,
+    same,
+    other,
+};
+
+struct version_case
+{
+    const char* name;
+    past recorded;
+    std::set<software_version> listed;
+    milliseconds after;
+    std::optional<software_version> sole;
+};
+
+void PrintTo(const version_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class sole_versions : public testing::TestWithParam<version_case>
+{
+};
+
+TEST_P(sole_versions, are_known_only_if_no_other_may_have_begun_streams)
+{
+    const version_case& it = GetParam();
+    service_versions subject(start);
+    subject.set_retention(retention);
+    if (it.recorded != past::unread)
+    {
+        subject.on_recorded(it.recorded == past::same    ? versions({v1})
+                            : it.recorded == past::other ? versions({v2})
+                                                         : versions({}),
+                            start);
+    }
+    subject.on_listed(versions(it.listed), start);
+    EXPECT_EQ(subject.sole_version(service, start + it.after), it.sole);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    service_versions, sole_versions,
+    testing::Values(
+        version_case{"one", past::none, {v1}, seconds(0), v1},
+        version_case{"recorded_too", past::same, {v1}, seconds(0), v1},
+        version_case{"two", past::none, {v1, v2}, seconds(0), std::nullopt},
+        version_case{
+            "two_for_long", past::none, {v1, v2}, seconds(60), std::nullopt},
+        version_case{
+            "other_recorded", past::other, {v1}, seconds(9), std::nullopt},
+        version_case{
+            "other_recorded_long_ago", past::other, {v1}, seconds(11), v1},
+        version_case{
+            "record_not_read", past::unread, {v1}, seconds(9), std::nullopt},
+        version_case{"record_never_read", past::unread, {v1}, seconds(11), v1},
+        version_case{"none", past::none, {}, seconds(0), std::nullopt}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+TEST(service_versions, keeps_a_version_whose_servers_left)
+{
+    service_versions subject(start);
+    subject.set_retention(retention);
+    subject.on_recorded({}, start);
+    subject.on_listed(versions({v1}), start);
+    const time_point replaced = start + seconds(60);
+    subject.on_listed(versions({v2}), replaced);
+    EXPECT_FALSE(subject.sole_version(service, replaced));
+    EXPECT_FALSE(subject.sole_version(service, replaced + retention));
+    const time_point later = replaced + retention + milliseconds(1);
+    EXPECT_EQ(subject.sole_version(service, later), v2);
+    EXPECT_EQ(subject.current(later), versions({v2}));
+}
+
+TEST(service_versions, does_not_shorten_the_time_for_streams_that_began)
+{
+    service_versions subject(start);
+    subject.set_retention(retention);
+    subject.set_retention(seconds(1));
+    subject.on_recorded(versions({v1, v2}), start);
+    EXPECT_FALSE(subject.sole_version(service, start + seconds(5)));
+}
+
+stream_key key(const std::string& request)
+{
+    return key_of(request_id(request), organisation_id("trust"),
+                  route_id("route"));
+}
+
+begun_stream stream(const std::string& request, time_point until,
+                    const software_version& version = v1)
+{
+    return {key(request), {service, version}, until};
+}
+
+struct lookup_case
+{
+    const char* name;
+    const char* request;
+    const char* organisation;
+    const char* route;
+    milliseconds after;
+    bool is_found;
+};
+
+void PrintTo(const lookup_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class stream_lookups : public testing::TestWithParam<lookup_case>
+{
+};
+
+TEST_P(stream_lookups, find_only_the_callers_own_stream)
+{
+    const lookup_case& it = GetParam();
+    stream_origins subject(10);
+    subject.on_begun(stream("r", start + seconds(1)), start);
+    const auto found = subject.find(key_of(request_id(it.request),
+                                           organisation_id(it.organisation),
+                                           route_id(it.route)),
+                                    start + it.after);
+    EXPECT_EQ(found.has_value(), it.is_found);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    stream_origins, stream_lookups,
+    testing::Values(
+        lookup_case{"known", "r", "trust", "route", seconds(1), true},
+        lookup_case{"unknown", "s", "trust", "route", seconds(0), false},
+        lookup_case{"other_organisation", "r", "other", "route", seconds(0),
+                    false},
+        lookup_case{"other_route", "r", "trust", "other", seconds(0), false},
+        lookup_case{"over", "r", "trust", "route", seconds(2), false}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+TEST(stream_origins, relies_on_none_that_is_contradicted)
+{
+    stream_origins subject(10);
+    subject.on_begun(stream("r", start + seconds(1), v1), start);
+    subject.on_begun(stream("r", start + seconds(1), v1), start);
+    EXPECT_TRUE(subject.find(key("r"), start));
+    subject.on_begun(stream("r", start + seconds(1), v2), start);
+    EXPECT_FALSE(subject.find(key("r"), start));
+    EXPECT_TRUE(subject.all(start).empty());
+}
+
+TEST(stream_origins, is_bounded_and_forgets_the_streams_that_end_first)
+{
+    constexpr std::size_t capacity = 3;
+    stream_origins subject(capacity);
+    for (int n = 5; n > 0; --n)
+    {
+        subject.on_begun(stream("r" + std::to_string(n), start + seconds(n)),
+                         start);
+    }
+    EXPECT_EQ(subject.size(), capacity);
+    EXPECT_TRUE(subject.find(key("r5"), start));
+    EXPECT_FALSE(subject.find(key("r1"), start));
+    subject.on_begun(stream("r9", start + seconds(90)), start + seconds(60));
+    EXPECT_EQ(subject.size(), 1U);
+}
+
+/// Hosts that begin streams while a service is replaced, are lost and start
+/// again, and take up each other's streams. What a host tells or asks may be
+/// lost; the record of versions may be a moment late.
+class continuity_run
+{
+public:
+    continuity_run(std::uint64_t seed, std::size_t hosts)
+        : m_simulation(seed), m_hosts(hosts)
+    {
+        for (std::size_t n = 0; n < hosts; ++n)
+        {
+            restart(n);
+        }
+    }
+
+    void run()
+    {
+        for (int step = 0; step < 4'000; ++step)
+        {
+            m_now += milliseconds(5);
+            replace_servers();
+            if (m_simulation.happens(0.004))
+            {
+                restart(pick());
+            }
+            if (m_simulation.happens(0.001))
+            {
+                for (std::size_t n = 0; n < m_hosts.size(); ++n)
+                {
+                    restart(n);
+                }
+            }
+            begin_stream(pick());
+            take_up(pick());
+        }
+    }
+
+    std::size_t taken_up = 0;
+    std::size_t gone_on = 0;
+
+private:
+    struct host
+    {
+        service_versions versions{start};
+        stream_origins origins{1'000};
+    };
+
+    std::size_t pick()
+    {
+        return static_cast<std::size_t>(m_simulation.pick(
+            0, static_cast<std::int64_t>(m_hosts.size()) - 1));
+    }
+
+    void restart(std::size_t n)
+    {
+        m_hosts[n] = host{service_versions(m_now), stream_origins(1'000)};
+        m_hosts[n].versions.set_retention(retention);
+        m_hosts[n].versions.on_recorded(m_record, m_now);
+        m_hosts[n].versions.on_listed(versions(m_listed), m_now);
+    }
+
+    void replace_servers()
+    {
+        if (!m_simulation.happens(0.002))
+        {
+            return;
+        }
+        const auto version = [](std::int64_t n)
+        {
+            return software_version("v" + std::to_string(n));
+        };
+        // The new servers start first.
+        if (m_listed.size() > 1)
+        {
+            m_listed.erase(m_listed.begin());
+        }
+        else
+        {
+            m_listed.insert(version(++m_newest));
+        }
+        for (std::size_t n = 0; n < m_hosts.size(); ++n)
+        {
+            m_hosts[n].versions.on_listed(versions(m_listed), m_now);
+            for (const begun_stream& it : m_hosts[n].origins.all(m_now))
+            {
+                tell(it);
+            }
+        }
+        m_record = m_hosts[pick()].versions.current(m_now);
+    }
+
+    std::vector<daemon_id> names() const
+    {
+        std::vector<daemon_id> names;
+        for (std::size_t n = 0; n < m_hosts.size(); ++n)
+        {
+            names.emplace_back(std::to_string(n));
+        }
+        return names;
+    }
+
+    void tell(const begun_stream& it)
+    {
+        for (const daemon_id& to :
+             select_keepers(it.key, names(), keeper_count))
+        {
+            if (!m_simulation.happens(0.1))
+            {
+                m_hosts[std::stoul(to.value())].origins.on_begun(it, m_now);
+            }
+        }
+    }
+
+    void begin_stream(std::size_t at)
+    {
+        const auto n = static_cast<std::size_t>(m_simulation.pick(
+            0, static_cast<std::int64_t>(m_listed.size()) - 1));
+        begun_stream it = stream(
+            "r" + std::to_string(m_begun.size()), m_now + retention / 2,
+            *std::next(m_listed.begin(), static_cast<std::ptrdiff_t>(n)));
+        if (!m_hosts[at].versions.sole_version(service, m_now))
+        {
+            tell(it);
+        }
+        m_hosts[at].origins.on_begun(it, m_now);
+        m_begun.push_back(std::move(it));
+    }
+
+    void take_up(std::size_t at)
+    {
+        const begun_stream& it =
+            m_begun[static_cast<std::size_t>(m_simulation.pick(
+                std::max<std::int64_t>(
+                    0, static_cast<std::int64_t>(m_begun.size()) - 100),
+                static_cast<std::int64_t>(m_begun.size()) - 1))];
+        host& self = m_hosts[at];
+        ++taken_up;
+        std::optional<software_version> found =
+            self.versions.sole_version(service, m_now);
+        if (!found)
+        {
+            for (const daemon_id& asked :
+                 select_keepers(it.key, names(), asked_count))
+            {
+                const auto known =
+                    m_hosts[std::stoul(asked.value())].origins.find(it.key,
+                                                                    m_now);
+                if (known && !m_simulation.happens(0.1))
+                {
+                    self.origins.on_begun(*known, m_now);
+                }
+            }
+            const auto known = self.origins.find(it.key, m_now);
+            if (known)
+            {
+                found = known->origin.version;
+            }
+        }
+        gone_on += found ? 1 : 0;
+        if (found)
+        {
+            EXPECT_EQ(*found, it.origin.version) << it.key;
+        }
+    }
+
+    fakes::simulation m_simulation;
+    time_point m_now = start;
+    std::set<software_version> m_listed{software_version("v10")};
+    std::int64_t m_newest = 10;
+    service_versions::version_sets m_record =
+        versions({software_version("v10")});
+    std::vector<host> m_hosts;
+    std::vector<begun_stream> m_begun;
+};
+
+class continuity_runs : public testing::TestWithParam<std::size_t>
+{
+};
+
+// Guards against a stream that goes on at another version than began it.
+TEST_P(continuity_runs, join_no_versions)
+{
+    for (std::uint64_t seed = 0; seed < 10; ++seed)
+    {
+        continuity_run run(seed, GetParam());
+        run.run();
+        EXPECT_GT(run.gone_on, run.taken_up / 4) << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(stream_origins, continuity_runs,
+                         testing::Values(1, 3, 9, 74));
+
+} // namespace
+} // namespace cicadahub::continuity
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -1,7 +1,6 @@
 #include "platform_fleet.hpp"
+#include "raw_call.hpp"
 
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <fstream>
@@ -15,17 +14,6 @@
 
 constexpr int events_per_stream = 8;
 
-std::size_t count_occurrences(const std::string& text, const std::string& part)
-{
-    std::size_t n = 0;
-    for (std::size_t at = text.find(part); at != std::string::npos;
-         at = text.find(part, at + part.size()))
-    {
-        ++n;
-    }
-    return n;
-}
-
 bool is_complete_stream(const answer& it)
 {
     return it.status == 200 &&
@@ -63,44 +51,6 @@
         431U);
 }
 
-/// Sends the bytes unchanged; returns the status of the response, or 0 if there
-/// is none.
-unsigned status_of_raw(const std::string& address, const std::string& bytes)
-{
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::socket socket(context);
-    socket.connect(http::parse_endpoint(address));
-    boost::asio::write(socket, boost::asio::buffer(bytes));
-    boost::beast::flat_buffer buf;
-    http::response answer;
-    boost::system::error_code ec;
-    http::beast_http::read(socket, buf, answer, ec);
-    return ec ? 0 : answer.result_int();
-}
-
-struct raw_answer
-{
-    std::string bytes;
-    /// The connection was reset instead of closed.
-    bool is_reset = false;
-};
-
-/// Sends the bytes unchanged; returns all that arrives before the connection
-/// ends.
-raw_answer receive_until_close(const std::string& address,
-                               const std::string& request)
-{
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::socket socket(context);
-    socket.connect(http::parse_endpoint(address));
-    boost::asio::write(socket, boost::asio::buffer(request));
-    raw_answer it;
-    boost::system::error_code ec;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(it.bytes), ec);
-    it.is_reset = ec == boost::asio::error::connection_reset;
-    return it;
-}
-
 struct raw_case
 {
     const char* name;
--- /dev/null
+++ b/tests/system/stream_version_test.cpp
@@ -0,0 +1,364 @@
+#include "platform_fleet.hpp"
+#include "raw_call.hpp"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+namespace cicadahub::system_tests
+{
+namespace
+{
+
+constexpr const char* old_event = "data: piece\n";
+constexpr const char* new_event = "data: piece of v2\n";
+/// A stream of eight events takes 1.2 s.
+constexpr milliseconds event_gap{150};
+/// Longer than it takes to record in the store that a stream has begun.
+constexpr milliseconds few_events{700};
+
+struct stream_call
+{
+    std::string id;
+    std::string resumes;
+    std::string after_event;
+    std::string key = "key-of-trust";
+    std::string path = "/stream/x";
+};
+
+raw_answer ask_stream(const platform_fleet& fleet, std::size_t host,
+                      const stream_call& it)
+{
+    std::string head =
+        "POST " + it.path +
+        " HTTP/1.1\r\nHost: trust.example\r\nRequest-Id: " + it.id +
+        "\r\nAuthorization: Bearer " + it.key +
+        "\r\nModel: m1\r\nToken-Count: 20,16\r\n"
+        "Prompt-Prefix: aa:10,bb:10\r\nDeadline-Ms: 8000\r\n"
+        "Connection: close\r\n";
+    if (!it.resumes.empty())
+    {
+        head += "Resumes: " + it.resumes + "\r\n";
+    }
+    if (!it.after_event.empty())
+    {
+        head += "Last-Event-Id: " + it.after_event + "\r\n";
+    }
+    return receive_until_close(fleet.daemons[host].callers,
+                               head + "Content-Length: 0\r\n\r\n");
+}
+
+bool has_old(const raw_answer& it)
+{
+    return it.bytes.find(old_event) != std::string::npos;
+}
+
+bool has_new(const raw_answer& it)
+{
+    return it.bytes.find(new_event) != std::string::npos;
+}
+
+bool is_whole(const raw_answer& it)
+{
+    return it.bytes.ends_with("0\r\n\r\n");
+}
+
+/// Runs engines of two software versions, or of one and the same, that hold m1.
+class upgraded_fleet
+{
+public:
+    explicit upgraded_fleet(const std::string& other_version = "v2",
+                            int daemons = 4)
+        : fleet(daemons)
+    {
+        fleet.add_worker("engines", "e3", preloaded("v1"));
+        fleet.add_worker("engines", "n1", preloaded(other_version));
+        fleet.add_worker("engines", "n2", preloaded(other_version));
+        wait_until_listed();
+    }
+
+    static std::vector<std::string> preloaded(const std::string& version)
+    {
+        return {"--megabytes",        "250",  "--preload", "m1",
+                "--software-version", version};
+    }
+
+    /// Until all hosts know the servers.
+    static void wait_until_listed()
+    {
+        std::this_thread::sleep_for(milliseconds(1'500));
+    }
+
+    /// A stream that one of the old servers began at the host, which is killed
+    /// meanwhile; empty if it went to a new one.
+    std::future<raw_answer> begin(std::size_t host, const std::string& id) const
+    {
+        return std::async(std::launch::async,
+                          [this, host, id] {
+                              return ask_stream(fleet, host, {id, {}, {}});
+                          });
+    }
+
+    /// The old servers leave without a word.
+    void remove_old_servers()
+    {
+        for (std::size_t n = 0; n < fleet.engines.size(); ++n)
+        {
+            const auto& it = fleet.engines[n];
+            if (it.id.starts_with("e"))
+            {
+                it.program->kill();
+                call(fleet.store, http::verb::delete_,
+                     "/v1/objects/servers/" + it.id);
+            }
+        }
+    }
+
+    platform_fleet fleet;
+};
+
+// Guards against a response with events of two software versions, after its
+// first server broke the stream off.
+TEST(stream_versions, are_not_joined_within_a_response)
+{
+    upgraded_fleet upgraded;
+    const platform_fleet& fleet = upgraded.fleet;
+    std::vector<std::string> breaking;
+    for (const auto& it : fleet.engines)
+    {
+        if (it.id == "e1" || it.id == "n1")
+        {
+            breaking.push_back(it.address);
+        }
+    }
+    std::size_t whole = 0;
+    constexpr std::size_t streams = 24;
+    for (std::size_t n = 0; n < streams; ++n)
+    {
+        // One server of each version breaks off, another one can go on.
+        for (const std::string& it : breaking)
+        {
+            fleet.set_fault(it, R"({"break_streams":1})");
+        }
+        const raw_answer got =
+            ask_stream(fleet, 0, {"r" + std::to_string(n), {}, {}});
+        EXPECT_FALSE(has_old(got) && has_new(got)) << got.bytes;
+        whole += is_whole(got) ? 1 : 0;
+    }
+    EXPECT_GE(whole, streams * 3 / 4);
+}
+
+struct loss_case
+{
+    const char* name;
+    /// What happens to the host that serves the stream.
+    enum class loss
+    {
+        killed,
+        frozen,
+        restarted,
+        all_restarted,
+    } what;
+    std::string other_version;
+    /// The servers of the first version leave before the stream is taken up.
+    bool do_old_servers_leave;
+    /// Least share of the streams taken up that go on.
+    double least_share;
+};
+
+void PrintTo(const loss_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class streams_taken_up : public testing::TestWithParam<loss_case>
+{
+protected:
+    using loss = loss_case::loss;
+
+    static void lose_hosts(platform_fleet& fleet, loss what)
+    {
+        if (what == loss::frozen)
+        {
+            fleet.daemons[0].program->pause();
+            return;
+        }
+        const std::size_t lost =
+            what == loss::all_restarted ? fleet.daemons.size() : 1;
+        for (std::size_t n = 0; n < lost; ++n)
+        {
+            fleet.daemons[n].program->kill();
+        }
+        if (what == loss::killed)
+        {
+            return;
+        }
+        for (std::size_t n = 0; n < lost; ++n)
+        {
+            fleet.start_daemon(n);
+        }
+        for (std::size_t n = 0; n < lost; ++n)
+        {
+            EXPECT_TRUE(eventually([&] { return fleet.is_ready(n); }));
+        }
+    }
+};
+
+// Guards against text that is joined from two software versions over a caller's
+// tries, when the hosts have lost what they knew.
+TEST_P(streams_taken_up, go_on_at_the_version_that_began_them)
+{
+    const loss_case& it = GetParam();
+    upgraded_fleet upgraded(it.other_version);
+    platform_fleet& fleet = upgraded.fleet;
+    constexpr std::size_t streams = 12;
+    for (const auto& engine : fleet.engines)
+    {
+        fleet.set_fault(engine.address, R"({"event_gap_ms":)" +
+                                            std::to_string(event_gap.count()) +
+                                            "}");
+    }
+    std::vector<std::future<raw_answer>> begun;
+    for (std::size_t n = 0; n < streams; ++n)
+    {
+        begun.push_back(upgraded.begin(0, "s" + std::to_string(n)));
+    }
+    std::this_thread::sleep_for(few_events);
+    if (it.do_old_servers_leave)
+    {
+        upgraded.remove_old_servers();
+    }
+    lose_hosts(fleet, it.what);
+    std::size_t taken_up = 0;
+    std::size_t gone_on = 0;
+    const auto take_up = [&](std::size_t n, const raw_answer& first)
+    {
+        const std::size_t events =
+            count_occurrences(first.bytes, "data: piece");
+        if (is_whole(first) || events == 0)
+        {
+            return;
+        }
+        ++taken_up;
+        const raw_answer rest =
+            ask_stream(fleet, 1 + n % 3,
+                       {"t" + std::to_string(n), "s" + std::to_string(n),
+                        std::to_string(events)});
+        EXPECT_FALSE(has_old(first) && has_new(rest)) << rest.bytes;
+        EXPECT_FALSE(has_new(first) && has_old(rest)) << rest.bytes;
+        gone_on += rest.status() == 200 && is_whole(rest) ? 1 : 0;
+        if (rest.status() != 200)
+        {
+            EXPECT_EQ(rest.status(), 503U) << rest.bytes;
+            EXPECT_NE(rest.bytes.find("not_run"), std::string::npos);
+        }
+    };
+    std::vector<raw_answer> rests(streams);
+    if (it.what == loss::frozen)
+    {
+        // Its callers see nothing more before the host goes on.
+        for (std::size_t n = 0; n < streams; ++n)
+        {
+            rests[n] = ask_stream(
+                fleet, 1 + n % 3,
+                {"t" + std::to_string(n), "s" + std::to_string(n), "2"});
+        }
+        fleet.daemons[0].program->resume();
+    }
+    for (std::size_t n = 0; n < streams; ++n)
+    {
+        const raw_answer first = begun[n].get();
+        if (it.what != loss::frozen)
+        {
+            take_up(n, first);
+            continue;
+        }
+        ++taken_up;
+        gone_on += rests[n].status() == 200 && is_whole(rests[n]) ? 1 : 0;
+        EXPECT_FALSE(has_old(first) && has_new(rests[n])) << rests[n].bytes;
+        EXPECT_FALSE(has_new(first) && has_old(rests[n])) << rests[n].bytes;
+    }
+    std::cout << gone_on << " of " << taken_up << " went on\n";
+    EXPECT_GE(taken_up, streams / 2);
+    EXPECT_GE(static_cast<double>(gone_on),
+              it.least_share * static_cast<double>(taken_up));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    stream_versions, streams_taken_up,
+    testing::Values(
+        loss_case{"host_killed", loss_case::loss::killed, "v2", false, 0.9},
+        loss_case{"host_frozen", loss_case::loss::frozen, "v2", false, 0.9},
+        loss_case{"host_restarted", loss_case::loss::restarted, "v2", false,
+                  0.9},
+        loss_case{"all_hosts_restarted", loss_case::loss::all_restarted, "v2",
+                  false, 0.5},
+        loss_case{"old_servers_left_and_all_hosts_restarted",
+                  loss_case::loss::all_restarted, "v2", true, 0},
+        loss_case{"one_version_and_all_hosts_restarted",
+                  loss_case::loss::all_restarted, "v1", false, 0.9}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+// Guards against a call to the store for each look at the record.
+TEST(stream_versions, are_written_to_the_store_when_they_change)
+{
+    upgraded_fleet upgraded;
+    const auto record = [&]
+    {
+        return call(upgraded.fleet.store, http::verb::get,
+                    "/v1/objects/cicadahub-versions/streams")
+            .body;
+    };
+    EXPECT_TRUE(
+        eventually([&] { return record().find("v2") != std::string::npos; }));
+    const auto calls = [&]
+    {
+        return read_stat(upgraded.fleet.store, "calls-cicadahub-versions");
+    };
+    // Hosts that found no record at their start look again after 3 s.
+    std::this_thread::sleep_for(milliseconds(3'000));
+    const std::string written = record();
+    const std::int64_t before = calls();
+    std::this_thread::sleep_for(milliseconds(1'500));
+    EXPECT_EQ(record(), written);
+    EXPECT_EQ(calls(), before + 1);
+}
+
+struct name_case
+{
+    const char* name;
+    stream_call taken_up;
+    bool goes_on;
+};
+
+void PrintTo(const name_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class named_streams : public testing::TestWithParam<name_case>
+{
+};
+
+// Guards against a guess where it can't be known what began a stream.
+TEST_P(named_streams, go_on_only_if_it_is_known_what_began_them)
+{
+    upgraded_fleet upgraded;
+    const raw_answer first = ask_stream(upgraded.fleet, 0, {"first", {}, {}});
+    ASSERT_TRUE(is_whole(first)) << first.bytes;
+    const raw_answer rest = ask_stream(upgraded.fleet, 1, GetParam().taken_up);
+    EXPECT_EQ(rest.status(), GetParam().goes_on ? 200U : 503U) << rest.bytes;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    stream_versions, named_streams,
+    testing::Values(
+        name_case{"known", {"second", "first", "3"}, true},
+        name_case{"unknown", {"second", "another", "3"}, false},
+        name_case{"unnamed", {"second", "", "3"}, false},
+        name_case{"too_long", {"second", std::string(200, 'x'), "3"}, false}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+} // namespace
+} // namespace cicadahub::system_tests
--- a/utilities/cicada-standin/main.cpp
+++ b/utilities/cicada-standin/main.cpp
@@ -143,10 +143,13 @@
     TCLAP::ValueArg<std::int64_t> megabytes(
         "", "megabytes", "Worker: memory for weights; 0 for a plain service.",
         false, 0, "MB");
+    TCLAP::ValueArg<std::string> version("", "software-version",
+                                         "Worker: version of its software.",
+                                         false, "v1", "VERSION");
     const std::vector<TCLAP::Arg*> arguments{
         &bandwidth, &full_speed, &rate,    &preloaded, &threads, &weights,
         &token_gap, &prefill,    &fencing, &slots,     &memory,  &listen,
-        &store,     &id,         &service, &megabytes};
+        &store,     &id,         &service, &megabytes, &version};
     for (TCLAP::Arg* it : arguments)
     {
         line.add(it);
@@ -182,6 +185,7 @@
         settings.store = http::parse_endpoint(store.getValue());
         settings.slots = slots.getValue();
         settings.megabytes = megabytes.getValue();
+        settings.software_version = version.getValue();
         settings.models.insert(preloaded.getValue().begin(),
                                preloaded.getValue().end());
         serve_on_one_thread<standin::worker_standin>(listen.getValue(),
--- a/utilities/cicada-standin/object_store_standin.cpp
+++ b/utilities/cicada-standin/object_store_standin.cpp
@@ -132,8 +132,12 @@
 
 http::response object_store_standin::answer_stats() const
 {
-    return json_answer(http::status::ok,
-                       {{"calls", m_calls}, {"writes", m_writes}});
+    boost::json::object stats{{"calls", m_calls}, {"writes", m_writes}};
+    for (const auto& [name, it] : m_kinds)
+    {
+        stats["calls-" + name] = it.calls;
+    }
+    return json_answer(http::status::ok, stats);
 }
 
 net::awaitable<http::response>
@@ -148,6 +152,7 @@
     }
     const std::size_t slash = std::min(path.find('/'), path.size());
     kind& it = m_kinds[std::string(path.substr(0, slash))];
+    ++it.calls;
     if (!it.changed)
     {
         it.changed = std::make_shared<net::steady_timer>(m_context);
--- a/utilities/cicada-standin/object_store_standin.hpp
+++ b/utilities/cicada-standin/object_store_standin.hpp
@@ -44,6 +44,7 @@
         std::map<std::string, boost::json::object> objects;
         std::deque<change> changes;
         std::uint64_t compacted_until = 0;
+        std::int64_t calls = 0;
         std::shared_ptr<net::steady_timer> changed;
     };
 
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -25,6 +25,7 @@
 constexpr milliseconds limit_window{4'000};
 constexpr int crash_status = 134;
 constexpr int events_per_stream = 8;
+constexpr std::string_view first_version = "v1";
 constexpr int events_before_break = 2;
 constexpr std::size_t endless_block_bytes = 64 * 1024;
 
@@ -111,7 +112,7 @@
             {"service", m_settings.service},
             {"address", m_settings.address},
             {"zone", m_settings.data_centre},
-            {"version", "v1"},
+            {"version", m_settings.software_version},
             {"slots", m_settings.slots},
             {"state", m_is_draining ? "draining" : "ready"},
             {"coldLeftMs", 0},
@@ -156,6 +157,8 @@
         const json_reader reader(json);
         m_lost_answers = reader.integer_or("lose_answers", m_lost_answers);
         m_broken_streams = reader.integer_or("break_streams", m_broken_streams);
+        m_settings.event_gap = milliseconds(
+            reader.integer_or("event_gap_ms", m_settings.event_gap.count()));
         m_silent_orders = reader.integer_or("silent_orders", m_silent_orders);
         m_is_draining = reader.boolean_or("draining", m_is_draining);
         m_is_unframed = reader.boolean_or("unframed", m_is_unframed);
@@ -693,7 +696,10 @@
             throw boost::system::system_error(net::error::connection_aborted);
         }
         co_await pause(m_settings.event_gap);
-        std::string event = "data: piece\n\n";
+        std::string event =
+            m_settings.software_version == first_version
+                ? "data: piece\n\n"
+                : "data: piece of " + m_settings.software_version + "\n\n";
         if (!m_are_events_unnumbered)
         {
             event = "id: " + std::to_string(n) + "\n" + event;
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -22,6 +22,8 @@
     std::string service;
     std::string data_centre;
     std::string address;
+    /// Events of versions other than v1 name it.
+    std::string software_version = "v1";
     http::endpoint store;
     std::int64_t slots = 8;
     /// Memory for weights; 0 for a plain service.
@@ -37,18 +39,18 @@
 /// memory for weights, else a plain service. It registers itself in the store
 /// and refreshes the entry by heartbeats. `PUT /faults` sets `lose_answers`
 /// (number of plain calls executed without a response), `break_streams` (number
-/// of streams broken off inside their third event), `unframed` (responses have
-/// neither a length nor chunks, and broken streams are closed without a reset,
-/// as when the process crashes), `silent_orders` (number of orders executed
-/// without a response), `draining`, `leaving` (responses announce that the
-/// server leaves, while its entry in the store does not) and `shed_s` (for that
-/// many seconds requests are turned away with the rest of that time as the
-/// pause; orders and reports too with `shed_placement`), `unnumbered` (events
-/// have no id), `crash_after_run` (the process ends while it executes the next
-/// request), `crash_part` (the process ends when it begins to answer a request
-/// with this part in its prompt), `unproven_promises` (number of requests that
-/// are executed and answered with `promised_status` without the statement that
-/// they were not),
+/// of streams broken off inside their third event), `event_gap_ms` (time
+/// between events), `unframed` (responses have neither a length nor chunks, and
+/// broken streams are closed without a reset, as when the process crashes),
+/// `silent_orders` (number of orders executed without a response), `draining`,
+/// `leaving` (responses announce that the server leaves, while its entry in the
+/// store does not) and `shed_s` (for that many seconds requests are turned away
+/// with the rest of that time as the pause; orders and reports too with
+/// `shed_placement`), `unnumbered` (events have no id), `crash_after_run` (the
+/// process ends while it executes the next request), `crash_part` (the process
+/// ends when it begins to answer a request with this part in its prompt),
+/// `unproven_promises` (number of requests that are executed and answered with
+/// `promised_status` without the statement that they were not),
 /// `stale_refusals` (number of requests in front of whose response a refusal of
 /// another request arrives, with `promised_status`; it names the request
 /// `stale_id`, or none if that is empty) and `endless` (responses never end: in
