Fleet: Know silent hosts by what the watchers hear

Digests come each 250 ms and 10 ms a peer, 2.2 s at 195 hosts, but a peer was silent after 1.5 s: the view of a large fleet never stood still, and all that rests on it, as rates and running requests, worked on a part of the hosts.

The hosts that watch the store send a beacon to all each 0.5 s, and every host sends them one. The beacons also name the servers that leave.

--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -17,10 +17,6 @@
 namespace
 {
 
-/// The period of full digests grows with the number of peers, so that the
-/// traffic of the fleet grows linearly with its size and not quadratically.
-constexpr milliseconds min_digest_period{250};
-constexpr milliseconds digest_period_per_peer{10};
 /// Changes within this time are sent in one update.
 constexpr milliseconds update_batching_delay{5};
 /// Prevents a persistently failing socket from causing a busy loop.
@@ -122,9 +118,13 @@
         }
     }
     add_crash_notices(it, m_state.crashing_parts, now);
+    m_fill(it, now);
     for (const auto& [id, record] : m_state.servers.records())
     {
-        if (record->has_announced_leaving)
+        // Hosts that the store turns away learn of leaves from the watchers.
+        const bool is_news =
+            record->has_announced_leaving && !record->is_leave_told_by_watcher;
+        if (is_news || (it.watches_store && record->entry.is_leaving))
         {
             fleet::wire::LeavingServer leaving;
             leaving.server = id.value();
@@ -133,7 +133,6 @@
         }
     }
     add_limits(it, now);
-    m_fill(it, now);
     return it;
 }
 
@@ -267,6 +266,17 @@
     }
 }
 
+std::set<net::ip::udp::endpoint>
+digest_exchange::watcher_addresses(time_point now) const
+{
+    std::set<net::ip::udp::endpoint> addresses;
+    for (const peer* it : m_state.fleet.watchers(now))
+    {
+        addresses.insert(datagram_endpoint(it->address));
+    }
+    return addresses;
+}
+
 std::set<net::ip::udp::endpoint> digest_exchange::holder_address() const
 {
     const peer* holder = m_state.fleet.placement_holder();
@@ -305,9 +315,10 @@
     }
 }
 
-void digest_exchange::send_streams(fleet::wire::Digest message,
+void digest_exchange::send_streams(const fleet::wire::Digest& lists,
                                    const http::endpoint& to)
 {
+    fleet::wire::Digest message = lists;
     message.sender = m_state.settings.name.value();
     message.incarnation = m_incarnation;
     message.is_update = true;
@@ -323,15 +334,21 @@
     send(it, {peer});
 }
 
-void digest_exchange::send_update()
+void digest_exchange::send_update(bool is_beacon)
 {
     const time_point now = monotonic_clock::now();
     fleet::wire::Digest update = make_digest(now, true);
-    if (std::exchange(m_is_update_for_all, false) || m_is_holder() ||
-        !update.crashes.empty())
+    const bool is_for_all = std::exchange(m_is_update_for_all, false) ||
+                            m_is_holder() || !update.crashes.empty() ||
+                            (is_beacon && update.watches_store);
+    if (is_for_all)
     {
         send(update, m_addresses);
     }
+    else if (is_beacon)
+    {
+        send(update, watcher_addresses(now));
+    }
     const auto holder = holder_address();
     if (!holder.empty())
     {
@@ -357,16 +374,10 @@
     }
 }
 
-milliseconds digest_exchange::period() const
-{
-    return min_digest_period +
-           digest_period_per_peer *
-               static_cast<int>(m_state.fleet.peers().size());
-}
-
 net::awaitable<void> digest_exchange::send_loop()
 {
     time_point next_digest_at{};
+    time_point next_beacon_at{};
     while (true)
     {
         const time_point now = monotonic_clock::now();
@@ -376,14 +387,22 @@
             drop_silent_peers(now);
             m_state.update_rate_shares(now);
             send_digest();
-            next_digest_at = now + period();
+            next_digest_at = now + m_state.fleet.digest_period();
+            next_beacon_at = now + fleet_view::beacon_period;
         }
         else
         {
-            send_update();
+            const bool is_beacon_due = now >= next_beacon_at;
+            send_update(is_beacon_due);
+            if (is_beacon_due)
+            {
+                drop_silent_peers(now);
+                next_beacon_at = now + fleet_view::beacon_period;
+            }
         }
         m_timer.expires_after(std::max<monotonic_clock::duration>(
-            next_digest_at - monotonic_clock::now(), milliseconds(1)));
+            std::min(next_digest_at, next_beacon_at) - monotonic_clock::now(),
+            milliseconds(1)));
         co_await m_timer.async_wait(no_throw);
         if (m_is_update_requested)
         {
--- a/libraries/entry/digest_exchange.hpp
+++ b/libraries/entry/digest_exchange.hpp
@@ -33,7 +33,8 @@
     void add_address(const http::endpoint& address);
     /// Sends lists of streams to one daemon. They are no state of this one:
     /// they neither replace a digest nor are replaced by one.
-    void send_streams(fleet::wire::Digest message, const http::endpoint& to);
+    void send_streams(const fleet::wire::Digest& lists,
+                      const http::endpoint& to);
     /// Sends a full digest to all daemons immediately.
     void send_digest();
 
@@ -53,7 +54,9 @@
     void add_fleet_work(fleet::wire::Digest& to) const;
     void add_demand(fleet::wire::Digest& to, time_point now);
     void add_peers(fleet::wire::Digest& to);
-    void send_update();
+    /// `is_beacon` is set at times, also if nothing has changed, so that others
+    /// know that this host lives.
+    void send_update(bool is_beacon);
     /// Sends a host that has just started what the others know.
     void send_digest_to(const net::ip::udp::endpoint& peer);
     void send(const fleet::wire::Digest& digest,
@@ -61,7 +64,7 @@
     /// Address of the holder of the placement lease; empty if the holder is
     /// unknown or is this daemon.
     std::set<net::ip::udp::endpoint> holder_address() const;
-    milliseconds period() const;
+    std::set<net::ip::udp::endpoint> watcher_addresses(time_point now) const;
 
     entry_state& m_state;
     fill_handler m_fill;
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -140,8 +140,8 @@
         m_digests.send_update_to_all_soon();
     };
     m_state.continuity.set_handlers(
-        {[this](fleet::wire::Digest message, const http::endpoint& to)
-         { m_digests.send_streams(std::move(message), to); },
+        {[this](const fleet::wire::Digest& message, const http::endpoint& to)
+         { m_digests.send_streams(message, to); },
          [this] { return m_stream_record.read(); },
          [this]
          {
@@ -303,7 +303,9 @@
     for (const auto& leaving : it.digest.leaving_servers)
     {
         const bool is_news = m_state.servers.on_leaving(
-            server_id(leaving.server), leaving.incarnation, "peer");
+            server_id(leaving.server), leaving.incarnation,
+            it.digest.watches_store ? leave_source::watcher
+                                    : leave_source::peer);
         if (is_news)
         {
             m_placement.schedule_planning();
--- a/libraries/entry/fleet_view.cpp
+++ b/libraries/entry/fleet_view.cpp
@@ -22,6 +22,8 @@
         if (it.is_update && it.incarnation == former.incarnation)
         {
             merge(known->second.digest, it);
+            known->second.gap = std::chrono::duration_cast<milliseconds>(
+                now - known->second.received_at);
             known->second.received_at = now;
             return true;
         }
@@ -37,7 +39,11 @@
     }
     add_spent(known == m_peers.end() ? nullptr : &known->second.digest, it);
     m_silent.erase(it.sender);
-    m_peers[it.sender] = {it, from, now};
+    const milliseconds gap = known == m_peers.end()
+                                 ? silence_limit
+                                 : std::chrono::duration_cast<milliseconds>(
+                                       now - known->second.received_at);
+    m_peers[it.sender] = {it, from, now, gap};
     return true;
 }
 
@@ -90,6 +96,8 @@
     known.configuration_version = update.configuration_version;
     known.servers_changed_version = update.servers_changed_version;
     known.reaches_store = update.reaches_store;
+    known.watches_store = update.watches_store;
+    known.silent_hosts = update.silent_hosts;
     known.wants = update.wants;
     if (update.__isset.work)
     {
@@ -114,6 +122,72 @@
     m_known_addresses.emplace(address, now);
 }
 
+milliseconds fleet_view::digest_period() const
+{
+    return min_digest_period +
+           digest_period_per_peer * static_cast<int>(m_peers.size());
+}
+
+std::vector<const peer*> fleet_view::watchers(time_point now) const
+{
+    std::vector<const peer*> found;
+    for (const auto& [name, it] : m_peers)
+    {
+        if (it.digest.watches_store && now <= it.received_at + watcher_limit)
+        {
+            found.push_back(&it);
+        }
+    }
+    return found;
+}
+
+std::vector<std::string> fleet_view::silent_reporters(time_point now) const
+{
+    std::vector<std::string> silent;
+    for (const auto& [name, it] : m_peers)
+    {
+        const bool has_reported_often = it.gap <= 2 * beacon_period;
+        if (has_reported_often && it.received_at + silence_limit < now)
+        {
+            silent.push_back(name);
+        }
+    }
+    for (const auto& [name, it] : m_silent)
+    {
+        if (now < it.received_at + silence_limit + silence_notice)
+        {
+            silent.push_back(name);
+        }
+    }
+    return silent;
+}
+
+bool fleet_view::is_silent(const std::string& name, const peer& it,
+                           const std::vector<const peer*>& watchers,
+                           time_point now) const
+{
+    const milliseconds longest =
+        std::max(silence_limit, silent_periods * digest_period());
+    if (it.received_at + longest < now)
+    {
+        return true;
+    }
+    if (it.received_at + silence_limit >= now)
+    {
+        return false;
+    }
+    const bool has_reported_often = it.gap <= 2 * beacon_period;
+    const auto says_so = [&name](const peer* watcher)
+    {
+        const auto& silent = watcher->digest.silent_hosts;
+        return std::find(silent.begin(), silent.end(), name) != silent.end();
+    };
+    // One watcher may only be cut off from the host itself.
+    return watchers.empty()
+               ? has_reported_often
+               : std::all_of(watchers.begin(), watchers.end(), says_so);
+}
+
 bool fleet_view::drop_silent(time_point now)
 {
     std::erase_if(m_silent,
@@ -125,9 +199,10 @@
                       return it.second.received_at + limit < now;
                   });
     bool has_dropped = false;
+    const auto in_contact = watchers(now);
     for (auto it = m_peers.begin(); it != m_peers.end();)
     {
-        if (it->second.received_at + silence_limit >= now)
+        if (!is_silent(it->first, it->second, in_contact, now))
         {
             ++it;
             continue;
--- a/libraries/entry/fleet_view.hpp
+++ b/libraries/entry/fleet_view.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace cicadahub::entry
 {
@@ -18,6 +19,8 @@
     fleet::wire::Digest digest;
     http::endpoint address;
     time_point received_at{};
+    /// Time between the last two digests.
+    milliseconds gap{0};
 };
 
 /// State of the other daemons, from their digests. Digests that arrive out of
@@ -25,9 +28,23 @@
 class fleet_view
 {
 public:
-    /// A peer without a digest for this long counts as silent: several digest
-    /// periods, and less than the duration of a placement lease.
+    /// A peer without a digest for this long counts as silent if all watchers
+    /// in contact say so too: less than the duration of a placement lease.
+    /// Without watchers it takes `silent_periods`, if they are longer.
     static constexpr milliseconds silence_limit{1'500};
+    static constexpr int silent_periods = 3;
+    /// Watchers and those who report to them send something this often.
+    static constexpr milliseconds beacon_period{500};
+    /// A watcher that was not heard for this long, two beacons and the delay of
+    /// a busy host, can't be relied on.
+    static constexpr milliseconds watcher_limit{1'200};
+    /// Watchers name a silent host for this long: several beacons, some of
+    /// which may be lost.
+    static constexpr milliseconds silence_notice{4'000};
+    /// The period of full digests grows with the number of peers, so that the
+    /// traffic of the fleet grows linearly with its size and not quadratically.
+    static constexpr milliseconds min_digest_period{250};
+    static constexpr milliseconds digest_period_per_peer{10};
     /// A silent host may be partitioned and still serve its callers, so it
     /// keeps its share of the rates for this long, which is more than
     /// partitions usually last. Then the other hosts get its share.
@@ -49,6 +66,12 @@
     bool drop_silent(time_point now);
 
     const std::map<std::string, peer>& peers() const { return m_peers; }
+    milliseconds digest_period() const;
+    /// Peers that watch the store and are in contact.
+    std::vector<const peer*> watchers(time_point now) const;
+    /// Peers that reported several times a second and lately no longer do, for
+    /// hosts that hear them less often.
+    std::vector<std::string> silent_reporters(time_point now) const;
     /// The peer that reports to hold the placement lease; if there are several,
     /// the one with the highest epoch.
     const peer* placement_holder() const;
@@ -80,6 +103,9 @@
                    const fleet::wire::Digest& it);
     static void merge(fleet::wire::Digest& known,
                       const fleet::wire::Digest& update);
+    bool is_silent(const std::string& name, const peer& it,
+                   const std::vector<const peer*>& watchers,
+                   time_point now) const;
     std::size_t unseen_host_count(time_point now) const;
 
     std::map<std::string, peer> m_peers;
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -177,6 +177,7 @@
         return false;
     }
     record->has_announced_leaving = true;
+    record->is_leave_told_by_watcher = source == leave_source::watcher;
     if (!record->entry.is_leaving)
     {
         record->entry.is_leaving = true;
--- a/libraries/entry/server_table.hpp
+++ b/libraries/entry/server_table.hpp
@@ -25,6 +25,13 @@
     time_point loaded_at{};
 };
 
+/// Who said that a server leaves, for the log.
+namespace leave_source
+{
+inline constexpr std::string_view watcher = "watcher";
+inline constexpr std::string_view peer = "peer";
+} // namespace leave_source
+
 /// State of one backend server as known to this daemon.
 struct server_record
 {
@@ -47,6 +54,9 @@
     /// The server said itself that it leaves; the platform's list may say so
     /// later or never.
     bool has_announced_leaving = false;
+    /// The same was learnt from a watcher of the store, which tells all others
+    /// by itself.
+    bool is_leave_told_by_watcher = false;
 
     /// True if new requests may be sent to the server.
     bool accepts_requests(time_point now) const;
--- a/libraries/entry/stream_continuity.cpp
+++ b/libraries/entry/stream_continuity.cpp
@@ -235,7 +235,8 @@
         if (message.begun_streams.size() == max_streams_per_message ||
             n + 1 == streams.size())
         {
-            m_handlers.send(std::exchange(message, {}), address);
+            m_handlers.send(message, address);
+            message.begun_streams.clear();
         }
     }
 }
@@ -351,7 +352,7 @@
     }
     if (!answer.begun_streams.empty())
     {
-        m_handlers.send(std::move(answer), from);
+        m_handlers.send(answer, from);
     }
 }
 
--- a/libraries/entry/stream_continuity.hpp
+++ b/libraries/entry/stream_continuity.hpp
@@ -33,7 +33,7 @@
     {
         /// Sends lists of streams to a host by datagram; a lost one is not sent
         /// again.
-        std::function<void(fleet::wire::Digest message,
+        std::function<void(const fleet::wire::Digest& message,
                            const http::endpoint& to)>
             send;
         /// Reads the streams that are recorded in the store.
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -146,7 +146,8 @@
   18: bool reaches_store
   /// Processor cores available on the sender's host; may be a fraction.
   19: double processor_share
-  /// Servers that the platform's list does not show as leaving yet.
+  /// Servers that the platform's list does not show as leaving yet; all that
+  /// leave if `watches_store`.
   20: list<LeavingServer> leaving_servers
   /// True if the sender can open no connection to any backend server.
   21: bool is_cut_off
@@ -166,4 +167,9 @@
   26: list<BegunStream> begun_streams
   /// Keys of streams that the sender does not know.
   27: list<string> asked_streams
+  /// True if the sender watches the store on behalf of the others; it then
+  /// sends something several times a second.
+  28: bool watches_store
+  /// Hosts that no longer report to the sender; set if `watches_store`.
+  29: list<string> silent_hosts
 }
