Store mirror: Bound polls without watchers by a time

Hosts that do not watch the servers asked for changes each 150 ms times the hosts, 29 s at 195.

A host that has heard no watcher for 1.2 s now asks by itself each 0.9 s, with a spread. While it hears one it asks each 10 s, since the watchers tell it of changes: at nine hosts that was 1.35 s.

--- a/libraries/entry/store_mirror.cpp
+++ b/libraries/entry/store_mirror.cpp
@@ -35,9 +35,14 @@
 /// The same at the holder of the placement lease; bounds the delay until it
 /// sees the end of a load. A load from memory takes some hundred milliseconds.
 constexpr milliseconds holder_server_watch_pause{100};
-/// The other hosts poll the servers with this interval times the number of
-/// hosts, so that the load on the store does not grow with the fleet.
-constexpr milliseconds server_poll_interval_per_host{150};
+/// The other hosts learn of changes from the watchers. What these do not tell,
+/// such as the copies near a server, may be this old.
+constexpr milliseconds server_poll_pause{10'000};
+/// A host that hears no watcher asks the store by itself, about this often, as
+/// a leave must be known within 2 s. That many calls fit the limits of the
+/// store also if no host hears a watcher.
+constexpr milliseconds unheard_poll_period{900};
+constexpr double poll_spread = 0.25;
 /// After the store was restored from an older copy, servers that it lacks are
 /// kept for this long: those that are alive register again within some 2 s.
 constexpr milliseconds restore_grace{4'000};
@@ -123,8 +128,7 @@
     {
         return {short_watch_timeout, server_watch_pause};
     }
-    const std::size_t hosts = 1 + m_state.fleet.peers().size();
-    return {{}, server_poll_interval_per_host * static_cast<int>(hosts)};
+    return {{}, server_poll_pause};
 }
 
 daemon::collection_follower& store_mirror::follower_of(collection where)
@@ -148,6 +152,12 @@
 void store_mirror::fill(fleet::wire::Digest& it) const
 {
     it.reaches_store = reaches_store();
+    it.watches_store = it.reaches_store && is_designated_watcher();
+    if (it.watches_store)
+    {
+        it.silent_hosts =
+            m_state.fleet.silent_reporters(monotonic_clock::now());
+    }
     it.configuration_version =
         m_state.configuration
             ? static_cast<std::int64_t>(m_state.configuration->revision.value())
@@ -280,6 +290,39 @@
     }
 }
 
+void store_mirror::poll_without_watchers(time_point now)
+{
+    const bool is_watcher = is_designated_watcher();
+    if (is_watcher && !m_was_watcher)
+    {
+        m_became_watcher_at = now;
+        m_next_poll_at = now;
+    }
+    m_was_watcher = is_watcher;
+    // A new watcher's own pause may not have ended yet.
+    const bool is_poll_needed =
+        is_watcher ? now < m_became_watcher_at + server_poll_pause
+                   : m_state.fleet.watchers(now).empty();
+    if (!is_poll_needed || now < m_next_poll_at)
+    {
+        return;
+    }
+    const double spread =
+        1 - poll_spread +
+        2 * poll_spread * std::uniform_real_distribution<>()(m_state.random);
+    m_next_poll_at =
+        now + std::chrono::duration_cast<monotonic_clock::duration>(
+                  unheard_poll_period * spread);
+    for (const collection where : followed)
+    {
+        // A store that does not answer is asked again by the follower itself.
+        if (follower_of(where).is_platform_reachable())
+        {
+            follower_of(where).refresh();
+        }
+    }
+}
+
 net::awaitable<void> store_mirror::follow_peers()
 {
     std::map<collection, sharing::lag_detector> lags;
@@ -290,6 +333,7 @@
     while (!m_state.is_draining)
     {
         co_await pause(m_state.context, peer_check_period);
+        poll_without_watchers(monotonic_clock::now());
         for (auto& [where, lag] : lags)
         {
             const peer* best = most_recent_peer(where);
--- a/libraries/entry/store_mirror.hpp
+++ b/libraries/entry/store_mirror.hpp
@@ -58,6 +58,9 @@
                                            platform::collection where);
     const peer* most_recent_peer(platform::collection where) const;
     net::awaitable<void> follow_peers();
+    /// Asks the store if no watcher is heard, or if this host has just become
+    /// one.
+    void poll_without_watchers(time_point now);
     net::awaitable<void> fetch_from(http::endpoint peer,
                                     platform::collection where);
 
@@ -72,6 +75,9 @@
     store_era m_era;
     /// Until then a full list removes nothing.
     time_point m_removals_from{};
+    bool m_was_watcher = false;
+    time_point m_became_watcher_at{};
+    time_point m_next_poll_at{};
 };
 
 } // namespace cicadahub::entry
