--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -303,9 +303,8 @@
     for (const auto& leaving : it.digest.leaving_servers)
     {
         const bool is_news = m_state.servers.on_leaving(
-            server_id(leaving.server), leaving.incarnation,
-            it.digest.watches_store ? leave_source::watcher
-                                    : leave_source::peer);
+            server_id(leaving.server), leaving.incarnation, "peer",
+            it.digest.watches_store);
         if (is_news)
         {
             m_placement.schedule_planning();
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -168,7 +168,7 @@
 }
 
 bool server_table::on_leaving(const server_id& server, std::int64_t incarnation,
-                              std::string_view source)
+                              std::string_view source, bool is_told_to_all)
 {
     const auto record = find(server);
     if (!record || record->entry.incarnation != incarnation ||
@@ -177,7 +177,7 @@
         return false;
     }
     record->has_announced_leaving = true;
-    record->is_leave_told_by_watcher = source == leave_source::watcher;
+    record->is_leave_told_by_watcher = is_told_to_all;
     if (!record->entry.is_leaving)
     {
         record->entry.is_leaving = true;
--- a/libraries/entry/server_table.hpp
+++ b/libraries/entry/server_table.hpp
@@ -25,13 +25,6 @@
     time_point loaded_at{};
 };
 
-/// Who said that a server leaves, for the log.
-namespace leave_source
-{
-inline constexpr std::string_view watcher = "watcher";
-inline constexpr std::string_view peer = "peer";
-} // namespace leave_source
-
 /// State of one backend server as known to this daemon.
 struct server_record
 {
@@ -89,9 +82,10 @@
     object_version changed_version() const { return m_changed_version; }
 
     /// Marks an incarnation of a server as leaving; `source` names who said so
-    /// in the log. True if it was not known yet.
+    /// in the log. `is_told_to_all` is set if a watcher of the store said so.
+    /// True if it was not known yet.
     bool on_leaving(const server_id& server, std::int64_t incarnation,
-                    std::string_view source);
+                    std::string_view source, bool is_told_to_all = false);
 
     void on_published(const server_id& server, published_holdings holdings);
     /// Discards all published holdings; called when no holder of the placement
