--- a/libraries/entry/request_admission.cpp
+++ b/libraries/entry/request_admission.cpp
@@ -163,19 +163,20 @@
 
 void active_request::choose_service()
 {
-    auto shares = m_route->services;
-    if (m_origin)
-    {
-        std::erase_if(shares, [this](const serving::service_share& it)
-                      { return it.service != m_origin->service; });
-        if (shares.empty())
-        {
-            refuse_to_resume("its route no longer leads to its service");
-        }
-    }
-    const auto drawn = routing::draw_by_weight(
-        shares.size(), [&](std::size_t n) { return shares[n].weight; },
-        m_state.random());
+    const auto& shares = m_route->services;
+    const auto weight_of = [&](std::size_t n) -> std::uint32_t
+    {
+        // A stream that is taken up goes on at the service that began it.
+        const bool is_excluded =
+            m_origin && shares[n].service != m_origin->service;
+        return is_excluded ? 0 : shares[n].weight;
+    };
+    const auto drawn =
+        routing::draw_by_weight(shares.size(), weight_of, m_state.random());
+    if (m_origin && !drawn)
+    {
+        refuse_to_resume("its route no longer leads to its service");
+    }
     const auto& share = shares[drawn.value_or(0)];
     m_service = m_configuration->find_service(share.service);
     if (m_service == nullptr)
--- a/libraries/entry/stream_continuity.cpp
+++ b/libraries/entry/stream_continuity.cpp
@@ -19,7 +19,7 @@
 using continuity::stream_origin;
 
 /// More than the streams that all hosts of the largest deployment begin within
-/// the longest time in which they can be taken up; 2 MB.
+/// the longest time in which they can be taken up; a few MB.
 constexpr std::size_t max_streams = 20'000;
 /// A server may begin streams this long after its version is no longer listed:
 /// all hosts learn of it in this time.
