Reach: Tell crashes from moments without links, and from ends of processes

explain.a_crashed_server: while a process ends, its connections are closed a moment before its listening socket. The attempt came between, so that the crash was not counted. A new connection now has to stay open for 20 ms: one that was not accepted is reset with the listening socket.

reset_links/once: all links were reset and opened again at once. The attempt came while they were closed, the question whether this host is cut off when they were open, so that a request was taken for the cause of crashes and got 422. The server is now asked again after another one has answered. Results of checks are shared only if they are of the time after the loss.

The decision stands in reach_monitor::find_cause, which attempt_observer calls. lost_connections: without the 20 ms two of ten cases fail, without the second question one (both kept as mutants); all ten pass.

--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -185,29 +185,18 @@
         co_return false;
     }
     const time_point failed_at = monotonic_clock::now();
-    // A server that still accepts connections has not crashed.
-    bool is_gone = has_failed_to_connect;
-    if (!is_gone)
+    const connection_loss loss = has_failed_to_connect
+                                     ? connection_loss::not_opened
+                                 : result.head ? connection_loss::within_answer
+                                               : connection_loss::before_answer;
+    const loss_cause cause =
+        co_await m_state.reach.find_cause(m_record->entry.address, loss);
+    if (cause == loss_cause::host)
     {
-        const http::endpoint server = m_record->entry.address;
-        const bool is_accepting = co_await m_state.reach.is_accepting(server);
-        is_gone = !is_accepting;
-    }
-    const bool is_unanswered = result.is_connection_lost && !result.head;
-    if (is_gone || is_unanswered)
-    {
-        const reach_proof needed = result.is_connection_lost
-                                       ? reach_proof::answer
-                                       : reach_proof::connection;
-        const bool is_cut_off =
-            co_await m_state.reach.examine(failed_at, needed);
-        if (is_cut_off)
-        {
-            co_return true;
-        }
+        co_return true;
     }
     update_health(result, copy);
-    if (result.is_connection_lost && is_gone)
+    if (cause == loss_cause::crash)
     {
         record_crash(fingerprint, failed_at);
     }
@@ -227,7 +216,8 @@
     {
         // A crash between two events looks like the end of the answer.
         const http::endpoint server = m_record->entry.address;
-        const bool is_accepting = co_await m_state.reach.is_accepting(server);
+        const bool is_accepting =
+            co_await m_state.reach.is_accepting(server, monotonic_clock::now());
         if (!is_accepting)
         {
             co_return;
--- a/libraries/entry/reach_monitor.cpp
+++ b/libraries/entry/reach_monitor.cpp
@@ -32,8 +32,12 @@
 constexpr milliseconds server_silence_limit{1'700};
 static_assert(server_silence_limit > http::longest_sound_silence);
 constexpr milliseconds server_check_period{1'000};
-/// Checks of a server within this time share a result.
+/// A check of a server that began longer ago is not shared.
 constexpr milliseconds check_lifetime{100};
+/// A process that ends may close its connections this long before its listening
+/// socket; connections that it has not accepted are reset with that.
+constexpr milliseconds settle_time{20};
+constexpr milliseconds settle_poll{5};
 constexpr std::size_t max_checks = 256;
 /// Servers close connections on which no request arrives.
 constexpr milliseconds probe_connection_lifetime{1'000};
@@ -92,6 +96,37 @@
     co_return is_cut_off();
 }
 
+net::awaitable<loss_cause> reach_monitor::find_cause(http::endpoint server,
+                                                     connection_loss loss)
+{
+    const time_point failed_at = monotonic_clock::now();
+    const bool was_open = loss != connection_loss::not_opened;
+    bool is_gone = !was_open;
+    if (was_open)
+    {
+        const bool is_alive = co_await is_accepting(server, failed_at);
+        is_gone = !is_alive;
+    }
+    if (is_gone || loss == connection_loss::before_answer)
+    {
+        const bool is_host_cut_off =
+            co_await examine(failed_at, was_open ? reach_proof::answer
+                                                 : reach_proof::connection);
+        if (is_host_cut_off)
+        {
+            co_return loss_cause::host;
+        }
+    }
+    if (!was_open || !is_gone)
+    {
+        co_return loss_cause::other;
+    }
+    // The server may have been out of reach like all others, for a moment that
+    // ended before this host looked whether it is cut off.
+    const bool is_back = co_await is_accepting(server, monotonic_clock::now());
+    co_return is_back ? loss_cause::other : loss_cause::crash;
+}
+
 std::vector<server_table::record_pointer> reach_monitor::choose_targets() const
 {
     const time_point now = monotonic_clock::now();
@@ -192,7 +227,7 @@
 {
     const time_point began = monotonic_clock::now();
     const http::endpoint address = server->entry.address;
-    const bool is_alive = co_await is_accepting(address);
+    const bool is_alive = co_await is_accepting(address, began);
     if (is_alive)
     {
         co_return;
@@ -248,10 +283,14 @@
     try
     {
         auto connection = co_await m_pool.connect(server, probe_timeout);
-        connection->reusable_until =
-            monotonic_clock::now() + probe_connection_lifetime;
-        m_pool.keep(server, std::move(connection));
-        has_connected = true;
+        co_await wait_while_open(*it, *connection);
+        has_connected = http::is_open_and_idle(*connection);
+        if (has_connected)
+        {
+            connection->reusable_until =
+                monotonic_clock::now() + probe_connection_lifetime;
+            m_pool.keep(server, std::move(connection));
+        }
     }
     catch (const boost::system::system_error&)
     {
@@ -260,6 +299,17 @@
     end(it, has_connected);
 }
 
+net::awaitable<void>
+reach_monitor::wait_while_open(const attempt& it,
+                               http::client_connection& connection)
+{
+    while (monotonic_clock::now() < it.open_until &&
+           http::is_open_and_idle(connection))
+    {
+        co_await daemon::pause(m_context, settle_poll);
+    }
+}
+
 net::awaitable<void>
 reach_monitor::wait_for_answer(attempt_pointer it,
                                server_table::record_pointer server)
@@ -311,26 +361,29 @@
     m_monitor.m_reach.on_wait_ended();
 }
 
-net::awaitable<bool> reach_monitor::is_accepting(http::endpoint server)
+net::awaitable<bool> reach_monitor::is_accepting(http::endpoint server,
+                                                 time_point since)
 {
     const time_point now = monotonic_clock::now();
-    const auto is_over = [now](const attempt& it)
-    {
-        return it.is_decided() && it.decided_at + check_lifetime < now;
-    };
     if (m_checks.size() >= max_checks)
     {
         std::erase_if(m_checks,
-                      [&](const auto& it) { return is_over(*it.second); });
+                      [](const auto& it) { return it.second->is_decided(); });
     }
     attempt_pointer& known = m_checks[server];
-    if (!known || is_over(*known))
+    const bool is_running =
+        known && !known->is_decided() && now < known->began + check_lifetime;
+    const bool is_refused = known && known->is_decided() &&
+                            !known->has_reached && since <= known->decided_at;
+    if (!is_running && !is_refused)
     {
         known = std::make_shared<attempt>(m_context);
         known->pending = 1;
+        known->began = now;
         net::co_spawn(m_context, connect(known, server), net::detached);
     }
     const attempt_pointer check = known;
+    check->open_until = std::max(check->open_until, since + settle_time);
     co_await wait(check);
     co_return check->has_reached;
 }
--- a/libraries/entry/reach_monitor.hpp
+++ b/libraries/entry/reach_monitor.hpp
@@ -37,6 +37,25 @@
     answer,
 };
 
+/// When the connection of an exchange was lost.
+enum class connection_loss
+{
+    not_opened,
+    before_answer,
+    within_answer,
+};
+
+enum class loss_cause
+{
+    /// This host is cut off from all servers.
+    host,
+    /// The server has ended while it had the request.
+    crash,
+    /// Anything else, such as a reset connection or a server that was gone
+    /// before.
+    other,
+};
+
 /// Finds out by probes whether this host reaches backend servers, and whether a
 /// server still accepts connections.
 class reach_monitor
@@ -60,9 +79,14 @@
     /// after a probe unless there was such a proof since `failed_at`.
     net::awaitable<bool> examine(time_point failed_at, reach_proof needed);
 
-    /// True if the server accepts a new connection. Checks of one server within
-    /// a short time share one connection.
-    net::awaitable<bool> is_accepting(http::endpoint server);
+    /// Called after a connection to the server was lost.
+    net::awaitable<loss_cause> find_cause(http::endpoint server,
+                                          connection_loss loss);
+
+    /// True if the server accepts a new connection and keeps it open until some
+    /// time after `since`, a moment that has passed. Checks of one server
+    /// within a short time share one connection.
+    net::awaitable<bool> is_accepting(http::endpoint server, time_point since);
 
 private:
     friend class wait_guard;
@@ -83,7 +107,10 @@
         std::size_t pending = 0;
         /// One of the servers gave the proof.
         bool has_reached = false;
+        time_point began{};
         time_point decided_at{};
+        /// A connection counts if it is still open then.
+        time_point open_until{};
     };
     using attempt_pointer = std::shared_ptr<attempt>;
 
@@ -102,6 +129,8 @@
              std::span<const server_table::record_pointer> servers,
              reach_proof needed);
     net::awaitable<void> connect(attempt_pointer it, http::endpoint server);
+    net::awaitable<void> wait_while_open(const attempt& it,
+                                         http::client_connection& connection);
     net::awaitable<void> wait_for_answer(attempt_pointer it,
                                          server_table::record_pointer server);
     static void end(const attempt_pointer& it, bool has_reached);
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -31,6 +31,15 @@
 
 } // namespace
 
+bool is_open_and_idle(client_connection& it)
+{
+    boost::system::error_code ec;
+    char byte = 0;
+    it.stream.socket().receive(net::buffer(&byte, 1),
+                               net::socket_base::message_peek, ec);
+    return ec == net::error::would_block;
+}
+
 client_pool::client_pool(net::io_context& context, milliseconds connect_timeout,
                          std::size_t idle_limit, response_limits limits)
     : m_context(context), m_connect_timeout(connect_timeout),
@@ -47,14 +56,7 @@
     {
         connection_pointer connection = std::move(it->second.back());
         it->second.pop_back();
-        auto& socket = connection->stream.socket();
-        boost::system::error_code ec;
-        // An idle connection that is readable was closed by the server or holds
-        // data that belongs to no request.
-        char byte = 0;
-        socket.receive(net::buffer(&byte, 1), net::socket_base::message_peek,
-                       ec);
-        if (ec == net::error::would_block &&
+        if (is_open_and_idle(*connection) &&
             monotonic_clock::now() < connection->reusable_until)
         {
             co_return connection;
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -45,6 +45,9 @@
     time_point reusable_until = time_point::max();
 };
 
+/// True if the server has neither closed the idle connection nor sent anything.
+bool is_open_and_idle(client_connection& it);
+
 /// Pool of idle connections for reuse, on one io_context. Not thread-safe.
 class client_pool
 {
