Tests: Freeze and cut off hosts, and lose servers, beside parts and limits

With real processes now: parts that crash servers while a host is stopped, while a host reaches no server (both then get such requests themselves), and while a third of the servers end at once; servers with a limit while three hosts are stopped, reach no server, or one of the three servers ends. Servers that a test adds get links of their own at hosts that have links. Late refusals of hosts that are stopped don't count: they answer nobody.

--- a/tests/system/crashing_part_test.cpp
+++ b/tests/system/crashing_part_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace cicadahub::system_tests
@@ -69,6 +70,14 @@
         }
     }
 
+    void kill_a_third()
+    {
+        for (std::size_t n = 0; n < (engine_count + 2) / 3; ++n)
+        {
+            kill(n);
+        }
+    }
+
 private:
     void start_one()
     {
@@ -182,11 +191,25 @@
     return callers;
 }
 
+/// What happens beside the crashes.
+enum class trouble
+{
+    none,
+    /// All hosts start again, one after the other.
+    hosts_restart,
+    /// One host is stopped while servers crash, and goes on afterwards.
+    host_frozen,
+    /// One host reaches no server while servers crash, and does afterwards.
+    host_cut_off,
+    /// A third of the servers end at once, several times.
+    third_of_servers_lost,
+};
+
 struct part_case
 {
     const char* name;
     const char* faults;
-    bool restarts_hosts = false;
+    trouble beside = trouble::none;
 };
 
 void PrintTo(const part_case& it, std::ostream* out)
@@ -196,35 +219,89 @@
 
 class crashing_parts : public testing::TestWithParam<part_case>
 {
+protected:
+    /// Host that is frozen or cut off.
+    static constexpr std::size_t troubled_host = 1;
+
+    static bool is_host_troubled()
+    {
+        return GetParam().beside == trouble::host_frozen ||
+               GetParam().beside == trouble::host_cut_off;
+    }
+
+    static void begin_trouble(platform_fleet& fleet)
+    {
+        auto& host = fleet.daemons[troubled_host];
+        if (GetParam().beside == trouble::host_frozen)
+        {
+            host.program->pause();
+        }
+        if (GetParam().beside == trouble::host_cut_off)
+        {
+            host.links->set_state(fakes::link_state::reset);
+        }
+    }
+
+    static void end_trouble(platform_fleet& fleet, restarted_engines& engines)
+    {
+        auto& host = fleet.daemons[troubled_host];
+        switch (GetParam().beside)
+        {
+        case trouble::none:
+            break;
+        case trouble::hosts_restart:
+            for (std::size_t n = 0; n < daemon_count; ++n)
+            {
+                fleet.start_daemon(n);
+                EXPECT_TRUE(eventually([&] { return fleet.is_ready(n); }));
+            }
+            break;
+        case trouble::host_frozen:
+            host.program->resume();
+            break;
+        case trouble::host_cut_off:
+            host.links->set_state(fakes::link_state::open);
+            break;
+        case trouble::third_of_servers_lost:
+            engines.kill_a_third();
+            break;
+        }
+    }
 };
 
 // Guards against a part of prompts that crashes one server after the other,
 // because the requests that bear it have nothing else in common.
 TEST_P(crashing_parts, are_refused_after_a_few_crashes)
 {
-    platform_fleet fleet(daemon_count);
+    const trouble beside = GetParam().beside;
+    platform_fleet fleet(daemon_count, beside == trouble::host_cut_off);
     restarted_engines engines(fleet, GetParam().faults);
     auto sound = make_callers(fleet);
-    caller crashing(fleet, "crashing", "shared:10,crashing:10", 0, 1,
+    const std::string prompt = "shared:10,crashing:10";
+    // A host that is stopped would hold the caller.
+    caller crashing(fleet, "crashing", prompt, 0, is_host_troubled() ? 2 : 1,
                     crashing_request_gap);
+    begin_trouble(fleet);
     ASSERT_TRUE(eventually(
         [&] { return engines.crashes().size() >= counted_crashes; }));
     const time_point fifth = engines.crashes()[counted_crashes - 1];
     std::this_thread::sleep_until(fifth + contact_time);
     const std::size_t before = engines.crashes().size();
-    if (GetParam().restarts_hosts)
+    end_trouble(fleet, engines);
+    std::optional<caller> more;
+    if (is_host_troubled())
     {
-        for (std::size_t n = 0; n < daemon_count; ++n)
-        {
-            fleet.start_daemon(n);
-            EXPECT_TRUE(eventually([&] { return fleet.is_ready(n); }));
-        }
+        more.emplace(fleet, "more", prompt, troubled_host, 0,
+                     crashing_request_gap);
     }
     std::this_thread::sleep_until(fifth + 2 * contact_time);
     const time_point begin = monotonic_clock::now();
     std::this_thread::sleep_for(measured_time);
-    const std::size_t after = engines.crashes().size();
+    const std::size_t killed =
+        beside == trouble::third_of_servers_lost ? (engine_count + 2) / 3 : 0;
+    const std::size_t after = engines.crashes().size() - killed;
     crashing.stop();
+    more.reset();
     std::size_t served = 0;
     std::size_t sent = 0;
     for (const auto& from : sound)
@@ -249,7 +326,14 @@
                     part_case{"until_close",
                               R"({"crash_part":"crashing","unframed":true})"},
                     part_case{"hosts_restart", R"({"crash_part":"crashing"})",
-                              true}),
+                              trouble::hosts_restart},
+                    part_case{"host_frozen", R"({"crash_part":"crashing"})",
+                              trouble::host_frozen},
+                    part_case{"host_cut_off", R"({"crash_part":"crashing"})",
+                              trouble::host_cut_off},
+                    part_case{"third_of_servers_lost",
+                              R"({"crash_part":"crashing"})",
+                              trouble::third_of_servers_lost}),
     [](const auto& it) { return std::string(it.param.name); });
 
 // Guards against sound parts that are refused because servers crash by
@@ -265,8 +349,15 @@
     for (std::size_t n = 0; n < 12; ++n)
     {
         std::this_thread::sleep_for(milliseconds(400));
-        engines.kill(0);
-        engines.kill(1);
+        if (n % 4 == 3)
+        {
+            engines.kill_a_third();
+        }
+        else
+        {
+            engines.kill(0);
+            engines.kill(1);
+        }
         std::this_thread::sleep_for(2 * poll_period);
     }
     std::size_t served = 0;
--- a/tests/system/limited_server_test.cpp
+++ b/tests/system/limited_server_test.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cmath>
+#include <set>
 #include <thread>
 
 namespace cicadahub::system_tests
@@ -26,6 +27,23 @@
     return std::llround(tolerance * window_seconds * std::stod(limit) + extra);
 }
 
+/// What happens while servers name a limit.
+enum class trouble
+{
+    none,
+    /// Three hosts start again, one after the other.
+    hosts_restart,
+    /// Three hosts are stopped for a while.
+    hosts_frozen,
+    /// Three hosts reach no server for a while.
+    hosts_cut_off,
+    /// One of the three servers ends.
+    third_of_servers_lost,
+};
+
+constexpr std::size_t troubled_hosts = 3;
+constexpr milliseconds trouble_time{1'500};
+
 struct limit_case
 {
     const char* name;
@@ -34,7 +52,7 @@
     std::size_t servers;
     /// Share of all requests that must be served.
     double served_share;
-    bool restarts_hosts = false;
+    trouble beside = trouble::none;
 };
 
 void PrintTo(const limit_case& it, std::ostream* out)
@@ -47,6 +65,8 @@
     std::atomic<std::size_t> sent = 0;
     std::atomic<std::size_t> served = 0;
     std::atomic<std::size_t> late_refusals = 0;
+    /// Hosts whose late refusals don't count.
+    std::set<std::size_t> excused;
 };
 
 /// Callers at all hosts that send until the object is destroyed.
@@ -95,9 +115,9 @@
                     : fleet.stream_prompt(host, id, m_model, id + ":30");
             ++result.sent;
             result.served += got.status == 200 ? 1 : 0;
-            // The route's time is 3 s.
+            // The route's time is 3 s. A stopped host answers nobody.
             const bool is_late =
-                got.status != 200 &&
+                got.status != 200 && !result.excused.contains(host) &&
                 monotonic_clock::now() > at + milliseconds(1'500);
             result.late_refusals += is_late ? 1 : 0;
             std::this_thread::sleep_until(at + request_gap);
@@ -111,6 +131,50 @@
 
 class limited_servers : public testing::TestWithParam<limit_case>
 {
+protected:
+    template<class Action>
+    static void for_troubled_hosts(platform_fleet& fleet, Action action)
+    {
+        for (std::size_t n = 0; n < troubled_hosts; ++n)
+        {
+            action(fleet.daemons[n]);
+        }
+    }
+
+    static void make_trouble(platform_fleet& fleet)
+    {
+        using daemon = platform_fleet::daemon;
+        switch (GetParam().beside)
+        {
+        case trouble::none:
+            break;
+        case trouble::hosts_restart:
+            for (std::size_t n = 0; n < troubled_hosts; ++n)
+            {
+                std::this_thread::sleep_for(warm_up);
+                fleet.start_daemon(n);
+            }
+            break;
+        case trouble::hosts_frozen:
+            for_troubled_hosts(fleet, [](daemon& it) { it.program->pause(); });
+            std::this_thread::sleep_for(trouble_time);
+            for_troubled_hosts(fleet, [](daemon& it) { it.program->resume(); });
+            break;
+        case trouble::hosts_cut_off:
+            for_troubled_hosts(
+                fleet, [](daemon& it)
+                { it.links->set_state(fakes::link_state::reset); });
+            std::this_thread::sleep_for(trouble_time);
+            for_troubled_hosts(fleet,
+                               [](daemon& it) {
+                                   it.links->set_state(fakes::link_state::open);
+                               });
+            break;
+        case trouble::third_of_servers_lost:
+            fleet.services.back().program->kill();
+            break;
+        }
+    }
 };
 
 // Guards against a server that gets more requests than it said it takes, since
@@ -118,10 +182,14 @@
 TEST_P(limited_servers, get_no_more_than_they_take)
 {
     const limit_case& it = GetParam();
-    platform_fleet fleet(daemon_count);
+    platform_fleet fleet(daemon_count, it.beside == trouble::hosts_cut_off);
     // One server alone has too little room for the load of all hosts.
     fleet.add_worker("ledger", "l3", {});
     load_result all;
+    if (it.beside == trouble::hosts_frozen)
+    {
+        all.excused = {0, 1, 2};
+    }
     std::size_t sent_before = 0;
     std::size_t served_before = 0;
     {
@@ -135,19 +203,14 @@
         std::this_thread::sleep_for(warm_up);
         sent_before = all.sent;
         served_before = all.served;
-        if (it.restarts_hosts)
-        {
-            for (std::size_t n = 0; n < 3; ++n)
-            {
-                std::this_thread::sleep_for(warm_up);
-                fleet.start_daemon(n);
-            }
-        }
+        make_trouble(fleet);
         std::this_thread::sleep_for(measured_time);
     }
     const auto sent = static_cast<double>(all.sent - sent_before);
     const auto served = static_cast<double>(all.served - served_before);
-    for (std::size_t n = 0; n < it.servers; ++n)
+    const std::size_t left =
+        it.servers - (it.beside == trouble::third_of_servers_lost ? 1 : 0);
+    for (std::size_t n = 0; n < left; ++n)
     {
         EXPECT_LE(read_stat(fleet.services[n].address, "most_limited_arrivals"),
                   allowed_requests(it.limit));
@@ -164,11 +227,15 @@
 
 INSTANTIATE_TEST_SUITE_P(
     platform_path, limited_servers,
-    testing::Values(limit_case{"one_of_three", "1.6", 1, 0.9},
-                    limit_case{"below_one", "0.4", 1, 0.9},
-                    limit_case{"all", "5", 3, 0},
-                    limit_case{"many_a_second", "30", 3, 0.1},
-                    limit_case{"hosts_restart", "2.5", 3, 0, true}),
+    testing::Values(
+        limit_case{"one_of_three", "1.6", 1, 0.9},
+        limit_case{"below_one", "0.4", 1, 0.9}, limit_case{"all", "5", 3, 0},
+        limit_case{"many_a_second", "30", 3, 0.1},
+        limit_case{"hosts_restart", "2.5", 3, 0, trouble::hosts_restart},
+        limit_case{"hosts_frozen", "2.5", 3, 0, trouble::hosts_frozen},
+        limit_case{"hosts_cut_off", "2.5", 3, 0, trouble::hosts_cut_off},
+        limit_case{"third_of_servers_lost", "2.5", 3, 0,
+                   trouble::third_of_servers_lost}),
     [](const auto& it) { return std::string(it.param.name); });
 
 // Guards against servers that are used too little after their limit ended.
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -144,6 +144,13 @@
                                        "--store", store,       "--id",
                                        id,        "--service", service};
     arguments.insert(arguments.end(), more.begin(), more.end());
+    for (const daemon& host : daemons)
+    {
+        if (host.links)
+        {
+            host.links->add_server(it.address);
+        }
+    }
     it.program =
         std::make_unique<process>("utilities/cicada-standin", arguments);
     EXPECT_TRUE(eventually(
