Placement: Load models at the software version that streams go on at

A stream that broke off may go on only at the version that began it. Placement counted a model's copies over all versions: with copies at the new version only, nothing was loaded at the old one, and the stream was refused again and again.

Waiting requests now name the version that they need, in the digests too (an optional field: hosts of an earlier landing count it as any other demand), and the planner loads the model at a server of that version, if one is left. A later incarnation's holdings, as the holder publishes them, count only where its entry is known: a server that starts again under its id may run another version.

--- a/libraries/decision/replicas/replica_index.cpp
+++ b/libraries/decision/replicas/replica_index.cpp
@@ -3,11 +3,42 @@
 namespace cicadahub::replicas
 {
 
+replica_counts count_replicas(const planner_view& view, const model_id& model,
+                              const std::optional<software_version>& version)
+{
+    replica_counts counts;
+    for (const auto& [id, it] : view.servers)
+    {
+        const auto& pending = it.pending();
+        counts.pending_evictions +=
+            it.runs(version) && pending && pending->makes_room_for == model ? 1
+                                                                            : 0;
+        if (!it.is_usable() || !it.runs(version))
+        {
+            continue;
+        }
+        const bool is_loading =
+            it.is_loading(model) && !it.models().contains(model);
+        const bool is_serving = it.serves(model);
+        const bool is_cached = it.has_cached_copy(model);
+        counts.serving += is_serving ? 1 : 0;
+        counts.replicas += is_serving || is_loading ? 1 : 0;
+        counts.cached += is_cached ? 1 : 0;
+        counts.copies +=
+            is_cached || is_loading || it.models().contains(model) ? 1 : 0;
+    }
+    return counts;
+}
+
 replica_index::replica_index(const planner_view& view)
 {
     for (const auto& [id, it] : view.servers)
     {
         add(it);
+        if (it.is_usable())
+        {
+            m_versions.insert(it.entry().version);
+        }
     }
     for (const pending_demand& it : view.pending_demands)
     {
--- a/libraries/decision/replicas/replica_index.hpp
+++ b/libraries/decision/replicas/replica_index.hpp
@@ -26,6 +26,10 @@
     bool operator==(const replica_counts&) const = default;
 };
 
+/// Counts one model over the servers of a software version, or over all.
+replica_counts count_replicas(const planner_view& view, const model_id& model,
+                              const std::optional<software_version>& version);
+
 /// Replica counts of all models, updated while orders are planned. The planner
 /// reads them for each model and each eviction candidate; recounting them over
 /// all servers each time takes a small host longer than the time between two
@@ -40,6 +44,8 @@
     {
         return m_demanded_models.contains(model);
     }
+    /// True if servers of several software versions serve side by side.
+    bool has_several_versions() const { return m_versions.size() > 1; }
     /// Loads from the weight store that are in progress.
     std::uint32_t store_loads() const { return m_store_loads; }
 
@@ -52,6 +58,7 @@
 
     std::unordered_map<model_id, replica_counts> m_counts;
     std::set<model_id> m_demanded_models;
+    std::set<software_version> m_versions;
     std::uint32_t m_store_loads = 0;
 };
 
--- a/libraries/decision/replicas/replica_planner.cpp
+++ b/libraries/decision/replicas/replica_planner.cpp
@@ -76,7 +76,8 @@
 
 std::optional<replica_planner::candidate>
 replica_planner::best_server(const planning_state& plan, const model_id& model,
-                             load_scope scope)
+                             load_scope scope,
+                             const std::optional<software_version>& version)
 {
     std::optional<candidate> best;
     for (auto& [id, server] : plan.view.servers)
@@ -86,7 +87,7 @@
              server.has_cached_copy(model)) &&
             (scope != load_scope::empty_server || server.models().empty());
         if (!is_in_scope || !server.is_usable() || server.is_order_blocked() ||
-            server.models().contains(model))
+            !server.runs(version) || server.models().contains(model))
         {
             continue;
         }
@@ -136,28 +137,33 @@
 replica_planner::collect_unmet_demands(const planning_state& plan)
 {
     const planner_view& view = plan.view;
-    std::map<model_id, unmet_demand> demands;
+    using wanted_model = std::pair<model_id, std::optional<software_version>>;
+    std::map<wanted_model, unmet_demand> demands;
     for (const pending_demand& it : view.pending_demands)
     {
-        unmet_demand& sum = demands[it.copy.model];
+        unmet_demand& sum = demands[{it.copy.model, it.version}];
         sum.slack = sum.waiting == 0 ? it.slack : std::min(sum.slack, it.slack);
         sum.waiting += it.waiting;
     }
     for (const auto& [model, use] : view.use)
     {
-        demands[model].rate += use.requests_per_second;
+        demands[{model, std::nullopt}].rate += use.requests_per_second;
     }
     std::vector<unmet_demand> unmet;
-    for (auto& [model, it] : demands)
+    for (auto& [wanted, it] : demands)
     {
+        const auto& [model, version] = wanted;
         const auto spec = view.engine.models.find(model);
-        const replica_counts& counts = plan.index.counts_of(model);
+        const replica_counts counts = version
+                                          ? count_replicas(view, model, version)
+                                          : plan.index.counts_of(model);
         if (spec == view.engine.models.end() || counts.replicas > 0 ||
             counts.pending_evictions > 0)
         {
             continue;
         }
         it.model = model;
+        it.version = version;
         it.has_cached_copy = counts.cached > 0;
         const std::chrono::duration<double> load = spec->second.load_from_store;
         it.requests_until_loaded = it.waiting + it.rate * load.count();
@@ -179,8 +185,8 @@
     {
         if (it.has_cached_copy && it.waiting > 0)
         {
-            if (const auto to =
-                    best_server(plan, it.model, load_scope::cached_copy))
+            if (const auto to = best_server(
+                    plan, it.model, load_scope::cached_copy, it.version))
             {
                 emit(plan, *to, it.model);
             }
@@ -200,7 +206,8 @@
         {
             continue;
         }
-        const auto to = best_server(plan, it.model, load_scope::any);
+        const auto to =
+            best_server(plan, it.model, load_scope::any, it.version);
         if (to && to->eviction_cost_ms <=
                       it.requests_until_loaded * typical_request_ms)
         {
--- a/libraries/decision/replicas/replica_planner.hpp
+++ b/libraries/decision/replicas/replica_planner.hpp
@@ -56,6 +56,8 @@
     struct unmet_demand
     {
         model_id model;
+        /// Set if only servers of this software version count.
+        std::optional<software_version> version;
         std::uint32_t waiting = 0;
         milliseconds slack = milliseconds::max();
         double rate = 0;
@@ -87,9 +89,11 @@
         empty_server,
     };
 
-    static std::optional<candidate> best_server(const planning_state& plan,
-                                                const model_id& model,
-                                                load_scope scope);
+    /// Among the servers of `version`, if it is set.
+    static std::optional<candidate>
+    best_server(const planning_state& plan, const model_id& model,
+                load_scope scope,
+                const std::optional<software_version>& version = {});
     static std::optional<candidate> evaluate_server(const planning_state& plan,
                                                     const server_state& server,
                                                     const model_id& model);
--- a/libraries/decision/replicas/server_state.hpp
+++ b/libraries/decision/replicas/server_state.hpp
@@ -55,6 +55,11 @@
     bool serves(const model_id& model) const;
     bool is_loading(const model_id& model) const;
     bool is_usable() const { return !m_entry.is_leaving; }
+    /// True if `version` is not set, or is the server's software version.
+    bool runs(const std::optional<software_version>& version) const
+    {
+        return !version || *version == m_entry.version;
+    }
     /// True if no order can be sent now: one is in progress or not yet
     /// answered, the server's state is not confirmed, or the server wants
     /// nothing.
--- a/libraries/decision/replicas/types.hpp
+++ b/libraries/decision/replicas/types.hpp
@@ -22,6 +22,8 @@
 struct pending_demand
 {
     copy_name copy;
+    /// Set for streams that go on only at servers of this software version.
+    std::optional<software_version> version;
     std::uint32_t waiting = 0;
     /// Time left until the earliest deadline among these requests.
     milliseconds slack{0};
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -171,6 +171,10 @@
             item.copy.adapter ? item.copy.adapter->value() : std::string();
         wanted.waiting = static_cast<std::int32_t>(item.waiting);
         wanted.slack_ms = static_cast<std::int32_t>(item.slack.count());
+        if (item.version)
+        {
+            wanted.__set_version(item.version->value());
+        }
         to.wants.push_back(std::move(wanted));
     }
 }
--- a/libraries/entry/placement_controller.cpp
+++ b/libraries/entry/placement_controller.cpp
@@ -289,6 +289,10 @@
             item.copy = copy_from(it.model, it.adapter);
             item.waiting = static_cast<std::uint32_t>(it.waiting);
             item.slack = milliseconds(it.slack_ms);
+            if (it.__isset.version)
+            {
+                item.version = software_version(it.version);
+            }
             view.pending_demands.push_back(std::move(item));
         }
         for (const auto& it : peer.digest.usage)
--- a/libraries/entry/request_routing.cpp
+++ b/libraries/entry/request_routing.cpp
@@ -305,6 +305,10 @@
             recheck = std::min(recheck, *choice.full_for);
         }
         m_waiter->copy = m_copy;
+        if (m_origin)
+        {
+            m_waiter->version = m_origin->version;
+        }
         m_waiter->priority =
             m_organisation != nullptr && m_organisation->priority
                 ? *m_organisation->priority
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -8,9 +8,15 @@
 
 const serving::holdings& server_record::models() const
 {
-    const bool has_published =
-        published && published->incarnation == entry.incarnation;
-    return has_published ? published->models : entry.models;
+    static const serving::holdings none;
+    if (!published || published->incarnation < entry.incarnation)
+    {
+        return entry.models;
+    }
+    // What a later incarnation holds is of no use before its entry is known:
+    // its software version may be another one.
+    return published->incarnation == entry.incarnation ? published->models
+                                                       : none;
 }
 
 bool server_record::holds(const replicas::copy_name& copy) const
--- a/libraries/entry/wait_queue.cpp
+++ b/libraries/entry/wait_queue.cpp
@@ -45,7 +45,9 @@
 std::vector<replicas::pending_demand>
 wait_queue::pending_demand(time_point now) const
 {
-    std::map<replicas::copy_name, replicas::pending_demand> by_copy;
+    std::map<std::pair<replicas::copy_name, std::optional<software_version>>,
+             replicas::pending_demand>
+        by_copy;
     for (const waiter_pointer& it : m_waiters)
     {
         if (!it->copy)
@@ -54,16 +56,17 @@
         }
         const auto slack =
             std::chrono::duration_cast<milliseconds>(it->deadline - now);
-        auto& item = by_copy[*it->copy];
+        auto& item = by_copy[{*it->copy, it->version}];
         item.copy = *it->copy;
+        item.version = it->version;
         item.slack = item.waiting == 0 ? slack : std::min(item.slack, slack);
         ++item.waiting;
     }
     std::vector<replicas::pending_demand> demand;
     demand.reserve(by_copy.size());
-    for (auto& [copy, item] : by_copy)
+    for (auto& [wanted, item] : by_copy)
     {
-        demand.push_back(item);
+        demand.push_back(std::move(item));
     }
     return demand;
 }
--- a/libraries/entry/wait_queue.hpp
+++ b/libraries/entry/wait_queue.hpp
@@ -21,6 +21,8 @@
     explicit waiter(net::io_context& context) : timer(context) {}
 
     std::optional<replicas::copy_name> copy;
+    /// Set if only servers of this software version will do.
+    std::optional<software_version> version;
     std::int64_t priority = 0;
     time_point arrived{};
     time_point deadline{};
@@ -53,7 +55,6 @@
     /// the least time that one of them has left.
     std::vector<replicas::pending_demand> pending_demand(time_point now) const;
     std::size_t size() const { return m_waiters.size(); }
-    /// Requests that wait for this copy, or for a plain service.
 
 private:
     net::io_context& m_context;
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -12,6 +12,8 @@
   3: i32 waiting
   /// Time left to the most urgent of them.
   4: i32 slack_ms
+  /// Set for streams that go on only at servers of this software version.
+  5: optional string version
 }
 
 /// Request rate of a model or of one of its adapters.
--- a/tests/decision/replica_planner_test.cpp
+++ b/tests/decision/replica_planner_test.cpp
@@ -32,10 +32,13 @@
     }
 
     void add_server(const char* name, const std::set<std::string>& models,
-                    const std::set<std::string>& on_disk = {})
+                    const std::set<std::string>& on_disk = {},
+                    const char* version = "v1", bool is_leaving = false)
     {
         serving::server_entry entry;
         entry.id = server_id(name);
+        entry.version = software_version(version);
+        entry.is_leaving = is_leaving;
         serving::server_report report;
         for (const std::string& it : models)
         {
@@ -108,6 +111,86 @@
 
 using texts = std::vector<std::string>;
 
+// While a software version is replaced, the new one's copies are of no use to
+// streams that the old one began.
+TEST_F(planner_fixture, a_stream_gets_a_copy_at_the_version_that_began_it)
+{
+    std::erase_if(m_engine.models,
+                  [](const auto& it) { return it.first != model_id("a"); });
+    add_server("new", {"a"}, {}, "v2");
+    add_server("old", {}, {"a"}, "v1");
+    add_demand("a");
+    EXPECT_EQ(planned(), texts{});
+    add_demand("a");
+    m_pending_demands.back().version = software_version("v1");
+    EXPECT_EQ(planned(), texts{"load a old"});
+    // The load is on its way.
+    EXPECT_EQ(planned(), texts{});
+}
+
+TEST_F(planner_fixture, a_stream_whose_version_has_no_server_causes_no_load)
+{
+    std::erase_if(m_engine.models,
+                  [](const auto& it) { return it.first != model_id("a"); });
+    add_server("new", {"a"}, {}, "v2");
+    add_server("other", {}, {"a"}, "v2");
+    add_server("leaving", {}, {"a"}, "v1", true);
+    add_demand("a");
+    m_pending_demands.back().version = software_version("v1");
+    EXPECT_EQ(planned(), texts{});
+}
+
+struct reliance_case
+{
+    const char* name;
+    /// Software version of the server with the victims, and of another one.
+    const char* version;
+    const char* other_version;
+    bool is_third_copy_there;
+    const char* victim;
+};
+
+void PrintTo(const reliance_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class relied_on_copies : public planner_fixture,
+                         public testing::WithParamInterface<reliance_case>
+{
+};
+
+// The streams of `a` at "leaving" can go on at "s" only, unless another server
+// of their version holds it.
+TEST_P(relied_on_copies, are_evicted_last)
+{
+    m_engine.models.erase(model_id("d"));
+    m_engine.models.erase(model_id("e"));
+    add_server("s", {"a", "b"}, {"c"}, GetParam().version);
+    add_server("leaving", {"a"}, {}, "v1", true);
+    if (GetParam().is_third_copy_there)
+    {
+        add_server("t1", {"a"}, {}, GetParam().version);
+        add_server("t2", {"a"}, {}, GetParam().version);
+    }
+    add_server("other", {"b", "a"}, {}, GetParam().other_version);
+    m_running[{server_id("leaving"), model_id("a")}] = 3;
+    use("b", 0.2);
+    use("a", 0.1, 3);
+    add_demand("c");
+    const texts orders = planned();
+    ASSERT_FALSE(orders.empty());
+    EXPECT_EQ(orders.front(),
+              std::string("unload ") + GetParam().victim + " s");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    planner_fixture, relied_on_copies,
+    testing::Values(reliance_case{"at_the_old_version", "v1", "v2", false, "b"},
+                    reliance_case{"at_the_new_version", "v2", "v2", false, "a"},
+                    reliance_case{"with_other_copies", "v1", "v2", true, "a"}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 TEST_F(planner_fixture, a_burst_of_requests_for_one_model_causes_one_load)
 {
     m_engine.models.erase(model_id("d"));
--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/server_table_test.cpp
@@ -187,5 +187,48 @@
     EXPECT_EQ(m_table.find(server_id("s"))->entry.incarnation, 6);
 }
 
+struct publication_case
+{
+    const char* name;
+    /// Incarnation that the holder of the placement lease publishes; the entry
+    /// is of the second.
+    std::int64_t incarnation;
+    bool holds_listed;
+    bool holds_published;
+};
+
+void PrintTo(const publication_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class publications : public server_table_test,
+                     public testing::WithParamInterface<publication_case>
+{
+};
+
+// Guards against requests to a server that has started again, maybe with
+// another software version, by its entry from before.
+TEST_P(publications, count_for_the_incarnation_that_is_listed)
+{
+    m_table.apply(object("s", 5, {{"incarnation", 2}, {"model", true}}));
+    published_holdings told;
+    told.incarnation = GetParam().incarnation;
+    told.models[model_id("told")];
+    m_table.on_published(server_id("s"), told);
+    const auto record = m_table.find(server_id("s"));
+    EXPECT_EQ(record->holds({model_id("m"), std::nullopt}),
+              GetParam().holds_listed);
+    EXPECT_EQ(record->holds({model_id("told"), std::nullopt}),
+              GetParam().holds_published);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    server_table, publications,
+    testing::Values(publication_case{"former", 1, true, false},
+                    publication_case{"listed", 2, false, true},
+                    publication_case{"later", 3, false, false}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 } // namespace
 } // namespace cicadahub::entry
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -132,6 +132,22 @@
            200;
 }
 
+void platform_fleet::restart_worker(std::size_t engine,
+                                    const std::vector<std::string>& more)
+{
+    worker& it = engines[engine];
+    it.program.reset();
+    std::vector<std::string> arguments{"worker",  "--listen",  it.address,
+                                       "--store", store,       "--id",
+                                       it.id,     "--service", "engines"};
+    arguments.insert(arguments.end(), more.begin(), more.end());
+    it.program =
+        std::make_unique<process>("utilities/cicada-standin", arguments);
+    EXPECT_TRUE(eventually(
+        [&]
+        { return call(it.address, http::verb::get, "/stats").status == 200; }));
+}
+
 std::size_t platform_fleet::add_worker(const std::string& service,
                                        const std::string& id,
                                        const std::vector<std::string>& more)
--- a/tests/system/platform_fleet.hpp
+++ b/tests/system/platform_fleet.hpp
@@ -40,6 +40,10 @@
     std::size_t add_worker(const std::string& service, const std::string& id,
                            const std::vector<std::string>& more);
 
+    /// Kills an engine and starts it again under its id and address.
+    void restart_worker(std::size_t engine,
+                        const std::vector<std::string>& more);
+
     /// Writes a configuration with this version. `keys` are the API keys of the
     /// organisation; each prefix adds a route to the plain service.
     void write_configuration(int version, const std::vector<std::string>& keys,
--- a/tests/system/stream_version_test.cpp
+++ b/tests/system/stream_version_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <future>
 #include <thread>
 
@@ -35,7 +36,9 @@
         " HTTP/1.1\r\nHost: trust.example\r\nRequest-Id: " + it.id +
         "\r\nAuthorization: Bearer " + it.key +
         "\r\nModel: m1\r\nToken-Count: 20,16\r\n"
-        "Prompt-Prefix: aa:10,bb:10\r\nDeadline-Ms: 8000\r\n"
+        "Prompt-Prefix: aa:10," +
+        it.id +
+        ":10\r\nDeadline-Ms: 8000\r\n"
         "Connection: close\r\n";
     if (!it.resumes.empty())
     {
@@ -45,8 +48,10 @@
     {
         head += "Last-Event-Id: " + it.after_event + "\r\n";
     }
-    return receive_until_close(fleet.daemons[host].callers,
-                               head + "Content-Length: 0\r\n\r\n");
+    return receive_until_close(
+        fleet.daemons[host].callers,
+        head + "Content-Length: " + std::to_string(it.id.size()) + "\r\n\r\n" +
+            it.id);
 }
 
 bool has_old(const raw_answer& it)
@@ -300,6 +305,265 @@
                   loss_case::loss::all_restarted, "v1", false, 0.9}),
     [](const auto& it) { return std::string(it.param.name); });
 
+struct stream_result
+{
+    bool has_begun = false;
+    /// It broke off and was taken up.
+    bool is_taken_up = false;
+    bool is_complete = false;
+    bool is_joined = false;
+};
+
+/// Reads a stream as a caller does that takes it up at the next host each time
+/// that it breaks off.
+stream_result read_stream(const platform_fleet& fleet, std::size_t host,
+                          const std::string& id)
+{
+    constexpr std::size_t max_tries = 4;
+    raw_answer all = ask_stream(fleet, host, {id, {}, {}});
+    std::size_t events = count_occurrences(all.bytes, "data: piece");
+    stream_result result;
+    result.has_begun = events > 0;
+    result.is_complete = is_whole(all);
+    for (std::size_t n = 1;
+         n < max_tries && result.has_begun && !result.is_complete; ++n)
+    {
+        result.is_taken_up = true;
+        const raw_answer rest = ask_stream(
+            fleet, (host + n) % fleet.daemons.size(),
+            {id + "-" + std::to_string(n), id, std::to_string(events)});
+        events += count_occurrences(rest.bytes, "data: piece");
+        result.is_complete = rest.status() == 200 && is_whole(rest);
+        all.bytes += rest.bytes;
+        if (rest.status() != 200)
+        {
+            std::this_thread::sleep_for(event_gap);
+        }
+    }
+    result.is_joined = has_old(all) && has_new(all);
+    return result;
+}
+
+// Guards against streams that can't go on because what they run is loaded at
+// servers of another version only.
+TEST(stream_versions, cause_a_load_at_the_version_that_began_them)
+{
+    upgraded_fleet upgraded;
+    platform_fleet& fleet = upgraded.fleet;
+    std::size_t taken_up = 0;
+    std::size_t gone_on = 0;
+    for (const auto& engine : fleet.engines)
+    {
+        fleet.set_fault(engine.address, R"({"event_gap_ms":)" +
+                                            std::to_string(event_gap.count()) +
+                                            "}");
+    }
+    std::vector<std::future<stream_result>> begun;
+    constexpr std::size_t streams = 12;
+    for (std::size_t n = 0; n < streams; ++n)
+    {
+        begun.push_back(std::async(std::launch::async,
+                                   [&fleet, n]
+                                   {
+                                       return read_stream(
+                                           fleet, n % fleet.daemons.size(),
+                                           "s" + std::to_string(n));
+                                   }));
+    }
+    std::this_thread::sleep_for(few_events);
+    // Of the old version, only the server without the model is left.
+    for (const auto& it : fleet.engines)
+    {
+        if (it.id == "e1" || it.id == "e3")
+        {
+            it.program->kill();
+            call(fleet.store, http::verb::delete_,
+                 "/v1/objects/servers/" + it.id);
+        }
+    }
+    for (auto& it : begun)
+    {
+        const stream_result got = it.get();
+        EXPECT_FALSE(got.is_joined);
+        taken_up += got.is_taken_up ? 1 : 0;
+        gone_on += got.is_taken_up && got.is_complete ? 1 : 0;
+    }
+    std::cout << gone_on << " of " << taken_up << " went on\n";
+    EXPECT_GT(taken_up, 0U);
+    EXPECT_EQ(gone_on, taken_up);
+}
+
+struct replacement_case
+{
+    const char* name;
+    /// A server starts again with the new version under its id, instead of a
+    /// new server beside it.
+    bool keeps_ids;
+    bool loses_hosts;
+    bool resets_links;
+};
+
+void PrintTo(const replacement_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+/// Callers that take up each stream that breaks off, at the next host, until
+/// they are stopped.
+class persistent_callers
+{
+public:
+    persistent_callers(const platform_fleet& fleet, std::size_t count)
+        : m_fleet(fleet)
+    {
+        for (std::size_t n = 0; n < count; ++n)
+        {
+            m_threads.emplace_back([this, n] { run(n); });
+        }
+    }
+
+    void stop()
+    {
+        m_is_over = true;
+        for (std::thread& it : m_threads)
+        {
+            it.join();
+        }
+        m_threads.clear();
+    }
+
+    std::atomic<std::size_t> begun = 0;
+    std::atomic<std::size_t> asked = 0;
+    std::atomic<std::size_t> taken_up = 0;
+    std::atomic<std::size_t> gone_on = 0;
+    std::atomic<std::size_t> joined = 0;
+
+private:
+    void run(std::size_t caller)
+    {
+        for (std::size_t n = 0; !m_is_over; ++n)
+        {
+            const std::string id =
+                "c" + std::to_string(caller) + "-" + std::to_string(n);
+            try
+            {
+                const stream_result it =
+                    read_stream(m_fleet, caller % m_fleet.daemons.size(), id);
+                ++asked;
+                begun += it.has_begun ? 1 : 0;
+                taken_up += it.is_taken_up ? 1 : 0;
+                gone_on += it.is_taken_up && it.is_complete ? 1 : 0;
+                joined += it.is_joined ? 1 : 0;
+            }
+            catch (const boost::system::system_error&)
+            {
+                // The host has just been lost.
+                std::this_thread::sleep_for(event_gap);
+            }
+        }
+    }
+
+    const platform_fleet& m_fleet;
+    std::atomic<bool> m_is_over = false;
+    std::vector<std::thread> m_threads;
+};
+
+class replaced_services : public testing::TestWithParam<replacement_case>
+{
+protected:
+    /// Replaces the engine by one of the new version that holds nothing, or
+    /// the model if it comes beside it.
+    static void replace(platform_fleet& fleet, std::size_t n)
+    {
+        const std::string id = fleet.engines[n].id;
+        if (GetParam().keeps_ids)
+        {
+            fleet.restart_worker(
+                n, {"--megabytes", "250", "--software-version", "v2"});
+            return;
+        }
+        const std::size_t added = fleet.add_worker(
+            "engines", "n" + id, upgraded_fleet::preloaded("v2"));
+        set_pace(fleet, added);
+        std::this_thread::sleep_for(few_events);
+        fleet.engines[n].program->kill();
+        call(fleet.store, http::verb::delete_, "/v1/objects/servers/" + id);
+    }
+
+    static void set_pace(const platform_fleet& fleet, std::size_t n)
+    {
+        constexpr milliseconds short_gap{60};
+        fleet.set_fault(fleet.engines[n].address,
+                        R"({"event_gap_ms":)" +
+                            std::to_string(short_gap.count()) + "}");
+    }
+};
+
+// Guards against text that is joined from two versions while a service is
+// replaced under load and its servers end with streams running.
+TEST_P(replaced_services, join_no_versions)
+{
+    const replacement_case& it = GetParam();
+    platform_fleet fleet(4, it.resets_links);
+    fleet.add_worker("engines", "e3", upgraded_fleet::preloaded("v1"));
+    fleet.add_worker("engines", "e4", upgraded_fleet::preloaded("v1"));
+    upgraded_fleet::wait_until_listed();
+    constexpr std::size_t old_engines = 4;
+    for (std::size_t n = 0; n < old_engines; ++n)
+    {
+        set_pace(fleet, n);
+    }
+    // While two servers of the version that began them serve.
+    std::size_t taken_up_in_time = 0;
+    std::size_t gone_on_in_time = 0;
+    persistent_callers callers(fleet, 12);
+    for (std::size_t n = 0; n < old_engines; ++n)
+    {
+        std::this_thread::sleep_for(few_events);
+        if (n == old_engines / 2)
+        {
+            taken_up_in_time = callers.taken_up;
+            gone_on_in_time = callers.gone_on;
+        }
+        replace(fleet, n);
+        if (it.loses_hosts)
+        {
+            fleet.daemons[n].program->kill();
+            fleet.start_daemon(n);
+        }
+        if (it.resets_links)
+        {
+            fakes::link_state const reset = fakes::link_state::reset;
+            auto& links = *fleet.daemons[(n + 1) % 4].links;
+            links.set_state(reset);
+            links.set_state(fakes::link_state::open);
+        }
+    }
+    std::this_thread::sleep_for(milliseconds(2'000));
+    callers.stop();
+    std::cout << "begun " << callers.begun << " of " << callers.asked
+              << ", gone on in time " << gone_on_in_time << " of "
+              << taken_up_in_time << ", in all " << callers.gone_on << " of "
+              << callers.taken_up << "\n";
+    EXPECT_EQ(callers.joined, 0U);
+    EXPECT_GT(callers.taken_up, 0U);
+    EXPECT_GT(callers.begun, 0U);
+    if (!it.loses_hosts)
+    {
+        EXPECT_GE(gone_on_in_time * 2, taken_up_in_time);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    stream_versions, replaced_services,
+    testing::Values(
+        replacement_case{"one_by_one", false, false, false},
+        replacement_case{"under_their_ids", true, false, false},
+        replacement_case{"while_hosts_are_lost", false, true, false},
+        replacement_case{"while_links_are_reset", false, false, true},
+        replacement_case{"with_all_of_it", true, true, true}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 // Guards against a call to the store for each look at the record.
 TEST(stream_versions, are_written_to_the_store_when_they_change)
 {
