Entry: Write streams again whose record failed

Origins of streams that begin while two versions serve are recorded in the store by the lease holder. What it had taken for a write was lost if the write failed, or if the store was away: after a loss of all hosts nobody knew these streams. After a failed write all streams that can still be taken up are written again.

--- a/libraries/entry/stream_record.cpp
+++ b/libraries/entry/stream_record.cpp
@@ -164,13 +164,19 @@
         }
         catch (const std::exception& reason)
         {
-            m_ring.clear();
-            log_event(severity::warning, event_number::platform_unreachable,
-                      {{"collection", "streams"}, {"reason", reason.what()}});
+            on_write_failed(reason.what());
         }
     }
 }
 
+void stream_record::on_write_failed(std::string_view reason)
+{
+    m_ring.clear();
+    m_streams.on_recorder_changed();
+    log_event(severity::warning, event_number::platform_unreachable,
+              {{"collection", "streams"}, {"reason", reason}});
+}
+
 net::awaitable<void>
 stream_record::write(const std::vector<begun_stream>& streams)
 {
@@ -182,10 +188,7 @@
         co_await m_store.write(platform::collection::streams, former, spec);
     if (written.outcome != platform::write_outcome::applied)
     {
-        log_event(severity::warning, event_number::platform_unreachable,
-                  {{"collection", "streams"},
-                   {"reason", "the write was not applied"}});
-        m_ring.clear();
+        on_write_failed("the write was not applied");
         co_return;
     }
     former.spec = spec;
--- a/libraries/entry/stream_record.hpp
+++ b/libraries/entry/stream_record.hpp
@@ -29,6 +29,8 @@
     net::awaitable<void> list();
     net::awaitable<void>
     write(const std::vector<continuity::begun_stream>& streams);
+    /// The streams of the write are written with the next ones.
+    void on_write_failed(std::string_view reason);
 
     net::io_context& m_context;
     platform::store& m_store;
--- a/tests/system/stream_version_test.cpp
+++ b/tests/system/stream_version_test.cpp
@@ -170,6 +170,8 @@
     bool do_old_servers_leave;
     /// Least share of the streams taken up that go on.
     double least_share;
+    /// The store answers nobody while the streams begin.
+    bool is_store_away = false;
 };
 
 void PrintTo(const loss_case& it, std::ostream* out)
@@ -182,6 +184,21 @@
 protected:
     using loss = loss_case::loss;
 
+    static void set_store_away(const platform_fleet& fleet, bool it)
+    {
+        boost::json::array refused;
+        for (const auto& host : fleet.daemons)
+        {
+            if (it)
+            {
+                refused.emplace_back(host.name);
+            }
+        }
+        fleet.set_fault(fleet.store,
+                        boost::json::serialize(boost::json::object{
+                            {"refuse", std::move(refused)}}));
+    }
+
     static void lose_hosts(platform_fleet& fleet, loss what)
     {
         if (what == loss::frozen)
@@ -218,18 +235,24 @@
     upgraded_fleet upgraded(it.other_version);
     platform_fleet& fleet = upgraded.fleet;
     constexpr std::size_t streams = 12;
+    const milliseconds gap = it.is_store_away ? 2 * event_gap : event_gap;
     for (const auto& engine : fleet.engines)
     {
         fleet.set_fault(engine.address, R"({"event_gap_ms":)" +
-                                            std::to_string(event_gap.count()) +
-                                            "}");
+                                            std::to_string(gap.count()) + "}");
     }
+    set_store_away(fleet, it.is_store_away);
     std::vector<std::future<raw_answer>> begun;
     for (std::size_t n = 0; n < streams; ++n)
     {
         begun.push_back(upgraded.begin(0, "s" + std::to_string(n)));
     }
     std::this_thread::sleep_for(few_events);
+    if (it.is_store_away)
+    {
+        set_store_away(fleet, false);
+        std::this_thread::sleep_for(few_events);
+    }
     if (it.do_old_servers_leave)
     {
         upgraded.remove_old_servers();
@@ -301,6 +324,8 @@
                   false, 0.5},
         loss_case{"old_servers_left_and_all_hosts_restarted",
                   loss_case::loss::all_restarted, "v2", true, 0},
+        loss_case{"all_hosts_restarted_after_an_outage_of_the_store",
+                  loss_case::loss::all_restarted, "v2", false, 0.5, true},
         loss_case{"one_version_and_all_hosts_restarted",
                   loss_case::loss::all_restarted, "v1", false, 0.9}),
     [](const auto& it) { return std::string(it.param.name); });
