Digests: Tell all hosts of a crash once

For three seconds afterwards each host with a request there sent every update to all 73 others, some tens a second, with all crashes in each: requests that wait look for a server again whenever one of them ends, and each time an update was due. Links of 10 Mbit/s were full for eight seconds, connections to servers, peers and the store ran into their time limits (3,444 attempts not sent, 349 fetches from peers, hosts that took themselves for cut off), and CONFIG, DRAIN and GONE broke.

An update now has the crashes and clearings since the last message to all; full digests repeat them for three seconds as before. It goes to all only when that is asked for: at once for a crash, with the next beacon for parts that are cleared. A request that waits is told to the holder once, not each time it looks again.

digest_updates and wait_queue.tells_of_a_request_once show it. Ruled out: the log lines of suspected requests (8,341 in that second are 115 crashes, told to 73).

--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -232,10 +232,14 @@
                    {"request", m_request.value()},
                    {"seen_by", m_state.settings.name.value()}});
     }
-    if (cleared.has_cleared)
+    if (!cleared.readmitted.empty())
     {
         m_state.send_update_to_all_soon();
     }
+    else if (cleared.has_cleared)
+    {
+        m_state.send_next_update_to_all();
+    }
 }
 
 void attempt_observer::record_crash(const suspicion::fingerprint& fingerprint,
@@ -248,7 +252,7 @@
     m_state.crashing_parts.on_crash(crash, true, crashed_at);
     const std::uint32_t crashes =
         m_state.suspects.on_crash(fingerprint, monotonic_clock::now());
-    m_state.send_update_soon();
+    m_state.send_update_to_all_soon();
     log_event(severity::warning, event_number::request_suspected,
               {{"request", m_request.value()},
                {"fingerprint", fingerprint.value()},
--- a/libraries/entry/crash_notices.cpp
+++ b/libraries/entry/crash_notices.cpp
@@ -11,9 +11,6 @@
 
 /// Enough that parts in one deployment practically never collide.
 constexpr std::size_t part_fingerprint_digits = 16;
-/// Crashes and clearings are included in digests for this long, so that
-/// daemons that missed some digests still learn of them.
-constexpr milliseconds notice_lifetime{3'000};
 /// Keep a digest within one datagram.
 constexpr std::size_t max_crashed_requests = 256;
 constexpr std::size_t max_parts = 256;
@@ -82,14 +79,15 @@
 }
 
 void add_crash_notices(fleet::wire::Digest& to,
-                       suspicion::crash_attribution& from, time_point now)
+                       suspicion::crash_attribution& from, time_point since,
+                       time_point now)
 {
     if (from.is_empty())
     {
         return;
     }
     std::size_t requests = 0;
-    for (const auto& crash : from.own_crashes_since(now - notice_lifetime))
+    for (const auto& crash : from.own_crashes_since(since))
     {
         fleet::wire::CrashedServer& server = to.crashed_servers.emplace_back();
         server.server = crash.key.server.value();
@@ -112,7 +110,7 @@
         }
     }
     add_parts(to.refused_parts, from.refused(now), now);
-    add_parts(to.cleared_parts, from.cleared_since(now - notice_lifetime), now);
+    add_parts(to.cleared_parts, from.cleared_since(since), now);
 }
 
 void apply_crash_notices(const peer& from, suspicion::crash_attribution& to)
--- a/libraries/entry/crash_notices.hpp
+++ b/libraries/entry/crash_notices.hpp
@@ -15,9 +15,10 @@
 shared_parts_of(const std::vector<serving::prompt_part>& prompt);
 
 /// Adds what this host knows of parts of prompts that crash servers to a
-/// digest.
+/// digest: crashes and clearings since `since`, and all refused parts.
 void add_crash_notices(fleet::wire::Digest& to,
-                       suspicion::crash_attribution& from, time_point now);
+                       suspicion::crash_attribution& from, time_point since,
+                       time_point now);
 
 /// Takes in what the digest of a peer says of such parts, and logs the parts
 /// that are refused from now on or no longer.
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -25,8 +25,8 @@
 /// Peers whose addresses one digest lists, round-robin. A few suffice, since
 /// most hosts are known from the store.
 constexpr std::size_t max_peers_per_digest = 4;
-/// Crashes are included in digests for this long, so that daemons that missed
-/// some digests still learn of them.
+/// Crashes and clearings are included in full digests for this long, so that
+/// daemons that missed an update still learn of them.
 constexpr milliseconds crash_notice_lifetime{3'000};
 constexpr std::size_t max_crash_notices = 64;
 /// The host that sends to a server with a limit hears of it more often.
@@ -95,6 +95,11 @@
     send_update_soon();
 }
 
+void digest_exchange::send_next_update_to_all()
+{
+    m_is_update_for_all = true;
+}
+
 fleet::wire::Digest digest_exchange::make_digest(time_point now, bool is_update)
 {
     fleet::wire::Digest it;
@@ -106,8 +111,9 @@
     it.is_cut_off = m_state.reach.is_cut_off();
     it.processor_share = m_state.settings.processor_share;
     it.is_update = is_update;
-    for (const auto& [request, crashes] :
-         m_state.suspects.crashed_since(now - crash_notice_lifetime))
+    const time_point since =
+        is_update ? m_told_all_at : now - crash_notice_lifetime;
+    for (const auto& [request, crashes] : m_state.suspects.crashed_since(since))
     {
         if (it.crashes.size() < max_crash_notices)
         {
@@ -117,7 +123,7 @@
             it.crashes.push_back(std::move(notice));
         }
     }
-    add_crash_notices(it, m_state.crashing_parts, now);
+    add_crash_notices(it, m_state.crashing_parts, since, now);
     m_fill(it, now);
     for (const auto& [id, record] : m_state.servers.records())
     {
@@ -310,6 +316,7 @@
         add_fleet_work(common);
     }
     send(common, others);
+    m_told_all_at = now;
     if (!holder.empty())
     {
         add_work(for_holder, true);
@@ -343,11 +350,12 @@
     const time_point now = monotonic_clock::now();
     fleet::wire::Digest update = make_digest(now, true);
     const bool is_for_all = std::exchange(m_is_update_for_all, false) ||
-                            m_is_holder() || !update.crashes.empty() ||
+                            m_is_holder() ||
                             (is_beacon && update.watches_store);
     if (is_for_all)
     {
         send(update, m_addresses);
+        m_told_all_at = now;
     }
     else if (is_beacon)
     {
--- a/libraries/entry/digest_exchange.hpp
+++ b/libraries/entry/digest_exchange.hpp
@@ -30,6 +30,9 @@
     /// The same for changes that all daemons need, not only the holder of the
     /// placement lease.
     void send_update_to_all_soon();
+    /// The same for changes that can wait for the next beacon, since they come
+    /// in large numbers.
+    void send_next_update_to_all();
     void add_address(const http::endpoint& address);
     /// Sends lists of streams to one daemon. They are no state of this one:
     /// they neither replace a digest nor are replaced by one.
@@ -80,6 +83,8 @@
     std::string m_last_listed_peer;
     bool m_is_update_requested = false;
     bool m_is_update_for_all = false;
+    /// Updates contain the crashes and clearings since then.
+    time_point m_told_all_at{};
 };
 
 } // namespace cicadahub::entry
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -131,14 +131,14 @@
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
       m_started(monotonic_clock::now())
 {
-    m_state.send_update_soon = [this]
-    {
-        m_digests.send_update_soon();
-    };
     m_state.send_update_to_all_soon = [this]
     {
         m_digests.send_update_to_all_soon();
     };
+    m_state.send_next_update_to_all = [this]
+    {
+        m_digests.send_next_update_to_all();
+    };
     m_state.continuity.set_handlers(
         {[this](const fleet::wire::Digest& message, const http::endpoint& to)
          { m_digests.send_streams(message, to); },
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -63,12 +63,12 @@
     reach_monitor reach;
     stream_continuity continuity;
 
-    /// Called on changes that other daemons need to learn of at once.
-    std::function<void()> send_update_soon;
-
-    /// The same for a change that each daemon needs to learn of.
+    /// Called on changes that all other daemons need to learn of at once.
     std::function<void()> send_update_to_all_soon;
 
+    /// The same for changes that can wait for the next beacon.
+    std::function<void()> send_next_update_to_all;
+
     /// True while this daemon holds the placement lease.
     std::function<bool()> is_placement_holder;
 
--- a/libraries/entry/wait_queue.cpp
+++ b/libraries/entry/wait_queue.cpp
@@ -25,7 +25,7 @@
                                     [&](const waiter_pointer& other)
                                     { return comes_first(*it, *other); });
     const auto position = m_waiters.insert(place, it);
-    if (it->copy && m_on_change)
+    if (it->copy && m_on_change && !std::exchange(it->is_told, true))
     {
         m_on_change();
     }
--- a/libraries/entry/wait_queue.hpp
+++ b/libraries/entry/wait_queue.hpp
@@ -26,6 +26,8 @@
     std::int64_t priority = 0;
     time_point arrived{};
     time_point deadline{};
+    /// The queue has told of it.
+    bool is_told = false;
     net::steady_timer timer;
 };
 
@@ -45,7 +47,8 @@
 
     void wake_all();
 
-    /// The handler is called whenever a request starts to wait for a replica.
+    /// The handler is called when a request starts to wait for a replica, but
+    /// not each time that it looks for one again.
     void set_change_handler(std::function<void()> handler)
     {
         m_on_change = std::move(handler);
--- a/tests/entry/digest_exchange_test.cpp
+++ b/tests/entry/digest_exchange_test.cpp
@@ -2,6 +2,8 @@
 
 #include "fleet/digest_codec.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <gtest/gtest.h>
 
 #include <stdexcept>
@@ -57,5 +59,123 @@
     EXPECT_EQ(received, 2);
 }
 
+/// A host and a peer that is neither the holder of the placement lease nor a
+/// watcher of the store.
+class digest_updates : public testing::Test
+{
+protected:
+    digest_updates()
+    {
+        m_settings.name = daemon_id("self");
+        m_settings.fleet = free_endpoint();
+        m_state.emplace(m_context, m_settings, documents);
+        m_state->is_placement_holder = []
+        {
+            return false;
+        };
+        m_subject.emplace(
+            *m_state, [](fleet::wire::Digest&, time_point) {},
+            [](const peer&) {}, [] { return false; });
+        m_subject->add_address({m_peer.local_endpoint().address(),
+                                m_peer.local_endpoint().port()});
+        m_peer.non_blocking(true);
+        m_subject->start();
+        run_for(milliseconds(50));
+        receive();
+    }
+
+    void run_for(milliseconds it)
+    {
+        m_context.restart();
+        m_context.run_for(it);
+    }
+
+    /// Incremental digests that the peer got since the last call.
+    std::vector<fleet::wire::Digest> receive()
+    {
+        std::vector<fleet::wire::Digest> updates;
+        std::vector<char> buf(64 * 1024);
+        boost::system::error_code ec;
+        while (true)
+        {
+            const std::size_t n = m_peer.receive(net::buffer(buf), 0, ec);
+            if (ec)
+            {
+                return updates;
+            }
+            auto it = fleet::decode_digest(std::string_view(buf.data(), n));
+            if (it.is_update)
+            {
+                updates.push_back(std::move(it));
+            }
+        }
+    }
+
+    net::io_context m_context{1};
+    entry_settings m_settings;
+    net::ip::udp::socket m_peer{m_context,
+                                {net::ip::address_v4::loopback(), 0}};
+    std::optional<entry_state> m_state;
+    std::optional<digest_exchange> m_subject;
+};
+
+// Guards against links that are full of updates after a crash: each change at
+// a host was told to all hosts for as long as the crash was news.
+TEST_F(digest_updates, tell_all_hosts_of_a_crash_once)
+{
+    m_state->suspects.on_crash(suspicion::fingerprint("request"),
+                               monotonic_clock::now());
+    m_subject->send_update_to_all_soon();
+    run_for(milliseconds(20));
+    const auto told = receive();
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told.front().crashes.size(), 1U);
+    for (int n = 0; n < 8; ++n)
+    {
+        m_subject->send_update_soon();
+        run_for(milliseconds(20));
+    }
+    EXPECT_TRUE(receive().empty());
+    m_subject->send_update_to_all_soon();
+    run_for(milliseconds(20));
+    const auto next = receive();
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_TRUE(next.front().crashes.empty());
+}
+
+TEST_F(digest_updates, may_wait_for_the_next_beacon)
+{
+    for (int n = 0; n < 8; ++n)
+    {
+        m_subject->send_next_update_to_all();
+        run_for(milliseconds(5));
+    }
+    EXPECT_TRUE(receive().empty());
+    run_for(fleet_view::beacon_period);
+    EXPECT_LE(receive().size(), 1U);
+}
+
+// Guards against an update for each request that looks for a server again,
+// which all do whenever one of them ends.
+TEST(wait_queue, tells_of_a_request_once)
+{
+    net::io_context context(1);
+    wait_queue subject(context);
+    int told = 0;
+    subject.set_change_handler([&] { ++told; });
+    const auto waiter = subject.make_waiter();
+    waiter->copy = replicas::copy_name{model_id("m"), std::nullopt};
+    const auto run = [&]() -> net::awaitable<void>
+    {
+        for (int n = 0; n < 5; ++n)
+        {
+            co_await subject.wait(waiter, milliseconds(1));
+        }
+    };
+    net::co_spawn(context, run(), net::detached);
+    context.run_for(seconds(1));
+    EXPECT_EQ(told, 1);
+}
+
 } // namespace
 } // namespace cicadahub::entry
