Store mirror: Fetch changes from peers, and not all from one

A host now names the version that it has, and gets the changes since, with the names of removed objects. A peer that does not know all removals since then, or is of another era, returns all objects as before, and so does a host of an earlier landing, which ignores the new field. The source is drawn from those that know more, in the own data centre first.

--- a/libraries/entry/object_relay.cpp
+++ b/libraries/entry/object_relay.cpp
@@ -2,10 +2,13 @@
 
 #include "core/errors.hpp"
 #include "core/json_reader.hpp"
+#include "core/store_version.hpp"
 #include "http/client.hpp"
 
 #include <boost/json/serialize.hpp>
+#include <boost/lexical_cast/try_lexical_convert.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace cicadahub::entry
@@ -18,11 +21,47 @@
 constexpr std::array relayed_collections{platform::collection::configurations,
                                          platform::collection::servers};
 
+/// Hosts of earlier landings ignore the field, and return all objects.
+constexpr std::string_view known_version_field = "Known-Version";
+/// Enough that hosts which ask each second get changes only while half of the
+/// servers of the largest deployment are replaced.
+constexpr std::size_t max_removed = 4'000;
+
 std::string path_of(platform::collection where)
 {
     return std::string(path_prefix) + std::string(platform::name_of(where));
 }
 
+/// 0 if the field is absent or malformed.
+object_version known_version_in(std::string_view field)
+{
+    std::uint64_t value = 0;
+    const bool is_number = boost::conversion::try_lexical_convert(field, value);
+    return object_version(is_number ? value : 0);
+}
+
+object_version version_in(const json_reader& from, std::string_view member)
+{
+    return object_version(static_cast<std::uint64_t>(from.integer(member)));
+}
+
+const boost::json::object& object_in(const boost::json::value& from)
+{
+    if (!from.is_object())
+    {
+        throw malformed_document("the element is not a JSON object");
+    }
+    return from.get_object();
+}
+
+platform::stored_object name_and_version_in(const json_reader& from)
+{
+    platform::stored_object it;
+    it.name = from.text("name");
+    it.version = version_in(from, "version");
+    return it;
+}
+
 } // namespace
 
 void object_relay::on_object(platform::collection where,
@@ -31,15 +70,47 @@
     m_collections[where].batch[it.name] = it;
 }
 
+void object_relay::remove(relayed_collection& from, const std::string& name,
+                          object_version version)
+{
+    if (from.objects.erase(name) == 0)
+    {
+        return;
+    }
+    from.removed[name] = version;
+    if (from.removed.size() > max_removed)
+    {
+        const auto first = std::min_element(
+            from.removed.begin(), from.removed.end(),
+            [](const auto& a, const auto& b) { return a.second < b.second; });
+        from.removals_since = std::max(from.removals_since, first->second);
+        from.removed.erase(first);
+    }
+}
+
 void object_relay::end_of_batch(platform::collection where, bool is_full_list,
                                 object_version version)
 {
     relayed_collection& known = m_collections[where];
+    if (known.revision.value() == 0)
+    {
+        known.removals_since = version;
+    }
     known.revision = std::max(known.revision, version);
     if (is_full_list)
     {
-        std::erase_if(known.objects, [&](const auto& it)
-                      { return it.second.version <= version; });
+        std::vector<std::string> missing;
+        for (const auto& [name, it] : known.objects)
+        {
+            if (it.version <= version && !known.batch.contains(name))
+            {
+                missing.push_back(name);
+            }
+        }
+        for (const std::string& it : missing)
+        {
+            remove(known, it, version);
+        }
     }
     for (auto& [name, it] : known.batch)
     {
@@ -50,10 +121,11 @@
         }
         if (it.is_deleted)
         {
-            known.objects.erase(name);
+            remove(known, name, it.version);
         }
         else
         {
+            known.removed.erase(name);
             known.objects[name] = std::move(it);
         }
     }
@@ -66,17 +138,40 @@
     return it == m_collections.end() ? object_version{} : it->second.revision;
 }
 
-std::string object_relay::document_of(const relayed_collection& it) const
+std::string object_relay::document_of(const relayed_collection& it,
+                                      object_version known)
 {
+    // Versions of different eras are of different histories.
+    const bool is_incremental = known >= it.removals_since &&
+                                known.value() > 0 && known <= it.revision &&
+                                era_of(known) == era_of(it.revision);
+    boost::json::object document{{"revision", it.revision.value()}};
     boost::json::array objects;
     for (const auto& [name, object] : it.objects)
     {
-        objects.push_back({{"name", name},
-                           {"version", object.version.value()},
-                           {"spec", object.spec}});
+        if (!is_incremental || object.version > known)
+        {
+            objects.push_back({{"name", name},
+                               {"version", object.version.value()},
+                               {"spec", object.spec}});
+        }
     }
-    return boost::json::serialize(boost::json::object{
-        {"revision", it.revision.value()}, {"objects", std::move(objects)}});
+    document["objects"] = std::move(objects);
+    if (is_incremental)
+    {
+        boost::json::array removed;
+        for (const auto& [name, version] : it.removed)
+        {
+            if (version > known)
+            {
+                removed.push_back(
+                    {{"name", name}, {"version", version.value()}});
+            }
+        }
+        document["removed"] = std::move(removed);
+        document["since"] = known.value();
+    }
+    return boost::json::serialize(document);
 }
 
 net::awaitable<void> object_relay::serve(http::request& message,
@@ -87,19 +182,27 @@
         if (message.target() == path_of(where) && revision(where).value() > 0)
         {
             co_await reply.send(http::json_response(
-                http::status::ok, document_of(m_collections[where])));
+                http::status::ok,
+                document_of(m_collections[where],
+                            known_version_in(message[known_version_field]))));
             co_return;
         }
     }
     throw refused_error({refusal_kind::unknown_path, true, {}});
 }
 
-http::request object_relay::make_request(platform::collection where)
+http::request object_relay::make_request(platform::collection where,
+                                         object_version known)
 {
-    return http::make_request(http::verb::get, path_of(where));
+    http::request message = http::make_request(http::verb::get, path_of(where));
+    if (known.value() > 0)
+    {
+        message.set(known_version_field, std::to_string(known.value()));
+    }
+    return message;
 }
 
-platform::listing object_relay::read_answer(const http::response& answer)
+relayed_listing object_relay::read_answer(const http::response& answer)
 {
     if (answer.result() != http::status::ok)
     {
@@ -107,22 +210,26 @@
     }
     const boost::json::object json = parse_json_object(answer.body());
     const json_reader reader(json);
-    platform::listing it;
-    it.version =
-        object_version(static_cast<std::uint64_t>(reader.integer("revision")));
+    relayed_listing it;
+    it.changes.version = version_in(reader, "revision");
     for (const boost::json::value& part : reader.array("objects"))
     {
-        if (!part.is_object())
-        {
-            throw malformed_document("the element is not a JSON object");
-        }
-        const json_reader object(part.get_object());
-        platform::stored_object stored;
-        stored.name = object.text("name");
-        stored.version = object_version(
-            static_cast<std::uint64_t>(object.integer("version")));
+        const json_reader object(object_in(part));
+        platform::stored_object stored = name_and_version_in(object);
         stored.spec = object.object("spec");
-        it.objects.push_back(std::move(stored));
+        it.changes.objects.push_back(std::move(stored));
+    }
+    if (!json.contains("since"))
+    {
+        return it;
+    }
+    it.since = version_in(reader, "since");
+    for (const boost::json::value& part : reader.array("removed"))
+    {
+        platform::stored_object removed =
+            name_and_version_in(json_reader(object_in(part)));
+        removed.is_deleted = true;
+        it.changes.objects.push_back(std::move(removed));
     }
     return it;
 }
--- a/libraries/entry/object_relay.hpp
+++ b/libraries/entry/object_relay.hpp
@@ -12,8 +12,19 @@
 
 namespace net = boost::asio;
 
+/// Objects that another daemon returned.
+struct relayed_listing
+{
+    /// Objects that were removed are marked as deleted.
+    platform::listing changes;
+    /// The version since which these are all changes; 0 if they are the
+    /// complete collection.
+    object_version since;
+};
+
 /// Serves the latest configuration and servers known to this daemon to other
-/// daemons whose requests the platform's store does not answer. Models
+/// daemons whose requests the platform's store does not answer: what has
+/// changed since the version that they know, or all. Models
 /// `http::request_handler`.
 class object_relay
 {
@@ -32,9 +43,11 @@
     net::awaitable<void> serve(http::request& message,
                                http::reply_writer& reply);
 
-    static http::request make_request(platform::collection where);
+    /// Asks for the changes since `known`, for all objects if it is 0.
+    static http::request make_request(platform::collection where,
+                                      object_version known);
     /// Throws `malformed_document`.
-    static platform::listing read_answer(const http::response& answer);
+    static relayed_listing read_answer(const http::response& answer);
 
 private:
     struct relayed_collection
@@ -42,9 +55,16 @@
         std::map<std::string, platform::stored_object> objects;
         std::map<std::string, platform::stored_object> batch;
         object_version revision;
+        /// Removed objects, with a version not below that of their removal.
+        std::map<std::string, object_version> removed;
+        /// All removals after this version are in `removed`.
+        object_version removals_since;
     };
 
-    std::string document_of(const relayed_collection& it) const;
+    static void remove(relayed_collection& from, const std::string& name,
+                       object_version version);
+    static std::string document_of(const relayed_collection& it,
+                                   object_version known);
 
     std::map<platform::collection, relayed_collection> m_collections;
 };
--- a/libraries/entry/store_mirror.cpp
+++ b/libraries/entry/store_mirror.cpp
@@ -2,6 +2,7 @@
 
 #include "core/structured_log.hpp"
 #include "daemon/pause.hpp"
+#include "decision/sharing/source_selection.hpp"
 #include "decision/sharing/watcher_selection.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -244,18 +245,30 @@
     }
 }
 
-const peer* store_mirror::most_recent_peer(collection where) const
+object_version store_mirror::newest_reported(collection where) const
 {
-    const peer* best = nullptr;
+    object_version newest;
     for (const auto& [name, it] : m_state.fleet.peers())
     {
-        if (best == nullptr ||
-            reported_version(it, where) > reported_version(*best, where))
-        {
-            best = &it;
-        }
+        newest = std::max(newest, reported_version(it, where));
+    }
+    return newest;
+}
+
+std::optional<http::endpoint> store_mirror::choose_source(collection where)
+{
+    std::vector<sharing::object_source> sources;
+    std::vector<http::endpoint> addresses;
+    for (const auto& [name, it] : m_state.fleet.peers())
+    {
+        sources.push_back(
+            {reported_version(it, where),
+             it.digest.data_centre == m_state.settings.data_centre.value()});
+        addresses.push_back(it.address);
     }
-    return best;
+    const auto chosen =
+        sharing::select_source(sources, known_version(where), m_state.random());
+    return chosen ? std::optional(addresses[*chosen]) : std::nullopt;
 }
 
 net::awaitable<void> store_mirror::fetch_from(http::endpoint peer,
@@ -263,24 +276,29 @@
 {
     try
     {
-        http::request message = object_relay::make_request(where);
+        http::request message =
+            object_relay::make_request(where, m_relay.revision(where));
         const http::response answer = co_await http::fetch(
             m_peers, peer, std::move(message), peer_timeout);
-        const platform::listing all = object_relay::read_answer(answer);
-        if (all.version <= m_relay.revision(where))
+        const relayed_listing got = object_relay::read_answer(answer);
+        const platform::listing& changes = got.changes;
+        if (changes.version <= m_relay.revision(where))
         {
             co_return;
         }
-        for (const platform::stored_object& it : all.objects)
+        for (const platform::stored_object& it : changes.objects)
         {
             apply_object(where, it);
         }
-        end_batch(where, true, all.version);
+        const bool is_full_list = got.since.value() == 0;
+        end_batch(where, is_full_list, changes.version);
         log_event(severity::info, event_number::learnt_from_peer,
                   {{"collection", platform::name_of(where)},
                    {"peer", http::to_string(peer)},
-                   {"era", era_of(all.version).value()},
-                   {"revision", revision_of(all.version)}});
+                   {"era", era_of(changes.version).value()},
+                   {"revision", revision_of(changes.version)},
+                   {"is_full_list", is_full_list},
+                   {"bytes", answer.body().size()}});
     }
     catch (const std::exception& reason)
     {
@@ -336,20 +354,16 @@
         poll_without_watchers(monotonic_clock::now());
         for (auto& [where, lag] : lags)
         {
-            const peer* best = most_recent_peer(where);
-            if (best == nullptr)
-            {
-                continue;
-            }
-            const object_version reported = reported_version(*best, where);
+            const object_version reported = newest_reported(where);
             const bool is_behind =
                 lag.is_behind(known_version(where), reported,
                               monotonic_clock::now()) ||
                 (!follower_of(where).is_platform_reachable() &&
                  reported > known_version(where));
-            if (is_behind)
+            const auto source = is_behind ? choose_source(where) : std::nullopt;
+            if (source)
             {
-                co_await fetch_from(best->address, where);
+                co_await fetch_from(*source, where);
             }
         }
     }
--- a/libraries/entry/store_mirror.hpp
+++ b/libraries/entry/store_mirror.hpp
@@ -56,7 +56,9 @@
     /// Version of the newest change that a peer knows, from its digest.
     static object_version reported_version(const peer& it,
                                            platform::collection where);
-    const peer* most_recent_peer(platform::collection where) const;
+    object_version newest_reported(platform::collection where) const;
+    /// A host that knows more than this one; empty if there is none.
+    std::optional<http::endpoint> choose_source(platform::collection where);
     net::awaitable<void> follow_peers();
     /// Asks the store if no watcher is heard, or if this host has just become
     /// one.
