--- a/libraries/decision/replicas/planner_costs.cpp
+++ b/libraries/decision/replicas/planner_costs.cpp
@@ -11,6 +11,10 @@
 /// A model used within this time is likely to be requested again soon.
 constexpr milliseconds recent_use_window{1'000};
 
+/// Extra cost of evicting a model that requests wait for: it would only have
+/// to be loaded again.
+constexpr double pending_demand_cost_ms = 60'000;
+
 /// Streams of the model at other servers of the same software version that
 /// could go on nowhere else than at this server if theirs ended.
 std::uint32_t streams_that_rely_on(const planner_view& view,
@@ -60,6 +64,10 @@
     {
         cost += typical_request_ms;
     }
+    if (index.has_pending_demand(model))
+    {
+        cost += pending_demand_cost_ms;
+    }
     const model_use use = use_of(view, model);
     const auto replicas =
         static_cast<double>(std::max(1U, index.counts_of(model).replicas));
@@ -69,8 +77,6 @@
                                 .count());
     // Requests that this replica would serve during a reload.
     cost += use.requests_per_second / replicas * reload;
-    // Those that wait for it already, until it is loaded again.
-    cost += index.waiting_for(model) / replicas * (reload + typical_request_ms);
     cost += typical_request_ms * static_cast<double>(running);
     if (index.has_several_versions())
     {
--- a/libraries/decision/replicas/replica_index.cpp
+++ b/libraries/decision/replicas/replica_index.cpp
@@ -42,7 +42,7 @@
     }
     for (const pending_demand& it : view.pending_demands)
     {
-        m_waiting[it.copy.model] += it.waiting;
+        m_demanded_models.insert(it.copy.model);
     }
 }
 
@@ -53,12 +53,6 @@
     return it == m_counts.end() ? nowhere : it->second;
 }
 
-std::uint32_t replica_index::waiting_for(const model_id& model) const
-{
-    const auto it = m_waiting.find(model);
-    return it == m_waiting.end() ? 0 : it->second;
-}
-
 void replica_index::count(const server_state& it, std::int32_t sign)
 {
     // For a negative sign, unsigned addition wraps around and subtracts one.
--- a/libraries/decision/replicas/replica_index.hpp
+++ b/libraries/decision/replicas/replica_index.hpp
@@ -40,8 +40,10 @@
     explicit replica_index(const planner_view& view);
 
     const replica_counts& counts_of(const model_id& model) const;
-    /// Requests that wait for the model or one of its adapters.
-    std::uint32_t waiting_for(const model_id& model) const;
+    bool has_pending_demand(const model_id& model) const
+    {
+        return m_demanded_models.contains(model);
+    }
     /// True if servers of several software versions serve side by side.
     bool has_several_versions() const { return m_versions.size() > 1; }
     /// Loads from the weight store that are in progress.
@@ -55,7 +57,7 @@
     void count(const server_state& it, std::int32_t sign);
 
     std::unordered_map<model_id, replica_counts> m_counts;
-    std::unordered_map<model_id, std::uint32_t> m_waiting;
+    std::set<model_id> m_demanded_models;
     std::set<software_version> m_versions;
     std::uint32_t m_store_loads = 0;
 };
