Placement: Count what relies on a copy once a plan

The counts by version are now made once a plan, and not at all while all servers run one version. relied_on_copies pass as before.

--- a/libraries/decision/replicas/planner_costs.cpp
+++ b/libraries/decision/replicas/planner_costs.cpp
@@ -15,25 +15,6 @@
 /// to be loaded again.
 constexpr double pending_demand_cost_ms = 60'000;
 
-/// Streams of the model at other servers of the same software version that
-/// could go on nowhere else than at this server if theirs ended.
-std::uint32_t streams_that_rely_on(const planner_view& view,
-                                   const server_state& server,
-                                   const model_id& model)
-{
-    std::uint32_t running = 0;
-    std::uint32_t others = 0;
-    for (const auto& [id, it] : view.servers)
-    {
-        if (id != server.id() && it.runs(server.entry().version))
-        {
-            running += running_at(view, id, model);
-            others += it.is_usable() && it.serves(model) ? 1 : 0;
-        }
-    }
-    return others > 1 ? 0 : running;
-}
-
 } // namespace
 
 std::uint32_t running_at(const planner_view& view, const server_id& server,
@@ -78,11 +59,9 @@
     // Requests that this replica would serve during a reload.
     cost += use.requests_per_second / replicas * reload;
     cost += typical_request_ms * static_cast<double>(running);
-    if (index.has_several_versions())
-    {
-        cost += typical_request_ms *
-                static_cast<double>(streams_that_rely_on(view, server, model));
-    }
+    cost +=
+        typical_request_ms *
+        static_cast<double>(index.streams_that_rely_on(view, server, model));
     const auto used = view.last_used.find({model, std::nullopt});
     if (used != view.last_used.end())
     {
--- a/libraries/decision/replicas/replica_index.cpp
+++ b/libraries/decision/replicas/replica_index.cpp
@@ -1,5 +1,7 @@
 #include "decision/replicas/replica_index.hpp"
 
+#include "decision/replicas/planner_costs.hpp"
+
 namespace cicadahub::replicas
 {
 
@@ -35,15 +37,62 @@
     for (const auto& [id, it] : view.servers)
     {
         add(it);
+    }
+    count_by_version(view);
+    for (const pending_demand& it : view.pending_demands)
+    {
+        m_demanded_models.insert(it.copy.model);
+    }
+}
+
+void replica_index::count_by_version(const planner_view& view)
+{
+    std::set<software_version> versions;
+    for (const auto& [id, it] : view.servers)
+    {
         if (it.is_usable())
         {
-            m_versions.insert(it.entry().version);
+            versions.insert(it.entry().version);
         }
     }
-    for (const pending_demand& it : view.pending_demands)
+    if (versions.size() < 2)
     {
-        m_demanded_models.insert(it.copy.model);
+        return;
+    }
+    for (const auto& [id, it] : view.servers)
+    {
+        for (const auto& [model, adapters] : it.models())
+        {
+            m_by_version[{it.entry().version, model}].serving +=
+                it.is_usable() && it.serves(model) ? 1 : 0;
+        }
+    }
+    for (const auto& [where, running] : view.running)
+    {
+        const auto& [id, model] = where;
+        const auto server = view.servers.find(id);
+        if (server != view.servers.end())
+        {
+            m_by_version[{server->second.entry().version, model}].running +=
+                running;
+        }
+    }
+}
+
+std::uint32_t replica_index::streams_that_rely_on(const planner_view& view,
+                                                  const server_state& server,
+                                                  const model_id& model) const
+{
+    const auto known = m_by_version.find({server.entry().version, model});
+    if (known == m_by_version.end())
+    {
+        return 0;
     }
+    const auto& [running, serving] = known->second;
+    const std::uint32_t own =
+        server.is_usable() && server.serves(model) ? 1 : 0;
+    const bool has_others = serving > own + 1;
+    return has_others ? 0 : running - running_at(view, server.id(), model);
 }
 
 const replica_counts& replica_index::counts_of(const model_id& model) const
--- a/libraries/decision/replicas/replica_index.hpp
+++ b/libraries/decision/replicas/replica_index.hpp
@@ -44,8 +44,12 @@
     {
         return m_demanded_models.contains(model);
     }
-    /// True if servers of several software versions serve side by side.
-    bool has_several_versions() const { return m_versions.size() > 1; }
+    /// Streams of the model at other servers of the same software version that
+    /// could go on nowhere else than at this server if theirs ended. None while
+    /// all servers run one version.
+    std::uint32_t streams_that_rely_on(const planner_view& view,
+                                       const server_state& server,
+                                       const model_id& model) const;
     /// Loads from the weight store that are in progress.
     std::uint32_t store_loads() const { return m_store_loads; }
 
@@ -54,11 +58,21 @@
     void add(const server_state& it) { count(it, 1); }
 
 private:
+    /// One model at the servers of one software version.
+    struct version_use
+    {
+        std::uint32_t running = 0;
+        std::uint32_t serving = 0;
+    };
+
     void count(const server_state& it, std::int32_t sign);
+    void count_by_version(const planner_view& view);
 
     std::unordered_map<model_id, replica_counts> m_counts;
     std::set<model_id> m_demanded_models;
-    std::set<software_version> m_versions;
+    /// Empty while all servers run one version. Orders of this plan don't
+    /// change it.
+    std::map<std::pair<software_version, model_id>, version_use> m_by_version;
     std::uint32_t m_store_loads = 0;
 };
 
