Store: Let an entry that cannot be read cost only itself

Another writer leaves an entry among the servers that is nested too deeply, or holds a number that no double holds. The store returns it with all others, and the parser rejected the whole list, and each watch from that version on, so that hosts followed no servers any more, also after the entry was deleted, as the history still holds it. A host that started beside it never got ready.

All are logged, entries of servers are counted. Numbers beyond the range of double were read as infinite and written to peers as "Infinity", which is no JSON. An answer that is no JSON at all leads to a new list rather than to the same watch again. One member of the fleet that cannot be read no longer hides those behind it.

--- a/libraries/core/json_reader.cpp
+++ b/libraries/core/json_reader.cpp
@@ -2,6 +2,9 @@
 
 #include "core/errors.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 namespace cicadahub
 {
 
@@ -14,6 +17,25 @@
                              std::string(expected));
 }
 
+/// The parser reads numbers beyond the range of the type as infinite, which no
+/// JSON text can express.
+bool has_only_finite_numbers(const boost::json::value& it)
+{
+    if (const auto* object = it.if_object())
+    {
+        return std::all_of(object->begin(), object->end(),
+                           [](const auto& member)
+                           { return has_only_finite_numbers(member.value()); });
+    }
+    if (const auto* array = it.if_array())
+    {
+        return std::all_of(array->begin(), array->end(),
+                           has_only_finite_numbers);
+    }
+    const double* number = it.if_double();
+    return number == nullptr || std::isfinite(*number);
+}
+
 } // namespace
 
 const boost::json::value& json_reader::member_of(std::string_view member) const
@@ -113,7 +135,12 @@
     boost::json::value it = boost::json::parse(text, ec);
     if (ec || !it.is_object())
     {
-        throw malformed_document("the text is not a JSON object");
+        throw malformed_document("the text is not a JSON object" +
+                                 (ec ? ": " + ec.message() : std::string()));
+    }
+    if (!has_only_finite_numbers(it))
+    {
+        throw malformed_document("a number is too large");
     }
     return std::move(it.get_object());
 }
--- a/libraries/daemon/collection_follower.cpp
+++ b/libraries/daemon/collection_follower.cpp
@@ -97,6 +97,17 @@
         m_needs_list = true;
         co_return true;
     }
+    catch (const malformed_document& reason)
+    {
+        CICADAHUB_EVENT(WARNING, malformed_object)
+            << "collection=" << platform::name_of(m_collection)
+            << " reason=" << reason.what();
+        // The same watch would get the same answer for as long as the store
+        // keeps its history.
+        m_needs_list = true;
+        mark_unreachable(reason.what());
+        co_return false;
+    }
     catch (const error& reason)
     {
         mark_unreachable(reason.what());
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -402,6 +402,22 @@
     }
 }
 
+void entry_daemon::add_member(const platform::stored_object& it)
+{
+    try
+    {
+        m_digests.add_address(
+            http::parse_endpoint(json_reader(it.spec).text("address")));
+    }
+    catch (const malformed_document& reason)
+    {
+        log_event(severity::warning, event_number::malformed_object,
+                  {{"collection", "members"},
+                   {"object", it.name},
+                   {"reason", reason.what()}});
+    }
+}
+
 net::awaitable<void> entry_daemon::follow_members()
 {
     co_await register_member();
@@ -415,9 +431,7 @@
             is_known = true;
             for (const platform::stored_object& it : all.objects)
             {
-                const json_reader reader(it.spec);
-                m_digests.add_address(
-                    http::parse_endpoint(reader.text("address")));
+                add_member(it);
             }
         }
         catch (const error& reason)
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -58,6 +58,7 @@
 private:
     net::awaitable<void> drain();
     net::awaitable<void> register_member();
+    void add_member(const platform::stored_object& it);
     net::awaitable<void> follow_members();
     void wait_for_signal();
     void on_configuration(const platform::stored_object& it);
--- a/libraries/entry/entry_metrics.cpp
+++ b/libraries/entry/entry_metrics.cpp
@@ -56,6 +56,10 @@
                          "Streams asked for and begun, new and taken up.")),
       m_orders(counters(m_registry, "cicadahub_entry_orders_total",
                         "Orders to backend servers, by their answer.")),
+      m_unreadable_servers(
+          counters(m_registry, "cicadahub_entry_unreadable_servers_total",
+                   "Entries of servers that could not be read.")
+              .Add({})),
       m_request_time(times(m_registry, "cicadahub_entry_request_seconds",
                            "Time from a request's arrival to its end.")),
       m_attempt_time(times(m_registry, "cicadahub_entry_attempt_seconds",
@@ -127,6 +131,11 @@
     m_load_time.Observe(in_seconds(took));
 }
 
+void entry_metrics::count_unreadable_server()
+{
+    m_unreadable_servers.Increment();
+}
+
 std::string entry_metrics::text()
 {
     m_dropped_lines.Set(static_cast<double>(dropped_log_lines()));
--- a/libraries/entry/entry_metrics.hpp
+++ b/libraries/entry/entry_metrics.hpp
@@ -31,6 +31,8 @@
     void count_stream_began(bool is_taken_up);
     void count_order(std::string_view answer);
     void observe_load(milliseconds took);
+    /// Counts an entry of a server that names no server to use.
+    void count_unreadable_server();
 
     /// All metrics in the Prometheus text format.
     std::string text();
@@ -42,6 +44,7 @@
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_streams;
     prometheus::Family<prometheus::Counter>& m_orders;
+    prometheus::Counter& m_unreadable_servers;
     prometheus::Histogram& m_request_time;
     prometheus::Histogram& m_attempt_time;
     prometheus::Histogram& m_wait;
--- a/libraries/entry/object_relay.cpp
+++ b/libraries/entry/object_relay.cpp
@@ -1,8 +1,10 @@
 #include "entry/object_relay.hpp"
 
 #include "core/errors.hpp"
+#include "core/json_parts.hpp"
 #include "core/json_reader.hpp"
 #include "core/store_version.hpp"
+#include "core/structured_log.hpp"
 #include "http/client.hpp"
 
 #include <boost/json/serialize.hpp>
@@ -40,26 +42,48 @@
     return object_version(is_number ? value : 0);
 }
 
-object_version version_in(const json_reader& from, std::string_view member)
+object_version version_in(const json_members& from, std::string_view member)
 {
-    return object_version(static_cast<std::uint64_t>(from.integer(member)));
+    std::uint64_t value = 0;
+    if (!boost::conversion::try_lexical_convert(text_of_member(from, member),
+                                                value))
+    {
+        throw malformed_document("member \"" + std::string(member) +
+                                 "\" must be a whole number");
+    }
+    return object_version(value);
 }
 
-const boost::json::object& object_in(const boost::json::value& from)
+std::vector<std::string_view> elements_in(const json_members& from,
+                                          std::string_view member)
 {
-    if (!from.is_object())
-    {
-        throw malformed_document("the element is not a JSON object");
-    }
-    return from.get_object();
+    return elements_of_json(text_of_member(from, member));
 }
 
-platform::stored_object name_and_version_in(const json_reader& from)
+/// An object that cannot be read must not hide the others.
+void append_object(std::string_view text, bool is_deleted,
+                   std::vector<platform::stored_object>& objects)
 {
-    platform::stored_object it;
-    it.name = from.text("name");
-    it.version = version_in(from, "version");
-    return it;
+    try
+    {
+        const boost::json::object json = parse_json_object(text);
+        const json_reader reader(json);
+        platform::stored_object it;
+        it.name = reader.text("name");
+        it.version = object_version(
+            static_cast<std::uint64_t>(reader.integer("version")));
+        it.is_deleted = is_deleted;
+        if (!is_deleted)
+        {
+            it.spec = reader.object("spec");
+        }
+        objects.push_back(std::move(it));
+    }
+    catch (const malformed_document& reason)
+    {
+        log_event(severity::warning, event_number::malformed_object,
+                  {{"collection", "relayed"}, {"reason", reason.what()}});
+    }
 }
 
 } // namespace
@@ -208,28 +232,21 @@
     {
         throw malformed_document("the peer did not return the collection");
     }
-    const boost::json::object json = parse_json_object(answer.body());
-    const json_reader reader(json);
+    const auto members = members_of_json(answer.body());
     relayed_listing it;
-    it.changes.version = version_in(reader, "revision");
-    for (const boost::json::value& part : reader.array("objects"))
+    it.changes.version = version_in(members, "revision");
+    for (const std::string_view text : elements_in(members, "objects"))
     {
-        const json_reader object(object_in(part));
-        platform::stored_object stored = name_and_version_in(object);
-        stored.spec = object.object("spec");
-        it.changes.objects.push_back(std::move(stored));
+        append_object(text, false, it.changes.objects);
     }
-    if (!json.contains("since"))
+    if (!members.contains("since"))
     {
         return it;
     }
-    it.since = version_in(reader, "since");
-    for (const boost::json::value& part : reader.array("removed"))
+    it.since = version_in(members, "since");
+    for (const std::string_view text : elements_in(members, "removed"))
     {
-        platform::stored_object removed =
-            name_and_version_in(json_reader(object_in(part)));
-        removed.is_deleted = true;
-        it.changes.objects.push_back(std::move(removed));
+        append_object(text, true, it.changes.objects);
     }
     return it;
 }
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -59,7 +59,7 @@
     }
 }
 
-void server_table::apply(const platform::stored_object& it)
+bool server_table::apply(const platform::stored_object& it)
 {
     const server_id id(it.name);
     m_seen_in_list.insert(id);
@@ -71,7 +71,7 @@
         {
             remove(id, it.version);
         }
-        return;
+        return true;
     }
     serving::server_entry entry;
     try
@@ -86,7 +86,7 @@
                    {"version", revision_of(it.version)},
                    {"reason", reason.what()}});
         remove(id, it.version);
-        return;
+        return false;
     }
     auto& record = m_records[id];
     if (record && record->entry.incarnation == entry.incarnation)
@@ -100,12 +100,12 @@
     if (is_of_restored_store && entry.incarnation < record->entry.incarnation)
     {
         // The copy that the store was restored from is older than the server.
-        return;
+        return true;
     }
     if (record && record->entry.revision > it.version)
     {
         // A newer version has already been received from a peer.
-        return;
+        return true;
     }
     const bool is_new =
         !record || record->entry.incarnation != entry.incarnation;
@@ -133,6 +133,7 @@
                    {"version", revision_of(it.version)}});
     }
     record->entry = std::move(entry);
+    return true;
 }
 
 void server_table::advance_changed_version(object_version version)
--- a/libraries/entry/server_table.hpp
+++ b/libraries/entry/server_table.hpp
@@ -72,7 +72,8 @@
     {
     }
 
-    void apply(const platform::stored_object& it);
+    /// Returns false if the entry names no server to use.
+    bool apply(const platform::stored_object& it);
     /// Marks the objects applied since the last call as complete up to
     /// `version`; if `is_full_list`, removes the servers missing from them.
     void end_of_list(bool is_full_list, object_version version);
--- a/libraries/entry/store_mirror.cpp
+++ b/libraries/entry/store_mirror.cpp
@@ -186,7 +186,10 @@
     if (where == collection::servers)
     {
         m_relay.on_object(where, it);
-        m_state.servers.apply(it);
+        if (!m_state.servers.apply(it))
+        {
+            m_state.metrics.count_unreadable_server();
+        }
         return;
     }
     const auto before = m_state.configuration;
--- a/tests/entry/object_relay_test.cpp
+++ b/tests/entry/object_relay_test.cpp
@@ -132,5 +132,25 @@
         known_case{"of_another_era", at(15, 1), {}, all_objects, {}}),
     [](const auto& it) { return std::string(it.param.name); });
 
+// Guards against a peer's copy of which one odd object hides all others.
+TEST(relayed_listing, lacks_only_objects_that_cannot_be_read)
+{
+    http::response answer;
+    answer.body() =
+        R"({"revision":9,"objects":[{"name":"a","version":1,"spec":{}},)"
+        R"({"name":"b","version":2,"spec":{"odd":1e400}},3,)"
+        R"({"name":"c","version":3,"spec":{}}],"since":4,"removed":)"
+        R"([{"name":5,"version":6},{"name":"d","version":7}]})";
+    const relayed_listing got = object_relay::read_answer(answer);
+    std::vector<std::string> names;
+    for (const platform::stored_object& it : got.changes.objects)
+    {
+        names.push_back(it.name + (it.is_deleted ? " removed" : ""));
+    }
+    EXPECT_EQ(names, (std::vector<std::string>{"a", "c", "d removed"}));
+    EXPECT_EQ(got.changes.version, at(9));
+    EXPECT_EQ(got.since, at(4));
+}
+
 } // namespace
 } // namespace cicadahub::entry
--- a/utilities/cicada-standin/object_store_standin.cpp
+++ b/utilities/cicada-standin/object_store_standin.cpp
@@ -2,6 +2,8 @@
 
 #include "core/json_reader.hpp"
 
+#include <boost/algorithm/string/replace.hpp>
+
 #include <charconv>
 
 namespace cicadahub::standin
@@ -30,6 +32,12 @@
     return http::json_response(code, boost::json::serialize(json));
 }
 
+/// In place of a spec that a test gave as raw text.
+std::string marker_of(std::string_view name)
+{
+    return "\"raw spec of " + std::string(name) + "\"";
+}
+
 std::uint64_t revision_of(const boost::json::object& object)
 {
     return static_cast<std::uint64_t>(object.at("metadata")
@@ -69,6 +77,7 @@
         answer = co_await answer_objects(message,
                                          path.substr(objects_prefix.size()));
     }
+    insert_raw_specs(answer.body());
     answer.prepare_payload();
     answer.set("Store-Era", std::to_string(m_era));
     if (answer.result() == dropped_status)
@@ -93,6 +102,14 @@
             m_refused_clients.insert(std::string(it.as_string()));
         }
     }
+    if (json.contains("raw_servers"))
+    {
+        for (const auto& it : reader.object("raw_servers"))
+        {
+            add_raw_server(std::string(it.key()),
+                           std::string(it.value().as_string()));
+        }
+    }
     if (reader.boolean_or("lose_watches", false))
     {
         ++m_lost_watches;
@@ -117,6 +134,30 @@
     return json_answer(http::status::ok, {});
 }
 
+void object_store_standin::add_raw_server(const std::string& name,
+                                          const std::string& spec)
+{
+    m_raw_specs[name] = spec;
+    kind& to = m_kinds["servers"];
+    if (!to.changed)
+    {
+        to.changed = std::make_shared<net::steady_timer>(m_context);
+    }
+    const std::string marker = marker_of(name);
+    store(to,
+          {{"metadata", {{"name", name}}},
+           {"spec", marker.substr(1, marker.size() - 2)}},
+          http::status::created);
+}
+
+void object_store_standin::insert_raw_specs(std::string& body) const
+{
+    for (const auto& [name, spec] : m_raw_specs)
+    {
+        boost::algorithm::replace_all(body, marker_of(name), spec);
+    }
+}
+
 void object_store_standin::restore()
 {
     ++m_era;
--- a/utilities/cicada-standin/object_store_standin.hpp
+++ b/utilities/cicada-standin/object_store_standin.hpp
@@ -20,8 +20,9 @@
 /// that take effect without a response), `refused` (`User-Agent` values whose
 /// calls get 503), `forget` (drops the change history, so that older watches
 /// get 410), `lose_watches` (pending watches are never answered), `keep_copy`
-/// (keeps a copy of all objects) and `restore` (goes back to that copy in a new
-/// era, in which revisions are given out again).
+/// (keeps a copy of all objects), `restore` (goes back to that copy in a new
+/// era, in which revisions are given out again) and `raw_servers` (entries of
+/// servers by name, whose specs are sent as this text, whatever it is).
 /// `GET /stats` returns the numbers of calls and of writes.
 class object_store_standin
 {
@@ -54,6 +55,9 @@
         std::map<std::string, kind, std::less<>> kinds;
     };
 
+    void add_raw_server(const std::string& name, const std::string& spec);
+    /// Puts the raw specs in place of their markers.
+    void insert_raw_specs(std::string& body) const;
     void restore();
     http::response answer_faults(const http::request& message);
     http::response answer_stats() const;
@@ -78,6 +82,7 @@
     bool m_has_outage = false;
     std::int64_t m_lost_answers = 0;
     std::set<std::string> m_refused_clients;
+    std::map<std::string, std::string> m_raw_specs;
     std::int64_t m_calls = 0;
     std::int64_t m_writes = 0;
 };
