Tests: Show that copies of earlier refusals are not believed

Reported by operators of similar systems: a server writes an earlier refusal once more on a kept connection, and a request that ran is taken for refused. That can't happen here: a response that names another request is none, and a connection with unread bytes is not used again.

--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -263,7 +263,8 @@
     }
 
     exchange_result attempt(bool use_new_connection = false,
-                            milliseconds timeout = seconds(5))
+                            milliseconds timeout = seconds(5),
+                            const request_id& id = request_id("r"))
     {
         return m_run.run(
             [&](http::endpoint server,
@@ -271,8 +272,8 @@
             {
                 exchange_path path{server, use_new_connection, std::nullopt};
                 co_return co_await m_exchange.run(
-                    std::move(path), m_message, m_added, m_id, reply,
-                    m_progress, monotonic_clock::now() + timeout);
+                    std::move(path), m_message, m_added, id, reply, m_progress,
+                    monotonic_clock::now() + timeout);
             });
     }
 
@@ -283,7 +284,6 @@
     exchange m_exchange;
     http::request m_message{http::verb::post, "/", 11};
     forwarding m_added;
-    request_id m_id{"r"};
     stream_progress m_progress;
     bool m_is_leaving = false;
 };
@@ -306,6 +306,51 @@
     EXPECT_EQ(subject.attempt(true).end, exchange_end::answered);
 }
 
+struct copy_case
+{
+    const char* name;
+    /// Bytes of the copy that come with the refusal itself; the rest comes in
+    /// front of the next response.
+    std::size_t early;
+};
+
+void PrintTo(const copy_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class refusal_copies : public testing::TestWithParam<copy_case>
+{
+};
+
+// Guards against a request that ran and is taken for refused, since its server
+// wrote the refusal of an earlier request once more.
+TEST_P(refusal_copies, are_not_taken_for_the_response_to_the_next_request)
+{
+    const std::string refusal =
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + identity +
+        fakes::length_of(0) + "\r\n";
+    const std::string next = "HTTP/1.1 200 OK\r\nRequest-Id: next\r\n"
+                             "Response-Seal: s\r\n" +
+                             fakes::length_of(0) + "\r\n";
+    const std::size_t early = std::min(GetParam().early, refusal.size());
+    scripted_exchange subject(
+        {{refusal + refusal.substr(0, early), refusal.substr(early) + next},
+         {next}});
+    EXPECT_EQ(subject.attempt().end, exchange_end::turned_away);
+    const exchange_end end =
+        subject.attempt(false, seconds(5), request_id("next")).end;
+    EXPECT_TRUE(end == exchange_end::answered || end == exchange_end::failed)
+        << name_of(end);
+}
+
+INSTANTIATE_TEST_SUITE_P(exchange, refusal_copies,
+                         testing::Values(copy_case{"late", 0},
+                                         copy_case{"in_parts", 20},
+                                         copy_case{"at_once", 1'000}),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
 // A late response of an earlier incarnation may say that its server leaves.
 TEST(exchange, a_notice_in_a_response_to_another_request_is_ignored)
 {
