Tests: Show that errors do not get into streams that broke off

Reported by operators of similar systems: a stream breaks off, and the error of the next server comes in the middle of it, or ends it as if it were complete. That can't happen here: once an event has been forwarded, only a stream goes on, anything else ends the response without its end.

--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -1,6 +1,7 @@
 #include "worker_standin.hpp"
 
 #include "core/json_reader.hpp"
+#include "core/refusal.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -176,6 +177,8 @@
             reader.integer_or("promised_status", m_promised_status);
         m_stale_id = reader.text_or("stale_id", m_stale_id);
         m_endless = reader.text_or("endless", m_endless);
+        m_resumed_status =
+            reader.integer_or("resumed_status", m_resumed_status);
         m_sheds_placement =
             reader.boolean_or("shed_placement", m_sheds_placement);
         if (json.contains("limit"))
@@ -276,6 +279,21 @@
     }
 }
 
+http::response worker_standin::error_for_resumed(std::string_view request) const
+{
+    const auto code = static_cast<http::status>(m_resumed_status);
+    http::response it =
+        promises_not_run(static_cast<unsigned>(m_resumed_status))
+            ? refusal(code, request)
+            : http::response{code, 11};
+    it.set("Request-Id", std::string(request));
+    it.set("Response-Seal", "seal-" + m_settings.id);
+    it.set(http::field::content_type, "text/plain");
+    it.body() = "the error of the next server";
+    it.prepare_payload();
+    return it;
+}
+
 http::response worker_standin::stale_refusal()
 {
     --m_stale_refusals;
@@ -527,6 +545,11 @@
             refusal(http::status::service_unavailable, message["Request-Id"]));
         co_return;
     }
+    if (m_resumed_status > 0 && message.count("Last-Event-Id") > 0)
+    {
+        co_await reply.send(error_for_resumed(message["Request-Id"]));
+        co_return;
+    }
     ++m_runs[std::string(message["Request-Id"])];
     m_keys_seen += message.count(http::field::authorization) > 0 ? 1 : 0;
     m_organisations.insert(std::string(message["Tenant"]));
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -56,13 +56,15 @@
 /// `stale_id`, or none if that is empty) and `endless` (responses never end: in
 /// the "head", in "interim" responses, in a "chunk_extension", in the "body",
 /// which has no length and in a stream is one event, or with whole "events";
-/// empty for none), `limit` (requests a second, as text, that responses say the
-/// server takes from all hosts together; empty for none), `brittle` (limit that
-/// responses announce) and `room` (requests that it runs at the same time, if
-/// fewer than its slots; from then on, after more rejections for want of room
-/// in a second than the limit, the server fails, which is counted as `falls`,
-/// and for a second closes all connections). `GET /stats` returns counters and
-/// `GET /runs` how often each request was executed.
+/// empty for none), `resumed_status` (status of the error that answers requests
+/// to resume a stream; 0 for none), `limit` (requests a second, as text, that
+/// responses say the server takes from all hosts together; empty for none),
+/// `brittle` (limit that responses announce) and `room` (requests that it runs
+/// at the same time, if fewer than its slots; from then on, after more
+/// rejections for want of room in a second than the limit, the server fails,
+/// which is counted as `falls`, and for a second closes all connections). `GET
+/// /stats` returns counters and `GET /runs` how often each request was
+/// executed.
 class worker_standin
 {
 public:
@@ -83,6 +85,7 @@
     void announce(http::response& it) const;
     /// The refusal of another request that arrives in front of a response.
     http::response stale_refusal();
+    http::response error_for_resumed(std::string_view request) const;
     bool is_shedding() const;
     void count_arrival_in_pause();
     /// Counts a request against the rate limit, over a sliding window.
@@ -135,6 +138,7 @@
     std::int64_t m_promised_status = 503;
     std::string m_stale_id;
     std::string m_endless;
+    std::int64_t m_resumed_status = 0;
     std::int64_t m_endless_bytes = 0;
     time_point m_sheds_until{};
     bool m_sheds_placement = false;
