Entry: Measure how late the event loop is, and what makes it so

Closes of callers, readiness checks and deadlines are handled in the order in which they arrive, behind all else. The logs could not tell a host that was late from one whose links were full. A timer now measures the delay, as a histogram and, from 250 ms on, as loop_delayed with the requests that wait and the time spent on digests, on choosing servers, on planning and on lists.

--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -18,6 +18,7 @@
     daemon_stopped = 103,
     listen_failed = 105,
     settings_reloaded = 106,
+    loop_delayed = 107,
     configuration_applied = 200,
     configuration_refused = 201,
     key_withdrawn = 202,
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -299,6 +299,7 @@
 
 void digest_exchange::send_digest()
 {
+    const work_meter::scope metered(m_state.work, duty::digests_sent);
     const time_point now = monotonic_clock::now();
     const auto holder = holder_address();
     fleet::wire::Digest common = make_digest(now, false);
@@ -347,6 +348,7 @@
 
 void digest_exchange::send_update(bool is_beacon)
 {
+    const work_meter::scope metered(m_state.work, duty::digests_sent);
     const time_point now = monotonic_clock::now();
     fleet::wire::Digest update = make_digest(now, true);
     const bool is_for_all = std::exchange(m_is_update_for_all, false) ||
@@ -456,6 +458,7 @@
 void digest_exchange::on_datagram(std::string_view datagram,
                                   const net::ip::udp::endpoint& from)
 {
+    const work_meter::scope metered(m_state.work, duty::digests_received);
     fleet::wire::Digest digest;
     try
     {
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -78,9 +78,8 @@
                    [this] { return m_state.configuration; }, m_state.random,
                    m_state.reach, [this] { m_state.on_server_leaving(); },
                    [this](server_record& server, const server_notice& it)
-                   {
-                       m_state.on_server_notice(server, it);
-                   }},
+                   { m_state.on_server_notice(server, it); },
+                   m_state.work},
                   [this]
                   {
                       m_digests.send_update_soon();
@@ -128,7 +127,7 @@
           m_context, m_store, m_state.continuity,
           [this] { return m_placement.is_held(); },
           [this] { return m_state.is_draining; }),
-      m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
+      m_loop_monitor(m_state), m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
       m_started(monotonic_clock::now())
 {
     m_state.send_update_to_all_soon = [this]
@@ -479,6 +478,7 @@
     m_placement.start();
     m_digests.start();
     m_versions.start();
+    m_loop_monitor.start();
     m_stream_record.start();
     m_state.reach.start(m_dialects.servers.make_report_request,
                         [this] { on_reach_changed(); });
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/digest_exchange.hpp"
+#include "entry/loop_monitor.hpp"
 #include "entry/object_relay.hpp"
 #include "entry/placement_controller.hpp"
 #include "entry/request_handler.hpp"
@@ -94,6 +95,7 @@
     store_mirror m_mirror;
     version_record m_versions;
     stream_record m_stream_record;
+    loop_monitor m_loop_monitor;
     net::signal_set m_signals;
     /// Name of the peer that last reported holding the placement lease; empty
     /// once it reports that it no longer does.
--- a/libraries/entry/entry_metrics.cpp
+++ b/libraries/entry/entry_metrics.cpp
@@ -72,6 +72,8 @@
                           "Time from arrival to a stream's first event.")),
       m_load_time(times(m_registry, "cicadahub_entry_load_seconds",
                         "Time from a load's order to its end.")),
+      m_loop_delay(times(m_registry, "cicadahub_entry_loop_delay_seconds",
+                         "How late the event loop runs a timer.")),
       m_dropped_lines(prometheus::BuildGauge()
                           .Name("cicadahub_entry_log_lines_dropped")
                           .Help("Log lines dropped since the start.")
@@ -131,6 +133,11 @@
     m_load_time.Observe(in_seconds(took));
 }
 
+void entry_metrics::observe_loop_delay(milliseconds late)
+{
+    m_loop_delay.Observe(in_seconds(late));
+}
+
 void entry_metrics::count_unreadable_server()
 {
     m_unreadable_servers.Increment();
--- a/libraries/entry/entry_metrics.hpp
+++ b/libraries/entry/entry_metrics.hpp
@@ -33,6 +33,8 @@
     void observe_load(milliseconds took);
     /// Counts an entry of a server that names no server to use.
     void count_unreadable_server();
+    /// Records how late the event loop ran a timer.
+    void observe_loop_delay(milliseconds late);
 
     /// All metrics in the Prometheus text format.
     std::string text();
@@ -51,6 +53,7 @@
     prometheus::Histogram& m_wait_error;
     prometheus::Histogram& m_first_event;
     prometheus::Histogram& m_load_time;
+    prometheus::Histogram& m_loop_delay;
     prometheus::Gauge& m_dropped_lines;
 };
 
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -13,6 +13,7 @@
 #include "entry/settings.hpp"
 #include "entry/stream_continuity.hpp"
 #include "entry/wait_queue.hpp"
+#include "entry/work_meter.hpp"
 #include "http/client.hpp"
 
 #include <functional>
@@ -42,6 +43,7 @@
     suspicion::suspect_table suspects;
     suspicion::crash_attribution crashing_parts;
     entry_metrics metrics;
+    work_meter work;
     /// Connections to backend servers for callers' requests.
     http::client_pool pool;
     std::map<organisation_id, sharing::fleet_rate> rates;
--- a/libraries/entry/placement_controller.cpp
+++ b/libraries/entry/placement_controller.cpp
@@ -317,6 +317,7 @@
 
 void placement_controller::plan(time_point now)
 {
+    const work_meter::scope metered(m_inputs.work, duty::planning);
     const auto configuration = m_inputs.configuration();
     for (auto& [name, servers] : m_servers)
     {
--- a/libraries/entry/placement_controller.hpp
+++ b/libraries/entry/placement_controller.hpp
@@ -9,6 +9,7 @@
 #include "entry/server_table.hpp"
 #include "entry/settings.hpp"
 #include "entry/wait_queue.hpp"
+#include "entry/work_meter.hpp"
 #include "http/client.hpp"
 
 #include <functional>
@@ -35,6 +36,7 @@
     std::function<void()> on_server_leaving;
     /// Called with what the head of each answer says of its server.
     std::function<void(server_record&, const server_notice&)> on_notice;
+    work_meter& work;
 };
 
 /// Orders loads and unloads on the servers of the whole fleet while this daemon
--- a/libraries/entry/request_routing.cpp
+++ b/libraries/entry/request_routing.cpp
@@ -42,6 +42,7 @@
 
 active_request::server_pick active_request::pick_server() const
 {
+    const work_meter::scope metered(m_state.work, duty::server_choice);
     const time_point now = monotonic_clock::now();
     std::vector<server_table::record_pointer> records;
     std::vector<routing::choice_candidate> candidates;
@@ -167,6 +168,7 @@
     {
         return retry_after_full;
     }
+    const work_meter::scope metered(m_state.work, duty::server_choice);
     const auto& spec = m_service->engine->models.at(m_copy->model);
     milliseconds least = spec.load_from_store + load_overhead;
     for (const auto& [id, record] : m_state.servers.records())
--- a/libraries/entry/store_mirror.cpp
+++ b/libraries/entry/store_mirror.cpp
@@ -183,6 +183,7 @@
 void store_mirror::apply_object(collection where,
                                 const platform::stored_object& it)
 {
+    const work_meter::scope metered(m_state.work, duty::objects);
     if (where == collection::servers)
     {
         m_relay.on_object(where, it);
@@ -230,6 +231,7 @@
 void store_mirror::end_batch(collection where, bool is_full_list,
                              object_version version)
 {
+    const work_meter::scope metered(m_state.work, duty::objects);
     note_era(version);
     const bool is_complete =
         is_full_list && monotonic_clock::now() >= m_removals_from;
