Digests: Keep to half of the host's link

No event loop was late by 250 ms (loop_delayed). In a trial that logged bytes, hosts sent 170 kB of datagrams in half a second and got 86; and who lost others goes by address: the first 30 hosts lost nobody, each of the last 40 lost the 55 hosts with links of 10 Mbit/s, and nobody lost a host with 200 Mbit/s.

Cause: a digest went to all 70 hosts in one burst, in the order of their addresses. For three seconds after a mass crash it has some 3 kB instead of 0.8, 210 kB in all, which is more than the link queues. The last receivers got none, time and again, and closes, readiness checks and requests waited behind the rest.

Datagrams now go through a queue at half of the link's rate: urgent ones first, of the routine ones only the newest to each receiver, in order to each receiver, beginning at another receiver each time. Urgent ones that would wait for more than a second are dropped, the oldest first, and logged.

--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -52,6 +52,7 @@
     peer_lost = 601,
     peer_frame_malformed = 602,
     learnt_from_peer = 603,
+    updates_dropped = 604,
     caller_vanished = 701,
     request_suspected = 702,
     prompt_part_refused = 703,
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -22,6 +22,9 @@
 /// Prevents a persistently failing socket from causing a busy loop.
 constexpr milliseconds receive_retry_pause{100};
 constexpr std::size_t largest_datagram_bytes = 60'000;
+/// Part of the link for datagrams. The rest carries requests and answers, which
+/// wait for no more than a burst of datagrams.
+constexpr double datagram_link_share = 0.5;
 /// Peers whose addresses one digest lists, round-robin. A few suffice, since
 /// most hosts are known from the store.
 constexpr std::size_t max_peers_per_digest = 4;
@@ -56,7 +59,9 @@
     : m_state(state), m_fill(std::move(fill)),
       m_on_digest(std::move(on_digest)), m_is_holder(std::move(is_holder)),
       m_socket(state.context, datagram_endpoint(state.settings.fleet)),
-      m_timer(state.context), m_incarnation(new_incarnation())
+      m_timer(state.context),
+      m_queue(state.settings.link_bytes_per_second * datagram_link_share),
+      m_queue_timer(state.context), m_incarnation(new_incarnation())
 {
     m_socket.non_blocking(true);
     for (const http::endpoint& it : state.settings.seed_hosts)
@@ -264,16 +269,65 @@
     }
 }
 
-void digest_exchange::send(const fleet::wire::Digest& digest,
+void digest_exchange::send(fleet::datagram_kind kind,
+                           const fleet::wire::Digest& digest,
                            const std::set<net::ip::udp::endpoint>& to)
 {
-    const std::string datagram = fleet::encode_digest(digest);
-    for (const auto& it : to)
+    if (to.empty())
+    {
+        return;
+    }
+    const auto bytes =
+        std::make_shared<const std::string>(fleet::encode_digest(digest));
+    // No host is always the last one to hear of something.
+    auto it = std::next(
+        to.begin(), static_cast<std::ptrdiff_t>(m_state.random() % to.size()));
+    for (std::size_t n = 0; n < to.size(); ++n, ++it)
+    {
+        if (it == to.end())
+        {
+            it = to.begin();
+        }
+        m_queue.push(kind, {*it, bytes});
+    }
+    log_dropped();
+    send_queued();
+}
+
+void digest_exchange::log_dropped()
+{
+    const std::size_t dropped = m_queue.take_dropped();
+    if (dropped > 0)
+    {
+        log_event(severity::warning, event_number::updates_dropped,
+                  {{"datagrams", dropped}});
+    }
+}
+
+void digest_exchange::send_queued()
+{
+    const time_point now = monotonic_clock::now();
+    while (const auto it = m_queue.pop(now))
     {
         boost::system::error_code ec;
         // Errors are ignored: the next digest replaces one that is lost.
-        m_socket.send_to(net::buffer(datagram), it, 0, ec);
+        m_socket.send_to(net::buffer(*it->bytes), it->to, 0, ec);
     }
+    if (m_queue.is_empty() || m_is_queue_timer_set)
+    {
+        return;
+    }
+    m_is_queue_timer_set = true;
+    m_queue_timer.expires_after(m_queue.time_to_next(now));
+    m_queue_timer.async_wait(
+        [this](boost::system::error_code ec)
+        {
+            m_is_queue_timer_set = false;
+            if (!ec)
+            {
+                send_queued();
+            }
+        });
 }
 
 std::set<net::ip::udp::endpoint>
@@ -316,14 +370,14 @@
     {
         add_fleet_work(common);
     }
-    send(common, others);
+    send(fleet::datagram_kind::routine, common, others);
     m_told_all_at = now;
     if (!holder.empty())
     {
         add_work(for_holder, true);
         add_usage(for_holder, now);
         add_pending_demand(for_holder, now);
-        send(for_holder, holder);
+        send(fleet::datagram_kind::routine, for_holder, holder);
     }
 }
 
@@ -334,7 +388,7 @@
     message.sender = m_state.settings.name.value();
     message.incarnation = m_incarnation;
     message.is_update = true;
-    send(message, {datagram_endpoint(to)});
+    send(fleet::datagram_kind::urgent, message, {datagram_endpoint(to)});
 }
 
 void digest_exchange::send_digest_to(const net::ip::udp::endpoint& peer)
@@ -343,7 +397,7 @@
     fleet::wire::Digest it = make_digest(now, false);
     add_demand(it, now);
     add_work(it, false);
-    send(it, {peer});
+    send(fleet::datagram_kind::urgent, it, {peer});
 }
 
 void digest_exchange::send_update(bool is_beacon)
@@ -356,12 +410,12 @@
                             (is_beacon && update.watches_store);
     if (is_for_all)
     {
-        send(update, m_addresses);
+        send(fleet::datagram_kind::urgent, update, m_addresses);
         m_told_all_at = now;
     }
     else if (is_beacon)
     {
-        send(update, watcher_addresses(now));
+        send(fleet::datagram_kind::urgent, update, watcher_addresses(now));
     }
     const auto holder = holder_address();
     if (!holder.empty())
@@ -370,7 +424,7 @@
         update.number = ++m_number;
         add_work(update, true);
         add_pending_demand(update, now);
-        send(update, holder);
+        send(fleet::datagram_kind::urgent, update, holder);
     }
 }
 
--- a/libraries/entry/digest_exchange.hpp
+++ b/libraries/entry/digest_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/entry_state.hpp"
+#include "fleet/datagram_queue.hpp"
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -62,8 +63,11 @@
     void send_update(bool is_beacon);
     /// Sends a host that has just started what the others know.
     void send_digest_to(const net::ip::udp::endpoint& peer);
-    void send(const fleet::wire::Digest& digest,
+    void send(fleet::datagram_kind kind, const fleet::wire::Digest& digest,
               const std::set<net::ip::udp::endpoint>& to);
+    /// Sends what the share of the link allows, now and later.
+    void send_queued();
+    void log_dropped();
     /// Address of the holder of the placement lease; empty if the holder is
     /// unknown or is this daemon.
     std::set<net::ip::udp::endpoint> holder_address() const;
@@ -76,6 +80,9 @@
     std::function<bool()> m_is_holder;
     net::ip::udp::socket m_socket;
     net::steady_timer m_timer;
+    fleet::datagram_queue m_queue;
+    net::steady_timer m_queue_timer;
+    bool m_is_queue_timer_set = false;
     std::set<net::ip::udp::endpoint> m_addresses;
     std::int64_t m_incarnation;
     std::int64_t m_number = 0;
--- a/libraries/entry/settings.hpp
+++ b/libraries/entry/settings.hpp
@@ -25,6 +25,8 @@
 
     /// Fraction of a processor core that is available to this host.
     double processor_share = 1;
+    /// Bytes that this host's link carries each second.
+    double link_bytes_per_second = 125e6;
     /// Time between the stop signal and the kill of the process.
     milliseconds stop_grace{8'000};
     /// Time without a renewal after which another host may take over the
--- a/tests/entry/digest_exchange_test.cpp
+++ b/tests/entry/digest_exchange_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <gtest/gtest.h>
 
+#include <set>
 #include <stdexcept>
 
 namespace cicadahub::entry
@@ -155,6 +156,70 @@
     EXPECT_LE(receive().size(), 1U);
 }
 
+// Guards against digests to all hosts that fill the host's own link, so that
+// closes, readiness checks and requests wait behind them, and the last
+// receivers lose contact with this host.
+TEST(digest_bursts, leave_half_of_the_link_to_requests)
+{
+    constexpr std::size_t hosts = 70;
+    constexpr milliseconds window{100};
+    net::io_context context(1);
+    entry_settings settings;
+    settings.name = daemon_id("self");
+    settings.fleet = free_endpoint();
+    settings.link_bytes_per_second = 1.25e6;
+    entry_state state(context, settings, documents);
+    state.is_placement_holder = []
+    {
+        return false;
+    };
+    // After a mass crash a digest has some 3 kB.
+    for (int n = 0; n < 64; ++n)
+    {
+        const std::string request = std::to_string(n) + std::string(32, 'f');
+        state.suspects.on_crash(suspicion::fingerprint(request),
+                                monotonic_clock::now());
+    }
+    digest_exchange subject(
+        state, [](fleet::wire::Digest&, time_point) {}, [](const peer&) {},
+        [] { return false; });
+    std::vector<net::ip::udp::socket> receivers;
+    std::vector<std::vector<char>> bufs(hosts, std::vector<char>(64 * 1024));
+    std::set<std::size_t> reached;
+    std::vector<std::pair<time_point, std::size_t>> arrivals;
+    for (std::size_t n = 0; n < hosts; ++n)
+    {
+        auto& it = receivers.emplace_back(
+            context,
+            net::ip::udp::endpoint(net::ip::address_v4::loopback(), 0));
+        subject.add_address(
+            {it.local_endpoint().address(), it.local_endpoint().port()});
+    }
+    for (std::size_t n = 0; n < hosts; ++n)
+    {
+        receivers[n].async_receive(
+            net::buffer(bufs[n]),
+            [&, n](boost::system::error_code, std::size_t bytes)
+            {
+                reached.insert(n);
+                arrivals.emplace_back(monotonic_clock::now(), bytes);
+            });
+    }
+    subject.start();
+    context.run_for(std::chrono::seconds(2));
+    EXPECT_EQ(reached.size(), hosts);
+    for (const auto& [first, ignored] : arrivals)
+    {
+        std::size_t sum = 0;
+        for (const auto& [at, bytes] : arrivals)
+        {
+            sum += at >= first && at < first + window ? bytes : 0;
+        }
+        EXPECT_LE(static_cast<double>(sum),
+                  0.5 * settings.link_bytes_per_second * 0.12 + 4'000);
+    }
+}
+
 // Guards against an update for each request that looks for a server again,
 // which all do whenever one of them ends.
 TEST(wait_queue, tells_of_a_request_once)
