Entry: Look for a close right before a request is sent

The close waits in the event loop behind the request, which is sent in the same turn in which it is read.

Whether the caller has closed is now read from its connection right before the first byte goes to a server, at relaying hosts too.

--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -181,7 +181,9 @@
         m_result.is_relay_unavailable = m_path.relay.has_value();
         co_return m_result;
     }
-    if (m_is_cancelled)
+    // A close that arrived with the request, or while this host was busy, has
+    // not been handled yet.
+    if (m_is_cancelled || reply.has_caller_left())
     {
         m_pool.release(m_path.address, std::move(server));
         m_result.end = exchange_end::caller_gone;
--- a/libraries/http/reply_writer.cpp
+++ b/libraries/http/reply_writer.cpp
@@ -11,6 +11,24 @@
 namespace cicadahub::http
 {
 
+namespace
+{
+
+bool is_closed_by_peer(net::ip::tcp::socket& it)
+{
+    boost::system::error_code ec;
+    if (!it.non_blocking())
+    {
+        it.non_blocking(true, ec);
+    }
+    std::array<char, 1> buf{};
+    const std::size_t n =
+        it.receive(net::buffer(buf), net::socket_base::message_peek, ec);
+    return n == 0 && ec != net::error::would_block;
+}
+
+} // namespace
+
 struct reply_writer::watch_state
 {
     std::function<void()> handler;
@@ -131,19 +149,20 @@
                           {
                               return;
                           }
-                          std::array<char, 1> buf{};
-                          const std::size_t n = socket.receive(
-                              net::buffer(buf), net::socket_base::message_peek,
-                              ec);
-                          // Unread bytes are a pipelined request and do not
-                          // mean that the caller disconnected.
-                          if (n == 0 && ec != net::error::would_block)
+                          // FIXME: Unread bytes are a pipelined request, behind
+                          // which a later close is not seen.
+                          if (is_closed_by_peer(socket))
                           {
                               std::exchange(watch->handler, nullptr)();
                           }
                       });
 }
 
+bool reply_writer::has_caller_left()
+{
+    return is_closed_by_peer(m_stream.socket());
+}
+
 void reply_writer::stop_watching_caller()
 {
     if (!m_watch)
--- a/libraries/http/reply_writer.hpp
+++ b/libraries/http/reply_writer.hpp
@@ -51,6 +51,11 @@
 
     void stop_watching_caller();
 
+    /// True if the caller has closed or reset the connection. The watch tells
+    /// it only once its handler gets its turn. Bytes of a further request hide
+    /// a close behind them.
+    bool has_caller_left();
+
     /// Sets the time limit of each later write.
     void set_write_timeout(milliseconds timeout) { m_write_timeout = timeout; }
 
