--- a/tests/platform/list_page_test.cpp
+++ b/tests/platform/list_page_test.cpp
@@ -71,5 +71,15 @@
     }
 }
 
+// Taken for the last one, it would make the objects of the later pages count as
+// deleted.
+TEST(list_page, whose_mark_of_a_next_one_cannot_be_read_is_an_error)
+{
+    EXPECT_THROW(object_store_dialect.read_list(
+                     collection::servers,
+                     R"({"items":[],"hasMore":tru,"currentRev":5})"),
+                 malformed_document);
+}
+
 } // namespace
 } // namespace cicadahub::adapter
