HTTP: See a caller's close behind bytes of a further request

A caller that had sent bytes of a further request and then left was served to the end: the watch looked for a close once, by peeking at the first unread byte, and the look right before a request is sent did the same. Unread bytes hid the close from both.

poll reports the close whatever is unread. While bytes are unread the connection is readable all the time, so that the watch looks each 100 ms.

--- a/libraries/http/reply_writer.cpp
+++ b/libraries/http/reply_writer.cpp
@@ -2,11 +2,12 @@
 
 #include "http/message_head.hpp"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 
-#include <array>
+#include <poll.h>
 
 namespace cicadahub::http
 {
@@ -14,24 +15,66 @@
 namespace
 {
 
+/// While unread bytes make a connection readable all the time, a close is
+/// looked for this often.
+constexpr milliseconds pipelined_check_period{100};
+
+/// A read finds a close only behind all unread bytes, but poll at once.
 bool is_closed_by_peer(net::ip::tcp::socket& it)
 {
-    boost::system::error_code ec;
-    if (!it.non_blocking())
-    {
-        it.non_blocking(true, ec);
-    }
-    std::array<char, 1> buf{};
-    const std::size_t n =
-        it.receive(net::buffer(buf), net::socket_base::message_peek, ec);
-    return n == 0 && ec != net::error::would_block;
+    pollfd found{it.native_handle(), POLLRDHUP, 0};
+    return poll(&found, 1, 0) > 0 && found.revents != 0;
 }
 
 } // namespace
 
-struct reply_writer::watch_state
+/// Looks for a close until it has no handler.
+class reply_writer::caller_watch
+    : public std::enable_shared_from_this<caller_watch>
 {
-    std::function<void()> handler;
+public:
+    caller_watch(net::ip::tcp::socket& socket, std::function<void()> handler)
+        : m_socket(socket), m_timer(socket.get_executor()),
+          m_handler(std::move(handler))
+    {
+    }
+
+    void start()
+    {
+        m_socket.async_wait(net::ip::tcp::socket::wait_read,
+                            [it = shared_from_this()](auto ec)
+                            { it->on_readable(ec); });
+    }
+
+    void stop()
+    {
+        m_handler = nullptr;
+        m_timer.cancel();
+        boost::system::error_code ec;
+        m_socket.cancel(ec);
+    }
+
+private:
+    void on_readable(boost::system::error_code ec)
+    {
+        if (ec || !m_handler)
+        {
+            return;
+        }
+        if (is_closed_by_peer(m_socket))
+        {
+            std::exchange(m_handler, nullptr)();
+            return;
+        }
+        // The bytes are a pipelined request, which is read after this one.
+        m_timer.expires_after(pipelined_check_period);
+        m_timer.async_wait([it = shared_from_this()](auto timer_ec)
+                           { it->on_readable(timer_ec); });
+    }
+
+    net::ip::tcp::socket& m_socket;
+    net::steady_timer m_timer;
+    std::function<void()> m_handler;
 };
 
 reply_writer::reply_writer(boost::beast::tcp_stream& stream, bool keep_alive,
@@ -41,6 +84,11 @@
 {
 }
 
+reply_writer::~reply_writer()
+{
+    stop_watching_caller();
+}
+
 net::awaitable<void> reply_writer::send(response it)
 {
     m_has_started = true;
@@ -139,23 +187,10 @@
 
 void reply_writer::watch_caller(std::function<void()> handler)
 {
-    m_watch = std::make_shared<watch_state>();
-    m_watch->handler = std::move(handler);
-    auto& socket = m_stream.socket();
-    socket.async_wait(net::ip::tcp::socket::wait_read,
-                      [watch = m_watch, &socket](boost::system::error_code ec)
-                      {
-                          if (ec || !watch->handler)
-                          {
-                              return;
-                          }
-                          // FIXME: Unread bytes are a pipelined request, behind
-                          // which a later close is not seen.
-                          if (is_closed_by_peer(socket))
-                          {
-                              std::exchange(watch->handler, nullptr)();
-                          }
-                      });
+    stop_watching_caller();
+    m_watch =
+        std::make_shared<caller_watch>(m_stream.socket(), std::move(handler));
+    m_watch->start();
 }
 
 bool reply_writer::has_caller_left()
@@ -165,14 +200,11 @@
 
 void reply_writer::stop_watching_caller()
 {
-    if (!m_watch)
+    if (m_watch)
     {
-        return;
+        m_watch->stop();
+        m_watch.reset();
     }
-    m_watch->handler = nullptr;
-    m_watch.reset();
-    boost::system::error_code ec;
-    m_stream.socket().cancel(ec);
 }
 
 } // namespace cicadahub::http
--- a/libraries/http/reply_writer.hpp
+++ b/libraries/http/reply_writer.hpp
@@ -16,6 +16,9 @@
 public:
     reply_writer(boost::beast::tcp_stream& stream, bool keep_alive,
                  milliseconds write_timeout);
+    ~reply_writer();
+    reply_writer(const reply_writer&) = delete;
+    reply_writer& operator=(const reply_writer&) = delete;
 
     /// Sends a complete response, head and body.
     net::awaitable<void> send(response it);
@@ -52,8 +55,7 @@
     void stop_watching_caller();
 
     /// True if the caller has closed or reset the connection. The watch tells
-    /// it only once its handler gets its turn. Bytes of a further request hide
-    /// a close behind them.
+    /// it only once its handler gets its turn.
     bool has_caller_left();
 
     /// Sets the time limit of each later write.
@@ -63,14 +65,14 @@
     bool is_keep_alive() const { return m_is_keep_alive; }
 
 private:
-    struct watch_state;
+    class caller_watch;
 
     boost::beast::tcp_stream& m_stream;
     bool m_is_keep_alive;
     milliseconds m_write_timeout;
     bool m_has_started = false;
     body_framing m_stream_framing = body_framing::chunked;
-    std::shared_ptr<watch_state> m_watch;
+    std::shared_ptr<caller_watch> m_watch;
 };
 
 } // namespace cicadahub::http
--- a/tests/system/left_caller_test.cpp
+++ b/tests/system/left_caller_test.cpp
@@ -16,6 +16,8 @@
     const char* path;
     /// Empty for a call of a plain service.
     const char* model;
+    /// Bytes of a further request that the caller has sent before it leaves.
+    std::size_t pipelined_bytes = 0;
 };
 
 void PrintTo(const leave_case& it, std::ostream* out)
@@ -23,15 +25,19 @@
     *out << it.name;
 }
 
+/// More than a host reads at once with the request before it.
+constexpr std::size_t unread_bytes = 60'000;
+
 class left_callers : public testing::TestWithParam<leave_case>
 {
 protected:
-    /// Sends a request and closes the connection without reading.
-    static void send_and_leave(const std::string& address,
-                               const std::string& id)
+    using tcp_socket = boost::asio::ip::tcp::socket;
+
+    /// Sends a request and what follows it, without reading.
+    static tcp_socket send(boost::asio::io_context& context,
+                           const std::string& address, const std::string& id)
     {
-        boost::asio::io_context context;
-        boost::asio::ip::tcp::socket socket(context);
+        tcp_socket socket(context);
         socket.connect(http::parse_endpoint(address));
         const std::string model = GetParam().model;
         const std::string request =
@@ -44,6 +50,17 @@
                                  "Prompt-Prefix: a:10,b:10\r\n") +
             "Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n";
         boost::asio::write(socket, boost::asio::buffer(request));
+        const std::size_t n = GetParam().pipelined_bytes;
+        if (n > 0)
+        {
+            const std::string behind = "POST /post/y HTTP/1.1\r\n"
+                                       "Host: trust.example\r\n"
+                                       "Content-Length: " +
+                                       std::to_string(n) + "\r\n\r\n" +
+                                       std::string(n, 'x');
+            boost::asio::write(socket, boost::asio::buffer(behind));
+        }
+        return socket;
     }
 };
 
@@ -62,9 +79,11 @@
     };
     ASSERT_EQ(serve("warm").status, 200U);
     fleet.daemons[0].program->pause();
+    boost::asio::io_context context;
     for (int n = 0; n < callers; ++n)
     {
-        send_and_leave(fleet.daemons[0].callers, "left-" + std::to_string(n));
+        send(context, fleet.daemons[0].callers, "left-" + std::to_string(n))
+            .close();
     }
     fleet.daemons[0].program->resume();
     ASSERT_EQ(serve("behind").status, 200U);
@@ -75,12 +94,58 @@
     }
 }
 
+class left_streams : public left_callers
+{
+};
+
+// Guards against work that goes on because bytes in front of a close hide it.
+TEST_P(left_streams, end_within_half_a_second)
+{
+    constexpr milliseconds limit{500};
+    constexpr milliseconds event_gap{1'500};
+    platform_fleet fleet(1);
+    for (const auto& it : fleet.engines)
+    {
+        fleet.set_fault(it.address, R"({"event_gap_ms":)" +
+                                        std::to_string(event_gap.count()) +
+                                        "}");
+    }
+    boost::asio::io_context context;
+    tcp_socket caller = send(context, fleet.daemons[0].callers, "left");
+    ASSERT_TRUE(eventually([&] { return fleet.engine_total("running") == 1; }));
+    caller.close();
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            return fleet.daemons[0].program->output().find(
+                       R"("outcome":"caller-gone")") != std::string::npos;
+        },
+        limit));
+}
+
+std::string name_of_case(const testing::TestParamInfo<leave_case>& it)
+{
+    return it.param.name;
+}
+
+constexpr leave_case stream_case{"stream", "/stream/x", "m1"};
+constexpr leave_case once_case{"stream_once", "/once/x", "m1"};
+constexpr leave_case long_stream_case{"stream_and_more", "/stream/x", "m1",
+                                      unread_bytes};
+constexpr leave_case long_once_case{"stream_once_and_more", "/once/x", "m1",
+                                    unread_bytes};
+
 INSTANTIATE_TEST_SUITE_P(
     platform_path, left_callers,
-    testing::Values(leave_case{"stream", "/stream/x", "m1"},
-                    leave_case{"stream_once", "/once/x", "m1"},
-                    leave_case{"call", "/post/x", ""}),
-    [](const auto& it) { return std::string(it.param.name); });
+    testing::Values(stream_case, once_case, leave_case{"call", "/post/x", ""},
+                    long_stream_case, long_once_case,
+                    leave_case{"call_and_more", "/post/x", "", unread_bytes}),
+    name_of_case);
+
+INSTANTIATE_TEST_SUITE_P(platform_path, left_streams,
+                         testing::Values(stream_case, once_case,
+                                         long_stream_case, long_once_case),
+                         name_of_case);
 
 } // namespace
 } // namespace cicadahub::system_tests
