--- a/libraries/core/structured_log.cpp
+++ b/libraries/core/structured_log.cpp
@@ -56,7 +56,7 @@
         "cicadahub", std::make_shared<spdlog::sinks::stdout_sink_mt>(), it.pool,
         spdlog::async_overflow_policy::overrun_oldest);
     it.logger->set_pattern(
-        R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l",%v})");
+        R"({"time":"%Y-%m-%dT%H:%M:%S.%f","level":"%l",%v})");
 }
 
 void close_structured_log()
--- a/tests/system/explain_events_test.cpp
+++ b/tests/system/explain_events_test.cpp
@@ -4,6 +4,7 @@
 
 #include <fstream>
 #include <future>
+#include <regex>
 #include <thread>
 
 namespace cicadahub::system_tests
@@ -113,5 +114,67 @@
     expect_no_line(fleet, "before", "store_restored");
 }
 
+struct event_time_case
+{
+    const char* name;
+    /// Of an event of a server that the request was sent to. The request ends
+    /// at .200400, 5 ms after it came.
+    std::string time;
+    bool is_shown;
+};
+
+void PrintTo(const event_time_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class event_times : public testing::TestWithParam<event_time_case>
+{
+};
+
+// Guards against events that came after the end of a request, but within its
+// last millisecond.
+TEST_P(event_times, decide_whether_a_request_is_explained)
+{
+    const std::string day = R"({"time":"2026-12-05T01:02:03)";
+    const std::string file = make_folder() + "/logs";
+    std::ofstream(file)
+        << day << R"(.200400","event":1,"name":"request_answered",)"
+        << R"("daemon":"d","request":"r","server":"e1","took_ms":5})"
+        << "\n"
+        << day << GetParam().time
+        << R"(","event":2,"name":"server_paused","daemon":"d","server":"e1"})"
+        << "\n";
+    process it("utilities/cicadactl", {"explain", "r", file});
+    EXPECT_EQ(it.wait(), 0);
+    const bool is_shown =
+        it.output().find("server_paused") != std::string::npos;
+    EXPECT_EQ(is_shown, GetParam().is_shown) << it.output();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    explain, event_times,
+    testing::Values(event_time_case{"before", ".195300", false},
+                    event_time_case{"within", ".195900", true},
+                    event_time_case{"right_before_its_end", ".200390", true},
+                    event_time_case{"right_after_its_end", ".200450", false},
+                    event_time_case{"within_in_milliseconds", ".198", true}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+// Guards against lines whose order can't be told from their times.
+TEST(explained_events, have_times_of_microseconds)
+{
+    platform_fleet fleet(1);
+    fleet.plain(0, "r", http::verb::get, "/read/1");
+    const std::regex time(R"("time":"[-0-9]+T[:0-9]+\.[0-9]{6}")");
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            const std::string log = fleet.daemons[0].program->output();
+            return log.find("request_answered") != std::string::npos &&
+                   std::regex_search(log, time);
+        }));
+}
+
 } // namespace
 } // namespace cicadahub::system_tests
--- a/utilities/cicadactl/explain.cpp
+++ b/utilities/cicadactl/explain.cpp
@@ -83,17 +83,19 @@
     out << "\n";
 }
 
-/// Time of a line in milliseconds; 0 if it is malformed.
-std::int64_t milliseconds_of(const std::string& time)
+constexpr int microseconds_per_millisecond = 1'000;
+
+/// Time of a line in microseconds; 0 if it is malformed.
+std::int64_t microseconds_of(const std::string& time)
 {
     std::istringstream text(time);
     std::tm parts{};
     text >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S");
     double fraction = 0;
     text >> fraction;
-    constexpr int milliseconds_per_second = 1000;
-    return text ? std::int64_t{timegm(&parts)} * milliseconds_per_second +
-                      std::llround(fraction * milliseconds_per_second)
+    constexpr int microseconds_per_second = 1'000'000;
+    return text ? std::int64_t{timegm(&parts)} * microseconds_per_second +
+                      std::llround(fraction * microseconds_per_second)
                 : 0;
 }
 
@@ -115,8 +117,8 @@
     std::string model;
     std::set<std::string> daemons;
     std::set<std::string> servers;
-    std::int64_t begin_ms = std::numeric_limits<std::int64_t>::max();
-    std::int64_t end_ms = 0;
+    std::int64_t begin_us = std::numeric_limits<std::int64_t>::max();
+    std::int64_t end_us = 0;
 
     void add(const log_line& line)
     {
@@ -136,15 +138,16 @@
             took_ms =
                 it != nullptr && it->is_int64() ? it->get_int64() : took_ms;
         }
-        const std::int64_t time_ms = milliseconds_of(line.time);
-        begin_ms = std::min(begin_ms, time_ms - took_ms);
-        end_ms = std::max(end_ms, time_ms);
+        const std::int64_t time_us = microseconds_of(line.time);
+        begin_us = std::min(begin_us,
+                            time_us - took_ms * microseconds_per_millisecond);
+        end_us = std::max(end_us, time_us);
     }
 
     bool is_in_time(const log_line& line) const
     {
-        const std::int64_t time_ms = milliseconds_of(line.time);
-        return begin_ms <= time_ms && time_ms <= end_ms;
+        const std::int64_t time_us = microseconds_of(line.time);
+        return begin_us <= time_us && time_us <= end_us;
     }
 
     bool is_order_for_model(const log_line& line) const
