Limits: Take hosts that have not reported yet for in contact after a start

A host that starts again and is the one that sends to a server with a limit has heard of one or two others in the first 250 ms. It took the rest for apart, kept to that part of the rate, and told waits of 1.5 to 3.5 s where 0.4 to 1.2 s were right.

--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -18,6 +18,10 @@
 /// requests over the hosts; the rest covers partitions between hosts.
 constexpr double slack_share_for_imbalance = 0.7;
 
+/// After its start a host has heard of all others that it can hear of within
+/// this time, unless they are too many for a digest a second.
+constexpr milliseconds first_reports_time{1'000};
+
 /// All hosts order themselves in the same way, differently for each server.
 std::pair<std::size_t, std::string> rank_of(const std::string& host,
                                             const server_record& server)
@@ -258,10 +262,15 @@
         server.limit.on_not_sender();
         return server.limit.time_to_ask(limit_sender_run(server), now);
     }
-    // Hosts that are not in contact may send to the server too.
-    const auto in_contact = static_cast<double>(1 + fleet.peers().size());
+    // Hosts that are not in contact may send to the server too. Right after the
+    // start, those that have not reported yet are taken for in contact: a small
+    // part would make requests wait for much longer than they have to.
+    const std::size_t hosts = fleet.host_count(now);
+    const bool have_reported = now >= started_at + first_reports_time;
+    const std::size_t in_contact =
+        have_reported ? 1 + fleet.peers().size() : hosts;
     server.limit.on_sender(
-        in_contact / static_cast<double>(fleet.host_count(now)), now);
+        static_cast<double>(in_contact) / static_cast<double>(hosts), now);
     return server.limit.time_to_send(request, now);
 }
 
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -49,6 +49,7 @@
     std::map<organisation_id, sharing::fleet_rate> rates;
     std::map<service_id, sharing::retry_budget> retry_budgets;
     std::map<service_id, sharing::brittle_service> brittle_services;
+    const time_point started_at = monotonic_clock::now();
     bool is_draining = false;
     /// While draining: requests that arrive after `accept_deadline`, and those
     /// still queued at `wait_deadline`, are refused.
