Tests: Close the test's files in processes before they start

A link of the tests that opens again right after a process was started failed with "Address already in use", or tried for 2 s. posix_spawn returns once the child has its new memory, and the system closes files marked to be closed on exec after that: for a moment the child holds the link's listener, which the test has closed. /proc/net/tcp showed just that listener, in state LISTEN, each time.

--- a/tests/fakes/cuttable_link.hpp
+++ b/tests/fakes/cuttable_link.hpp
@@ -12,13 +12,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
-#include <fcntl.h>
-
 #include <array>
 #include <list>
 #include <memory>
-#include <optional>
-#include <thread>
 
 namespace cicadahub::fakes
 {
@@ -86,8 +82,6 @@
 
     static constexpr auto no_throw = net::as_tuple(net::use_awaitable);
     static constexpr milliseconds silence_poll{10};
-    static constexpr milliseconds bind_retry_pause{10};
-    static constexpr int max_bind_tries = 200;
     static constexpr std::size_t block_bytes = 16 * 1024;
     /// Connections that fill the shortest queue that the system allows.
     static constexpr int queue_fillers = 3;
@@ -96,24 +90,8 @@
     {
         m_acceptor = std::make_shared<net::ip::tcp::acceptor>(m_context);
         m_acceptor->open(m_address.protocol());
-        close_on_exec(*m_acceptor);
         m_acceptor->set_option(net::socket_base::reuse_address(true));
-        // FIXME: The address of a link that was closed a moment ago is in use
-        // at times; it is not known by what.
-        boost::system::error_code ec = net::error::address_in_use;
-        for (int n = 0; n < max_bind_tries && ec == net::error::address_in_use;
-             ++n)
-        {
-            m_acceptor->bind(m_address, ec);
-            if (ec)
-            {
-                std::this_thread::sleep_for(bind_retry_pause);
-            }
-        }
-        if (ec)
-        {
-            throw boost::system::system_error(ec);
-        }
+        m_acceptor->bind(m_address);
         m_acceptor->listen();
         net::co_spawn(m_context, accept_loop(m_acceptor), net::detached);
     }
@@ -124,7 +102,6 @@
     {
         m_acceptor = std::make_shared<net::ip::tcp::acceptor>(m_context);
         m_acceptor->open(m_address.protocol());
-        close_on_exec(*m_acceptor);
         m_acceptor->set_option(net::socket_base::reuse_address(true));
         m_acceptor->bind(m_address);
         m_acceptor->listen(0);
@@ -135,13 +112,6 @@
         }
     }
 
-    /// Processes that the test starts would keep the socket open.
-    template<class Socket>
-    static void close_on_exec(Socket& it)
-    {
-        ::fcntl(it.native_handle(), F_SETFD, FD_CLOEXEC);
-    }
-
     static void reset(socket& it)
     {
         boost::system::error_code ec;
@@ -176,8 +146,6 @@
                 reset(*from);
                 continue;
             }
-            close_on_exec(*from);
-            close_on_exec(*to);
             from->set_option(net::ip::tcp::no_delay(true));
             to->set_option(net::ip::tcp::no_delay(true));
             net::co_spawn(m_context, forward(from, to), net::detached);
--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -57,6 +57,9 @@
                                      m_output_file.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // The call returns before the system closes the files that are marked to be
+    // closed on exec: a listener of the test would stay in use.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int error = ::posix_spawn(&m_pid, path.c_str(), &actions, nullptr,
                                     words.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
