Streams: Let a record that cannot be read cost only itself

One odd object in the collection that records what began streams ended the reading of all of them: after a loss of all hosts no stream could be taken up.

--- a/libraries/entry/stream_record.cpp
+++ b/libraries/entry/stream_record.cpp
@@ -88,24 +88,38 @@
             newest = it.version;
             m_next = (place + 1) % ring_size;
         }
-        const json_reader reader(it.spec);
-        for (const boost::json::value& part : reader.array(streams_member))
+        try
         {
-            const json_reader group(part.as_object());
-            const stream_origin origin{service_id(group.text("service")),
-                                       software_version(group.text("version"))};
-            const std::string keys = group.text("keys");
-            constexpr std::size_t digits = continuity::stream_key_digits;
-            for (std::size_t at = 0; at + digits <= keys.size(); at += digits)
-            {
-                m_streams.on_recorded(stream_key(keys.substr(at, digits)),
-                                      origin);
-            }
+            read_origins(it.spec);
+        }
+        catch (const std::exception& reason)
+        {
+            log_event(severity::warning, event_number::malformed_object,
+                      {{"collection", "streams"},
+                       {"object", it.name},
+                       {"reason", reason.what()}});
         }
     }
     m_read_at = monotonic_clock::now();
 }
 
+void stream_record::read_origins(const boost::json::object& spec)
+{
+    const json_reader reader(spec);
+    for (const boost::json::value& part : reader.array(streams_member))
+    {
+        const json_reader group(part.as_object());
+        const stream_origin origin{service_id(group.text("service")),
+                                   software_version(group.text("version"))};
+        const std::string keys = group.text("keys");
+        constexpr std::size_t digits = continuity::stream_key_digits;
+        for (std::size_t at = 0; at + digits <= keys.size(); at += digits)
+        {
+            m_streams.on_recorded(stream_key(keys.substr(at, digits)), origin);
+        }
+    }
+}
+
 net::awaitable<void> stream_record::read()
 {
     if (m_is_reading)
--- a/libraries/entry/stream_record.hpp
+++ b/libraries/entry/stream_record.hpp
@@ -27,6 +27,8 @@
 private:
     net::awaitable<void> run();
     net::awaitable<void> list();
+    /// Takes in one object of the record; throws if it can't be read.
+    void read_origins(const boost::json::object& spec);
     net::awaitable<void>
     write(const std::vector<continuity::begun_stream>& streams);
     /// The streams of the write are written with the next ones.
--- a/tests/system/stream_version_test.cpp
+++ b/tests/system/stream_version_test.cpp
@@ -172,6 +172,8 @@
     double least_share;
     /// The store answers nobody while the streams begin.
     bool is_store_away = false;
+    /// One object of the record can't be read.
+    bool has_odd_record = false;
 };
 
 void PrintTo(const loss_case& it, std::ostream* out)
@@ -198,6 +200,16 @@
                                          {"refuse", std::move(refused)}}));
     }
 
+    static void write_odd_record(const platform_fleet& fleet)
+    {
+        const std::string object = R"({"metadata":{"name":"7"},"spec":{)"
+                                   R"("content":{"streams":[3]},"marks":[]}})";
+        EXPECT_EQ(call(fleet.store, http::verb::post,
+                       "/v1/objects/cicadahub-streams", object)
+                      .status,
+                  201U);
+    }
+
     static void lose_hosts(platform_fleet& fleet, loss what)
     {
         if (what == loss::frozen)
@@ -241,6 +253,10 @@
                                             std::to_string(gap.count()) + "}");
     }
     set_store_away(fleet, it.is_store_away);
+    if (it.has_odd_record)
+    {
+        write_odd_record(fleet);
+    }
     std::vector<std::future<raw_answer>> begun;
     for (std::size_t n = 0; n < streams; ++n)
     {
@@ -325,6 +341,9 @@
                   loss_case::loss::all_restarted, "v2", true, 0},
         loss_case{"all_hosts_restarted_after_an_outage_of_the_store",
                   loss_case::loss::all_restarted, "v2", false, 0.5, true},
+        loss_case{"all_hosts_restarted_beside_an_odd_record",
+                  loss_case::loss::all_restarted, "v2", false, 0.5, false,
+                  true},
         loss_case{"one_version_and_all_hosts_restarted",
                   loss_case::loss::all_restarted, "v1", false, 0.9}),
     [](const auto& it) { return std::string(it.param.name); });
