Entry: Drop requests whose callers left before they were read

A host that was late still did all but send the request: it charged the organisation, chose a server and took or opened a connection to it, and only looked for the close then.

--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -63,6 +63,12 @@
         refuse(refusal_kind::not_ready, retry_after_starting);
     }
     find_route();
+    if (m_reply.has_caller_left())
+    {
+        // The host was late to read the request.
+        record_outcome("caller-gone");
+        co_return;
+    }
     authenticate();
     co_await find_stream_origin();
     choose_service();
--- a/tests/system/left_caller_test.cpp
+++ b/tests/system/left_caller_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <sstream>
 #include <thread>
 
 namespace cicadahub::system_tests
@@ -92,6 +93,14 @@
     {
         EXPECT_FALSE(id.starts_with("left-")) << id;
     }
+    // Nor a connection to a server.
+    std::istringstream log(fleet.daemons[0].program->output());
+    for (std::string line; std::getline(log, line);)
+    {
+        EXPECT_FALSE(line.find("request_attempted") != std::string::npos &&
+                     line.find(R"("request":"left-)") != std::string::npos)
+            << line;
+    }
 }
 
 class left_streams : public left_callers
