Tests: Let streams have begun before their hosts are lost

streams_taken_up waited a fixed time before it lost the hosts, and took streams up one after the other.

--- a/tests/system/stream_version_test.cpp
+++ b/tests/system/stream_version_test.cpp
@@ -16,6 +16,7 @@
 constexpr const char* new_event = "data: piece of v2\n";
 /// A stream of eight events takes 1.2 s.
 constexpr milliseconds event_gap{150};
+constexpr milliseconds short_gap{60};
 /// Longer than it takes to record in the store that a stream has begun.
 constexpr milliseconds few_events{700};
 
@@ -200,6 +201,20 @@
                                          {"refuse", std::move(refused)}}));
     }
 
+    /// Servers that have ended are passed over.
+    static void set_pace(const std::vector<platform_fleet::worker>& engines,
+                         milliseconds gap)
+    {
+        for (const auto& it : engines)
+        {
+            if (!it.program->has_ended())
+            {
+                call(it.address, http::verb::put, "/faults",
+                     R"({"event_gap_ms":)" + std::to_string(gap.count()) + "}");
+            }
+        }
+    }
+
     static void write_odd_record(const platform_fleet& fleet)
     {
         const std::string object = R"({"metadata":{"name":"7"},"spec":{)"
@@ -246,12 +261,7 @@
     upgraded_fleet upgraded(it.other_version);
     platform_fleet& fleet = upgraded.fleet;
     constexpr std::size_t streams = 12;
-    const milliseconds gap = it.is_store_away ? 2 * event_gap : event_gap;
-    for (const auto& engine : fleet.engines)
-    {
-        fleet.set_fault(engine.address, R"({"event_gap_ms":)" +
-                                            std::to_string(gap.count()) + "}");
-    }
+    set_pace(fleet.engines, 2 * event_gap);
     set_store_away(fleet, it.is_store_away);
     if (it.has_odd_record)
     {
@@ -262,6 +272,9 @@
     {
         begun.push_back(upgraded.begin(0, "s" + std::to_string(n)));
     }
+    EXPECT_TRUE(eventually(
+        [&]
+        { return fleet.engine_total("running") == std::int64_t{streams}; }));
     std::this_thread::sleep_for(few_events);
     if (it.is_store_away)
     {
@@ -273,6 +286,11 @@
         upgraded.remove_old_servers();
     }
     lose_hosts(fleet, it.what);
+    if (it.what != loss::frozen)
+    {
+        // All are taken up, one after the other, within the time of a stream.
+        set_pace(fleet.engines, short_gap);
+    }
     std::size_t taken_up = 0;
     std::size_t gone_on = 0;
     const auto take_up = [&](std::size_t n, const raw_answer& first)
@@ -535,7 +553,6 @@
 
     static void set_pace(const platform_fleet& fleet, std::size_t n)
     {
-        constexpr milliseconds short_gap{60};
         fleet.set_fault(fleet.engines[n].address,
                         R"({"event_gap_ms":)" +
                             std::to_string(short_gap.count()) + "}");
