--- a/tests/fakes/odd_members.hpp
+++ b/tests/fakes/odd_members.hpp
@@ -7,8 +7,7 @@
 namespace cicadahub::fakes
 {
 
-/// A member of the spec of an entry that another writer left, which the whole
-/// entry can't be read with.
+/// A member that makes the spec unreadable in which another writer left it.
 struct odd_member
 {
     const char* name;
