Log: Tell whether a request went to a server with a limit

A request's line did not say whether its host took the server for limited, nor with which part of the limit it sent, so that a host that has forgotten a limit could not be told from one of several that send at once. The line of a server that is gone from the list says whether it was limited.

--- a/libraries/decision/sharing/server_limit.hpp
+++ b/libraries/decision/sharing/server_limit.hpp
@@ -44,6 +44,8 @@
     void on_sender(double part, time_point now);
     /// Another host is.
     void on_not_sender() { m_is_sender = false; }
+    /// Part of the limit that this host sends with; 0 if another host sends.
+    double part() const { return m_is_sender ? m_part : 0; }
 
     /// Time until this host may send the request, if it is the one that sends;
     /// 0 if it may now. Requests that were booked before come first.
--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -310,6 +310,7 @@
 void attempt_observer::log(const exchange_result& result,
                            time_point sent_at) const
 {
+    const time_point now = monotonic_clock::now();
     m_state.metrics.count_attempt(name_of(result.end), time_since(sent_at));
     const outcome::response_facts head =
         result.head.value_or(answer_head{}).facts;
@@ -331,6 +332,8 @@
          {"took_ms", time_since(sent_at).count()},
          {"servers_silent_ms", servers_silent_ms()},
          {"relay", m_relay},
+         {"limit", m_record->limit.requests_per_second(now).value_or(0)},
+         {"limit_part", m_record->limit.part()},
          {"is_brittle",
           m_state.brittle_services.contains(m_record->entry.service)},
          {"reason", result.reason}});
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -143,12 +143,18 @@
 
 void server_table::remove(const server_id& id, object_version version)
 {
-    if (m_records.erase(id) > 0)
+    const auto known = m_records.find(id);
+    if (known == m_records.end())
     {
-        advance_changed_version(version);
-        log_event(severity::info, event_number::server_gone,
-                  {{"server", id.value()}});
+        return;
     }
+    log_event(severity::info, event_number::server_gone,
+              {{"server", id.value()},
+               {"incarnation", known->second->entry.incarnation},
+               {"is_limited",
+                known->second->limit.is_limited(monotonic_clock::now())}});
+    m_records.erase(known);
+    advance_changed_version(version);
 }
 
 void server_table::end_of_list(bool is_full_list, object_version version)
