Limits: Lend parts of a limit to the host that sends

Servers that named a limit got up to twice or four times as many requests, if hosts did not hear each other alike. Each host chose the one that sends from its own view of the others, and that one took in_contact / hosts of the limit. These parts add up to the whole only while contact is transitive: if half of the hosts no longer hear the first sender, which still hears all, both send at nearly the whole rate.

Each host now owns an equal part of the limit and lends it to one host for 2 s, counted from when the borrower sent the message that the lender answers. It lends the part to another host when that time has passed since the message arrived. So the parts in use add up to the whole at most, whatever each host believes of the others; a host that stops sending gives its parts back. Hosts prefer the one that may use most already, so that they come to choose the same one, and a sender that was away for a moment does not take over again. The choice is made with each digest instead of with each request.

A long silence does no longer give the parts of silent hosts to the others (120 s instead of 20 s), and a host that knows of no others yet owns nothing.

Hosts of an earlier landing neither lend nor borrow: while two builds run side by side both groups have a sender, by reading.

--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -46,6 +46,7 @@
     service_brittle = 525,
     server_limited = 526,
     service_versions_changed = 527,
+    limit_sender_chosen = 528,
     host_cut_off = 530,
     host_reconnected = 531,
     peer_connected = 600,
--- a/libraries/decision/sharing/server_limit.cpp
+++ b/libraries/decision/sharing/server_limit.cpp
@@ -12,10 +12,14 @@
 /// Part of the time in which each host would get one token after which a host
 /// that got none asks again: not all hosts have requests for the server.
 constexpr double share_of_turns = 0.25;
+/// Hosts lend their parts within about this time.
+constexpr milliseconds time_to_get_parts{500};
 
-double seconds_between(time_point from, time_point to)
+/// From 0 to 1, different for each host.
+double phase_of(const daemon_id& host)
 {
-    return std::chrono::duration<double>(to - from).count();
+    constexpr std::size_t phases = 1'024;
+    return static_cast<double>(std::hash<daemon_id>{}(host) % phases) / phases;
 }
 
 milliseconds to_milliseconds(double seconds)
@@ -59,37 +63,48 @@
     return is_limited(now) ? m_requests_per_second : std::nullopt;
 }
 
-double server_limit::rate(time_point now) const
+double server_limit::whole_rate(time_point now) const
 {
-    const double whole = requests_per_second(now).value_or(0);
-    return std::max(whole, min_requests_per_second) * m_part;
+    return std::max(requests_per_second(now).value_or(0),
+                    min_requests_per_second);
 }
 
 double server_limit::tokens(time_point now) const
 {
-    const double cap = 1 + rate(now) * burst_seconds;
-    return std::min(cap,
-                    m_tokens + rate(now) * seconds_between(m_settled_at, now));
+    const double rate = whole_rate(now);
+    const double cap = 1 + rate * m_parts.sum(now) * burst_seconds;
+    return std::min(cap, m_tokens +
+                             rate * m_parts.seconds_of_rate(m_settled_at, now));
 }
 
 void server_limit::settle(time_point now)
 {
     m_tokens = tokens(now);
     m_settled_at = now;
+    m_parts.discard_ended(now);
 }
 
-void server_limit::on_sender(double part, time_point now)
+void server_limit::on_part(const daemon_id& lender, double part,
+                           time_point from, time_point until, time_point now)
 {
     settle(now);
-    m_part = part;
-    if (!m_is_sender)
+    const bool had_parts = m_parts.sum(now) > 0;
+    m_parts.set(lender, part, from, until);
+    if (!had_parts)
     {
-        m_is_sender = true;
-        m_tokens = 0;
+        // Hosts that are apart from each other, and each begin to send with
+        // their own parts, do not all send at the same moment.
+        m_tokens = std::min(m_tokens, -(1 - part) * phase_of(lender));
         m_bookings.clear();
     }
 }
 
+void server_limit::give_parts_back(time_point now)
+{
+    settle(now);
+    m_parts.give_back(now);
+}
+
 std::size_t server_limit::bookings_before(const request_id& request,
                                           time_point now) const
 {
@@ -115,8 +130,16 @@
     const double needed =
         1 + static_cast<double>(bookings_before(request, now));
     const double missing = needed - tokens(now);
-    return missing <= 0 ? milliseconds(0)
-                        : to_milliseconds(missing / rate(now));
+    const double part = m_parts.sum(now);
+    if (missing <= 0 && part > 0)
+    {
+        return milliseconds(0);
+    }
+    const double soon = std::max(part, m_expected_part);
+    return soon > 0 ? std::max(milliseconds(1),
+                               to_milliseconds(std::max(0.0, missing) /
+                                               (whole_rate(now) * soon)))
+                    : time_to_get_parts;
 }
 
 milliseconds server_limit::time_to_ask(const daemon_id& sender,
@@ -161,7 +184,7 @@
     // Many hosts that ask often would cost more than the requests themselves.
     const double turns =
         std::max(1.0, share_of_turns * static_cast<double>(hosts));
-    on_withheld(sender, to_milliseconds(turns / rate(now)), now);
+    on_withheld(sender, to_milliseconds(turns / whole_rate(now)), now);
 }
 
 } // namespace cicadahub::sharing
--- a/libraries/decision/sharing/server_limit.hpp
+++ b/libraries/decision/sharing/server_limit.hpp
@@ -2,6 +2,7 @@
 
 #include "core/ids.hpp"
 #include "core/units.hpp"
+#include "decision/sharing/rate_parts.hpp"
 
 #include <optional>
 #include <vector>
@@ -10,8 +11,8 @@
 {
 
 /// What a server said of the rate that it takes from all hosts together, and
-/// this host's tokens for it. One host sends to a limited server and the others
-/// relay through it, so that its tokens are all that there are.
+/// this host's tokens for it. Each host owns an equal part of the rate and
+/// lends it to the one that sends to the server, through which it relays.
 class server_limit
 {
 public:
@@ -38,17 +39,21 @@
     /// the server never named one.
     std::optional<time_point> heard_at() const { return m_heard_at; }
 
-    /// This host is the one that sends to the server, with a part of the limit
-    /// from 0 to 1. It begins without tokens, as the one before may have used
-    /// them.
-    void on_sender(double part, time_point now);
-    /// Another host is.
-    void on_not_sender() { m_is_sender = false; }
-    /// Part of the limit that this host sends with; 0 if another host sends.
-    double part() const { return m_is_sender ? m_part : 0; }
+    /// `lender` lends its part of the limit, from 0 to 1, to this host; see
+    /// `rate_parts::set`. A host that had no part begins without tokens, as
+    /// those that had them may have used them.
+    void on_part(const daemon_id& lender, double part, time_point from,
+                 time_point until, time_point now);
+    /// This host no longer sends to the server.
+    void give_parts_back(time_point now);
+    /// Part of the limit that this host may use; 0 if another host sends.
+    double part(time_point now) const { return m_parts.sum(now); }
+    /// Part that this host will have when all have lent it theirs. Times that
+    /// are told to callers are estimated with it.
+    void expect_part(double part) { m_expected_part = part; }
 
-    /// Time until this host may send the request, if it is the one that sends;
-    /// 0 if it may now. Requests that were booked before come first.
+    /// Time until this host may send the request; 0 if it may now. Requests
+    /// that were booked before come first.
     milliseconds time_to_send(const request_id& request, time_point now) const;
     /// Keeps a token for the request from the time on that `time_to_send`
     /// tells. Without effect if it is booked.
@@ -73,7 +78,7 @@
         time_point due{};
     };
 
-    double rate(time_point now) const;
+    double whole_rate(time_point now) const;
     double tokens(time_point now) const;
     void settle(time_point now);
     std::size_t bookings_before(const request_id& request,
@@ -81,8 +86,8 @@
 
     std::optional<double> m_requests_per_second;
     std::optional<time_point> m_heard_at;
-    bool m_is_sender = false;
-    double m_part = 1;
+    rate_parts m_parts;
+    double m_expected_part = 0;
     double m_tokens = 0;
     time_point m_settled_at{};
     /// In the order in which the requests came.
--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -333,7 +333,7 @@
          {"servers_silent_ms", servers_silent_ms()},
          {"relay", m_relay},
          {"limit", m_record->limit.requests_per_second(now).value_or(0)},
-         {"limit_part", m_record->limit.part()},
+         {"limit_part", m_record->limit.part(now)},
          {"is_brittle",
           m_state.brittle_services.contains(m_record->entry.service)},
          {"reason", result.reason}});
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -42,13 +42,15 @@
     return {it.address(), it.port()};
 }
 
-/// Wall-clock time of the start, so that each start of a daemon has a higher
-/// incarnation than the last, also after a move to another host.
-std::int64_t new_incarnation()
-{
-    return std::chrono::duration_cast<milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
+/// True if the sender of the digest sends to servers with a limit, for which
+/// the other hosts lend it their parts.
+bool borrows_parts(const fleet::wire::Digest& it)
+{
+    return std::any_of(it.limited_servers.begin(), it.limited_servers.end(),
+                       [](const auto& server) {
+                           return server.__isset.requests_per_second &&
+                                  !server.__isset.lent_to;
+                       });
 }
 
 } // namespace
@@ -61,7 +63,7 @@
       m_socket(state.context, datagram_endpoint(state.settings.fleet)),
       m_timer(state.context),
       m_queue(state.settings.link_bytes_per_second * datagram_link_share),
-      m_queue_timer(state.context), m_incarnation(new_incarnation())
+      m_queue_timer(state.context)
 {
     m_socket.non_blocking(true);
     for (const http::endpoint& it : state.settings.seed_hosts)
@@ -109,13 +111,17 @@
 {
     fleet::wire::Digest it;
     it.sender = m_state.settings.name.value();
-    it.incarnation = m_incarnation;
+    it.incarnation = m_state.incarnation;
     it.number = ++m_number;
     it.data_centre = m_state.settings.data_centre.value();
     it.is_leaving = m_state.is_draining;
     it.is_cut_off = m_state.reach.is_cut_off();
     it.processor_share = m_state.settings.processor_share;
     it.is_update = is_update;
+    it.__set_sent_at_ms(
+        std::chrono::duration_cast<milliseconds>(now.time_since_epoch())
+            .count());
+    it.hosts = static_cast<std::int32_t>(m_state.fleet.part_count(now));
     const time_point since =
         is_update ? m_told_all_at : now - crash_notice_lifetime;
     for (const auto& [request, crashes] : m_state.suspects.crashed_since(since))
@@ -161,12 +167,14 @@
     }
 }
 
-void digest_exchange::add_limit(fleet::wire::Digest& to,
-                                const server_record& server, time_point now)
+void digest_exchange::add_limit(fleet::wire::Digest& to, server_record& server,
+                                time_point now) const
 {
     const auto heard_at = server.limit.heard_at();
-    if (!heard_at || *heard_at + limit_notice_lifetime < now ||
-        to.limited_servers.size() >= max_limit_notices)
+    const auto limit = server.limit.requests_per_second(now);
+    const bool is_told =
+        heard_at && (limit || now <= *heard_at + limit_notice_lifetime);
+    if (!is_told || to.limited_servers.size() >= max_limit_notices)
     {
         return;
     }
@@ -175,10 +183,37 @@
     it.incarnation = server.entry.incarnation;
     it.age_ms = static_cast<std::int32_t>(
         std::chrono::duration_cast<milliseconds>(now - *heard_at).count());
-    if (const auto limit = server.limit.requests_per_second(now))
+    if (!limit)
+    {
+        return;
+    }
+    it.__set_requests_per_second(*limit);
+    m_state.update_loan(server, now);
+    it.own_part = m_state.fleet.own_part(now);
+    it.usable_part = server.limit.part(now);
+    const auto borrower =
+        m_state.fleet.peers().find(m_state.limit_sender(server));
+    if (server.lender.is_renewed() && borrower != m_state.fleet.peers().end())
+    {
+        it.__set_lent_to(borrower->first);
+        it.lent_to_incarnation = borrower->second.digest.incarnation;
+        it.lent_from_ms = borrower->second.digest.sent_at_ms;
+    }
+}
+
+std::set<net::ip::udp::endpoint>
+digest_exchange::borrower_addresses(const fleet::wire::Digest& loans) const
+{
+    std::set<net::ip::udp::endpoint> addresses;
+    for (const fleet::wire::LimitedServer& it : loans.limited_servers)
     {
-        it.__set_requests_per_second(*limit);
+        const auto known = m_state.fleet.peers().find(it.lent_to);
+        if (it.__isset.lent_to && known != m_state.fleet.peers().end())
+        {
+            addresses.insert(datagram_endpoint(known->second.address));
+        }
     }
+    return addresses;
 }
 
 void digest_exchange::add_pending_demand(fleet::wire::Digest& to,
@@ -397,7 +432,7 @@
 {
     fleet::wire::Digest message = lists;
     message.sender = m_state.settings.name.value();
-    message.incarnation = m_incarnation;
+    message.incarnation = m_state.incarnation;
     message.is_update = true;
     send(fleet::datagram_kind::urgent, message, {datagram_endpoint(to)});
 }
@@ -418,7 +453,8 @@
     fleet::wire::Digest update = make_digest(now, true);
     const bool is_for_all = std::exchange(m_is_update_for_all, false) ||
                             m_is_holder() ||
-                            (is_beacon && update.watches_store);
+                            (is_beacon && update.watches_store) ||
+                            (is_beacon && borrows_parts(update));
     if (is_for_all)
     {
         send(fleet::datagram_kind::urgent, update, m_addresses);
@@ -426,7 +462,9 @@
     }
     else if (is_beacon)
     {
-        send(fleet::datagram_kind::urgent, update, watcher_addresses(now));
+        auto addresses = watcher_addresses(now);
+        addresses.merge(borrower_addresses(update));
+        send(fleet::datagram_kind::urgent, update, addresses);
     }
     const auto holder = holder_address();
     if (!holder.empty())
--- a/libraries/entry/digest_exchange.hpp
+++ b/libraries/entry/digest_exchange.hpp
@@ -50,8 +50,12 @@
                      const net::ip::udp::endpoint& from);
     fleet::wire::Digest make_digest(time_point now, bool is_update);
     void add_limits(fleet::wire::Digest& to, time_point now) const;
-    static void add_limit(fleet::wire::Digest& to, const server_record& server,
-                          time_point now);
+    /// Lends this host's part of the server's limit, and tells both.
+    void add_limit(fleet::wire::Digest& to, server_record& server,
+                   time_point now) const;
+    /// Hosts to which the digest lends parts of limits.
+    std::set<net::ip::udp::endpoint>
+    borrower_addresses(const fleet::wire::Digest& loans) const;
     void add_pending_demand(fleet::wire::Digest& to, time_point now) const;
     void add_usage(fleet::wire::Digest& to, time_point now);
     void add_work(fleet::wire::Digest& to, bool has_models) const;
@@ -86,7 +90,6 @@
     net::steady_timer m_queue_timer;
     bool m_is_queue_timer_set = false;
     std::set<net::ip::udp::endpoint> m_addresses;
-    std::int64_t m_incarnation;
     std::int64_t m_number = 0;
     /// Name of the last peer whose address a digest listed.
     std::string m_last_listed_peer;
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -432,6 +432,7 @@
             {
                 add_member(it);
             }
+            m_state.fleet.on_members_listed();
         }
         catch (const error& reason)
         {
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -22,6 +22,15 @@
 /// this time, unless they are too many for a digest a second.
 constexpr milliseconds first_reports_time{1'000};
 
+/// Wall-clock time of the start, so that each start of a daemon has a higher
+/// incarnation than the last, also after a move to another host.
+std::int64_t new_incarnation()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 /// All hosts order themselves in the same way, differently for each server.
 std::pair<std::size_t, std::string> rank_of(const std::string& host,
                                             const server_record& server)
@@ -38,7 +47,8 @@
       suspects(suspicion::suspicion_limits{max_crashes, suspect_retention,
                                            max_suspects}),
       pool(io, connect_timeout, idle_connections_per_server),
-      reach(io, pool, servers, random), continuity(io, servers, fleet)
+      incarnation(new_incarnation()), reach(io, pool, servers, random),
+      continuity(io, servers, fleet)
 {
 }
 
@@ -120,6 +130,33 @@
                            : std::nullopt;
     on_limit(*record, limit, from.received_at - milliseconds(it.age_ms),
              from.digest.sender);
+    on_loan(*record, it, from);
+}
+
+void entry_state::on_loan(server_record& server,
+                          const fleet::wire::LimitedServer& it,
+                          const peer& from)
+{
+    const daemon_id lender(from.digest.sender);
+    if (it.usable_part > 0)
+    {
+        server.usable_elsewhere[lender] = it.usable_part;
+    }
+    else
+    {
+        server.usable_elsewhere.erase(lender);
+    }
+    const bool is_lent_to_this_run = it.__isset.lent_to &&
+                                     it.lent_to == settings.name.value() &&
+                                     it.lent_to_incarnation == incarnation;
+    if (!is_lent_to_this_run)
+    {
+        return;
+    }
+    const time_point lent_from{milliseconds(it.lent_from_ms)};
+    server.limit.on_part(lender, it.own_part, lent_from,
+                         lent_from + sharing::part_lender::loan_time,
+                         monotonic_clock::now());
 }
 
 void entry_state::on_limit(server_record& server, std::optional<double> limit,
@@ -130,6 +167,7 @@
         return;
     }
     const bool is_own = seen_by == settings.name.value();
+    update_loan(server, monotonic_clock::now());
     log_event(severity::info, event_number::server_limited,
               {{"server", server.entry.id.value()},
                {"incarnation", server.entry.incarnation},
@@ -191,10 +229,7 @@
 bool entry_state::may_send(server_record& server, const request_id& request,
                            time_point now)
 {
-    const bool is_withheld = server.limit.is_limited(now) &&
-                             (limit_sender(server) != settings.name.value() ||
-                              limit_wait(server, request, now).count() > 0);
-    if (is_withheld)
+    if (server.limit.time_to_send(request, now).count() > 0)
     {
         return false;
     }
@@ -218,30 +253,87 @@
     }
 }
 
-std::string entry_state::limit_sender(const server_record& server) const
+std::optional<const peer*>
+entry_state::choose_limit_sender(const server_record& server,
+                                 time_point now) const
 {
-    std::pair<std::size_t, std::string> first;
-    const auto consider = [&](const std::string& name)
+    std::optional<const peer*> first;
+    // The more a host may use already, the earlier it comes.
+    std::pair<double, std::pair<std::size_t, std::string>> first_key;
+    const auto consider =
+        [&](const std::string& name, double usable, const peer* it)
     {
-        auto rank = rank_of(name, server);
-        if (first.second.empty() || rank < first)
+        std::pair key(-usable, rank_of(name, server));
+        if (!first || key < first_key)
         {
-            first = std::move(rank);
+            first = it;
+            first_key = std::move(key);
         }
     };
     if (!reach.is_cut_off() && !is_draining)
     {
-        consider(settings.name.value());
+        consider(settings.name.value(), server.limit.part(now), nullptr);
     }
     for (const auto& [name, it] : fleet.peers())
     {
-        if (it.digest.__isset.limited_servers && !it.digest.is_cut_off &&
-            !it.digest.is_leaving)
+        if (!it.digest.__isset.sent_at_ms || it.digest.is_cut_off ||
+            it.digest.is_leaving)
         {
-            consider(name);
+            continue;
         }
+        const auto known = server.usable_elsewhere.find(daemon_id(name));
+        consider(name,
+                 known == server.usable_elsewhere.end() ? 0 : known->second,
+                 &it);
     }
-    return first.second;
+    return first;
+}
+
+void entry_state::update_loan(server_record& server, time_point now)
+{
+    const daemon_id& self = settings.name;
+    const std::string former = limit_sender(server);
+    const auto borrower = fleet.peers().find(server.lender.borrower().value());
+    if (borrower != fleet.peers().end() &&
+        (borrower->second.digest.is_cut_off ||
+         borrower->second.digest.is_leaving))
+    {
+        server.lender.on_returned();
+    }
+    const auto wanted = choose_limit_sender(server, now);
+    if (wanted && *wanted == nullptr)
+    {
+        server.lender.choose(self, std::nullopt, now);
+    }
+    else if (wanted)
+    {
+        server.lender.choose(daemon_id((*wanted)->digest.sender),
+                             (*wanted)->received_at, now);
+    }
+    if (limit_sender(server) != former)
+    {
+        log_event(severity::info, event_number::limit_sender_chosen,
+                  {{"server", server.entry.id.value()},
+                   {"incarnation", server.entry.incarnation},
+                   {"sender", limit_sender(server)},
+                   {"former", former},
+                   {"usable_part", server.limit.part(now)}});
+    }
+    if (reach.is_cut_off() || is_draining)
+    {
+        server.limit.give_parts_back(now);
+        return;
+    }
+    const bool is_sender = server.lender.is_lending_to_self();
+    const double own = fleet.own_part(now);
+    server.limit.on_part(self, is_sender ? own : 0, now, time_point::max(),
+                         now);
+    // Right after the start, hosts that have not reported yet are expected to
+    // lend their parts too.
+    const bool have_reported = now >= started_at + first_reports_time;
+    const double in_contact = 1 + static_cast<double>(fleet.peers().size());
+    const double expected = have_reported ? std::min(1.0, in_contact * own) : 1;
+    server.limit.expect_part(is_sender ? expected : 0);
 }
 
 daemon_id entry_state::limit_sender_run(const server_record& server) const
@@ -258,27 +350,28 @@
 milliseconds entry_state::limit_wait(server_record& server,
                                      const request_id& request, time_point now)
 {
-    if (limit_sender(server) != settings.name.value())
+    const auto is_sender_known = [&]
+    {
+        return server.lender.is_lending_to_self() ||
+               fleet.peers().contains(limit_sender(server));
+    };
+    if (!is_sender_known())
     {
-        server.limit.on_not_sender();
-        return server.limit.time_to_ask(limit_sender_run(server), now);
+        update_loan(server, now);
     }
-    // Hosts that are not in contact may send to the server too. Right after the
-    // start, those that have not reported yet are taken for in contact: a small
-    // part would make requests wait for much longer than they have to.
-    const std::size_t hosts = fleet.host_count(now);
-    const bool have_reported = now >= started_at + first_reports_time;
-    const std::size_t in_contact =
-        have_reported ? 1 + fleet.peers().size() : hosts;
-    server.limit.on_sender(
-        static_cast<double>(in_contact) / static_cast<double>(hosts), now);
-    return server.limit.time_to_send(request, now);
+    if (server.lender.is_lending_to_self())
+    {
+        return server.limit.time_to_send(request, now);
+    }
+    return is_sender_known()
+               ? server.limit.time_to_ask(limit_sender_run(server), now)
+               : server.lender.time_to_end(now);
 }
 
 void entry_state::book_if_sender(server_record& server,
                                  const request_id& request, time_point now)
 {
-    if (limit_sender(server) == settings.name.value())
+    if (server.lender.is_lending_to_self())
     {
         server.limit.book(request, now);
     }
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -50,6 +50,8 @@
     std::map<service_id, sharing::retry_budget> retry_budgets;
     std::map<service_id, sharing::brittle_service> brittle_services;
     const time_point started_at = monotonic_clock::now();
+    /// Higher after each start of this daemon.
+    const std::int64_t incarnation;
     bool is_draining = false;
     /// While draining: requests that arrive after `accept_deadline`, and those
     /// still queued at `wait_deadline`, are refused.
@@ -91,7 +93,8 @@
     /// Takes in what an answer of a server says of how brittle it is and of the
     /// rate that it takes.
     void on_server_notice(server_record& server, const server_notice& it);
-    /// Takes in what another host heard of the rate that a server takes.
+    /// Takes in what another host heard of the rate that a server takes, and
+    /// whether it lends its part of that to this host.
     void on_limit_notice(const fleet::wire::LimitedServer& it,
                          const peer& from);
     /// Whether this host may send a server one more request now, as far as
@@ -102,9 +105,16 @@
     void on_sent(server_record& server, const request_id& request,
                  time_point now);
 
-    /// Name of the host that sends to a server with a limit, the same at all
-    /// hosts in contact; empty if there is none.
-    std::string limit_sender(const server_record& server) const;
+    /// Lends this host's part of a server's limit to the host that is to send:
+    /// the one that may use most of the limit already, so that all hosts choose
+    /// the same one after a while.
+    void update_loan(server_record& server, time_point now);
+    /// Name of the host that sends to a server with a limit, as far as this
+    /// host is concerned; empty if there is none.
+    static const std::string& limit_sender(const server_record& server)
+    {
+        return server.lender.borrower().value();
+    }
     /// The same with the incarnation of that host, which loses the places that
     /// it has booked if it starts again.
     daemon_id limit_sender_run(const server_record& server) const;
@@ -127,6 +137,12 @@
                            const server_notice& it);
     void on_limit(server_record& server, std::optional<double> limit,
                   time_point heard_at, const std::string& seen_by);
+    void on_loan(server_record& server, const fleet::wire::LimitedServer& it,
+                 const peer& from);
+    /// The host that is to send to a server with a limit; null if it is this
+    /// one, empty if no host can.
+    std::optional<const peer*> choose_limit_sender(const server_record& server,
+                                                   time_point now) const;
     sharing::host_position position_of(const daemon_id& host,
                                        const server_record& server,
                                        std::uint32_t limit,
--- a/libraries/entry/fleet_view.cpp
+++ b/libraries/entry/fleet_view.cpp
@@ -39,6 +39,7 @@
     }
     add_spent(known == m_peers.end() ? nullptr : &known->second.digest, it);
     m_silent.erase(it.sender);
+    m_long_silent.erase(it.sender);
     const milliseconds gap = known == m_peers.end()
                                  ? silence_limit
                                  : std::chrono::duration_cast<milliseconds>(
@@ -81,7 +82,7 @@
 
 bool fleet_view::is_complete(time_point now) const
 {
-    return unseen_host_count(now) == 0 &&
+    return unseen_host_count(now, partition_limit) == 0 &&
            std::all_of(m_silent.begin(), m_silent.end(),
                        [](const auto& it)
                        { return it.second.digest.is_leaving; });
@@ -98,6 +99,9 @@
     known.reaches_store = update.reaches_store;
     known.watches_store = update.watches_store;
     known.silent_hosts = update.silent_hosts;
+    known.__isset.sent_at_ms = update.__isset.sent_at_ms;
+    known.sent_at_ms = update.sent_at_ms;
+    known.hosts = update.hosts;
     known.wants = update.wants;
     if (update.__isset.work)
     {
@@ -190,14 +194,23 @@
 
 bool fleet_view::drop_silent(time_point now)
 {
-    std::erase_if(m_silent,
-                  [&](const auto& it)
-                  {
-                      const auto limit = it.second.digest.is_leaving
-                                             ? leaving_limit
-                                             : partition_limit;
-                      return it.second.received_at + limit < now;
-                  });
+    for (auto it = m_silent.begin(); it != m_silent.end();)
+    {
+        const bool is_leaving = it->second.digest.is_leaving;
+        const auto limit = is_leaving ? leaving_limit : partition_limit;
+        if (it->second.received_at + limit >= now)
+        {
+            ++it;
+            continue;
+        }
+        if (!is_leaving)
+        {
+            m_long_silent[it->first] = std::move(it->second);
+        }
+        it = m_silent.erase(it);
+    }
+    std::erase_if(m_long_silent, [now](const auto& it)
+                  { return it.second.received_at + part_retention < now; });
     bool has_dropped = false;
     const auto in_contact = watchers(now);
     for (auto it = m_peers.begin(); it != m_peers.end();)
@@ -216,7 +229,8 @@
     return has_dropped;
 }
 
-std::size_t fleet_view::unseen_host_count(time_point now) const
+std::size_t fleet_view::unseen_host_count(time_point now,
+                                          milliseconds limit) const
 {
     const auto is_known = [](const auto& peers, const http::endpoint& address)
     {
@@ -224,19 +238,46 @@
                            [&](const auto& it)
                            { return it.second.address == address; });
     };
-    return static_cast<std::size_t>(
-        std::count_if(m_known_addresses.begin(), m_known_addresses.end(),
-                      [&](const auto& it)
-                      {
-                          return it.second + partition_limit >= now &&
-                                 !is_known(m_peers, it.first) &&
-                                 !is_known(m_silent, it.first);
-                      }));
+    return static_cast<std::size_t>(std::count_if(
+        m_known_addresses.begin(), m_known_addresses.end(),
+        [&](const auto& it)
+        {
+            return it.second + limit >= now && !is_known(m_peers, it.first) &&
+                   !is_known(m_silent, it.first) &&
+                   !is_known(m_long_silent, it.first);
+        }));
 }
 
 std::size_t fleet_view::host_count(time_point now) const
 {
-    return 1 + m_peers.size() + m_silent.size() + unseen_host_count(now);
+    return 1 + m_peers.size() + m_silent.size() +
+           unseen_host_count(now, partition_limit);
+}
+
+std::size_t fleet_view::part_count(time_point now) const
+{
+    const bool is_known =
+        m_are_members_known ||
+        std::any_of(m_peers.begin(), m_peers.end(),
+                    [](const auto& it) { return it.second.digest.hosts > 0; });
+    return is_known
+               ? 1 + m_peers.size() + m_silent.size() + m_long_silent.size() +
+                     unseen_host_count(now, part_retention)
+               : 0;
+}
+
+double fleet_view::own_part(time_point now) const
+{
+    std::size_t n = part_count(now);
+    if (n == 0)
+    {
+        return 0;
+    }
+    for (const auto& [name, it] : m_peers)
+    {
+        n = std::max(n, static_cast<std::size_t>(std::max(0, it.digest.hosts)));
+    }
+    return 1 / static_cast<double>(n);
 }
 
 const peer* fleet_view::placement_holder() const
@@ -292,8 +333,9 @@
     }
     const auto known_hosts =
         static_cast<double>(1 + m_peers.size() + m_silent.size());
-    return sum + (sum + own) / known_hosts *
-                     static_cast<double>(unseen_host_count(now));
+    return sum +
+           (sum + own) / known_hosts *
+               static_cast<double>(unseen_host_count(now, partition_limit));
 }
 
 } // namespace cicadahub::entry
--- a/libraries/entry/fleet_view.hpp
+++ b/libraries/entry/fleet_view.hpp
@@ -49,6 +49,9 @@
     /// keeps its share of the rates for this long, which is more than
     /// partitions usually last. Then the other hosts get its share.
     static constexpr milliseconds partition_limit{20'000};
+    /// A silent host keeps its part of what servers take for this long, as
+    /// those that are cut off together lend their parts to each other.
+    static constexpr milliseconds part_retention{120'000};
     /// A host that announced its stop may serve for this long afterwards, the
     /// longest time that a stop takes.
     static constexpr milliseconds leaving_limit{3'000};
@@ -84,6 +87,16 @@
     /// after their address became known.
     std::size_t host_count(time_point now) const;
 
+    /// The members have been listed, so that all hosts are known.
+    void on_members_listed() { m_are_members_known = true; }
+    /// Hosts among which the limits of servers are parted: those that may be
+    /// serving, and those silent for less than `part_retention`. 0 if this host
+    /// does not know yet how many there are.
+    std::size_t part_count(time_point now) const;
+    /// Part of each limit that this host owns, from 0 to 1. Hosts that know of
+    /// more hosts than this one are believed.
+    double own_part(time_point now) const;
+
     /// Demand at all other hosts. A silent host counts with its last reported
     /// demand, a host that has not sent a digest yet with the mean of the known
     /// hosts, including this one, whose demand is `own`.
@@ -106,11 +119,14 @@
     bool is_silent(const std::string& name, const peer& it,
                    const std::vector<const peer*>& watchers,
                    time_point now) const;
-    std::size_t unseen_host_count(time_point now) const;
+    std::size_t unseen_host_count(time_point now, milliseconds limit) const;
 
     std::map<std::string, peer> m_peers;
     /// Silent peers with their last digests.
     std::map<std::string, peer> m_silent;
+    /// Hosts that were silent for longer than `partition_limit`.
+    std::map<std::string, peer> m_long_silent;
+    bool m_are_members_known = false;
     std::map<http::endpoint, time_point> m_known_addresses;
     std::map<std::string, std::int64_t> m_spent_by_others;
 };
--- a/libraries/entry/request_relay.cpp
+++ b/libraries/entry/request_relay.cpp
@@ -87,12 +87,11 @@
                               const relayed_request& it)
 {
     const time_point now = monotonic_clock::now();
-    if (!server.limit.is_limited(now) ||
-        m_state.limit_sender(server) != m_state.settings.name.value())
+    if (!server.limit.is_limited(now))
     {
         return std::nullopt;
     }
-    const milliseconds wait = m_state.limit_wait(server, request, now);
+    const milliseconds wait = server.limit.time_to_send(request, now);
     // A booking that comes too late for this request would only delay others.
     if (it.books_place && wait <= it.added.time_left)
     {
--- a/libraries/entry/server_table.hpp
+++ b/libraries/entry/server_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/replicas/types.hpp"
+#include "decision/sharing/part_lender.hpp"
 #include "decision/sharing/server_health.hpp"
 #include "decision/sharing/server_limit.hpp"
 #include "decision/sharing/server_pause.hpp"
@@ -39,6 +40,10 @@
     sharing::server_health health;
     sharing::server_pause pause;
     sharing::server_limit limit;
+    /// Of the limit.
+    sharing::part_lender lender;
+    /// Parts of the limit that other hosts may use, if they have any.
+    std::map<daemon_id, double> usable_elsewhere;
     sharing::server_room room;
     /// Last time at which the server sent this daemon anything.
     time_point last_contact{};
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -97,6 +97,16 @@
   3: optional double requests_per_second
   /// Time since the answer that said so.
   4: i32 age_ms
+  /// Host to which the sender lends its part of the rate, if it lends it to
+  /// another one and goes on doing so.
+  5: optional string lent_to
+  6: i64 lent_to_incarnation
+  /// `sent_at_ms` of the digest of that host from which the loan counts.
+  7: i64 lent_from_ms
+  /// Part of the rate that the sender owns, from 0 to 1.
+  8: double own_part
+  /// Part of the rate that the sender may use, lent by others and its own.
+  9: double usable_part
 }
 
 /// A server that said in a response that it leaves.
@@ -174,4 +184,9 @@
   28: bool watches_store
   /// Hosts that no longer report to the sender; set if `watches_store`.
   29: list<string> silent_hosts
+  /// Time of the sender's clock at which it made the digest; absent if it does
+  /// not lend and borrow the limits of servers.
+  30: optional i64 sent_at_ms
+  /// Hosts that may be serving, as the sender knows; 0 if it does not know yet.
+  31: i32 hosts
 }
