Limits: Record them for hosts that start

A host that starts again knew no limit before another host or the server told it, and sent as if there were none; with all hosts killed at once nobody was there to tell. The holder of the placement lease now writes the limits to the store when they change, at most once a second, and a host is not ready before it has read them, or has heard other hosts for a second while the store turns it away. What is recorded counts as heard 30 s ago, so that any answer and what other hosts have heard lately replace it. Without limits nothing is written; a host that starts reads one object more.

--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -57,7 +57,7 @@
 
 net::awaitable<void> active_request::serve()
 {
-    if (!m_configuration || !m_state.has_servers ||
+    if (!m_configuration || !m_state.has_servers || !m_state.are_limits_known ||
         m_arrived >= m_state.accept_deadline)
     {
         refuse(refusal_kind::not_ready, retry_after_starting);
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -127,6 +127,13 @@
           m_context, m_store, m_state.continuity,
           [this] { return m_placement.is_held(); },
           [this] { return m_state.is_draining; }),
+      m_limits(m_context, m_store, m_state,
+               {[this] { return m_placement.is_held(); },
+                [this] { return m_state.is_draining; },
+                [this]
+                {
+                    log_first_readiness();
+                }}),
       m_loop_monitor(m_state), m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
       m_started(monotonic_clock::now())
 {
@@ -165,7 +172,8 @@
 
 bool entry_daemon::is_ready() const
 {
-    return m_state.configuration && m_state.has_servers && !m_state.is_draining;
+    return m_state.configuration && m_state.has_servers &&
+           m_state.are_limits_known && !m_state.is_draining;
 }
 
 void entry_daemon::log_first_readiness()
@@ -481,6 +489,7 @@
     m_versions.start();
     m_loop_monitor.start();
     m_stream_record.start();
+    m_limits.start();
     m_state.reach.start(m_dialects.servers.make_report_request,
                         [this] { on_reach_changed(); });
     net::co_spawn(m_context, follow_members(), net::detached);
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/digest_exchange.hpp"
+#include "entry/limit_record.hpp"
 #include "entry/loop_monitor.hpp"
 #include "entry/object_relay.hpp"
 #include "entry/placement_controller.hpp"
@@ -95,6 +96,7 @@
     store_mirror m_mirror;
     version_record m_versions;
     stream_record m_stream_record;
+    limit_record m_limits;
     loop_monitor m_loop_monitor;
     net::signal_set m_signals;
     /// Name of the peer that last reported holding the placement lease; empty
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -159,6 +159,17 @@
                          monotonic_clock::now());
 }
 
+void entry_state::on_recorded_limit(const server_id& server,
+                                    std::int64_t server_incarnation,
+                                    double requests_per_second,
+                                    time_point heard_at)
+{
+    if (const auto known = servers.find_incarnation(server, server_incarnation))
+    {
+        on_limit(*known, requests_per_second, heard_at, "record");
+    }
+}
+
 void entry_state::on_limit(server_record& server, std::optional<double> limit,
                            time_point heard_at, const std::string& seen_by)
 {
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -58,6 +58,9 @@
     time_point accept_deadline = time_point::max();
     time_point wait_deadline = time_point::max();
     bool has_servers = false;
+    /// What is recorded of the servers' limits has been read, or learnt from
+    /// other hosts.
+    bool are_limits_known = false;
     /// Last time at which a response, or a part of one, arrived from any
     /// server.
     time_point last_server_contact = monotonic_clock::now();
@@ -97,6 +100,11 @@
     /// whether it lends its part of that to this host.
     void on_limit_notice(const fleet::wire::LimitedServer& it,
                          const peer& from);
+    /// Takes in a limit that is recorded in the platform's store, as if it had
+    /// been heard at `heard_at`.
+    void on_recorded_limit(const server_id& server,
+                           std::int64_t server_incarnation,
+                           double requests_per_second, time_point heard_at);
     /// Whether this host may send a server one more request now, as far as
     /// brittle servers and limits are concerned.
     bool may_send(server_record& server, const request_id& request,
--- a/libraries/platform/stored_object.hpp
+++ b/libraries/platform/stored_object.hpp
@@ -27,6 +27,8 @@
     versions,
     /// What began the streams that callers may take up.
     streams,
+    /// Limits that servers name.
+    limits,
 };
 
 std::string_view name_of(collection it);
--- a/tests/system/limited_server_test.cpp
+++ b/tests/system/limited_server_test.cpp
@@ -15,7 +15,6 @@
 
 constexpr std::size_t daemon_count = 9;
 constexpr std::size_t many_daemons = 36;
-constexpr std::size_t callers_per_daemon = 2;
 constexpr milliseconds request_gap{100};
 constexpr milliseconds warm_up{500};
 constexpr milliseconds measured_time{7'000};
@@ -64,6 +63,7 @@
     double served_share;
     trouble beside = trouble::none;
     std::size_t hosts = daemon_count;
+    std::size_t callers_per_daemon = 2;
 };
 
 void PrintTo(const limit_case& it, std::ostream* out)
@@ -96,10 +96,10 @@
 public:
     /// Streams of a model if it is named, else requests to the plain service.
     load(const platform_fleet& fleet, load_result& result,
-         std::string model = {})
-        : m_model(std::move(model))
+         std::string model = {}, std::size_t callers_per_daemon = 2)
+        : m_model(std::move(model)), m_callers_per_daemon(callers_per_daemon)
     {
-        const std::size_t callers = fleet.daemons.size() * callers_per_daemon;
+        const std::size_t callers = fleet.daemons.size() * m_callers_per_daemon;
         for (std::size_t n = 0; n < callers; ++n)
         {
             m_callers.emplace_back([this, &fleet, &result, n]
@@ -124,7 +124,7 @@
     {
         // Not all at the same moment.
         std::this_thread::sleep_for(
-            request_gap * n / (fleet.daemons.size() * callers_per_daemon));
+            request_gap * n / (fleet.daemons.size() * m_callers_per_daemon));
         for (std::size_t k = 0; !m_is_over; ++k)
         {
             const std::string id =
@@ -154,6 +154,7 @@
     }
 
     std::string m_model;
+    std::size_t m_callers_per_daemon;
     std::atomic<bool> m_is_over = false;
     std::vector<std::thread> m_callers;
 };
@@ -279,7 +280,7 @@
     std::size_t sent_before = 0;
     std::size_t served_before = 0;
     {
-        const load running(fleet, all);
+        const load running(fleet, all, {}, it.callers_per_daemon);
         std::this_thread::sleep_for(warm_up);
         for (std::size_t n = 0; n < it.servers; ++n)
         {
@@ -326,12 +327,52 @@
         limit_case{"entries_lapse", "2", 1, 0.5, trouble::entries_lapse},
         limit_case{"many_hosts_entries_lapse", "2", 1, 0.3,
                    trouble::entries_lapse, many_daemons},
-        limit_case{"all_hosts_restart", "2", 1, 0, trouble::all_hosts_restart},
-        limit_case{"all_hosts_killed", "2", 1, 0, trouble::all_hosts_killed},
-        limit_case{"many_hosts_all_killed", "2", 1, 0,
-                   trouble::all_hosts_killed, many_daemons}),
+        limit_case{"all_hosts_restart", "0.4", 1, 0, trouble::all_hosts_restart,
+                   daemon_count, 8},
+        limit_case{"all_hosts_killed", "0.4", 1, 0, trouble::all_hosts_killed,
+                   daemon_count, 8},
+        limit_case{"many_hosts_all_killed", "0.4", 1, 0,
+                   trouble::all_hosts_killed, many_daemons, 4}),
     [](const auto& it) { return std::string(it.param.name); });
 
+// Guards against a host that forgets the limits when it starts again: nobody is
+// there to tell it, and many requests are sent before the first answer.
+TEST(platform_path, a_host_that_starts_alone_knows_the_limits)
+{
+    constexpr std::size_t burst = 40;
+    platform_fleet fleet(1);
+    for (const auto& it : fleet.services)
+    {
+        fleet.set_fault(it.address, R"({"limit":"0.4","plain_ms":300})");
+    }
+    EXPECT_EQ(fleet.plain(0, "first", http::verb::post, "/post/1").status,
+              200U);
+    EXPECT_EQ(fleet.plain(0, "next", http::verb::post, "/post/1").status, 200U);
+    // The limits are recorded, and the servers no longer count from before.
+    std::this_thread::sleep_for(seconds(4));
+    fleet.daemons[0].program->kill();
+    fleet.start_daemon(0);
+    ASSERT_TRUE(eventually([&] { return fleet.is_ready(0); }));
+    std::vector<std::thread> callers;
+    for (std::size_t n = 0; n < burst; ++n)
+    {
+        callers.emplace_back(
+            [&fleet, n] {
+                fleet.plain(0, "burst-" + std::to_string(n), http::verb::post,
+                            "/post/1");
+            });
+    }
+    for (std::thread& it : callers)
+    {
+        it.join();
+    }
+    for (const auto& it : fleet.services)
+    {
+        EXPECT_LE(read_stat(it.address, "most_limited_arrivals"),
+                  allowed_requests("0.4"));
+    }
+}
+
 // Guards against servers that are used too little after their limit ended.
 TEST(platform_path, a_limit_ends_with_the_next_answer)
 {
