Streams: Ask whether a version was missed before a stream is taken up

Report of similar systems, and it happened here: a host that stood still while servers of a new software version joined took up streams which these had begun, and went on at servers of the version that it knew. A host that knew of one version only took it for the origin of every stream and asked nobody.

A host that takes up a stream now looks at what it knows of that stream, then asks the hosts that keep its origin. Their answers bear the version of their list of servers. Only if they show that its own list is not older, or if the store was read and has no record of the stream, does the host believe that there is one version. A host that can ask nobody refuses the stream as not run.

--- a/libraries/entry/stream_continuity.cpp
+++ b/libraries/entry/stream_continuity.cpp
@@ -246,36 +246,35 @@
                                const organisation_id& organisation,
                                const serving::route& route)
 {
-    if (auto sole = sole_origin(route, monotonic_clock::now()))
-    {
-        co_return sole;
-    }
-    if (!request.resumes)
-    {
-        co_return std::nullopt;
-    }
     const stream_key key =
-        continuity::key_of(*request.resumes, organisation, route.name);
+        continuity::key_of(request.resumes ? *request.resumes : request.id,
+                           organisation, route.name);
     auto known = m_origins.find(key, monotonic_clock::now());
-    if (!known)
+    if (known)
     {
-        co_await ask(key);
-        known = m_origins.find(key, monotonic_clock::now());
+        co_return known->origin;
     }
-    if (!known)
+    // A host that was cut off or stood still may have missed a version that has
+    // begun streams meanwhile, so that its own list alone proves nothing.
+    bool is_list_current = co_await ask(key);
+    known = m_origins.find(key, monotonic_clock::now());
+    if (!known &&
+        !(is_list_current && sole_origin(route, monotonic_clock::now())))
     {
-        // The hosts that knew it may all have started again.
-        co_await m_handlers.read_recorded();
+        // The hosts that knew it may all have started again, or be lost.
+        const bool is_read = co_await m_handlers.read_recorded();
+        is_list_current = is_list_current || is_read;
         known = m_origins.find(key, monotonic_clock::now());
     }
-    if (!known)
+    if (known)
     {
-        co_return std::nullopt;
+        co_return known->origin;
     }
-    co_return known->origin;
+    co_return is_list_current ? sole_origin(route, monotonic_clock::now())
+                              : std::nullopt;
 }
 
-net::awaitable<void> stream_continuity::ask(const stream_key& stream)
+net::awaitable<bool> stream_continuity::ask(const stream_key& stream)
 {
     question_pointer it;
     const auto known = m_questions.find(stream);
@@ -305,6 +304,26 @@
     {
         m_questions.erase(mine);
     }
+    co_return it->is_list_confirmed && !it->is_list_outdated;
+}
+
+void stream_continuity::on_answer(const stream_key& stream, bool is_known,
+                                  object_version servers_changed)
+{
+    const auto asked = m_questions.find(stream);
+    if (asked == m_questions.end())
+    {
+        return;
+    }
+    question& waiting = *asked->second;
+    const bool is_newer = servers_changed > m_servers.changed_version();
+    waiting.is_list_outdated = waiting.is_list_outdated || is_newer;
+    waiting.is_list_confirmed = true;
+    waiting.pending -= waiting.pending > 0 ? 1 : 0;
+    if (is_known || waiting.pending == 0)
+    {
+        waiting.answered.cancel();
+    }
 }
 
 void stream_continuity::on_message(const fleet::wire::Digest& it,
@@ -323,17 +342,9 @@
                       now + milliseconds(std::max(0, told.left_ms))},
                      now);
         }
-        const auto asked = m_questions.find(key);
-        if (asked == m_questions.end())
-        {
-            continue;
-        }
-        question& waiting = *asked->second;
-        waiting.pending -= waiting.pending > 0 ? 1 : 0;
-        if (is_known || waiting.pending == 0)
-        {
-            waiting.answered.cancel();
-        }
+        on_answer(key, is_known,
+                  object_version(
+                      static_cast<std::uint64_t>(it.servers_changed_version)));
     }
     fleet::wire::Digest answer;
     for (const std::string& asked : it.asked_streams)
@@ -352,6 +363,8 @@
     }
     if (!answer.begun_streams.empty())
     {
+        answer.servers_changed_version =
+            static_cast<std::int64_t>(m_servers.changed_version().value());
         m_handlers.send(answer, from);
     }
 }
--- a/libraries/entry/stream_continuity.hpp
+++ b/libraries/entry/stream_continuity.hpp
@@ -21,8 +21,9 @@
 namespace net = boost::asio;
 
 /// Knows what began the streams that callers may take up. While every stream of
-/// a service can only have been begun by one software version, nothing is told
-/// or asked. Otherwise the host that serves a stream tells its origin to a few
+/// a service can only have been begun by one software version, nothing is told,
+/// and others are only asked whether this host has missed another version.
+/// Otherwise the host that serves a stream tells its origin to a few
 /// others, which any host that does not know it asks, and the holder of the
 /// placement lease records it in the platform's store.
 class stream_continuity
@@ -36,8 +37,9 @@
         std::function<void(const fleet::wire::Digest& message,
                            const http::endpoint& to)>
             send;
-        /// Reads the streams that are recorded in the store.
-        std::function<net::awaitable<void>()> read_recorded;
+        /// Reads the streams that are recorded in the store; false if that
+        /// failed.
+        std::function<net::awaitable<bool>()> read_recorded;
         /// True if this host records streams.
         std::function<bool()> is_recorder;
     };
@@ -70,8 +72,7 @@
                   const serving::route& route);
 
     /// What began the stream that a request takes up; empty if nobody in
-    /// contact knows. Asks other hosts and the store only if it may be one of
-    /// several.
+    /// contact knows. Asks other hosts and the store unless this host knows.
     net::awaitable<std::optional<continuity::stream_origin>>
     find_origin(const serving::request& request,
                 const organisation_id& organisation,
@@ -87,6 +88,9 @@
 
         net::steady_timer answered;
         std::size_t pending = 0;
+        /// Some host answered, and none knows a newer list of servers.
+        bool is_list_confirmed = false;
+        bool is_list_outdated = false;
     };
     using question_pointer = std::shared_ptr<question>;
 
@@ -104,7 +108,11 @@
     void send(const std::string& to,
               const std::vector<continuity::begun_stream>& streams,
               time_point now);
-    net::awaitable<void> ask(const continuity::stream_key& stream);
+    /// Asks other hosts. Returns false unless they show that this host's list
+    /// of servers is not older than theirs.
+    net::awaitable<bool> ask(const continuity::stream_key& stream);
+    void on_answer(const continuity::stream_key& stream, bool is_known,
+                   object_version servers_changed);
 
     net::io_context& m_context;
     const server_table& m_servers;
--- a/libraries/entry/stream_record.cpp
+++ b/libraries/entry/stream_record.cpp
@@ -120,16 +120,20 @@
     }
 }
 
-net::awaitable<void> stream_record::read()
+net::awaitable<bool> stream_record::read()
 {
+    const auto is_read = [this]
+    {
+        return monotonic_clock::now() < m_read_at + read_period;
+    };
     if (m_is_reading)
     {
         co_await m_read_ended.async_wait(net::as_tuple(net::use_awaitable));
-        co_return;
+        co_return is_read();
     }
-    if (monotonic_clock::now() < m_read_at + read_period)
+    if (is_read())
     {
-        co_return;
+        co_return true;
     }
     m_is_reading = true;
     m_read_ended.expires_at(std::chrono::steady_clock::time_point::max());
@@ -144,6 +148,7 @@
     }
     m_is_reading = false;
     m_read_ended.cancel();
+    co_return is_read();
 }
 
 net::awaitable<void> stream_record::run()
--- a/libraries/entry/stream_record.hpp
+++ b/libraries/entry/stream_record.hpp
@@ -21,8 +21,9 @@
 
     void start();
 
-    /// Reads all that is recorded, unless that was done a moment ago.
-    net::awaitable<void> read();
+    /// Reads all that is recorded, unless that was done a moment ago. Returns
+    /// false if the store can't be read.
+    net::awaitable<bool> read();
 
 private:
     net::awaitable<void> run();
--- a/tests/system/stream_version_test.cpp
+++ b/tests/system/stream_version_test.cpp
@@ -366,6 +366,75 @@
                   loss_case::loss::all_restarted, "v1", false, 0.9}),
     [](const auto& it) { return std::string(it.param.name); });
 
+// Guards against a stream that goes on at another version, taken up at a host
+// that stood still while the servers which began it joined.
+TEST(stream_versions, are_not_joined_by_a_host_that_missed_a_version)
+{
+    constexpr std::size_t frozen_from = 3;
+    constexpr std::size_t streams = 36;
+    platform_fleet fleet(6);
+    fleet.add_worker("engines", "e3", upgraded_fleet::preloaded("v1"));
+    // All hosts have read that there is one version only.
+    std::this_thread::sleep_for(seconds(5));
+    for (std::size_t n = frozen_from; n < fleet.daemons.size(); ++n)
+    {
+        fleet.daemons[n].program->pause();
+    }
+    for (const char* id : {"n1", "n2", "n3", "n4"})
+    {
+        fleet.add_worker("engines", id, upgraded_fleet::preloaded("v2"));
+    }
+    upgraded_fleet::wait_until_listed();
+    for (const auto& it : fleet.engines)
+    {
+        fleet.set_fault(it.address, R"({"event_gap_ms":300})");
+    }
+    std::vector<std::future<raw_answer>> begun;
+    for (std::size_t n = 0; n < streams; ++n)
+    {
+        begun.push_back(std::async(
+            std::launch::async,
+            [&fleet, n] {
+                return ask_stream(fleet, 0, {"s" + std::to_string(n), {}, {}});
+            }));
+    }
+    std::this_thread::sleep_for(few_events);
+    fleet.daemons[0].program->kill();
+    std::vector<raw_answer> first;
+    std::vector<std::future<raw_answer>> rest;
+    for (std::size_t n = 0; n < streams; ++n)
+    {
+        first.push_back(begun[n].get());
+        const std::size_t host =
+            frozen_from + n % (fleet.daemons.size() - frozen_from);
+        const stream_call again{
+            "t" + std::to_string(n), "s" + std::to_string(n),
+            std::to_string(count_occurrences(first[n].bytes, "data: piece"))};
+        rest.push_back(std::async(std::launch::async, [&fleet, host, again]
+                                  { return ask_stream(fleet, host, again); }));
+    }
+    // The requests have arrived before the hosts go on.
+    std::this_thread::sleep_for(milliseconds(200));
+    for (std::size_t n = frozen_from; n < fleet.daemons.size(); ++n)
+    {
+        fleet.daemons[n].program->resume();
+    }
+    std::size_t of_missed_version = 0;
+    std::size_t gone_on = 0;
+    for (std::size_t n = 0; n < streams; ++n)
+    {
+        const raw_answer got = rest[n].get();
+        of_missed_version += has_new(first[n]) ? 1 : 0;
+        gone_on += got.status() == 200 ? 1 : 0;
+        EXPECT_FALSE(has_new(first[n]) && has_old(got)) << got.bytes;
+        EXPECT_FALSE(has_old(first[n]) && has_new(got)) << got.bytes;
+        EXPECT_TRUE(got.status() == 200 || got.status() == 503) << got.bytes;
+    }
+    EXPECT_GT(of_missed_version, 0U);
+    std::cout << of_missed_version << " of a version that they missed, "
+              << gone_on << " of " << streams << " went on\n";
+}
+
 struct stream_result
 {
     bool has_begun = false;
