Tests: Break off heads of answers at each byte

Report of similar systems: a server stops within the head of its answer, and its caller gets a 200 with an empty or short body. It does not happen here: broken_heads cuts three heads at each byte, by close and by reset, and none is an answer, nor begins one.

--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -144,6 +144,58 @@
                          [](const auto& it)
                          { return std::string(it.param.name); });
 
+struct head_case
+{
+    const char* name;
+    std::string head;
+    connection_end end;
+};
+
+void PrintTo(const head_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class broken_heads : public testing::TestWithParam<head_case>
+{
+};
+
+// Guards against a 200 with an empty or short body, framed as whole, when a
+// server stops within the head of its answer.
+TEST_P(broken_heads, are_no_answer)
+{
+    const std::string& head = GetParam().head;
+    for (std::size_t n = 0; n < head.size(); ++n)
+    {
+        fakes::relay_run run(head.substr(0, n), GetParam().end);
+        const outcome seen = run_exchange(run, true, seconds(5));
+        EXPECT_EQ(seen.result.end, exchange_end::failed) << n;
+        EXPECT_TRUE(seen.result.is_connection_lost) << n;
+        EXPECT_FALSE(seen.result.answer) << n;
+        EXPECT_FALSE(seen.progress.has_head) << n;
+        EXPECT_FALSE(seen.received.is_complete) << n;
+    }
+}
+
+const std::string json_head = "HTTP/1.1 200 OK\r\nContent-Type: "
+                              "application/json\r\nContent-Length: 2\r\n\r\n";
+const std::string unframed_head =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+const std::string stream_head = "HTTP/1.1 200 OK\r\nContent-Type: "
+                                "text/event-stream\r\nTransfer-Encoding: "
+                                "chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    exchange, broken_heads,
+    testing::Values(
+        head_case{"json_closed", json_head, connection_end::closed},
+        head_case{"json_reset", json_head, connection_end::reset},
+        head_case{"unframed_closed", unframed_head, connection_end::closed},
+        head_case{"unframed_reset", unframed_head, connection_end::reset},
+        head_case{"stream_closed", stream_head, connection_end::closed},
+        head_case{"stream_reset", stream_head, connection_end::reset}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 class endless_exchanges : public testing::TestWithParam<fakes::endless_response>
 {
 };
