Entry: Answer what a stopping host can't finish

Report of similar systems: requests that came late in a planned stop were taken, passed on and cut with no answer when the grace ended. A host takes requests for 2.6 s after it was told to stop and ends 7.3 s after; what it had then not finished ended with its connection. Requests that arrive while the host stops now have until the moment at which queued ones are refused: they are answered, with an unknown outcome if a server works on them, before the host ends.

--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -74,7 +74,10 @@
     choose_service();
     const auto caller_timeout =
         m_request.caller_timeout.value_or(m_route->timeout);
-    m_deadline = m_arrived + std::min(caller_timeout, m_route->timeout);
+    // While this host stops, its callers get an answer before it ends.
+    m_deadline =
+        std::min(m_arrived + std::min(caller_timeout, m_route->timeout),
+                 m_state.wait_deadline);
     m_first_byte_deadline =
         std::min(m_deadline, m_arrived + m_route->first_byte_timeout);
     // A caller's connection that accepts no more bytes must not keep the
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -54,7 +54,8 @@
     const std::int64_t incarnation;
     bool is_draining = false;
     /// While draining: requests that arrive after `accept_deadline`, and those
-    /// still queued at `wait_deadline`, are refused.
+    /// still queued at `wait_deadline`, are refused. Those that arrive before
+    /// and run longer are answered then.
     time_point accept_deadline = time_point::max();
     time_point wait_deadline = time_point::max();
     bool has_servers = false;
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -17,7 +17,6 @@
 
 constexpr milliseconds heartbeat{400};
 constexpr milliseconds store_timeout{500};
-constexpr milliseconds plain_call_time{10};
 /// A request that was on its way when the pause was asked for may come so late.
 constexpr milliseconds pause_grace{500};
 constexpr milliseconds fall_time{1'000};
@@ -161,6 +160,8 @@
         m_settings.event_gap = milliseconds(
             reader.integer_or("event_gap_ms", m_settings.event_gap.count()));
         m_silent_orders = reader.integer_or("silent_orders", m_silent_orders);
+        m_plain_call_time = milliseconds(
+            reader.integer_or("plain_ms", m_plain_call_time.count()));
         m_is_draining = reader.boolean_or("draining", m_is_draining);
         m_is_unframed = reader.boolean_or("unframed", m_is_unframed);
         m_is_leaving = reader.boolean_or("leaving", m_is_leaving);
@@ -495,7 +496,7 @@
 {
     while (!is_load && m_running > 0)
     {
-        co_await pause(plain_call_time);
+        co_await pause(m_plain_call_time);
     }
     co_await pause(time);
     if (is_load)
@@ -571,7 +572,7 @@
         if (m_unproven_promises > 0)
         {
             --m_unproven_promises;
-            co_await pause(plain_call_time);
+            co_await pause(m_plain_call_time);
             http::response answer =
                 json_answer(static_cast<http::status>(m_promised_status), {});
             answer.set("Request-Id", message["Request-Id"]);
@@ -651,7 +652,7 @@
 net::awaitable<void> worker_standin::answer_plain(const http::request& message,
                                                   http::reply_writer& reply)
 {
-    co_await pause(plain_call_time);
+    co_await pause(m_plain_call_time);
     if (m_lost_answers > 0)
     {
         --m_lost_answers;
