Fleet view: Count the parts of limits four times a second at most

Each digest and update counted all hosts for the part that this host owns, which takes the square of their number, and did so again for each limited server. The part is now kept for 250 ms, and the number of hosts is told in full digests only. By reading; the price at 195 hosts was not measured.

own_parts: a host that knows of nobody owns nothing, and silent hosts keep their parts for two minutes.

--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -121,7 +121,10 @@
     it.__set_sent_at_ms(
         std::chrono::duration_cast<milliseconds>(now.time_since_epoch())
             .count());
-    it.hosts = static_cast<std::int32_t>(m_state.fleet.part_count(now));
+    if (!is_update)
+    {
+        it.hosts = static_cast<std::int32_t>(m_state.fleet.part_count(now));
+    }
     const time_point since =
         is_update ? m_told_all_at : now - crash_notice_lifetime;
     for (const auto& [request, crashes] : m_state.suspects.crashed_since(since))
--- a/libraries/entry/fleet_view.cpp
+++ b/libraries/entry/fleet_view.cpp
@@ -101,7 +101,6 @@
     known.silent_hosts = update.silent_hosts;
     known.__isset.sent_at_ms = update.__isset.sent_at_ms;
     known.sent_at_ms = update.sent_at_ms;
-    known.hosts = update.hosts;
     known.wants = update.wants;
     if (update.__isset.work)
     {
@@ -266,8 +265,12 @@
                : 0;
 }
 
-double fleet_view::own_part(time_point now) const
+double fleet_view::own_part(time_point now)
 {
+    if (now < m_own_part_until)
+    {
+        return m_own_part;
+    }
     std::size_t n = part_count(now);
     if (n == 0)
     {
@@ -277,7 +280,9 @@
     {
         n = std::max(n, static_cast<std::size_t>(std::max(0, it.digest.hosts)));
     }
-    return 1 / static_cast<double>(n);
+    m_own_part = 1 / static_cast<double>(n);
+    m_own_part_until = now + own_part_lifetime;
+    return m_own_part;
 }
 
 const peer* fleet_view::placement_holder() const
--- a/libraries/entry/fleet_view.hpp
+++ b/libraries/entry/fleet_view.hpp
@@ -52,6 +52,9 @@
     /// A silent host keeps its part of what servers take for this long, as
     /// those that are cut off together lend their parts to each other.
     static constexpr milliseconds part_retention{120'000};
+    /// Counting all hosts takes the square of their number, and is needed for
+    /// each limited server in each digest.
+    static constexpr milliseconds own_part_lifetime{250};
     /// A host that announced its stop may serve for this long afterwards, the
     /// longest time that a stop takes.
     static constexpr milliseconds leaving_limit{3'000};
@@ -88,14 +91,19 @@
     std::size_t host_count(time_point now) const;
 
     /// The members have been listed, so that all hosts are known.
-    void on_members_listed() { m_are_members_known = true; }
+    void on_members_listed()
+    {
+        m_are_members_known = true;
+        m_own_part_until = {};
+    }
     /// Hosts among which the limits of servers are parted: those that may be
     /// serving, and those silent for less than `part_retention`. 0 if this host
     /// does not know yet how many there are.
     std::size_t part_count(time_point now) const;
     /// Part of each limit that this host owns, from 0 to 1. Hosts that know of
-    /// more hosts than this one are believed.
-    double own_part(time_point now) const;
+    /// more hosts than this one are believed. A change counts within
+    /// `own_part_lifetime`.
+    double own_part(time_point now);
 
     /// Demand at all other hosts. A silent host counts with its last reported
     /// demand, a host that has not sent a digest yet with the mean of the known
@@ -127,6 +135,8 @@
     /// Hosts that were silent for longer than `partition_limit`.
     std::map<std::string, peer> m_long_silent;
     bool m_are_members_known = false;
+    double m_own_part = 0;
+    time_point m_own_part_until{};
     std::map<http::endpoint, time_point> m_known_addresses;
     std::map<std::string, std::int64_t> m_spent_by_others;
 };
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -187,6 +187,7 @@
   /// Time of the sender's clock at which it made the digest; absent if it does
   /// not lend and borrow the limits of servers.
   30: optional i64 sent_at_ms
-  /// Hosts that may be serving, as the sender knows; 0 if it does not know yet.
+  /// Hosts among which limits are parted, as the sender knows; 0 if it does not
+  /// know yet. Omitted in updates.
   31: i32 hosts
 }
--- a/tests/entry/fleet_view_test.cpp
+++ b/tests/entry/fleet_view_test.cpp
@@ -67,6 +67,61 @@
     EXPECT_EQ(view.host_count(end), 1U);
 }
 
+struct part_case
+{
+    const char* name;
+    bool are_members_listed;
+    /// Hosts that the other one knows of; empty if it has not reported.
+    std::optional<std::int32_t> known_elsewhere;
+    milliseconds silence;
+    double part;
+};
+
+void PrintTo(const part_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class own_parts : public testing::TestWithParam<part_case>
+{
+};
+
+// Guards against hosts that use more of a limit than their parts, since they do
+// not hear the others or have just started.
+TEST_P(own_parts, add_up_to_the_whole)
+{
+    const part_case& it = GetParam();
+    fleet_view view;
+    view.add_address(address(2), start);
+    if (it.are_members_listed)
+    {
+        view.on_members_listed();
+    }
+    if (it.known_elsewhere)
+    {
+        fleet::wire::Digest told = digest("a", 1, 0);
+        told.hosts = *it.known_elsewhere;
+        view.on_digest(told, address(2), start);
+    }
+    view.drop_silent(start + it.silence);
+    view.drop_silent(start + it.silence);
+    EXPECT_DOUBLE_EQ(view.own_part(start + it.silence), it.part);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    fleet_view, own_parts,
+    testing::Values(
+        part_case{"nobody_known", false, std::nullopt, seconds(0), 0},
+        part_case{"members_listed", true, std::nullopt, seconds(0), 0.5},
+        part_case{"other_does_not_know", false, 0, seconds(0), 0},
+        part_case{"other_knows_as_many", false, 2, seconds(0), 0.5},
+        part_case{"other_knows_more", true, 8, seconds(0), 0.125},
+        part_case{"silent", true, 2, seconds(5), 0.5},
+        part_case{"long_silent", true, 2, seconds(100), 0.5},
+        part_case{"never_reported", true, std::nullopt, seconds(100), 0.5},
+        part_case{"gone", true, 2, seconds(121), 1}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 TEST(fleet_view, counts_what_others_spend_while_in_contact)
 {
     fleet_view view;
