Digests: Send beacons to all only from hosts that borrow parts

While all hosts wait for the end of their loans to a host that is lost, none of them borrows, but each took itself for the one that sends and told all others. By reading: 195 hosts would send some 38,000 datagrams at once.

--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -48,8 +48,8 @@
 {
     return std::any_of(it.limited_servers.begin(), it.limited_servers.end(),
                        [](const auto& server) {
-                           return server.__isset.requests_per_second &&
-                                  !server.__isset.lent_to;
+                           return !server.__isset.lent_to &&
+                                  server.usable_part > 0;
                        });
 }
 
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -132,8 +132,7 @@
     void book_if_sender(server_record& server, const request_id& request,
                         time_point now);
     /// Time until this host may send a request to a server with a limit, or
-    /// ask the host that sends; 0 if it may now. Tells the limit whether this
-    /// host sends.
+    /// ask the host that sends; 0 if it may now.
     milliseconds limit_wait(server_record& server, const request_id& request,
                             time_point now);
     /// Whether a host, this one or a peer, is among those that may send to the
--- a/tests/decision/server_limit_test.cpp
+++ b/tests/decision/server_limit_test.cpp
@@ -217,6 +217,18 @@
     EXPECT_EQ(subject.part(start + milliseconds(1'200)), 1);
 }
 
+TEST(rate_parts, count_a_loan_until_its_end)
+{
+    rate_parts subject;
+    subject.set(lending_host, 0.5, start, time_point::max());
+    subject.set(sending_host, 0.25, start, start + seconds(1));
+    EXPECT_DOUBLE_EQ(subject.sum(start), 0.75);
+    EXPECT_DOUBLE_EQ(subject.sum(start + seconds(1)), 0.5);
+    EXPECT_DOUBLE_EQ(subject.seconds_of_rate(start, start + seconds(3)), 1.75);
+    subject.set(lending_host, 0, start, start);
+    EXPECT_DOUBLE_EQ(subject.sum(start), 0.25);
+}
+
 TEST(part_lender, lends_to_another_host_when_the_former_loan_has_ended)
 {
     const time_point heard = start + milliseconds(300);
