--- a/tests/decision/server_limit_test.cpp
+++ b/tests/decision/server_limit_test.cpp
@@ -362,8 +362,6 @@
         return daemon_id("host-" + std::to_string(host));
     }
 
-    std::size_t pick() { return m_simulation.pick(0, m_hosts.size() - 1); }
-
     void change_contact(time_point now)
     {
         if ((now - start) % seconds(5) != seconds(0))
