--- /dev/null
+++ b/review/common/json.cc
@@ -0,0 +1,1 @@
+#include <boost/json/src.hpp>
