Review: Show take-ups that are refused after a crash of servers

Servers crash, and the requesters of their streams take these up at once: each take-up of a model that only a crashed server held is refused, since that server still counts as the one that could be tried. Without the crashes no rule breaks.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 folder=$(mktemp -d) || exit 2
-build/review/memory_burst review/3 "$folder"
+build/review/split_takeup review/3 "$folder"
 status=$?
 rm -rf "$folder"
 exit "$status"
--- a/review/common/memory_burst.cc
+++ b/review/common/memory_burst.cc
@@ -10,16 +10,16 @@
 constexpr int hosts_count = 2;
 constexpr int workers_count = 4;
 constexpr int slots = 128;
-constexpr int events = 35;
+constexpr int events = 48;
 constexpr int first_event_ms = 1'500;
 constexpr int gap_ms = 300;
 constexpr int time_limit_ms = 17'000;
 constexpr std::size_t body_bytes = 4'194'304;
 constexpr std::int64_t memory_limit_kb = 260 * 1024;
-constexpr double base_per_s = 3.0;
+constexpr double base_per_s = 2.0;
 constexpr double burst_x = 2.0;
-constexpr double calm_s = 14;
-constexpr double burst_s = 28;
+constexpr double calm_s = 18;
+constexpr double burst_s = 36;
 constexpr int allowed_lost = 3;
 
 std::mutex runs_lock;
