Streams: Log why nobody knows what began a stream

A take-up that is refused since its version is not known said nothing of what had been asked, so that a lost message, an old list and an origin that was told to nobody looked alike.

--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -69,6 +69,7 @@
     CICADAHUB_ROW(request_not_read),
     CICADAHUB_ROW(stream_not_resumed),
     CICADAHUB_ROW(stream_resumed),
+    CICADAHUB_ROW(stream_origin_unknown),
     CICADAHUB_ROW(audit_segment_failed),
     CICADAHUB_ROW(malformed_object),
 };
--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -66,6 +66,7 @@
     request_not_read = 715,
     stream_not_resumed = 716,
     stream_resumed = 717,
+    stream_origin_unknown = 718,
     audit_segment_failed = 800,
     malformed_object = 801,
 };
--- a/libraries/entry/stream_continuity.cpp
+++ b/libraries/entry/stream_continuity.cpp
@@ -256,25 +256,61 @@
     }
     // A host that was cut off or stood still may have missed a version that has
     // begun streams meanwhile, so that its own list alone proves nothing.
-    bool is_list_current = co_await ask(key);
+    const question_pointer answers = co_await ask(key);
+    bool is_list_current = answers->is_list_current();
+    bool is_record_read = false;
     known = m_origins.find(key, monotonic_clock::now());
     if (!known &&
         !(is_list_current && sole_origin(route, monotonic_clock::now())))
     {
         // The hosts that knew it may all have started again, or be lost.
-        const bool is_read = co_await m_handlers.read_recorded();
-        is_list_current = is_list_current || is_read;
+        is_record_read = co_await m_handlers.read_recorded();
+        is_list_current = is_list_current || is_record_read;
         known = m_origins.find(key, monotonic_clock::now());
     }
     if (known)
     {
         co_return known->origin;
     }
-    co_return is_list_current ? sole_origin(route, monotonic_clock::now())
-                              : std::nullopt;
+    const auto sole = sole_origin(route, monotonic_clock::now());
+    if (sole && is_list_current)
+    {
+        co_return sole;
+    }
+    log_event(severity::warning, event_number::stream_origin_unknown,
+              {{"request", request.id.value()},
+               {"asked", answers->asked},
+               {"answered", answers->asked - answers->pending},
+               {"is_list_current", is_list_current},
+               {"is_record_read", is_record_read},
+               {"origins", describe_origins(route)}});
+    co_return std::nullopt;
+}
+
+std::string stream_continuity::describe_origins(const serving::route& route)
+{
+    const auto versions = m_versions.current(monotonic_clock::now());
+    std::string text;
+    for (const serving::service_share& share : route.services)
+    {
+        const auto of_service = versions.find(share.service);
+        if (of_service == versions.end())
+        {
+            continue;
+        }
+        for (const software_version& it : of_service->second)
+        {
+            text.append(text.empty() ? "" : " ")
+                .append(share.service.value())
+                .append("/")
+                .append(it.value());
+        }
+    }
+    return text;
 }
 
-net::awaitable<bool> stream_continuity::ask(const stream_key& stream)
+net::awaitable<stream_continuity::question_pointer>
+stream_continuity::ask(const stream_key& stream)
 {
     question_pointer it;
     const auto known = m_questions.find(stream);
@@ -291,6 +327,7 @@
         message.asked_streams.push_back(stream.value());
         for (const daemon_id& name : keepers(stream, continuity::asked_count))
         {
+            ++it->asked;
             ++it->pending;
             m_handlers.send(message, m_fleet.peers().at(name.value()).address);
         }
@@ -304,7 +341,7 @@
     {
         m_questions.erase(mine);
     }
-    co_return it->is_list_confirmed && !it->is_list_outdated;
+    co_return it;
 }
 
 void stream_continuity::on_answer(const stream_key& stream, bool is_known,
--- a/libraries/entry/stream_continuity.hpp
+++ b/libraries/entry/stream_continuity.hpp
@@ -87,10 +87,18 @@
         explicit question(net::io_context& context) : answered(context) {}
 
         net::steady_timer answered;
+        std::size_t asked = 0;
         std::size_t pending = 0;
         /// Some host answered, and none knows a newer list of servers.
         bool is_list_confirmed = false;
         bool is_list_outdated = false;
+
+        /// The hosts that answered show that this host's list of servers is not
+        /// older than theirs.
+        bool is_list_current() const
+        {
+            return is_list_confirmed && !is_list_outdated;
+        }
     };
     using question_pointer = std::shared_ptr<question>;
 
@@ -98,6 +106,9 @@
     /// there may be several.
     std::optional<continuity::stream_origin>
     sole_origin(const serving::route& route, time_point now) const;
+    /// The service and version of each server that may have begun a stream of
+    /// the route.
+    std::string describe_origins(const serving::route& route);
     void remember(const continuity::begun_stream& it, time_point now);
     std::vector<continuity::begun_stream> ambiguous_streams(time_point now);
     std::vector<daemon_id> keepers(const continuity::stream_key& stream,
@@ -108,9 +119,8 @@
     void send(const std::string& to,
               const std::vector<continuity::begun_stream>& streams,
               time_point now);
-    /// Asks other hosts. Returns false unless they show that this host's list
-    /// of servers is not older than theirs.
-    net::awaitable<bool> ask(const continuity::stream_key& stream);
+    /// Asks other hosts.
+    net::awaitable<question_pointer> ask(const continuity::stream_key& stream);
     void on_answer(const continuity::stream_key& stream, bool is_known,
                    object_version servers_changed);
 
