Streams: Know to which services a route led

Callers saw 503 for every stream that they took up after its route had been split and its host killed, and 200 with events of another service after the route had been moved.

Cause: what may have begun the streams of a route was read from the route as it is now. A split made streams ambiguous that had been told to nobody, since only a change of versions made the hosts tell them; a move made the new service the only possible one.

The services of a route are kept like the versions of a service, for as long as streams can be taken up, and recorded in the store beside them. A change of either makes the hosts tell what has become ambiguous.

--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -50,6 +50,7 @@
     CICADAHUB_ROW(server_limited),
     CICADAHUB_ROW(service_versions_changed),
     CICADAHUB_ROW(limit_sender_chosen),
+    CICADAHUB_ROW(route_services_changed),
     CICADAHUB_ROW(host_cut_off),
     CICADAHUB_ROW(host_reconnected),
     CICADAHUB_ROW(peer_connected),
--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -47,6 +47,7 @@
     server_limited = 526,
     service_versions_changed = 527,
     limit_sender_chosen = 528,
+    route_services_changed = 529,
     host_cut_off = 530,
     host_reconnected = 531,
     peer_connected = 600,
--- a/libraries/entry/stream_continuity.cpp
+++ b/libraries/entry/stream_continuity.cpp
@@ -41,56 +41,103 @@
     return wire;
 }
 
+std::string describe(const stream_origin& it)
+{
+    return it.service.value() + '/' + it.version.value();
+}
+
+template<class Id>
+std::string describe(const Id& it)
+{
+    return it.value();
+}
+
+template<class Element>
+std::string join(const std::set<Element>& all)
+{
+    std::string text;
+    for (const Element& it : all)
+    {
+        text.append(text.empty() ? "" : " ").append(describe(it));
+    }
+    return text;
+}
+
 } // namespace
 
 stream_continuity::stream_continuity(net::io_context& context,
                                      const server_table& servers,
                                      const fleet_view& fleet)
     : m_context(context), m_servers(servers), m_fleet(fleet),
-      m_versions(monotonic_clock::now()), m_origins(max_streams)
+      m_history(monotonic_clock::now()), m_origins(max_streams)
 {
 }
 
 void stream_continuity::on_configuration(const serving::configuration& it)
 {
+    continuity::route_services::sets routes;
     for (const serving::route& route : it.routes)
     {
-        if (route.kind == serving::request_kind::stream && route.is_resumable)
+        if (route.kind != serving::request_kind::stream || !route.is_resumable)
+        {
+            continue;
+        }
+        m_longest_stream = std::max(m_longest_stream, route.timeout);
+        for (const serving::service_share& share : route.services)
         {
-            m_longest_stream = std::max(m_longest_stream, route.timeout);
+            routes[route.name].insert(share.service);
         }
     }
-    m_versions.set_retention(m_longest_stream + list_lag);
+    const time_point now = monotonic_clock::now();
+    m_history.set_retention(m_longest_stream + list_lag);
+    const auto before = m_history.current(now);
+    m_history.on_routes(std::move(routes), now);
+    on_origins_changed(before, now);
 }
 
 void stream_continuity::on_servers_changed()
 {
     const time_point now = monotonic_clock::now();
-    continuity::service_versions::version_sets listed;
+    continuity::service_versions::sets listed;
     for (const auto& [id, record] : m_servers.records())
     {
         listed[record->entry.service].insert(record->entry.version);
     }
-    const auto before = m_versions.current(now);
-    m_versions.on_listed(std::move(listed), now);
-    const auto after = m_versions.current(now);
+    const auto before = m_history.current(now);
+    m_history.on_servers(std::move(listed), now);
+    on_origins_changed(before, now);
+}
+
+void stream_continuity::on_origins_changed(
+    const continuity::origin_history::record& before, time_point now)
+{
+    m_history.forget(now);
+    const auto after = m_history.current(now);
     if (before == after)
     {
         return;
     }
-    for (const auto& [service, versions] : after)
+    if (before.versions != after.versions)
+    {
+        for (const auto& [service, versions] : after.versions)
+        {
+            log_event(severity::info, event_number::service_versions_changed,
+                      {{"service", service.value()},
+                       {"versions", join(versions)},
+                       {"is_past_known", m_history.is_past_known(now)}});
+        }
+    }
+    if (before.services != after.services)
     {
-        std::string names;
-        for (const software_version& it : versions)
+        for (const auto& [route, services] : after.services)
         {
-            names.append(names.empty() ? "" : " ").append(it.value());
+            log_event(severity::info, event_number::route_services_changed,
+                      {{"route", route.value()},
+                       {"services", join(services)},
+                       {"is_past_known", m_history.is_past_known(now)}});
         }
-        log_event(severity::info, event_number::service_versions_changed,
-                  {{"service", service.value()},
-                   {"versions", names},
-                   {"is_past_known", m_versions.is_past_known(now)}});
     }
-    // Streams that began while there was one version were told to nobody.
+    // Streams that began while there was one origin were told to nobody.
     m_unrecorded = ambiguous_streams(now);
     tell(m_unrecorded, now);
 }
@@ -106,20 +153,19 @@
 }
 
 void stream_continuity::on_recorded(
-    const continuity::service_versions::version_sets& it)
+    const continuity::origin_history::record& it)
 {
-    m_versions.on_recorded(it, monotonic_clock::now());
+    m_history.on_recorded(it, monotonic_clock::now());
 }
 
-continuity::service_versions::version_sets
-stream_continuity::versions_to_record()
+continuity::origin_history::record stream_continuity::origins_to_record() const
 {
-    return m_versions.current(monotonic_clock::now());
+    return m_history.current(monotonic_clock::now());
 }
 
 bool stream_continuity::is_past_known() const
 {
-    return m_versions.is_past_known(monotonic_clock::now());
+    return m_history.is_past_known(monotonic_clock::now());
 }
 
 void stream_continuity::on_recorded(const stream_key& key,
@@ -135,31 +181,11 @@
     return std::exchange(m_unrecorded, {});
 }
 
-std::optional<stream_origin>
-stream_continuity::sole_origin(const serving::route& route,
-                               time_point now) const
-{
-    if (route.services.size() != 1)
-    {
-        return std::nullopt;
-    }
-    const service_id& service = route.services.front().service;
-    auto version = m_versions.sole_version(service, now);
-    if (!version)
-    {
-        return std::nullopt;
-    }
-    return stream_origin{service, std::move(*version)};
-}
-
 std::vector<begun_stream> stream_continuity::ambiguous_streams(time_point now)
 {
     std::vector<begun_stream> streams = m_origins.all(now);
-    std::erase_if(
-        streams,
-        [&](const begun_stream& it) {
-            return m_versions.sole_version(it.origin.service, now).has_value();
-        });
+    std::erase_if(streams, [&](const begun_stream& it)
+                  { return !m_history.is_ambiguous(it.origin.service, now); });
     return streams;
 }
 
@@ -176,7 +202,7 @@
                                  const serving::route& route)
 {
     const time_point now = monotonic_clock::now();
-    if (sole_origin(route, now))
+    if (m_history.sole_origin(route.name, now))
     {
         m_origins.on_begun(it, now);
         return;
@@ -260,8 +286,8 @@
     bool is_list_current = answers->is_list_current();
     bool is_record_read = false;
     known = m_origins.find(key, monotonic_clock::now());
-    if (!known &&
-        !(is_list_current && sole_origin(route, monotonic_clock::now())))
+    if (!known && !(is_list_current &&
+                    m_history.sole_origin(route.name, monotonic_clock::now())))
     {
         // The hosts that knew it may all have started again, or be lost.
         is_record_read = co_await m_handlers.read_recorded();
@@ -272,7 +298,8 @@
     {
         co_return known->origin;
     }
-    const auto sole = sole_origin(route, monotonic_clock::now());
+    const time_point now = monotonic_clock::now();
+    const auto sole = m_history.sole_origin(route.name, now);
     if (sole && is_list_current)
     {
         co_return sole;
@@ -283,32 +310,10 @@
                {"answered", answers->asked - answers->pending},
                {"is_list_current", is_list_current},
                {"is_record_read", is_record_read},
-               {"origins", describe_origins(route)}});
+               {"origins", join(m_history.origins(route.name, now))}});
     co_return std::nullopt;
 }
 
-std::string stream_continuity::describe_origins(const serving::route& route)
-{
-    const auto versions = m_versions.current(monotonic_clock::now());
-    std::string text;
-    for (const serving::service_share& share : route.services)
-    {
-        const auto of_service = versions.find(share.service);
-        if (of_service == versions.end())
-        {
-            continue;
-        }
-        for (const software_version& it : of_service->second)
-        {
-            text.append(text.empty() ? "" : " ")
-                .append(share.service.value())
-                .append("/")
-                .append(it.value());
-        }
-    }
-    return text;
-}
-
 net::awaitable<stream_continuity::question_pointer>
 stream_continuity::ask(const stream_key& stream)
 {
--- a/libraries/entry/stream_continuity.hpp
+++ b/libraries/entry/stream_continuity.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision/continuity/service_versions.hpp"
+#include "decision/continuity/origin_history.hpp"
 #include "decision/continuity/stream_origins.hpp"
 #include "digest_types.h"
 #include "entry/fleet_view.hpp"
@@ -55,10 +55,10 @@
     /// Another host records streams now, or this one does.
     void on_recorder_changed();
 
-    /// Versions that were recorded before this host started.
-    void on_recorded(const continuity::service_versions::version_sets& it);
-    /// Versions to be recorded for hosts that start later.
-    continuity::service_versions::version_sets versions_to_record();
+    /// Services and versions that were recorded before this host started.
+    void on_recorded(const continuity::origin_history::record& it);
+    /// Services and versions to be recorded for hosts that start later.
+    continuity::origin_history::record origins_to_record() const;
     bool is_past_known() const;
 
     /// A stream that was recorded in the store.
@@ -102,13 +102,10 @@
     };
     using question_pointer = std::shared_ptr<question>;
 
-    /// The origin of all streams of a route that can be taken up; empty if
-    /// there may be several.
-    std::optional<continuity::stream_origin>
-    sole_origin(const serving::route& route, time_point now) const;
-    /// The service and version of each server that may have begun a stream of
-    /// the route.
-    std::string describe_origins(const serving::route& route);
+    /// Logs a change of what may have begun streams, and tells the streams that
+    /// were told to nobody before.
+    void on_origins_changed(const continuity::origin_history::record& before,
+                            time_point now);
     void remember(const continuity::begun_stream& it, time_point now);
     std::vector<continuity::begun_stream> ambiguous_streams(time_point now);
     std::vector<daemon_id> keepers(const continuity::stream_key& stream,
@@ -128,7 +125,7 @@
     const server_table& m_servers;
     const fleet_view& m_fleet;
     handlers m_handlers;
-    continuity::service_versions m_versions;
+    continuity::origin_history m_history;
     continuity::stream_origins m_origins;
     /// Known streams that this host has not recorded yet.
     std::vector<continuity::begun_stream> m_unrecorded;
--- a/libraries/entry/version_record.cpp
+++ b/libraries/entry/version_record.cpp
@@ -15,53 +15,79 @@
 {
 
 using daemon::pause;
-using version_sets = continuity::service_versions::version_sets;
+using origins = continuity::origin_history::record;
 
 constexpr const char* record_name = "streams";
+/// The software versions of each service.
+constexpr const char* versions_member = "services";
+/// The services of each route; former builds write none.
+constexpr const char* routes_member = "routes";
 constexpr milliseconds retry_pause{300};
 /// The first holder writes the record a second or two after the start.
 constexpr milliseconds absent_pause{3'000};
 /// The holder looks this often whether the versions have changed.
 constexpr milliseconds check_period{100};
 
-boost::json::object to_json(const version_sets& versions)
+template<class Key, class Value>
+boost::json::object to_json(const std::map<Key, std::set<Value>>& sets)
 {
-    boost::json::object services;
-    for (const auto& [service, names] : versions)
+    boost::json::object all;
+    for (const auto& [key, values] : sets)
     {
         boost::json::array list;
-        for (const software_version& it : names)
+        for (const Value& it : values)
         {
             list.emplace_back(it.value());
         }
-        services[service.value()] = std::move(list);
+        all[key.value()] = std::move(list);
     }
-    return {{"services", std::move(services)}};
+    return all;
 }
 
-version_sets versions_from(const boost::json::object& spec)
+boost::json::object to_json(const origins& it)
 {
-    const json_reader reader(spec);
-    version_sets versions;
-    for (const auto& member : reader.object("services"))
+    return {{versions_member, to_json(it.versions)},
+            {routes_member, to_json(it.services)}};
+}
+
+template<class Key, class Value>
+std::map<Key, std::set<Value>> sets_from(const boost::json::object& spec)
+{
+    std::map<Key, std::set<Value>> sets;
+    for (const auto& member : spec)
     {
         const auto* list = member.value().if_array();
         if (list == nullptr)
         {
-            throw malformed_document("versions must be a list");
+            throw malformed_document("what may begin streams must be a list");
         }
         for (const boost::json::value& it : *list)
         {
             const auto* name = it.if_string();
             if (name == nullptr)
             {
-                throw malformed_document("a version must be a string");
+                throw malformed_document(
+                    "a service or version must be a string");
             }
-            versions[service_id(std::string(member.key()))].insert(
-                software_version(std::string(*name)));
+            sets[Key(std::string(member.key()))].insert(
+                Value(std::string(*name)));
         }
     }
-    return versions;
+    return sets;
+}
+
+origins origins_from(const boost::json::object& spec)
+{
+    const json_reader reader(spec);
+    origins it;
+    it.versions =
+        sets_from<service_id, software_version>(reader.object(versions_member));
+    if (spec.contains(routes_member))
+    {
+        it.services =
+            sets_from<route_id, service_id>(reader.object(routes_member));
+    }
+    return it;
 }
 
 } // namespace
@@ -85,7 +111,7 @@
         co_await m_store.read(platform::collection::versions, record_name);
     if (m_stored)
     {
-        m_streams.on_recorded(versions_from(m_stored->spec));
+        m_streams.on_recorded(origins_from(m_stored->spec));
     }
     co_return m_stored.has_value();
 }
@@ -134,12 +160,12 @@
                     m_streams.on_recorded({});
                 }
             }
-            const version_sets versions = m_streams.versions_to_record();
+            const origins known = m_streams.origins_to_record();
             const bool is_written =
-                m_stored && m_stored->spec == to_json(versions);
+                m_stored && m_stored->spec == to_json(known);
             if (!is_written && m_streams.is_past_known())
             {
-                co_await write(versions);
+                co_await write(known);
             }
             else if (!m_stored)
             {
@@ -157,7 +183,7 @@
     }
 }
 
-net::awaitable<void> version_record::write(const version_sets& versions)
+net::awaitable<void> version_record::write(const origins& known)
 {
     platform::stored_object former;
     if (m_stored)
@@ -165,7 +191,7 @@
         former = *m_stored;
     }
     former.name = record_name;
-    const boost::json::object spec = to_json(versions);
+    const boost::json::object spec = to_json(known);
     const auto written =
         co_await m_store.write(platform::collection::versions, former, spec);
     if (written.outcome != platform::write_outcome::applied)
--- a/libraries/entry/version_record.hpp
+++ b/libraries/entry/version_record.hpp
@@ -8,10 +8,11 @@
 namespace cicadahub::entry
 {
 
-/// Keeps the software versions of the services in the platform's store, so that
-/// a host that starts knows of versions whose servers have left meanwhile, even
-/// if all hosts start at the same moment. The holder of the placement lease
-/// writes it, when the versions change.
+/// Keeps the services of the routes and their software versions in the
+/// platform's store, so that a host that starts knows of services that their
+/// route has left, and of versions whose servers have, even if all hosts start
+/// at the same moment. The holder of the placement lease writes it, when they
+/// change.
 class version_record
 {
 public:
@@ -34,8 +35,7 @@
     net::awaitable<void> write_changes();
     /// True if there was a record.
     net::awaitable<bool> read();
-    net::awaitable<void>
-    write(const continuity::service_versions::version_sets& versions);
+    net::awaitable<void> write(const continuity::origin_history::record& known);
 
     net::io_context& m_context;
     platform::store& m_store;
--- a/tests/decision/continuity_test.cpp
+++ b/tests/decision/continuity_test.cpp
@@ -1,5 +1,5 @@
 #include "decision/continuity/keeper_selection.hpp"
-#include "decision/continuity/service_versions.hpp"
+#include "decision/continuity/origin_history.hpp"
 #include "decision/continuity/stream_origins.hpp"
 
 #include "simulation.hpp"
@@ -17,11 +17,34 @@
 const software_version v1("v1");
 const software_version v2("v2");
 
-service_versions::version_sets versions(std::set<software_version> of_service)
+const route_id route("route");
+
+service_versions::sets versions(std::set<software_version> of_service)
 {
     return {{service, std::move(of_service)}};
 }
 
+route_services::sets leads_to(std::set<service_id> services)
+{
+    return {{route, std::move(services)}};
+}
+
+/// The history of one route that leads to one service.
+origin_history history_of_route(time_point started)
+{
+    origin_history subject(started);
+    subject.set_retention(retention);
+    subject.on_routes(leads_to({service}), started);
+    return subject;
+}
+
+std::optional<software_version> sole_version(const origin_history& it,
+                                             time_point now)
+{
+    const auto origin = it.sole_origin(route, now);
+    return origin ? std::optional(origin->version) : std::nullopt;
+}
+
 enum class past
 {
     unread,
@@ -52,21 +75,21 @@
 TEST_P(sole_versions, are_known_only_if_no_other_may_have_begun_streams)
 {
     const version_case& it = GetParam();
-    service_versions subject(start);
-    subject.set_retention(retention);
+    origin_history subject = history_of_route(start);
     if (it.recorded != past::unread)
     {
-        subject.on_recorded(it.recorded == past::same    ? versions({v1})
-                            : it.recorded == past::other ? versions({v2})
-                                                         : versions({}),
+        subject.on_recorded({it.recorded == past::same    ? versions({v1})
+                             : it.recorded == past::other ? versions({v2})
+                                                          : versions({}),
+                             leads_to({service})},
                             start);
     }
-    subject.on_listed(versions(it.listed), start);
-    EXPECT_EQ(subject.sole_version(service, start + it.after), it.sole);
+    subject.on_servers(versions(it.listed), start);
+    EXPECT_EQ(sole_version(subject, start + it.after), it.sole);
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    service_versions, sole_versions,
+    origin_history, sole_versions,
     testing::Values(
         version_case{"one", past::none, {v1}, seconds(0), v1},
         version_case{"recorded_too", past::same, {v1}, seconds(0), v1},
@@ -83,30 +106,159 @@
         version_case{"none", past::none, {}, seconds(0), std::nullopt}),
     [](const auto& it) { return std::string(it.param.name); });
 
-TEST(service_versions, keeps_a_version_whose_servers_left)
+TEST(origin_history, keeps_a_version_whose_servers_left)
 {
-    service_versions subject(start);
-    subject.set_retention(retention);
+    origin_history subject = history_of_route(start);
     subject.on_recorded({}, start);
-    subject.on_listed(versions({v1}), start);
+    subject.on_servers(versions({v1}), start);
     const time_point replaced = start + seconds(60);
-    subject.on_listed(versions({v2}), replaced);
-    EXPECT_FALSE(subject.sole_version(service, replaced));
-    EXPECT_FALSE(subject.sole_version(service, replaced + retention));
+    subject.on_servers(versions({v2}), replaced);
+    EXPECT_FALSE(sole_version(subject, replaced));
+    EXPECT_FALSE(sole_version(subject, replaced + retention));
     const time_point later = replaced + retention + milliseconds(1);
-    EXPECT_EQ(subject.sole_version(service, later), v2);
-    EXPECT_EQ(subject.current(later), versions({v2}));
+    EXPECT_EQ(sole_version(subject, later), v2);
+    EXPECT_EQ(subject.current(later).versions, versions({v2}));
 }
 
-TEST(service_versions, does_not_shorten_the_time_for_streams_that_began)
+TEST(origin_history, does_not_shorten_the_time_for_streams_that_began)
 {
-    service_versions subject(start);
-    subject.set_retention(retention);
+    origin_history subject = history_of_route(start);
     subject.set_retention(seconds(1));
-    subject.on_recorded(versions({v1, v2}), start);
-    EXPECT_FALSE(subject.sole_version(service, start + seconds(5)));
+    subject.on_recorded({versions({v1, v2}), {}}, start);
+    EXPECT_FALSE(sole_version(subject, start + seconds(5)));
+}
+
+const service_id other_service("more-models");
+
+struct reroute_case
+{
+    const char* name;
+    /// As recorded by the time that the host starts.
+    route_services::sets recorded;
+    /// Where the routes lead at the start of the host.
+    route_services::sets before;
+    /// Where they lead later.
+    route_services::sets after;
+    /// From then on.
+    milliseconds elapsed;
+    std::optional<service_id> sole;
+    bool is_ambiguous;
+};
+
+void PrintTo(const reroute_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class rerouted_origins : public testing::TestWithParam<reroute_case>
+{
+};
+
+// Guards against streams that are laid to the service to which their route
+// leads now, although it led elsewhere when they began.
+TEST_P(rerouted_origins, are_known_only_if_no_other_service_may_have_begun)
+{
+    const reroute_case& it = GetParam();
+    origin_history subject(start);
+    subject.set_retention(retention);
+    subject.on_servers({{service, {v1}}, {other_service, {v1}}}, start);
+    subject.on_routes(it.before, start);
+    subject.on_recorded({versions({v1}), it.recorded}, start);
+    const time_point changed = start + seconds(60);
+    subject.on_routes(it.after, changed);
+    const time_point now = changed + it.elapsed;
+    const auto origin = subject.sole_origin(route, now);
+    EXPECT_EQ(origin ? std::optional(origin->service) : std::nullopt, it.sole);
+    EXPECT_EQ(subject.is_ambiguous(service, now), it.is_ambiguous);
 }
 
+const route_services::sets to_one = leads_to({service});
+const route_services::sets to_other = leads_to({other_service});
+const route_services::sets to_both = leads_to({service, other_service});
+const route_services::sets renamed{{route_id("former"), {service}}};
+constexpr milliseconds over = retention + milliseconds(1);
+
+INSTANTIATE_TEST_SUITE_P(
+    origin_history, rerouted_origins,
+    testing::Values(reroute_case{"kept", to_one, to_one, to_one, seconds(0),
+                                 service, false},
+                    reroute_case{"split", to_one, to_one, to_both, seconds(0),
+                                 std::nullopt, true},
+                    reroute_case{"split_for_long", to_one, to_one, to_both,
+                                 over, std::nullopt, true},
+                    reroute_case{"moved", to_one, to_one, to_other, seconds(0),
+                                 std::nullopt, true},
+                    reroute_case{"moved_long_ago", to_one, to_one, to_other,
+                                 over, other_service, true},
+                    reroute_case{"joined", to_both, to_both, to_one, seconds(9),
+                                 std::nullopt, true},
+                    reroute_case{"joined_long_ago", to_both, to_both, to_one,
+                                 over, service, false},
+                    reroute_case{"added", renamed, renamed, to_one, seconds(9),
+                                 std::nullopt, true},
+                    reroute_case{"added_long_ago", renamed, renamed, to_one,
+                                 over, service, false}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+struct restart_case
+{
+    const char* name;
+    route_services::sets recorded;
+    route_services::sets listed;
+    milliseconds after;
+    std::optional<service_id> sole;
+};
+
+void PrintTo(const restart_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class recorded_routes : public testing::TestWithParam<restart_case>
+{
+};
+
+// Guards against a host that lays streams to the service to which their route
+// leads since a moment before the host started.
+TEST_P(recorded_routes, tell_a_host_that_starts_what_they_led_to)
+{
+    const restart_case& it = GetParam();
+    for (const bool is_record_first : {false, true})
+    {
+        origin_history subject(start);
+        subject.set_retention(retention);
+        const origin_history::record recorded{versions({v1}), it.recorded};
+        if (is_record_first)
+        {
+            subject.on_recorded(recorded, start);
+        }
+        subject.on_servers({{service, {v1}}, {other_service, {v1}}}, start);
+        subject.on_routes(it.listed, start);
+        if (!is_record_first)
+        {
+            EXPECT_FALSE(subject.sole_origin(route, start));
+            subject.on_recorded(recorded, start);
+        }
+        const auto origin = subject.sole_origin(route, start + it.after);
+        EXPECT_EQ(origin ? std::optional(origin->service) : std::nullopt,
+                  it.sole)
+            << is_record_first;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    origin_history, recorded_routes,
+    testing::Values(
+        restart_case{"same", to_one, to_one, seconds(0), service},
+        restart_case{"moved", to_one, to_other, seconds(9), std::nullopt},
+        restart_case{"moved_long_ago", to_one, to_other, over, other_service},
+        restart_case{"split", to_one, to_both, over, std::nullopt},
+        restart_case{"joined", to_both, to_one, seconds(9), std::nullopt},
+        restart_case{"added", renamed, to_one, seconds(9), std::nullopt},
+        // A former build, or the first host.
+        restart_case{"without_routes", {}, to_one, seconds(0), service}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 stream_key key(const std::string& request)
 {
     return key_of(request_id(request), organisation_id("trust"),
@@ -231,7 +383,7 @@
 private:
     struct host
     {
-        service_versions versions{start};
+        origin_history history{start};
         stream_origins origins{1'000};
     };
 
@@ -243,10 +395,11 @@
 
     void restart(std::size_t n)
     {
-        m_hosts[n] = host{service_versions(m_now), stream_origins(1'000)};
-        m_hosts[n].versions.set_retention(retention);
-        m_hosts[n].versions.on_recorded(m_record, m_now);
-        m_hosts[n].versions.on_listed(versions(m_listed), m_now);
+        m_hosts[n] = host{origin_history(m_now), stream_origins(1'000)};
+        m_hosts[n].history.set_retention(retention);
+        m_hosts[n].history.on_routes(leads_to({service}), m_now);
+        m_hosts[n].history.on_recorded(m_record, m_now);
+        m_hosts[n].history.on_servers(versions(m_listed), m_now);
     }
 
     void replace_servers()
@@ -270,13 +423,13 @@
         }
         for (std::size_t n = 0; n < m_hosts.size(); ++n)
         {
-            m_hosts[n].versions.on_listed(versions(m_listed), m_now);
+            m_hosts[n].history.on_servers(versions(m_listed), m_now);
             for (const begun_stream& it : m_hosts[n].origins.all(m_now))
             {
                 tell(it);
             }
         }
-        m_record = m_hosts[pick()].versions.current(m_now);
+        m_record = m_hosts[pick()].history.current(m_now);
     }
 
     std::vector<daemon_id> names() const
@@ -308,7 +461,7 @@
         begun_stream it = stream(
             "r" + std::to_string(m_begun.size()), m_now + retention / 2,
             *std::next(m_listed.begin(), static_cast<std::ptrdiff_t>(n)));
-        if (!m_hosts[at].versions.sole_version(service, m_now))
+        if (!sole_version(m_hosts[at].history, m_now))
         {
             tell(it);
         }
@@ -326,7 +479,7 @@
         host& self = m_hosts[at];
         ++taken_up;
         std::optional<software_version> found =
-            self.versions.sole_version(service, m_now);
+            sole_version(self.history, m_now);
         if (!found)
         {
             for (const daemon_id& asked :
@@ -357,8 +510,8 @@
     time_point m_now = start;
     std::set<software_version> m_listed{software_version("v10")};
     std::int64_t m_newest = 10;
-    service_versions::version_sets m_record =
-        versions({software_version("v10")});
+    origin_history::record m_record{versions({software_version("v10")}),
+                                    leads_to({service})};
     std::vector<host> m_hosts;
     std::vector<begun_stream> m_begun;
 };
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -33,12 +33,12 @@
             {"resumable", kind == "stream"}};
 }
 
-boost::json::object engine_spec()
+boost::json::object engine_service(const std::string& name)
 {
     boost::json::array models;
-    for (const char* name : {"m1", "m2", "m3", "m4"})
+    for (const char* model : {"m1", "m2", "m3", "m4"})
     {
-        models.push_back({{"name", name},
+        models.push_back({{"name", model},
                           {"weightsSize", 100.0},
                           {"loadS", 0.6},
                           {"warmS", 0.1},
@@ -46,9 +46,11 @@
                           {"adapters", 4},
                           {"adapterMb", 1.0}});
     }
-    return {{"slots", 8},           {"kvCapacity", 100000},
-            {"weightsSize", 250.0}, {"adapterSlots", 2},
-            {"loadsPerS", 10.0},    {"models", std::move(models)}};
+    boost::json::object engine{
+        {"slots", 8},           {"kvCapacity", 100000},
+        {"weightsSize", 250.0}, {"adapterSlots", 2},
+        {"loadsPerS", 10.0},    {"models", std::move(models)}};
+    return {{"name", name}, {"maxConns", 100}, {"engine", std::move(engine)}};
 }
 
 } // namespace
@@ -152,7 +154,7 @@
                                        const std::string& id,
                                        const std::vector<std::string>& more)
 {
-    auto& group = service == "engines" ? engines : services;
+    auto& group = service == "ledger" ? services : engines;
     worker it;
     it.id = id;
     it.address = free_address();
@@ -184,13 +186,23 @@
 
 void platform_fleet::write_configuration(
     int version, const std::vector<std::string>& keys,
-    const std::vector<std::string>& prefixes)
+    const std::vector<std::string>& prefixes, const shares& streams)
 {
+    boost::json::object stream =
+        route("stream", "/stream/", "stream", streams.begin()->first);
+    if (streams.size() > 1)
+    {
+        stream.erase("service");
+        boost::json::array& split = stream["split"].emplace_array();
+        for (const auto& [name, weight] : streams)
+        {
+            split.push_back({{"service", name}, {"weight", weight}});
+        }
+    }
     boost::json::object once = route("once", "/once/", "stream", "engines");
     once["resumable"] = false;
     once["maxAttempts"] = 1;
-    boost::json::array routes{route("stream", "/stream/", "stream", "engines"),
-                              std::move(once),
+    boost::json::array routes{std::move(stream), std::move(once),
                               route("post", "/post/", "unsafe", "ledger"),
                               route("read", "/read/", "safe", "ledger")};
     for (const std::string& it : prefixes)
@@ -202,24 +214,31 @@
     {
         names.emplace_back(it);
     }
-    const boost::json::object spec{
-        {"version", version},
-        {"routes", std::move(routes)},
-        {"services",
-         {{{"name", "engines"}, {"maxConns", 100}, {"engine", engine_spec()}},
-          {{"name", "ledger"}, {"maxConns", 100}}}},
-        {"limits",
-         {{"maxHeaderBytes", 4096},
-          {"maxBodyBytes", 65536},
-          {"headerTimeoutMs", 1000},
-          {"idleTimeoutMs", 5000}}},
-        {"tenants",
-         {{{"name", "trust"},
-           {"apiKeys", std::move(names)},
-           {"unit", "token_stream"},
-           {"plainTokens", 10},
-           {"ratePerS", 100000},
-           {"burst", 100000}}}}};
+    boost::json::array all;
+    all.push_back({{"name", "ledger"}, {"maxConns", 100}});
+    all.push_back(engine_service("engines"));
+    for (const auto& [name, weight] : streams)
+    {
+        if (name != "engines")
+        {
+            all.push_back(engine_service(name));
+        }
+    }
+    const boost::json::object spec{{"version", version},
+                                   {"routes", std::move(routes)},
+                                   {"services", std::move(all)},
+                                   {"limits",
+                                    {{"maxHeaderBytes", 4096},
+                                     {"maxBodyBytes", 65536},
+                                     {"headerTimeoutMs", 1000},
+                                     {"idleTimeoutMs", 5000}}},
+                                   {"tenants",
+                                    {{{"name", "trust"},
+                                      {"apiKeys", std::move(names)},
+                                      {"unit", "token_stream"},
+                                      {"plainTokens", 10},
+                                      {"ratePerS", 100000},
+                                      {"burst", 100000}}}}};
     const std::string body = boost::json::serialize(
         boost::json::object{{"metadata", {{"name", "main"}}}, {"spec", spec}});
     const std::string kind = "/v1/objects/config";
--- a/tests/system/platform_fleet.hpp
+++ b/tests/system/platform_fleet.hpp
@@ -44,10 +44,14 @@
     void restart_worker(std::size_t engine,
                         const std::vector<std::string>& more);
 
+    /// Services to which the route of streams leads, with their weights.
+    using shares = std::map<std::string, int>;
+
     /// Writes a configuration with this version. `keys` are the API keys of the
     /// organisation; each prefix adds a route to the plain service.
     void write_configuration(int version, const std::vector<std::string>& keys,
-                             const std::vector<std::string>& prefixes = {});
+                             const std::vector<std::string>& prefixes = {},
+                             const shares& streams = {{"engines", 1}});
 
     answer stream(std::size_t n, const std::string& id,
                   const std::string& model,
--- /dev/null
+++ b/tests/system/rerouted_stream_test.cpp
@@ -0,0 +1,153 @@
+#include "stream_calls.hpp"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+namespace cicadahub::system_tests
+{
+namespace
+{
+
+constexpr std::size_t hosts = 6;
+constexpr std::size_t streams = 12;
+constexpr milliseconds slow_gap{300};
+constexpr milliseconds short_gap{60};
+/// Longer than hosts need to learn a configuration and to record in the store
+/// that a stream has begun.
+constexpr milliseconds long_enough{1'000};
+
+struct reroute_case
+{
+    const char* name;
+    platform_fleet::shares after;
+    /// From the new configuration to the loss of hosts.
+    milliseconds delay;
+    /// The first hosts are lost; the first one serves the streams.
+    std::size_t lost;
+    bool are_restarted;
+    /// Least share of the streams taken up that go on.
+    double least_share;
+};
+
+void PrintTo(const reroute_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class rerouted_streams : public testing::TestWithParam<reroute_case>
+{
+protected:
+    rerouted_streams()
+    {
+        for (const auto& [service, id, version] :
+             {std::tuple{"engines", "e3", "v1"},
+              {"more-engines", "x1", "v2"},
+              {"more-engines", "x2", "v2"}})
+        {
+            fleet.add_worker(service, id,
+                             {"--megabytes", "250", "--preload", "m1",
+                              "--software-version", version});
+        }
+        // All hosts have read that the route leads to one service only.
+        std::this_thread::sleep_for(seconds(5));
+        set_pace(fleet.engines, slow_gap);
+    }
+
+    void begin_streams()
+    {
+        for (std::size_t n = 0; n < streams; ++n)
+        {
+            begun.push_back(
+                std::async(std::launch::async,
+                           [this, n] {
+                               return ask_stream(
+                                   fleet, 0, {"s" + std::to_string(n), {}, {}});
+                           }));
+        }
+        EXPECT_TRUE(eventually(
+            [&] { return fleet.engine_total("running") == streams; }));
+        std::this_thread::sleep_for(2 * slow_gap);
+    }
+
+    void lose_hosts(const reroute_case& it)
+    {
+        for (std::size_t n = 0; n < it.lost; ++n)
+        {
+            fleet.daemons[n].program->kill();
+        }
+        for (std::size_t n = 0; n < it.lost && it.are_restarted; ++n)
+        {
+            fleet.start_daemon(n);
+        }
+        for (std::size_t n = 0; n < it.lost && it.are_restarted; ++n)
+        {
+            EXPECT_TRUE(eventually([&] { return fleet.is_ready(n); }));
+        }
+    }
+
+    platform_fleet fleet{hosts};
+    std::vector<std::future<raw_answer>> begun;
+};
+
+// Guards against streams that are refused, or go on at a service that never
+// began them, since their route has been split or moved meanwhile.
+TEST_P(rerouted_streams, go_on_only_at_the_service_that_began_them)
+{
+    const reroute_case& it = GetParam();
+    begin_streams();
+    fleet.write_configuration(2, {"key-of-trust"}, {}, it.after);
+    std::this_thread::sleep_for(it.delay);
+    lose_hosts(it);
+    set_pace(fleet.engines, short_gap);
+    const std::size_t first_host = it.are_restarted ? 0 : it.lost;
+    std::size_t taken_up = 0;
+    std::size_t gone_on = 0;
+    for (std::size_t n = 0; n < streams; ++n)
+    {
+        const raw_answer first = begun[n].get();
+        const std::size_t events =
+            count_occurrences(first.bytes, "data: piece");
+        if (is_whole(first) || events == 0)
+        {
+            continue;
+        }
+        ++taken_up;
+        const raw_answer rest =
+            ask_stream(fleet, first_host + n % (hosts - first_host),
+                       {"t" + std::to_string(n), "s" + std::to_string(n),
+                        std::to_string(events)});
+        EXPECT_FALSE(has_new(rest)) << rest.bytes;
+        gone_on += rest.status() == 200 && is_whole(rest) ? 1 : 0;
+        if (rest.status() != 200)
+        {
+            EXPECT_EQ(rest.status(), 503U) << rest.bytes;
+            EXPECT_NE(rest.bytes.find("not_run"), std::string::npos);
+        }
+    }
+    std::cout << gone_on << " of " << taken_up << " went on\n";
+    EXPECT_GE(taken_up, streams / 2);
+    EXPECT_GE(static_cast<double>(gone_on),
+              it.least_share * static_cast<double>(taken_up));
+}
+
+const platform_fleet::shares split{{"engines", 90}, {"more-engines", 10}};
+const platform_fleet::shares moved{{"more-engines", 1}};
+
+INSTANTIATE_TEST_SUITE_P(
+    rerouted_streams, rerouted_streams,
+    testing::Values(
+        reroute_case{"split", split, long_enough, 1, false, 0.9},
+        reroute_case{"split_and_two_hosts_lost", split, long_enough, 2, false,
+                     0.9},
+        reroute_case{"split_and_all_hosts_restarted", split, long_enough, hosts,
+                     true, 0.5},
+        // A request runs only at services to which the configuration leads.
+        reroute_case{"moved", moved, long_enough, 1, false, 0},
+        reroute_case{"moved_and_all_hosts_restarted", moved, long_enough, hosts,
+                     true, 0}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+} // namespace
+} // namespace cicadahub::system_tests
--- a/tests/system/stream_version_test.cpp
+++ b/tests/system/stream_version_test.cpp
@@ -1,5 +1,4 @@
-#include "platform_fleet.hpp"
-#include "raw_call.hpp"
+#include "stream_calls.hpp"
 
 #include <gtest/gtest.h>
 
@@ -12,64 +11,12 @@
 namespace
 {
 
-constexpr const char* old_event = "data: piece\n";
-constexpr const char* new_event = "data: piece of v2\n";
 /// A stream of eight events takes 1.2 s.
 constexpr milliseconds event_gap{150};
 constexpr milliseconds short_gap{60};
 /// Longer than it takes to record in the store that a stream has begun.
 constexpr milliseconds few_events{700};
 
-struct stream_call
-{
-    std::string id;
-    std::string resumes;
-    std::string after_event;
-    std::string key = "key-of-trust";
-    std::string path = "/stream/x";
-};
-
-raw_answer ask_stream(const platform_fleet& fleet, std::size_t host,
-                      const stream_call& it)
-{
-    std::string head =
-        "POST " + it.path +
-        " HTTP/1.1\r\nHost: trust.example\r\nRequest-Id: " + it.id +
-        "\r\nAuthorization: Bearer " + it.key +
-        "\r\nModel: m1\r\nToken-Count: 20,16\r\n"
-        "Prompt-Prefix: aa:10," +
-        it.id +
-        ":10\r\nDeadline-Ms: 8000\r\n"
-        "Connection: close\r\n";
-    if (!it.resumes.empty())
-    {
-        head += "Resumes: " + it.resumes + "\r\n";
-    }
-    if (!it.after_event.empty())
-    {
-        head += "Last-Event-Id: " + it.after_event + "\r\n";
-    }
-    return receive_until_close(
-        fleet.daemons[host].callers,
-        head + "Content-Length: " + std::to_string(it.id.size()) + "\r\n\r\n" +
-            it.id);
-}
-
-bool has_old(const raw_answer& it)
-{
-    return it.bytes.find(old_event) != std::string::npos;
-}
-
-bool has_new(const raw_answer& it)
-{
-    return it.bytes.find(new_event) != std::string::npos;
-}
-
-bool is_whole(const raw_answer& it)
-{
-    return it.bytes.ends_with("0\r\n\r\n");
-}
-
 /// Runs engines of two software versions, or of one and the same, that hold m1.
 class upgraded_fleet
 {
@@ -201,20 +148,6 @@
                                          {"refuse", std::move(refused)}}));
     }
 
-    /// Servers that have ended are passed over.
-    static void set_pace(const std::vector<platform_fleet::worker>& engines,
-                         milliseconds gap)
-    {
-        for (const auto& it : engines)
-        {
-            if (!it.program->has_ended())
-            {
-                call(it.address, http::verb::put, "/faults",
-                     R"({"event_gap_ms":)" + std::to_string(gap.count()) + "}");
-            }
-        }
-    }
-
     static void write_odd_record(const platform_fleet& fleet)
     {
         const std::string object = R"({"metadata":{"name":"7"},"spec":{)"
