Streams: Tell their keepers what began them, also while it is clear

Callers got 503 for the streams of a host that was killed as a new configuration split their route: 0 of 12 went on, two of two runs.

Cause: an origin was told to others only once a second one was possible, and the host that knew was lost in that moment, or had not learnt of it.

Each stream is told to its two keepers when it begins. The holder, which writes to the store, gets it only while there is more than one origin.

Library tests 966 of 966.

--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -201,8 +201,7 @@
         m_state.continuity.on_begun(
             {continuity::key_of(m_request.id, organisation_name(),
                                 m_route->name),
-             *m_origin, m_arrived + m_route->timeout},
-            *m_route);
+             *m_origin, m_arrived + m_route->timeout});
     }
 }
 
--- a/libraries/entry/stream_continuity.cpp
+++ b/libraries/entry/stream_continuity.cpp
@@ -69,7 +69,8 @@
                                      const server_table& servers,
                                      const fleet_view& fleet)
     : m_context(context), m_servers(servers), m_fleet(fleet),
-      m_history(monotonic_clock::now()), m_origins(max_streams)
+      m_history(monotonic_clock::now()), m_origins(max_streams),
+      m_begun_here(max_streams)
 {
 }
 
@@ -137,15 +138,16 @@
                        {"is_past_known", m_history.is_past_known(now)}});
         }
     }
-    // Streams that began while there was one origin were told to nobody.
-    m_unrecorded = ambiguous_streams(now);
-    tell(m_unrecorded, now);
+    // The holder was not told of streams that began while there was one origin,
+    // and their keepers may have started again since.
+    m_unrecorded = ambiguous(m_origins.all(now), now);
+    tell(ambiguous(m_begun_here.all(now), now), now);
 }
 
 void stream_continuity::on_recorder_changed()
 {
     const time_point now = monotonic_clock::now();
-    m_unrecorded = ambiguous_streams(now);
+    m_unrecorded = ambiguous(m_origins.all(now), now);
     if (const peer* recorder = m_fleet.placement_holder())
     {
         send(recorder->digest.sender, m_unrecorded, now);
@@ -181,9 +183,10 @@
     return std::exchange(m_unrecorded, {});
 }
 
-std::vector<begun_stream> stream_continuity::ambiguous_streams(time_point now)
+std::vector<begun_stream>
+stream_continuity::ambiguous(std::vector<begun_stream> streams,
+                             time_point now) const
 {
-    std::vector<begun_stream> streams = m_origins.all(now);
     std::erase_if(streams, [&](const begun_stream& it)
                   { return !m_history.is_ambiguous(it.origin.service, now); });
     return streams;
@@ -191,23 +194,21 @@
 
 void stream_continuity::remember(const begun_stream& it, time_point now)
 {
-    if (!m_origins.find(it.key, now) && m_handlers.is_recorder())
+    if (!m_origins.find(it.key, now) && m_handlers.is_recorder() &&
+        m_history.is_ambiguous(it.origin.service, now))
     {
         m_unrecorded.push_back(it);
     }
     m_origins.on_begun(it, now);
 }
 
-void stream_continuity::on_begun(const begun_stream& it,
-                                 const serving::route& route)
+void stream_continuity::on_begun(const begun_stream& it)
 {
     const time_point now = monotonic_clock::now();
-    if (m_history.sole_origin(route.name, now))
-    {
-        m_origins.on_begun(it, now);
-        return;
-    }
     remember(it, now);
+    m_begun_here.on_begun(it, now);
+    // This host may be lost in the moment in which another origin becomes
+    // possible, or before it has learnt of that.
     tell({it}, now);
 }
 
@@ -220,16 +221,21 @@
     {
         names.emplace_back(name);
     }
-    auto selected = continuity::select_keepers(stream, names, count);
-    if (const peer* recorder = m_fleet.placement_holder())
+    return continuity::select_keepers(stream, names, count);
+}
+
+void stream_continuity::add_recorder(std::vector<daemon_id>& to) const
+{
+    const peer* recorder = m_fleet.placement_holder();
+    if (recorder == nullptr)
     {
-        const daemon_id name(recorder->digest.sender);
-        if (std::find(selected.begin(), selected.end(), name) == selected.end())
-        {
-            selected.push_back(name);
-        }
+        return;
+    }
+    const daemon_id name(recorder->digest.sender);
+    if (std::find(to.begin(), to.end(), name) == to.end())
+    {
+        to.push_back(name);
     }
-    return selected;
 }
 
 void stream_continuity::tell(const std::vector<begun_stream>& streams,
@@ -238,7 +244,12 @@
     std::map<daemon_id, std::vector<begun_stream>> by_keeper;
     for (const begun_stream& it : streams)
     {
-        for (const daemon_id& name : keepers(it.key, continuity::keeper_count))
+        std::vector<daemon_id> to = keepers(it.key, continuity::keeper_count);
+        if (m_history.is_ambiguous(it.origin.service, now))
+        {
+            add_recorder(to);
+        }
+        for (const daemon_id& name : to)
         {
             by_keeper[name].push_back(it);
         }
@@ -330,7 +341,9 @@
         m_questions.emplace(stream, it);
         fleet::wire::Digest message;
         message.asked_streams.push_back(stream.value());
-        for (const daemon_id& name : keepers(stream, continuity::asked_count))
+        std::vector<daemon_id> to = keepers(stream, continuity::asked_count);
+        add_recorder(to);
+        for (const daemon_id& name : to)
         {
             ++it->asked;
             ++it->pending;
--- a/libraries/entry/stream_continuity.hpp
+++ b/libraries/entry/stream_continuity.hpp
@@ -20,12 +20,11 @@
 
 namespace net = boost::asio;
 
-/// Knows what began the streams that callers may take up. While every stream of
-/// a service can only have been begun by one software version, nothing is told,
-/// and others are only asked whether this host has missed another version.
-/// Otherwise the host that serves a stream tells its origin to a few
-/// others, which any host that does not know it asks, and the holder of the
-/// placement lease records it in the platform's store.
+/// Knows what began the streams that callers may take up. The host that serves
+/// a stream tells its origin to a few others, which any host that does not know
+/// it asks. While the streams of a route can have been begun by more than one
+/// service or software version, the holder of the placement lease records them
+/// in the platform's store too.
 class stream_continuity
 {
 public:
@@ -68,8 +67,7 @@
     std::vector<continuity::begun_stream> take_unrecorded();
 
     /// The caller has got the first event of a stream.
-    void on_begun(const continuity::begun_stream& it,
-                  const serving::route& route);
+    void on_begun(const continuity::begun_stream& it);
 
     /// What began the stream that a request takes up; empty if nobody in
     /// contact knows. Asks other hosts and the store unless this host knows.
@@ -107,9 +105,13 @@
     void on_origins_changed(const continuity::origin_history::record& before,
                             time_point now);
     void remember(const continuity::begun_stream& it, time_point now);
-    std::vector<continuity::begun_stream> ambiguous_streams(time_point now);
+    /// Those whose service is not the only one that may have begun them.
+    std::vector<continuity::begun_stream>
+    ambiguous(std::vector<continuity::begun_stream> streams,
+              time_point now) const;
     std::vector<daemon_id> keepers(const continuity::stream_key& stream,
                                    std::size_t count) const;
+    void add_recorder(std::vector<daemon_id>& to) const;
     /// Tells streams to the hosts that keep them.
     void tell(const std::vector<continuity::begun_stream>& streams,
               time_point now);
@@ -127,6 +129,8 @@
     handlers m_handlers;
     continuity::origin_history m_history;
     continuity::stream_origins m_origins;
+    /// Those of them that this host serves.
+    continuity::stream_origins m_begun_here;
     /// Known streams that this host has not recorded yet.
     std::vector<continuity::begun_stream> m_unrecorded;
     milliseconds m_longest_stream{0};
--- a/tests/system/rerouted_stream_test.cpp
+++ b/tests/system/rerouted_stream_test.cpp
@@ -143,8 +143,12 @@
                      0.9},
         reroute_case{"split_and_all_hosts_restarted", split, long_enough, hosts,
                      true, 0.5},
+        reroute_case{"split_and_host_lost_at_once", split, milliseconds(0), 1,
+                     false, 0.9},
         // A request runs only at services to which the configuration leads.
         reroute_case{"moved", moved, long_enough, 1, false, 0},
+        reroute_case{"moved_and_host_lost_at_once", moved, milliseconds(0), 1,
+                     false, 0},
         reroute_case{"moved_and_all_hosts_restarted", moved, long_enough, hosts,
                      true, 0}),
     [](const auto& it) { return std::string(it.param.name); });
