Exchange: End a stream at its deadline, also without pauses

A caller with a deadline of 2.5 s got events for 7.9 s, until the limit on the bytes of a stream ended it.

Cause: the deadline of the connection was set anew before each read, to at least 1 ms from then, so that it never passed while reads completed at once.

The deadline of an exchange is a moment, set once before the request is sent.

--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/exchange.cpp
@@ -143,13 +143,6 @@
     }
 }
 
-void exchange::set_timeout(connection& server)
-{
-    const auto left = m_deadline - monotonic_clock::now();
-    server.set_timeout(std::max<monotonic_clock::duration>(
-        left, std::chrono::milliseconds(1)));
-}
-
 net::awaitable<exchange_result>
 exchange::run(exchange_path path, const http::request& message,
               forwarding added, const request_id& id, http::reply_writer& reply,
@@ -202,6 +195,7 @@
     m_connection = server.get();
     m_last_contact = monotonic_clock::now();
     m_result.earlier_exchanges = server->completed_exchanges;
+    server->set_deadline(m_deadline);
     try
     {
         added.time_left = left;
@@ -280,7 +274,6 @@
                                     const http::request& message,
                                     const forwarding& added)
 {
-    set_timeout(server);
     const std::string head = head_of(message, added);
     const std::array<net::const_buffer, 2> bytes{net::buffer(head),
                                                  net::buffer(message.body())};
@@ -417,7 +410,6 @@
     http::event_stream_reader reader(server, parser);
     while (true)
     {
-        set_timeout(server);
         const auto events = co_await reader.read_some();
         m_result.partial_event_bytes = reader.partial_event_bytes();
         on_contact();
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/exchange.hpp
@@ -133,7 +133,6 @@
     net::awaitable<void> forward_events(std::string_view events,
                                         http::reply_writer& reply,
                                         stream_progress& progress);
-    void set_timeout(connection& server);
     void release_connection(http::client_pool::connection_pointer server);
 
     http::client_pool& m_pool;
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -26,11 +26,16 @@
     {
     }
 
-    /// Sets the time until which reads and writes may take.
+    /// Reads and writes fail from this moment on.
+    void set_deadline(time_point it)
+    {
+        deadline = it;
+        stream.expires_after(it - monotonic_clock::now());
+    }
+
     void set_timeout(monotonic_clock::duration timeout)
     {
-        deadline = monotonic_clock::now() + timeout;
-        stream.expires_after(timeout);
+        set_deadline(monotonic_clock::now() + timeout);
     }
 
     boost::beast::tcp_stream stream;
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -219,6 +219,51 @@
                          [](const auto& it)
                          { return std::string(it.param.name); });
 
+/// One event, which is sent again without a pause.
+const std::string event = "data: a\n\n";
+constexpr milliseconds stream_timeout{500};
+constexpr milliseconds end_slack{300};
+
+struct pauseless_case
+{
+    const char* name;
+    std::string framing;
+    std::string block;
+};
+
+void PrintTo(const pauseless_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class pauseless_streams : public testing::TestWithParam<pauseless_case>
+{
+};
+
+// Guards against a stream that outlives its deadline because its events never
+// pause, so that each read completes at once.
+TEST_P(pauseless_streams, end_at_their_deadline)
+{
+    fakes::relay_run run("HTTP/1.1 200 OK\r\nContent-Type: "
+                         "text/event-stream\r\n" +
+                             GetParam().framing + "\r\n",
+                         connection_end::stays_open, GetParam().block);
+    run.drain_caller();
+    const time_point began = monotonic_clock::now();
+    const outcome seen = run_exchange(run, true, stream_timeout);
+    EXPECT_LT(monotonic_clock::now() - began, stream_timeout + end_slack);
+    EXPECT_EQ(seen.result.end, exchange_end::out_of_time) << seen.result.reason;
+    EXPECT_TRUE(seen.progress.first_event_at);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    exchange, pauseless_streams,
+    testing::Values(pauseless_case{"until_close", "", event},
+                    pauseless_case{"in_chunks",
+                                   "Transfer-Encoding: chunked\r\n",
+                                   "9\r\n" + event + "\r\n"}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 // Guards against an interim response that is taken for the response, which
 // leaves the real one to the next request on the connection.
 TEST(exchange, an_interim_response_is_not_the_response)
--- a/tests/fakes/relay_run.hpp
+++ b/tests/fakes/relay_run.hpp
@@ -4,8 +4,10 @@
 #include "http/reply_writer.hpp"
 #include "scripted_server.hpp"
 
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_future.hpp>
 
+#include <array>
 #include <future>
 
 namespace cicadahub::fakes
@@ -48,6 +50,10 @@
     }
 
     http::client_pool& pool() { return m_pool; }
+
+    /// From now on the caller receives all that is sent to it, and drops it.
+    void drain_caller() { net::co_spawn(m_context, drain(), net::detached); }
+
     const scripted_server& server() const { return m_server; }
 
     /// Runs `relay`, a coroutine that gets the server's address and the writer
@@ -77,6 +83,17 @@
     }
 
 private:
+    net::awaitable<void> drain()
+    {
+        std::array<char, 64 * 1024> buf{};
+        boost::system::error_code ec;
+        while (!ec)
+        {
+            co_await m_caller.async_read_some(
+                net::buffer(buf), net::redirect_error(net::use_awaitable, ec));
+        }
+    }
+
     net::io_context m_context;
     scripted_server m_server;
     http::client_pool m_pool;
