Server: End an answer to a slow caller at its deadline

A caller that read slowly could hold its request for longer than the request's time: each write had the whole time of the request anew.

Cause: the writer of replies had a time limit for each write, which the request set to its whole time, where it has a deadline.

What is written late, as a refusal at the deadline is, has 250 ms.

--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -82,7 +82,7 @@
         std::min(m_deadline, m_arrived + m_route->first_byte_timeout);
     // A caller's connection that accepts no more bytes must not keep the
     // request beyond its deadline.
-    m_reply.set_write_timeout(time_left(m_arrived));
+    m_reply.set_deadline(m_deadline);
     refuse_suspect();
     refuse_crashing_part();
     charge();
--- a/libraries/entry/request_relay.cpp
+++ b/libraries/entry/request_relay.cpp
@@ -62,7 +62,7 @@
     // The sender decides whether the request may be sent again.
     const wait_guard waiting(m_state.reach, record, run, [] { return false; });
     stream_progress progress;
-    reply.set_write_timeout(it.added.time_left);
+    reply.set_deadline(now + it.added.time_left);
     // GCC 12 destroys temporaries of aggregates in a `co_await` twice.
     exchange_path path{record->entry.address, it.use_new_connection,
                        std::nullopt};
--- a/libraries/http/reply_writer.cpp
+++ b/libraries/http/reply_writer.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 
+#include <algorithm>
+
 #include <poll.h>
 
 namespace cicadahub::http
@@ -18,6 +20,8 @@
 /// While unread bytes make a connection readable all the time, a close is
 /// looked for this often.
 constexpr milliseconds pipelined_check_period{100};
+/// Time to write what is sent at or after the deadline.
+constexpr milliseconds late_write_timeout{250};
 
 /// A read finds a close only behind all unread bytes, but poll at once.
 bool is_closed_by_peer(net::ip::tcp::socket& it)
@@ -89,11 +93,22 @@
     stop_watching_caller();
 }
 
+void reply_writer::limit_write_time()
+{
+    if (!m_deadline)
+    {
+        m_stream.expires_after(m_write_timeout);
+        return;
+    }
+    m_stream.expires_after(std::max<monotonic_clock::duration>(
+        *m_deadline - monotonic_clock::now(), late_write_timeout));
+}
+
 net::awaitable<void> reply_writer::send(response it)
 {
     m_has_started = true;
     it.keep_alive(m_is_keep_alive);
-    m_stream.expires_after(m_write_timeout);
+    limit_write_time();
     const std::string head = serialize_head(it);
     co_await net::async_write(m_stream, wire_buffers(head, it.body()),
                               net::use_awaitable);
@@ -139,13 +154,13 @@
     start.chunked(m_stream_framing == body_framing::chunked);
     start.keep_alive(m_is_keep_alive);
     const std::string head = serialize_head(start);
-    m_stream.expires_after(m_write_timeout);
+    limit_write_time();
     co_await net::async_write(m_stream, net::buffer(head), net::use_awaitable);
 }
 
 net::awaitable<void> reply_writer::write_chunk(std::string_view data)
 {
-    m_stream.expires_after(m_write_timeout);
+    limit_write_time();
     if (m_stream_framing == body_framing::until_close)
     {
         co_await net::async_write(m_stream, net::buffer(data),
@@ -163,7 +178,7 @@
     {
         co_return;
     }
-    m_stream.expires_after(m_write_timeout);
+    limit_write_time();
     co_await net::async_write(m_stream, beast_http::make_chunk_last(),
                               net::use_awaitable);
 }
--- a/libraries/http/reply_writer.hpp
+++ b/libraries/http/reply_writer.hpp
@@ -4,6 +4,7 @@
 #include "http/body_framing.hpp"
 
 #include <functional>
+#include <optional>
 
 namespace cicadahub::http
 {
@@ -58,8 +59,10 @@
     /// it only once its handler gets its turn.
     bool has_caller_left();
 
-    /// Sets the time limit of each later write.
-    void set_write_timeout(milliseconds timeout) { m_write_timeout = timeout; }
+    /// Later writes fail from this moment on, instead of after the time limit
+    /// of each. One that begins late gets a moment more, so that a caller still
+    /// learns how its request ended.
+    void set_deadline(time_point it) { m_deadline = it; }
 
     bool has_started() const { return m_has_started; }
     bool is_keep_alive() const { return m_is_keep_alive; }
@@ -67,9 +70,12 @@
 private:
     class caller_watch;
 
+    void limit_write_time();
+
     boost::beast::tcp_stream& m_stream;
     bool m_is_keep_alive;
     milliseconds m_write_timeout;
+    std::optional<time_point> m_deadline;
     bool m_has_started = false;
     body_framing m_stream_framing = body_framing::chunked;
     std::shared_ptr<caller_watch> m_watch;
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/exchange_test.cpp
@@ -68,9 +68,11 @@
             http::reply_writer& reply) -> net::awaitable<exchange_result>
         {
             exchange_path path{server, false, std::nullopt};
-            exchange_result result = co_await subject.run(
-                std::move(path), message, added, id, reply, seen.progress,
-                monotonic_clock::now() + timeout);
+            const time_point deadline = monotonic_clock::now() + timeout;
+            reply.set_deadline(deadline);
+            exchange_result result =
+                co_await subject.run(std::move(path), message, added, id, reply,
+                                     seen.progress, deadline);
             if (result.end == exchange_end::failed)
             {
                 reply.abort_stream();
@@ -256,6 +258,22 @@
     EXPECT_TRUE(seen.progress.first_event_at);
 }
 
+// Guards against a stream that outlives its deadline because its caller reads
+// slowly, so that each write has the time of a whole request.
+TEST_P(pauseless_streams, end_at_their_deadline_while_the_caller_reads_slowly)
+{
+    fakes::relay_run run("HTTP/1.1 200 OK\r\nContent-Type: "
+                         "text/event-stream\r\n" +
+                             GetParam().framing + "\r\n",
+                         connection_end::stays_open,
+                         fakes::repeated(GetParam().block));
+    const time_point began = monotonic_clock::now();
+    const outcome seen = run_exchange(run, true, stream_timeout);
+    EXPECT_LT(monotonic_clock::now() - began, stream_timeout + end_slack);
+    EXPECT_TRUE(seen.result.end == exchange_end::caller_gone ||
+                seen.result.end == exchange_end::out_of_time);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     exchange, pauseless_streams,
     testing::Values(pauseless_case{"until_close", "", event},
