Streams: Keep to the origin when a route can't be resumed any more

Callers that took up a stream got 200 with events of another service, when a new configuration had moved the route and made it one that can't be resumed.

Cause: whether a request takes up a stream was read from the route as it is now, so that it went to any server, with its last event.

A route that has had streams which can be taken up counts as before, for as long as they can.

--- a/libraries/entry/stream_continuity.cpp
+++ b/libraries/entry/stream_continuity.cpp
@@ -212,6 +212,11 @@
     tell({it}, now);
 }
 
+bool stream_continuity::has_had_streams(const route_id& route) const
+{
+    return !m_history.origins(route, monotonic_clock::now()).empty();
+}
+
 std::vector<daemon_id> stream_continuity::keepers(const stream_key& stream,
                                                   std::size_t count) const
 {
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -186,10 +186,12 @@
 
 void platform_fleet::write_configuration(
     int version, const std::vector<std::string>& keys,
-    const std::vector<std::string>& prefixes, const shares& streams)
+    const std::vector<std::string>& prefixes, const shares& streams,
+    bool are_resumable)
 {
     boost::json::object stream =
         route("stream", "/stream/", "stream", streams.begin()->first);
+    stream["resumable"] = are_resumable;
     if (streams.size() > 1)
     {
         stream.erase("service");
--- a/tests/system/platform_fleet.hpp
+++ b/tests/system/platform_fleet.hpp
@@ -51,7 +51,8 @@
     /// organisation; each prefix adds a route to the plain service.
     void write_configuration(int version, const std::vector<std::string>& keys,
                              const std::vector<std::string>& prefixes = {},
-                             const shares& streams = {{"engines", 1}});
+                             const shares& streams = {{"engines", 1}},
+                             bool are_resumable = true);
 
     answer stream(std::size_t n, const std::string& id,
                   const std::string& model,
--- a/tests/system/rerouted_stream_test.cpp
+++ b/tests/system/rerouted_stream_test.cpp
@@ -29,6 +29,8 @@
     bool are_restarted;
     /// Least share of the streams taken up that go on.
     double least_share;
+    /// By the new configuration.
+    bool are_resumable = true;
 };
 
 void PrintTo(const reroute_case& it, std::ostream* out)
@@ -97,7 +99,8 @@
 {
     const reroute_case& it = GetParam();
     begin_streams();
-    fleet.write_configuration(2, {"key-of-trust"}, {}, it.after);
+    fleet.write_configuration(2, {"key-of-trust"}, {}, it.after,
+                              it.are_resumable);
     std::this_thread::sleep_for(it.delay);
     lose_hosts(it);
     set_pace(fleet.engines, short_gap);
@@ -145,8 +148,12 @@
                      true, 0.5},
         reroute_case{"split_and_host_lost_at_once", split, milliseconds(0), 1,
                      false, 0.9},
+        reroute_case{"split_and_no_longer_resumable", split, long_enough, 1,
+                     false, 0.9, false},
         // A request runs only at services to which the configuration leads.
         reroute_case{"moved", moved, long_enough, 1, false, 0},
+        reroute_case{"moved_and_no_longer_resumable", moved, long_enough, 1,
+                     false, 0, false},
         reroute_case{"moved_and_host_lost_at_once", moved, milliseconds(0), 1,
                      false, 0},
         reroute_case{"moved_and_all_hosts_restarted", moved, long_enough, hosts,
