--- a/tests/system/rerouted_stream_test.cpp
+++ b/tests/system/rerouted_stream_test.cpp
@@ -18,6 +18,23 @@
 /// that a stream has begun.
 constexpr milliseconds long_enough{1'000};
 
+/// Another engine of the first service, and two of another service and version.
+void add_engines(platform_fleet& fleet)
+{
+    for (const auto& [service, id, version] :
+         {std::tuple{"engines", "e3", "v1"},
+          {"more-engines", "x1", "v2"},
+          {"more-engines", "x2", "v2"}})
+    {
+        fleet.add_worker(service, id,
+                         {"--megabytes", "250", "--preload", "m1",
+                          "--software-version", version});
+    }
+    // All hosts have read that the route leads to one service only.
+    std::this_thread::sleep_for(seconds(5));
+    set_pace(fleet.engines, slow_gap);
+}
+
 struct reroute_case
 {
     const char* name;
@@ -41,21 +58,7 @@
 class rerouted_streams : public testing::TestWithParam<reroute_case>
 {
 protected:
-    rerouted_streams()
-    {
-        for (const auto& [service, id, version] :
-             {std::tuple{"engines", "e3", "v1"},
-              {"more-engines", "x1", "v2"},
-              {"more-engines", "x2", "v2"}})
-        {
-            fleet.add_worker(service, id,
-                             {"--megabytes", "250", "--preload", "m1",
-                              "--software-version", version});
-        }
-        // All hosts have read that the route leads to one service only.
-        std::this_thread::sleep_for(seconds(5));
-        set_pace(fleet.engines, slow_gap);
-    }
+    rerouted_streams() { add_engines(fleet); }
 
     void begin_streams()
     {
@@ -160,5 +163,58 @@
                      true, 0}),
     [](const auto& it) { return std::string(it.param.name); });
 
+// Guards against streams that go on at the service to which their route led
+// before, taken up at a host that stood still while it was moved.
+TEST(rerouted_stream, are_not_joined_by_a_host_that_missed_the_configuration)
+{
+    constexpr std::size_t frozen_from = 3;
+    platform_fleet fleet(hosts);
+    add_engines(fleet);
+    for (std::size_t n = frozen_from; n < hosts; ++n)
+    {
+        fleet.daemons[n].program->pause();
+    }
+    fleet.write_configuration(2, {"key-of-trust"}, {}, moved);
+    std::this_thread::sleep_for(long_enough);
+    std::vector<std::future<raw_answer>> begun;
+    for (std::size_t n = 0; n < streams; ++n)
+    {
+        begun.push_back(std::async(
+            std::launch::async,
+            [&fleet, n] {
+                return ask_stream(fleet, 0, {"s" + std::to_string(n), {}, {}});
+            }));
+    }
+    std::this_thread::sleep_for(3 * slow_gap);
+    fleet.daemons[0].program->kill();
+    std::vector<raw_answer> first;
+    std::vector<std::future<raw_answer>> rest;
+    for (std::size_t n = 0; n < streams; ++n)
+    {
+        first.push_back(begun[n].get());
+        const std::size_t host = frozen_from + n % (hosts - frozen_from);
+        const stream_call again{
+            "t" + std::to_string(n), "s" + std::to_string(n),
+            std::to_string(count_occurrences(first[n].bytes, "data: piece"))};
+        rest.push_back(std::async(std::launch::async, [&fleet, host, again]
+                                  { return ask_stream(fleet, host, again); }));
+    }
+    // The requests have arrived before the hosts go on.
+    std::this_thread::sleep_for(milliseconds(200));
+    for (std::size_t n = frozen_from; n < hosts; ++n)
+    {
+        fleet.daemons[n].program->resume();
+    }
+    std::size_t of_new_service = 0;
+    for (std::size_t n = 0; n < streams; ++n)
+    {
+        const raw_answer got = rest[n].get();
+        of_new_service += has_new(first[n]) ? 1 : 0;
+        EXPECT_FALSE(has_new(first[n]) && has_old(got)) << got.bytes;
+        EXPECT_TRUE(got.status() == 200 || got.status() == 503) << got.bytes;
+    }
+    EXPECT_GE(of_new_service, streams / 2);
+}
+
 } // namespace
 } // namespace cicadahub::system_tests
