--- a/libraries/entry/stream_continuity.hpp
+++ b/libraries/entry/stream_continuity.hpp
@@ -108,7 +108,7 @@
     void on_origins_changed(const continuity::origin_history::record& before,
                             time_point now);
     void remember(const continuity::begun_stream& it, time_point now);
-    /// Those whose service is not the only one that may have begun them.
+    /// Those that something else than their origin may have begun.
     std::vector<continuity::begun_stream>
     ambiguous(std::vector<continuity::begun_stream> streams,
               time_point now) const;
--- a/tests/system/rerouted_stream_test.cpp
+++ b/tests/system/rerouted_stream_test.cpp
@@ -149,6 +149,8 @@
                      0.9},
         reroute_case{"split_and_all_hosts_restarted", split, long_enough, hosts,
                      true, 0.5},
+        reroute_case{"split_and_all_hosts_restarted_at_once", split,
+                     milliseconds(0), hosts, true, 0.5},
         reroute_case{"split_and_host_lost_at_once", split, milliseconds(0), 1,
                      false, 0.9},
         reroute_case{"split_and_no_longer_resumable", split, long_enough, 1,
