Entry: Log which start of a server a request went to and what clears one

The logs could not tell apart whether a notice of a leaving server was forgotten, kept for the wrong start, or passed by a request that waited: request_attempted, request_suspected and server_leaving now name the start of the server, server_listed the start listed before it. A request that an answer clears of crashes is logged (705), and a refusal names the fingerprint.

--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -62,6 +62,7 @@
     CICADAHUB_ROW(request_suspected),
     CICADAHUB_ROW(prompt_part_refused),
     CICADAHUB_ROW(prompt_part_cleared),
+    CICADAHUB_ROW(request_cleared),
     CICADAHUB_ROW(request_waits),
     CICADAHUB_ROW(request_attempted),
     CICADAHUB_ROW(request_answered),
--- a/libraries/decision/suspicion/suspect_table.cpp
+++ b/libraries/decision/suspicion/suspect_table.cpp
@@ -31,9 +31,16 @@
     return is_news;
 }
 
-void suspect_table::on_completed(const fingerprint& request)
+std::uint32_t suspect_table::on_completed(const fingerprint& request)
 {
-    m_suspects.erase(request);
+    const auto known = m_suspects.find(request);
+    if (known == m_suspects.end())
+    {
+        return 0;
+    }
+    const std::uint32_t crashes = known->second.crashes;
+    m_suspects.erase(known);
+    return crashes;
 }
 
 std::vector<std::pair<fingerprint, std::uint32_t>>
--- a/libraries/decision/suspicion/suspect_table.hpp
+++ b/libraries/decision/suspicion/suspect_table.hpp
@@ -43,8 +43,9 @@
     bool on_notice(const fingerprint& request, std::uint32_t crashes,
                    time_point now);
 
-    /// The request completed, which clears it of suspicion.
-    void on_completed(const fingerprint& request);
+    /// The request completed, which clears it of suspicion. Returns the number
+    /// of crashes that were counted for it.
+    std::uint32_t on_completed(const fingerprint& request);
 
     /// Requests for which this daemon has seen a crash since the given time,
     /// with their numbers of crashes.
--- a/libraries/entry/active_request.cpp
+++ b/libraries/entry/active_request.cpp
@@ -51,6 +51,7 @@
          {"runs", m_runs},
          {"after_ms", time_since(m_arrived).count()},
          {"retry_after_ms", retry_after.count()},
+         {"fingerprint", m_fingerprint.value()},
          {"configuration", m_configuration ? m_configuration->version : 0}});
     throw refused_error(it);
 }
--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -148,7 +148,7 @@
     if (result.end == exchange_end::answered ||
         result.end == exchange_end::streamed)
     {
-        m_state.suspects.on_completed(fingerprint);
+        clear(result, fingerprint);
         co_await record_answer(result);
     }
     const bool has_failed_to_connect = result.end == exchange_end::not_sent;
@@ -203,6 +203,24 @@
     co_return false;
 }
 
+void attempt_observer::clear(const exchange_result& result,
+                             const suspicion::fingerprint& fingerprint)
+{
+    const std::uint32_t crashes = m_state.suspects.on_completed(fingerprint);
+    if (crashes == 0)
+    {
+        return;
+    }
+    log_event(
+        severity::info, event_number::request_cleared,
+        {{"request", m_request.value()},
+         {"fingerprint", fingerprint.value()},
+         {"crashes", crashes},
+         {"server", m_record->entry.id.value()},
+         {"framing", result.framing ? http::name_of(*result.framing) : ""},
+         {"relay", m_relay}});
+}
+
 net::awaitable<void>
 attempt_observer::record_answer(const exchange_result& result)
 {
@@ -258,6 +276,7 @@
                {"fingerprint", fingerprint.value()},
                {"crashes", crashes},
                {"server", m_record->entry.id.value()},
+               {"incarnation", m_record->entry.incarnation},
                {"servers_silent_ms", servers_silent_ms()},
                {"prompt_parts", text_of(m_parts)},
                {"seen_by", m_state.settings.name.value()}});
@@ -318,6 +337,7 @@
         severity::info, event_number::request_attempted,
         {{"request", m_request.value()},
          {"server", m_record->entry.id.value()},
+         {"incarnation", m_record->entry.incarnation},
          {"end", name_of(result.end)},
          {"status", head.status},
          {"names_request", outcome::name_of(head.request)},
--- a/libraries/entry/attempt_observer.hpp
+++ b/libraries/entry/attempt_observer.hpp
@@ -49,6 +49,9 @@
                        const std::optional<replicas::copy_name>& copy);
     void record_crash(const suspicion::fingerprint& fingerprint,
                       time_point crashed_at);
+    /// Clears the request of the crashes that are counted for it.
+    void clear(const exchange_result& result,
+               const suspicion::fingerprint& fingerprint);
     net::awaitable<void> record_answer(const exchange_result& result);
     /// Time since any server last sent this host anything.
     std::int64_t servers_silent_ms() const;
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -113,12 +113,15 @@
         !record || record->entry.incarnation != entry.incarnation;
     if (is_new)
     {
+        const std::int64_t former = record ? record->entry.incarnation : 0;
         record = take_unlisted(entry);
         entry.is_leaving = entry.is_leaving || record->entry.is_leaving;
         log_event(severity::info, event_number::server_listed,
                   {{"server", id.value()},
                    {"service", entry.service.value()},
                    {"incarnation", entry.incarnation},
+                   {"former", former},
+                   {"is_leaving", entry.is_leaving},
                    {"era", era_of(it.version).value()},
                    {"version", revision_of(it.version)}});
     }
@@ -132,6 +135,7 @@
         log_event(severity::info, event_number::server_leaving,
                   {{"server", id.value()},
                    {"seen_in", "list"},
+                   {"incarnation", entry.incarnation},
                    {"era", era_of(it.version).value()},
                    {"version", revision_of(it.version)}});
     }
