--- a/tests/system/crashing_part_test.cpp
+++ b/tests/system/crashing_part_test.cpp
@@ -1,10 +1,9 @@
-#include "platform_fleet.hpp"
+#include "restarted_engines.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <atomic>
-#include <mutex>
 #include <optional>
 #include <thread>
 
@@ -14,12 +13,9 @@
 {
 
 constexpr int daemon_count = 4;
-constexpr std::size_t engine_count = 8;
 constexpr std::size_t callers_per_daemon = 2;
 constexpr milliseconds request_gap{50};
 constexpr milliseconds crashing_request_gap{500};
-constexpr milliseconds engine_restart_time{1'000};
-constexpr milliseconds poll_period{20};
 /// Time from the fifth crash in which all hosts learn of it.
 constexpr milliseconds contact_time{3'000};
 constexpr std::size_t counted_crashes = 5;
@@ -27,107 +23,6 @@
 constexpr std::size_t allowed_crashes = 3;
 constexpr milliseconds measured_time{2'000};
 
-/// Engines that are started again, as new ones, a while after they crashed.
-class restarted_engines
-{
-public:
-    restarted_engines(platform_fleet& fleet, std::string faults)
-        : m_fleet(fleet), m_faults(std::move(faults))
-    {
-        for (std::size_t n = 0; n < fleet.engines.size(); ++n)
-        {
-            fleet.set_fault(fleet.engines[n].address, m_faults);
-            m_indexes.push_back(n);
-        }
-        for (std::size_t n = 0; n < engine_count; ++n)
-        {
-            start_one();
-        }
-        m_thread = std::thread([this] { run(); });
-    }
-
-    ~restarted_engines()
-    {
-        m_is_over = true;
-        m_thread.join();
-    }
-
-    restarted_engines(const restarted_engines&) = delete;
-    restarted_engines& operator=(const restarted_engines&) = delete;
-
-    std::vector<time_point> crashes()
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_crashes;
-    }
-
-    void kill(std::size_t n)
-    {
-        const std::lock_guard lock(m_mutex);
-        if (n < m_indexes.size())
-        {
-            m_fleet.engines[m_indexes[n]].program->kill();
-        }
-    }
-
-    void kill_a_third()
-    {
-        for (std::size_t n = 0; n < (engine_count + 2) / 3; ++n)
-        {
-            kill(n);
-        }
-    }
-
-private:
-    void start_one()
-    {
-        const std::size_t at =
-            m_fleet.add_worker("engines", "c" + std::to_string(++m_started),
-                               {"--megabytes", "250", "--preload", "m1"});
-        m_fleet.set_fault(m_fleet.engines[at].address, m_faults);
-        m_indexes.push_back(at);
-    }
-
-    void run()
-    {
-        std::vector<time_point> ended;
-        while (!m_is_over)
-        {
-            std::this_thread::sleep_for(poll_period);
-            const std::lock_guard lock(m_mutex);
-            const time_point now = monotonic_clock::now();
-            std::erase_if(m_indexes,
-                          [&](std::size_t it)
-                          {
-                              auto& engine = m_fleet.engines[it];
-                              if (!engine.program->has_ended())
-                              {
-                                  return false;
-                              }
-                              call(m_fleet.store, http::verb::delete_,
-                                   "/v1/objects/servers/" + engine.id);
-                              m_crashes.push_back(now);
-                              ended.push_back(now);
-                              return true;
-                          });
-            while (!ended.empty() && ended.front() + engine_restart_time <= now)
-            {
-                ended.erase(ended.begin());
-                start_one();
-            }
-        }
-    }
-
-    platform_fleet& m_fleet;
-    std::string m_faults;
-    std::mutex m_mutex;
-    std::vector<std::size_t> m_indexes;
-    std::vector<time_point> m_crashes;
-    int m_started = 0;
-    std::atomic<bool> m_is_over = false;
-    std::thread m_thread;
-};
-
 struct sent_request
 {
     time_point at;
@@ -297,8 +192,9 @@
     std::this_thread::sleep_until(fifth + 2 * contact_time);
     const time_point begin = monotonic_clock::now();
     std::this_thread::sleep_for(measured_time);
-    const std::size_t killed =
-        beside == trouble::third_of_servers_lost ? (engine_count + 2) / 3 : 0;
+    const std::size_t killed = beside == trouble::third_of_servers_lost
+                                   ? (restarted_engines::count + 2) / 3
+                                   : 0;
     const std::size_t after = engines.crashes().size() - killed;
     crashing.stop();
     more.reset();
@@ -358,7 +254,7 @@
             engines.kill(0);
             engines.kill(1);
         }
-        std::this_thread::sleep_for(2 * poll_period);
+        std::this_thread::sleep_for(2 * restarted_engines::poll_period);
     }
     std::size_t served = 0;
     for (const auto& from : sound)
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -108,6 +108,11 @@
     const std::string kind = "/v1/objects/servers";
     while (true)
     {
+        if (m_is_unlisted)
+        {
+            co_await pause(heartbeat);
+            continue;
+        }
         boost::json::object spec{
             {"service", m_settings.service},
             {"address", m_settings.address},
@@ -165,11 +170,14 @@
         m_is_draining = reader.boolean_or("draining", m_is_draining);
         m_is_unframed = reader.boolean_or("unframed", m_is_unframed);
         m_is_leaving = reader.boolean_or("leaving", m_is_leaving);
+        m_is_unlisted = reader.boolean_or("unlisted", m_is_unlisted);
         m_are_events_unnumbered =
             reader.boolean_or("unnumbered", m_are_events_unnumbered);
         m_crashes_after_run =
             reader.boolean_or("crash_after_run", m_crashes_after_run);
         m_crash_part = reader.text_or("crash_part", m_crash_part);
+        m_crashes_behind_event =
+            reader.boolean_or("crash_behind_event", m_crashes_behind_event);
         m_unproven_promises =
             reader.integer_or("unproven_promises", m_unproven_promises);
         m_stale_refusals =
@@ -701,7 +709,8 @@
     if (makes_server_crash(message))
     {
         co_await pause(m_settings.event_gap);
-        co_await reply.write_chunk("id: 1\nda");
+        co_await reply.write_chunk(
+            m_crashes_behind_event ? "id: 1\ndata: piece\n\n" : "id: 1\nda");
         std::_Exit(crash_status);
     }
     const bool is_broken = m_broken_streams > 0;
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -44,27 +44,29 @@
 /// have neither a length nor chunks, and broken streams are closed without a
 /// reset, as when the process crashes), `silent_orders` (number of orders
 /// executed without a response), `draining`, `leaving` (responses announce that
-/// the server leaves, while its entry in the store does not) and `shed_s` (for
-/// that many seconds requests are turned away with the rest of that time as the
-/// pause; orders and reports too with `shed_placement`), `unnumbered` (events
-/// have no id), `crash_after_run` (the process ends while it executes the next
-/// request), `crash_part` (the process ends when it begins to answer a request
-/// with this part in its prompt), `unproven_promises` (number of requests that
-/// are executed and answered with `promised_status` without the statement that
-/// they were not), `stale_refusals` (number of requests in front of whose
-/// response a refusal of another request arrives, with `promised_status`; it
-/// names the request `stale_id`, or none if that is empty) and `endless`
-/// (responses never end: in the "head", in "interim" responses, in a
-/// "chunk_extension", in the "body", which has no length and in a stream is one
-/// event, or with whole "events"; empty for none), `resumed_status` (status of
-/// the error that answers requests to resume a stream; 0 for none), `limit`
-/// (requests a second, as text, that responses say the server takes from all
-/// hosts together; empty for none), `brittle` (limit that responses announce)
-/// and `room` (requests that it runs at the same time, if fewer than its slots;
-/// from then on, after more rejections for want of room in a second than the
-/// limit, the server fails, which is counted as `falls`, and for a second
-/// closes all connections). `GET /stats` returns counters and `GET /runs` how
-/// often each request was executed.
+/// the server leaves, while its entry in the store does not) `unlisted` (the
+/// server writes its entry no more), `shed_s` (for that many seconds requests
+/// are turned away with the rest of that time as the pause; orders and reports
+/// too with `shed_placement`), `unnumbered` (events have no id),
+/// `crash_after_run` (the process ends while it executes the next request),
+/// `crash_part` (the process ends when it begins to answer a request with this
+/// part in its prompt; behind a whole event with `crash_behind_event`, else
+/// within one), `unproven_promises` (number of requests that are executed and
+/// answered with `promised_status` without the statement that they were not),
+/// `stale_refusals` (number of requests in front of whose response a refusal of
+/// another request arrives, with `promised_status`; it names the request
+/// `stale_id`, or none if that is empty) and `endless` (responses never end: in
+/// the "head", in "interim" responses, in a "chunk_extension", in the "body",
+/// which has no length and in a stream is one event, or with whole "events";
+/// empty for none), `resumed_status` (status of the error that answers requests
+/// to resume a stream; 0 for none), `limit` (requests a second, as text, that
+/// responses say the server takes from all hosts together; empty for none),
+/// `brittle` (limit that responses announce) and `room` (requests that it runs
+/// at the same time, if fewer than its slots; from then on, after more
+/// rejections for want of room in a second than the limit, the server fails,
+/// which is counted as `falls`, and for a second closes all connections). `GET
+/// /stats` returns counters and `GET /runs` how often each request was
+/// executed.
 class worker_standin
 {
 public:
@@ -130,9 +132,11 @@
     std::int64_t m_silent_orders = 0;
     bool m_is_unframed = false;
     bool m_is_leaving = false;
+    bool m_is_unlisted = false;
     bool m_are_events_unnumbered = false;
     bool m_crashes_after_run = false;
     std::string m_crash_part;
+    bool m_crashes_behind_event = false;
     std::int64_t m_unproven_promises = 0;
     std::int64_t m_stale_refusals = 0;
     std::int64_t m_promised_status = 503;
