Servers: Ignore entries of an earlier start than one that is known

Callers' requests reached a server up to seconds after it had said that it leaves. Cause: an entry of a former start, written late, replaced the record of the start that leaves, with its notice, its limit, its pause and its health; the right entry, written again with the next heartbeat, began anew. Only the entry of a restored store was checked against the start that is known.

An entry of an earlier start changes nothing while a later one is known, listed or not, and was seen within 30 s: a late write takes less, and a server whose clock was set back is used again after that. A notice of a later start that is not listed yet holds for the entry of the earlier one. A request that waited for a connection is not sent if another start has been listed meanwhile.

announced_leaving/said_by_another_incarnation expected a server to be used whose later start had said that it leaves. Both have one id, so that the request would reach the later one: now it must not be used, and said_by_an_earlier_start holds the other direction.

--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -53,6 +53,7 @@
     CICADAHUB_ROW(route_services_changed),
     CICADAHUB_ROW(host_cut_off),
     CICADAHUB_ROW(host_reconnected),
+    CICADAHUB_ROW(server_entry_outdated),
     CICADAHUB_ROW(peer_connected),
     CICADAHUB_ROW(peer_lost),
     CICADAHUB_ROW(peer_frame_malformed),
--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -50,6 +50,7 @@
     route_services_changed = 529,
     host_cut_off = 530,
     host_reconnected = 531,
+    server_entry_outdated = 532,
     peer_connected = 600,
     peer_lost = 601,
     peer_frame_malformed = 602,
--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -74,7 +74,9 @@
 {
     const time_point now = monotonic_clock::now();
     m_sent_at = now;
-    if (!m_record->accepts_requests(now) ||
+    const auto listed = m_state.servers.find(m_record->entry.id);
+    // Another start of the server may have been listed meanwhile.
+    if ((listed && listed != m_record) || !m_record->accepts_requests(now) ||
         (!m_is_trial && m_state.find_crashing_part(m_parts, now)))
     {
         return false;
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -90,37 +90,40 @@
         remove(id, it.version);
         return false;
     }
-    auto& record = m_records[id];
-    if (record && record->entry.incarnation == entry.incarnation)
+    const record_pointer listed = find(id);
+    if (listed && listed->entry.revision > it.version)
     {
-        // An incarnation that leaves never stays, whatever an entry says that
-        // was written earlier.
-        entry.is_leaving = entry.is_leaving || record->entry.is_leaving;
-    }
-    const bool is_of_restored_store =
-        record && era_of(it.version) > era_of(record->entry.revision);
-    if (is_of_restored_store && entry.incarnation < record->entry.incarnation)
-    {
-        // The copy that the store was restored from is older than the server.
+        // A newer version has already been received from a peer.
         return true;
     }
-    if (record && record->entry.revision > it.version)
+    const time_point now = monotonic_clock::now();
+    if (is_outdated(entry, it.version, now))
     {
-        // A newer version has already been received from a peer.
+        // The list has been followed up to here, whatever is made of it.
+        advance_changed_version(it.version);
+        log_event(severity::warning, event_number::server_entry_outdated,
+                  {{"server", id.value()},
+                   {"incarnation", entry.incarnation},
+                   {"listed", listed ? listed->entry.incarnation : 0},
+                   {"era", era_of(it.version).value()},
+                   {"version", revision_of(it.version)}});
         return true;
     }
     const bool is_new =
-        !record || record->entry.incarnation != entry.incarnation;
+        !listed || listed->entry.incarnation != entry.incarnation;
+    const record_pointer record = is_new ? take_unlisted(entry) : listed;
+    record->last_seen = now;
+    // An incarnation that leaves never stays, whatever an entry says that was
+    // written earlier.
+    entry.is_leaving = entry.is_leaving || record->entry.is_leaving;
     if (is_new)
     {
-        const std::int64_t former = record ? record->entry.incarnation : 0;
-        record = take_unlisted(entry);
-        entry.is_leaving = entry.is_leaving || record->entry.is_leaving;
+        m_records[id] = record;
         log_event(severity::info, event_number::server_listed,
                   {{"server", id.value()},
                    {"service", entry.service.value()},
                    {"incarnation", entry.incarnation},
-                   {"former", former},
+                   {"former", listed ? listed->entry.incarnation : 0},
                    {"is_leaving", entry.is_leaving},
                    {"era", era_of(it.version).value()},
                    {"version", revision_of(it.version)}});
@@ -143,6 +146,23 @@
     return true;
 }
 
+bool server_table::is_outdated(const serving::server_entry& entry,
+                               object_version version, time_point now) const
+{
+    const auto is_later_start = [&](const record_pointer& it)
+    {
+        // The copy that a store was restored from is older than the server.
+        return it && it->entry.incarnation > entry.incarnation &&
+               (era_of(version) > era_of(it->entry.revision) ||
+                now < std::max(it->last_seen, it->last_contact) +
+                          start_dispute_time);
+    };
+    const auto unlisted = m_unlisted.find(entry.id);
+    return is_later_start(find(entry.id)) ||
+           (unlisted != m_unlisted.end() &&
+            is_later_start(unlisted->second.record));
+}
+
 void server_table::advance_changed_version(object_version version)
 {
     m_changed_version = std::max(m_changed_version, version);
@@ -185,8 +205,7 @@
 server_table::take_unlisted(const serving::server_entry& entry)
 {
     const auto known = m_unlisted.find(entry.id);
-    if (known == m_unlisted.end() ||
-        known->second.record->entry.incarnation > entry.incarnation)
+    if (known == m_unlisted.end())
     {
         return std::make_shared<server_record>();
     }
@@ -216,6 +235,7 @@
     auto record = std::make_shared<server_record>();
     record->entry.id = id;
     record->entry.incarnation = incarnation;
+    record->last_seen = monotonic_clock::now();
     keep_unlisted(record);
     return record;
 }
@@ -267,7 +287,13 @@
                    {"seen_in", source},
                    {"incarnation", incarnation}});
     }
-    return record == find(server);
+    const record_pointer listed = find(server);
+    if (listed && listed != record)
+    {
+        // The entry of a start before this one is not up to date.
+        listed->entry.is_leaving = true;
+    }
+    return record == listed;
 }
 
 void server_table::on_published(const server_id& server,
--- a/libraries/entry/server_table.hpp
+++ b/libraries/entry/server_table.hpp
@@ -47,6 +47,9 @@
     sharing::server_room room;
     /// Last time at which the server sent this daemon anything.
     time_point last_contact{};
+    /// Last time at which its entry was seen in the list, or a peer told of it
+    /// first.
+    time_point last_seen{};
     /// Last check whether the server still accepts connections.
     time_point last_check{};
     /// The server said itself that it leaves; the platform's list may say so
@@ -72,6 +75,7 @@
 ///
 /// What a server said of itself belongs to its incarnation, not to its entry:
 /// it is kept while the incarnation is not listed, and counts again when it is.
+/// Entries of an earlier incarnation than one that is known change nothing.
 class server_table
 {
 public:
@@ -79,6 +83,10 @@
     /// long: entries lapse while the store is away.
     static constexpr milliseconds unlisted_retention{120'000};
     static constexpr std::size_t max_unlisted = 4'096;
+    /// Entries of an earlier start than one that is known may be writes that
+    /// arrive late. They count once nothing was seen of the later one for this
+    /// long: the clock of the server's host has been set back.
+    static constexpr milliseconds start_dispute_time{30'000};
 
     explicit server_table(const document_dialect& documents)
         : m_documents(documents)
@@ -137,6 +145,9 @@
 
 private:
     void remove(const server_id& id, object_version version);
+    /// True if a later start of the server is known, and was seen lately.
+    bool is_outdated(const serving::server_entry& entry, object_version version,
+                     time_point now) const;
     void keep_unlisted(record_pointer record);
     record_pointer take_unlisted(const serving::server_entry& entry);
     void advance_changed_version(object_version version);
--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/server_table_test.cpp
@@ -84,7 +84,8 @@
 struct leaving_case
 {
     const char* name;
-    /// Incarnation that said that it leaves; the listed one is 1.
+    std::int64_t listed;
+    /// Incarnation that said that it leaves.
     std::int64_t announced;
     /// Incarnation of the entry that the store sends next.
     std::int64_t next;
@@ -106,7 +107,7 @@
 {
     const document_dialect documents{{}, {}, read_server};
     server_table table(documents);
-    table.apply(object("s", 5));
+    table.apply(object("s", 5, {{"incarnation", GetParam().listed}}));
     table.on_leaving(server_id("s"), GetParam().announced, "response");
     table.apply(object("s", 6, {{"incarnation", GetParam().next}}));
     const auto record = table.find(server_id("s"));
@@ -117,9 +118,10 @@
 
 INSTANTIATE_TEST_SUITE_P(
     server_table, announced_leaving,
-    testing::Values(leaving_case{"listed_as_ready_again", 1, 1, true},
-                    leaving_case{"started_again", 1, 2, false},
-                    leaving_case{"said_by_another_incarnation", 2, 1, false}),
+    testing::Values(leaving_case{"listed_as_ready_again", 1, 1, 1, true},
+                    leaving_case{"started_again", 1, 1, 2, false},
+                    leaving_case{"said_by_an_earlier_start", 2, 1, 2, false},
+                    leaving_case{"said_by_a_later_start", 1, 2, 1, true}),
     [](const auto& it) { return std::string(it.param.name); });
 
 // Requests that run on the former incarnation end later; they are not counted
@@ -293,6 +295,67 @@
     EXPECT_EQ(m_table.find(server_id("s"))->entry.incarnation, 6);
 }
 
+struct outdated_case
+{
+    const char* name;
+    /// The entry of the later start is gone from the list.
+    bool is_removed;
+    /// Time since anything was seen of the later start.
+    milliseconds silence;
+    /// The start that is used behind the entry of the earlier one; 0 if none.
+    std::int64_t used;
+};
+
+void PrintTo(const outdated_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class outdated_entries : public server_table_test,
+                         public testing::WithParamInterface<outdated_case>
+{
+};
+
+constexpr milliseconds long_silence =
+    server_table::start_dispute_time + seconds(1);
+
+// Guards against requests to a server that said it leaves, because an entry of
+// its former start is written late.
+TEST_P(outdated_entries, do_not_replace_a_later_start)
+{
+    const time_point now = monotonic_clock::now();
+    m_table.apply(object("s", 5, {{"incarnation", 2}}));
+    const auto later = m_table.find(server_id("s"));
+    m_table.on_leaving(server_id("s"), 2, "response");
+    later->limit.on_answer(2, now, now);
+    if (GetParam().is_removed)
+    {
+        platform::stored_object deleted = object("s", 6);
+        deleted.is_deleted = true;
+        m_table.apply(deleted);
+    }
+    later->last_seen = now - GetParam().silence;
+    m_table.apply(object("s", 7, {{"incarnation", 1}}));
+    EXPECT_EQ(changed(), 7U);
+    const auto used = m_table.find(server_id("s"));
+    EXPECT_EQ(used ? used->entry.incarnation : 0, GetParam().used);
+    EXPECT_EQ(used && used->accepts_requests(now), GetParam().used == 1);
+    m_table.apply(object("s", 8, {{"incarnation", 2}}));
+    const auto back = m_table.find(server_id("s"));
+    const bool is_kept = GetParam().used != 1;
+    EXPECT_EQ(back == later, is_kept);
+    EXPECT_EQ(back->entry.is_leaving, is_kept);
+    EXPECT_EQ(back->limit.is_limited(now), is_kept);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    server_table, outdated_entries,
+    testing::Values(outdated_case{"listed", false, milliseconds(0), 2},
+                    outdated_case{"removed", true, milliseconds(0), 0},
+                    outdated_case{"listed_long_ago", false, long_silence, 1},
+                    outdated_case{"removed_long_ago", true, long_silence, 1}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 struct publication_case
 {
     const char* name;
