Servers: Ask a server that had said it leaves whether it has started again

Callers' requests reached a server that had said it leaves, once its entry told of a later start. Cause: a new start has no past, and the entry alone was taken for the proof that the former start has ended. The entry may be ahead of that end, or wrong.

A server that starts again anew, elsewhere, or without having said that it leaves is used at once, as before.

announced_leaving/started_again asserts the same as before for a server that has been asked; new_starts holds that it is not used before.

--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -134,7 +134,8 @@
                 {
                     log_first_readiness();
                 }}),
-      m_loop_monitor(m_state), m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
+      m_new_starts(m_state, m_dialects.servers), m_loop_monitor(m_state),
+      m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
       m_started(monotonic_clock::now())
 {
     m_state.send_update_to_all_soon = [this]
@@ -490,6 +491,7 @@
     m_loop_monitor.start();
     m_stream_record.start();
     m_limits.start();
+    m_new_starts.start();
     m_state.reach.start(m_dialects.servers.make_report_request,
                         [this] { on_reach_changed(); });
     net::co_spawn(m_context, follow_members(), net::detached);
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -7,6 +7,7 @@
 #include "entry/placement_controller.hpp"
 #include "entry/request_handler.hpp"
 #include "entry/request_relay.hpp"
+#include "entry/start_verifier.hpp"
 #include "entry/store_mirror.hpp"
 #include "entry/stream_record.hpp"
 #include "entry/version_record.hpp"
@@ -97,6 +98,7 @@
     version_record m_versions;
     stream_record m_stream_record;
     limit_record m_limits;
+    start_verifier m_new_starts;
     loop_monitor m_loop_monitor;
     net::signal_set m_signals;
     /// Name of the peer that last reported holding the placement lease; empty
--- a/libraries/entry/request_routing.cpp
+++ b/libraries/entry/request_routing.cpp
@@ -58,6 +58,10 @@
             continue;
         }
         result.has_eligible_server = true;
+        if (record->is_unverified)
+        {
+            continue;
+        }
         if (record->pause.is_active(now))
         {
             const milliseconds left = record->pause.left(now);
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -31,7 +31,7 @@
 
 bool server_record::accepts_requests(time_point now) const
 {
-    return !entry.is_leaving && !pause.is_active(now);
+    return !entry.is_leaving && !is_unverified && !pause.is_active(now);
 }
 
 bool server_record::accepts_orders(time_point now) const
@@ -111,7 +111,7 @@
     }
     const bool is_new =
         !listed || listed->entry.incarnation != entry.incarnation;
-    const record_pointer record = is_new ? take_unlisted(entry) : listed;
+    const record_pointer record = is_new ? take_record(entry, listed) : listed;
     record->last_seen = now;
     // An incarnation that leaves never stays, whatever an entry says that was
     // written earlier.
@@ -202,18 +202,36 @@
 }
 
 server_table::record_pointer
-server_table::take_unlisted(const serving::server_entry& entry)
+server_table::take_record(const serving::server_entry& entry,
+                          const record_pointer& listed)
 {
+    record_pointer former = listed;
     const auto known = m_unlisted.find(entry.id);
-    if (known == m_unlisted.end())
+    if (known != m_unlisted.end())
     {
-        return std::make_shared<server_record>();
+        const record_pointer unlisted = std::move(known->second.record);
+        m_unlisted.erase(known);
+        if (unlisted->entry.incarnation == entry.incarnation)
+        {
+            return unlisted;
+        }
+        former = listed ? listed : unlisted;
+    }
+    const auto record = std::make_shared<server_record>();
+    if (former && former->entry.is_leaving &&
+        former->entry.address == entry.address)
+    {
+        record->is_unverified = true;
+        m_unverified.push_back({record, monotonic_clock::now()});
     }
-    record_pointer record = std::move(known->second.record);
-    m_unlisted.erase(known);
-    return record->entry.incarnation == entry.incarnation
-               ? record
-               : std::make_shared<server_record>();
+    return record;
+}
+
+void server_table::on_verified(const record_pointer& it)
+{
+    it->is_unverified = false;
+    std::erase_if(m_unverified, [&](const unverified_start& known)
+                  { return known.record == it; });
 }
 
 server_table::record_pointer
--- a/libraries/entry/server_table.hpp
+++ b/libraries/entry/server_table.hpp
@@ -59,6 +59,10 @@
     /// by itself.
     bool is_leave_told_by_watcher = false;
 
+    /// A former start of the server said that it leaves, and may still be the
+    /// one that has the address.
+    bool is_unverified = false;
+
     /// True if new requests may be sent to the server.
     bool accepts_requests(time_point now) const;
     /// The same for orders and for requests for reports. A server that names a
@@ -130,6 +134,18 @@
     record_pointer find_incarnation(const server_id& id,
                                     std::int64_t incarnation);
 
+    struct unverified_start
+    {
+        record_pointer record;
+        time_point since{};
+    };
+    /// Servers to be asked whether they have started again.
+    const std::vector<unverified_start>& unverified() const
+    {
+        return m_unverified;
+    }
+    void on_verified(const record_pointer& it);
+
     struct unlisted_server
     {
         record_pointer record;
@@ -149,13 +165,16 @@
     bool is_outdated(const serving::server_entry& entry, object_version version,
                      time_point now) const;
     void keep_unlisted(record_pointer record);
-    record_pointer take_unlisted(const serving::server_entry& entry);
+    /// The record of the entry's start; a new one if nothing is known of it.
+    record_pointer take_record(const serving::server_entry& entry,
+                               const record_pointer& listed);
     void advance_changed_version(object_version version);
 
     const document_dialect& m_documents;
     object_version m_changed_version;
     std::map<server_id, record_pointer> m_records;
     std::map<server_id, unlisted_server> m_unlisted;
+    std::vector<unverified_start> m_unverified;
     std::set<server_id> m_seen_in_list;
 };
 
--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/server_table_test.cpp
@@ -16,6 +16,8 @@
     const auto* incarnation = it.spec.if_contains("incarnation");
     entry.incarnation = incarnation == nullptr ? 1 : incarnation->as_int64();
     entry.is_leaving = it.spec.contains("leaving");
+    const auto* port = it.spec.if_contains("port");
+    entry.address.port(port == nullptr ? 1 : port->to_number<std::uint16_t>());
     if (it.spec.contains("model"))
     {
         entry.models[model_id("m")];
@@ -112,6 +114,8 @@
     table.apply(object("s", 6, {{"incarnation", GetParam().next}}));
     const auto record = table.find(server_id("s"));
     EXPECT_EQ(record->entry.is_leaving, GetParam().is_leaving);
+    // It has been asked, if it had to be.
+    table.on_verified(record);
     EXPECT_EQ(record->accepts_requests(monotonic_clock::now()),
               !GetParam().is_leaving);
 }
@@ -339,6 +343,11 @@
     EXPECT_EQ(changed(), 7U);
     const auto used = m_table.find(server_id("s"));
     EXPECT_EQ(used ? used->entry.incarnation : 0, GetParam().used);
+    if (used)
+    {
+        // It has been asked, if it had to be.
+        m_table.on_verified(used);
+    }
     EXPECT_EQ(used && used->accepts_requests(now), GetParam().used == 1);
     m_table.apply(object("s", 8, {{"incarnation", 2}}));
     const auto back = m_table.find(server_id("s"));
@@ -356,6 +365,63 @@
                     outdated_case{"removed_long_ago", true, long_silence, 1}),
     [](const auto& it) { return std::string(it.param.name); });
 
+struct new_start_case
+{
+    const char* name;
+    bool is_former_leaving;
+    /// The former entry has gone before the next comes.
+    bool is_removed;
+    bool has_same_address;
+    bool is_unverified;
+};
+
+void PrintTo(const new_start_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class new_starts : public server_table_test,
+                   public testing::WithParamInterface<new_start_case>
+{
+};
+
+// Guards against requests to a leaving server whose entry says that it has
+// started again.
+TEST_P(new_starts, of_leaving_servers_are_asked_first)
+{
+    m_table.apply(object("s", 5, {{"port", 80}}));
+    if (GetParam().is_former_leaving)
+    {
+        m_table.on_leaving(server_id("s"), 1, "response");
+    }
+    if (GetParam().is_removed)
+    {
+        platform::stored_object deleted = object("s", 6);
+        deleted.is_deleted = true;
+        m_table.apply(deleted);
+    }
+    m_table.apply(object(
+        "s", 7,
+        {{"incarnation", 2}, {"port", GetParam().has_same_address ? 80 : 81}}));
+    const auto record = m_table.find(server_id("s"));
+    const time_point now = monotonic_clock::now();
+    const bool is_unverified = GetParam().is_unverified;
+    EXPECT_FALSE(record->entry.is_leaving);
+    EXPECT_EQ(record->accepts_requests(now), !is_unverified);
+    EXPECT_EQ(m_table.unverified().size(), is_unverified ? 1U : 0U);
+    m_table.on_verified(record);
+    EXPECT_TRUE(record->accepts_requests(now));
+    EXPECT_TRUE(m_table.unverified().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    server_table, new_starts,
+    testing::Values(new_start_case{"listed", true, false, true, true},
+                    new_start_case{"removed", true, true, true, true},
+                    new_start_case{"elsewhere", true, false, false, false},
+                    new_start_case{"not_leaving", false, false, true, false}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 struct publication_case
 {
     const char* name;
