Suspicion: Tell requests that are refused for as long as they are

One request went on crashing servers although three had ended under it. Cause: a digest named the requests that its sender had seen crash a server in the last 3 s, so that a host that started later knew nothing and sent it again; the number of crashes grew with the number of hosts that start. Besides, of the hundreds of requests that a mass crash suspects, the 64 that one digest names were the first by hash, and hosts told numbers of which the greatest counted.

Full digests name all refused requests, and a host that starts gets one from each host that refuses any. Crashes are merged by server and start, as for parts of prompts. Crashes closer together than 1 s count once unless the request was sent after the first, since one cause ends many servers. Requests with most crashes are told first. A complete answer clears of the crashes before it began, also at the other hosts if they know of two or more.

Hosts of the former build read the notices as before; their own have no age and count as of now.

--- a/libraries/decision/suspicion/crash_attribution.hpp
+++ b/libraries/decision/suspicion/crash_attribution.hpp
@@ -21,16 +21,6 @@
     std::vector<part_fingerprint> parts;
 };
 
-/// Identifies a crash, however many hosts report it: a start of a server ends
-/// once.
-struct crash_key
-{
-    server_id server;
-    std::int64_t incarnation = 0;
-
-    friend auto operator<=>(const crash_key&, const crash_key&) = default;
-};
-
 struct server_crash
 {
     crash_key key;
--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -208,11 +208,17 @@
 void attempt_observer::clear(const exchange_result& result,
                              const suspicion::fingerprint& fingerprint)
 {
-    const std::uint32_t crashes = m_state.suspects.on_completed(fingerprint);
+    if (!result.answer_began)
+    {
+        return;
+    }
+    const std::uint32_t crashes = m_state.suspects.on_completed(
+        fingerprint, *result.answer_began, monotonic_clock::now());
     if (crashes == 0)
     {
         return;
     }
+    m_state.send_next_update_to_all();
     log_event(
         severity::info, event_number::request_cleared,
         {{"request", m_request.value()},
@@ -270,8 +276,9 @@
     crash.at = crashed_at;
     crash.requests.push_back({fingerprint, m_sent_at, m_parts});
     m_state.crashing_parts.on_crash(crash, true, crashed_at);
-    const std::uint32_t crashes =
-        m_state.suspects.on_crash(fingerprint, monotonic_clock::now());
+    const std::uint32_t crashes = m_state.suspects.on_crash(
+        fingerprint, {crash.key, crashed_at, m_sent_at}, true,
+        monotonic_clock::now());
     m_state.send_update_to_all_soon();
     log_event(severity::warning, event_number::request_suspected,
               {{"request", m_request.value()},
--- a/libraries/entry/crash_notices.cpp
+++ b/libraries/entry/crash_notices.cpp
@@ -12,6 +12,7 @@
 /// Enough that parts in one deployment practically never collide.
 constexpr std::size_t part_fingerprint_digits = 16;
 /// Keep a digest within one datagram.
+constexpr std::size_t max_suspects = 64;
 constexpr std::size_t max_crashed_requests = 256;
 constexpr std::size_t max_parts = 256;
 
@@ -45,6 +46,14 @@
             static_cast<std::uint32_t>(std::max(0, it.trials))};
 }
 
+suspicion::request_notice notice_from(const fleet::wire::CrashNotice& it,
+                                      time_point received_at)
+{
+    return {suspicion::fingerprint(it.fingerprint),
+            static_cast<std::uint32_t>(std::max(0, it.crashes)),
+            received_at - milliseconds(it.age_ms)};
+}
+
 suspicion::server_crash crash_from(const fleet::wire::CrashedServer& it,
                                    time_point received_at)
 {
@@ -64,6 +73,26 @@
     return crash;
 }
 
+/// Counts a crash that another host has seen against a request.
+void add_crash(suspicion::suspect_table& to,
+               const suspicion::server_crash& crash,
+               const suspicion::crashed_request& it, const std::string& seen_by,
+               time_point now)
+{
+    const bool was_refused = to.is_refused(it.request);
+    const std::uint32_t crashes =
+        to.on_crash(it.request, {crash.key, crash.at, it.sent_at}, false, now);
+    if (!was_refused && to.is_refused(it.request))
+    {
+        log_event(severity::info, event_number::request_suspected,
+                  {{"fingerprint", it.request.value()},
+                   {"crashes", crashes},
+                   {"server", crash.key.server.value()},
+                   {"incarnation", crash.key.incarnation},
+                   {"seen_by", seen_by}});
+    }
+}
+
 } // namespace
 
 std::vector<suspicion::part_fingerprint>
@@ -78,6 +107,24 @@
     return parts;
 }
 
+void add_crash_notices(fleet::wire::Digest& to,
+                       const suspicion::suspect_table& from, time_point since,
+                       time_point now)
+{
+    for (const suspicion::request_notice& it :
+         from.notices(since, !to.is_update, now))
+    {
+        if (to.crashes.size() >= max_suspects)
+        {
+            return;
+        }
+        fleet::wire::CrashNotice& notice = to.crashes.emplace_back();
+        notice.fingerprint = it.request.value();
+        notice.crashes = static_cast<std::int32_t>(it.crashes);
+        notice.__set_age_ms(age_of(it.at, now));
+    }
+}
+
 void add_crash_notices(fleet::wire::Digest& to,
                        suspicion::crash_attribution& from, time_point since,
                        time_point now)
@@ -113,7 +160,8 @@
     add_parts(to.cleared_parts, from.cleared_since(since), now);
 }
 
-void apply_crash_notices(const peer& from, suspicion::crash_attribution& to)
+void apply_crash_notices(const peer& from, suspicion::suspect_table& requests,
+                         suspicion::crash_attribution& parts)
 {
     const fleet::wire::Digest& digest = from.digest;
     const time_point now = from.received_at;
@@ -124,14 +172,14 @@
     };
     for (const fleet::wire::PromptPart& it : digest.cleared_parts)
     {
-        if (to.on_cleared(notice_from(it, now), now))
+        if (parts.on_cleared(notice_from(it, now), now))
         {
             log(event_number::prompt_part_cleared, it.part);
         }
     }
     for (const fleet::wire::PromptPart& it : digest.refused_parts)
     {
-        if (to.on_refused(notice_from(it, now), now))
+        if (parts.on_refused(notice_from(it, now), now))
         {
             log(event_number::prompt_part_refused, it.part);
         }
@@ -141,9 +189,24 @@
     {
         return;
     }
+    for (const fleet::wire::CrashNotice& it : digest.crashes)
+    {
+        if (requests.on_notice(notice_from(it, now), now))
+        {
+            log_event(severity::info, event_number::request_suspected,
+                      {{"fingerprint", it.fingerprint},
+                       {"crashes", it.crashes},
+                       {"seen_by", digest.sender}});
+        }
+    }
     for (const fleet::wire::CrashedServer& it : digest.crashed_servers)
     {
-        to.on_crash(crash_from(it, now), false, now);
+        const suspicion::server_crash crash = crash_from(it, now);
+        parts.on_crash(crash, false, now);
+        for (const suspicion::crashed_request& request : crash.requests)
+        {
+            add_crash(requests, crash, request, digest.sender, now);
+        }
     }
 }
 
--- a/libraries/entry/crash_notices.hpp
+++ b/libraries/entry/crash_notices.hpp
@@ -14,14 +14,21 @@
 std::vector<suspicion::part_fingerprint>
 shared_parts_of(const std::vector<serving::prompt_part>& prompt);
 
-/// Adds what this host knows of parts of prompts that crash servers to a
-/// digest: crashes and clearings since `since`, and all refused parts.
+/// Adds what this host knows of requests that crash servers to a digest:
+/// crashes and clearings since `since`, and in full digests all refused ones,
+/// so that hosts that start learn of them.
+void add_crash_notices(fleet::wire::Digest& to,
+                       const suspicion::suspect_table& from, time_point since,
+                       time_point now);
+
+/// The same for parts of prompts; all refused ones in each digest.
 void add_crash_notices(fleet::wire::Digest& to,
                        suspicion::crash_attribution& from, time_point since,
                        time_point now);
 
-/// Takes in what the digest of a peer says of such parts, and logs the parts
-/// that are refused from now on or no longer.
-void apply_crash_notices(const peer& from, suspicion::crash_attribution& to);
+/// Takes in what the digest of a peer says of such requests and parts, and logs
+/// what is suspected or refused from now on or no longer.
+void apply_crash_notices(const peer& from, suspicion::suspect_table& requests,
+                         suspicion::crash_attribution& parts);
 
 } // namespace cicadahub::entry
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/digest_exchange.cpp
@@ -31,7 +31,6 @@
 /// Crashes and clearings are included in full digests for this long, so that
 /// daemons that missed an update still learn of them.
 constexpr milliseconds crash_notice_lifetime{3'000};
-constexpr std::size_t max_crash_notices = 64;
 /// The host that sends to a server with a limit hears of it more often.
 constexpr milliseconds limit_notice_lifetime{20'000};
 constexpr std::size_t max_limit_notices = 256;
@@ -127,16 +126,7 @@
     }
     const time_point since =
         is_update ? m_told_all_at : now - crash_notice_lifetime;
-    for (const auto& [request, crashes] : m_state.suspects.crashed_since(since))
-    {
-        if (it.crashes.size() < max_crash_notices)
-        {
-            fleet::wire::CrashNotice notice;
-            notice.fingerprint = request.value();
-            notice.crashes = static_cast<std::int32_t>(crashes);
-            it.crashes.push_back(std::move(notice));
-        }
-    }
+    add_crash_notices(it, m_state.suspects, since, now);
     add_crash_notices(it, m_state.crashing_parts, since, now);
     m_fill(it, now);
     for (const auto& [id, record] : m_state.servers.records())
@@ -609,7 +599,9 @@
     if (m_state.fleet.on_digest(digest, address, monotonic_clock::now()))
     {
         m_on_digest(m_state.fleet.peers().at(sender));
-        if (has_started && !m_state.crashing_parts.is_empty())
+        const bool is_anything_refused = !m_state.crashing_parts.is_empty() ||
+                                         m_state.suspects.has_refused();
+        if (has_started && is_anything_refused)
         {
             send_digest_to(from);
         }
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -284,26 +284,7 @@
 void entry_daemon::on_digest(const peer& it)
 {
     m_mirror.on_digest(it);
-    for (const auto& notice : it.digest.crashes)
-    {
-        // A host that reaches no server can't tell who ended a connection.
-        if (it.digest.is_cut_off)
-        {
-            break;
-        }
-        const bool is_news = m_state.suspects.on_notice(
-            suspicion::fingerprint(notice.fingerprint),
-            static_cast<std::uint32_t>(std::max(0, notice.crashes)),
-            it.received_at);
-        if (is_news)
-        {
-            log_event(severity::info, event_number::request_suspected,
-                      {{"fingerprint", notice.fingerprint},
-                       {"crashes", notice.crashes},
-                       {"seen_by", it.digest.sender}});
-        }
-    }
-    apply_crash_notices(it, m_state.crashing_parts);
+    apply_crash_notices(it, m_state.suspects, m_state.crashing_parts);
     for (const auto& limited : it.digest.limited_servers)
     {
         m_state.on_limit_notice(limited, it);
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -54,10 +54,14 @@
   3: i64 spent
 }
 
-/// Number of server crashes attributed to a request, by its fingerprint.
+/// Number of server crashes attributed to a request, by its fingerprint; 0 if
+/// an answer to it completed.
 struct CrashNotice {
   1: string fingerprint
   2: i32 crashes
+  /// Time since the last crash, or since the answer began; absent if the sender
+  /// tells only of what it has seen in the last seconds.
+  3: optional i32 age_ms
 }
 
 /// A request of the sender that was in flight on a server when it crashed.
--- a/tests/decision/suspect_table_test.cpp
+++ b/tests/decision/suspect_table_test.cpp
@@ -31,6 +31,193 @@
     EXPECT_EQ(it.on_crash(request, start), 1u);
 }
 
+struct reported_crash
+{
+    const char* server;
+    milliseconds at;
+    milliseconds sent_before;
+};
+
+struct counting_case
+{
+    const char* name;
+    std::vector<reported_crash> crashes;
+    std::uint32_t counted;
+};
+
+void PrintTo(const counting_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class counted_crashes : public testing::TestWithParam<counting_case>
+{
+};
+
+// Guards against hosts that have seen one crash each and believe in one, and
+// against sound requests that are refused after one cause ended many servers.
+TEST_P(counted_crashes, are_merged_by_server_and_cause)
+{
+    suspect_table it({});
+    std::uint32_t counted = 0;
+    for (const reported_crash& crash : GetParam().crashes)
+    {
+        const time_point at = start + crash.at;
+        counted = it.on_crash(
+            request, {{server_id(crash.server), 1}, at, at - crash.sent_before},
+            false, at);
+    }
+    EXPECT_EQ(counted, GetParam().counted);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    suspect_table, counted_crashes,
+    testing::Values(
+        counting_case{"one_told_by_three_hosts",
+                      {{"a", milliseconds(5'000), milliseconds(80)},
+                       {"a", milliseconds(5'020), milliseconds(100)},
+                       {"a", milliseconds(6'200), milliseconds(90)}},
+                      1},
+        counting_case{"three_seen_by_a_host_each",
+                      {{"a", milliseconds(5'000), milliseconds(80)},
+                       {"b", milliseconds(5'250), milliseconds(80)},
+                       {"c", milliseconds(5'500), milliseconds(80)}},
+                      3},
+        counting_case{"of_one_cause",
+                      {{"a", milliseconds(5'000), milliseconds(300)},
+                       {"b", milliseconds(5'010), milliseconds(200)},
+                       {"c", milliseconds(5'100), milliseconds(400)}},
+                      1},
+        counting_case{"of_two_causes",
+                      {{"a", milliseconds(5'000), milliseconds(300)},
+                       {"b", milliseconds(5'010), milliseconds(200)},
+                       {"c", milliseconds(6'500), milliseconds(1'700)},
+                       {"d", milliseconds(6'510), milliseconds(200)}},
+                      2},
+        counting_case{"slow_servers_that_began_together",
+                      {{"a", milliseconds(5'000), milliseconds(2'000)},
+                       {"b", milliseconds(6'100), milliseconds(3'000)},
+                       {"c", milliseconds(7'200), milliseconds(4'000)}},
+                      3},
+        counting_case{"told_out_of_order",
+                      {{"c", milliseconds(5'500), milliseconds(80)},
+                       {"a", milliseconds(5'000), milliseconds(80)},
+                       {"b", milliseconds(5'250), milliseconds(80)}},
+                      3}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+suspicion_limits three_crashes()
+{
+    return {3, milliseconds(600'000), 10'000};
+}
+
+request_crash crash_of(const std::string& server, time_point at)
+{
+    return {{server_id(server), 1}, at, at - milliseconds(50)};
+}
+
+/// A request that crashed three servers, seen by this host.
+void crash_three(suspect_table& it)
+{
+    for (int n = 0; n < 3; ++n)
+    {
+        const time_point at = start + seconds(n);
+        it.on_crash(request, crash_of(std::to_string(n), at), true, at);
+    }
+}
+
+// Guards against hosts that start after the crashes and send the request again.
+TEST(suspect_table, tells_what_it_refuses_for_as_long_as_it_does)
+{
+    suspect_table here(three_crashes());
+    suspect_table started(three_crashes());
+    crash_three(here);
+    const time_point last = start + seconds(2);
+    const time_point later = last + seconds(300);
+    EXPECT_TRUE(here.notices(later, false, later).empty());
+    for (const request_notice& it : here.notices(later, true, later))
+    {
+        EXPECT_EQ(it.at, last);
+        EXPECT_TRUE(started.on_notice(it, later));
+        EXPECT_FALSE(started.on_notice(it, later));
+    }
+    EXPECT_TRUE(started.is_refused(request));
+    const time_point end = last + three_crashes().kept_for;
+    EXPECT_TRUE(started.notices(end, true, end).empty());
+    // Any entry is kept for no longer than it counts.
+    started.on_crash(fingerprint("other"), end);
+    EXPECT_FALSE(started.is_suspect(request));
+}
+
+TEST(suspect_table, tells_the_requests_with_most_crashes_first)
+{
+    suspect_table it(three_crashes());
+    for (int n = 0; n < 100; ++n)
+    {
+        it.on_crash(fingerprint(std::to_string(n)), crash_of("s", start), true,
+                    start);
+    }
+    crash_three(it);
+    EXPECT_EQ(it.notices(start, false, start).front().request, request);
+}
+
+struct clearing_case
+{
+    const char* name;
+    /// The answer began so long after the second of two crashes.
+    milliseconds answer_began;
+    std::uint32_t cleared;
+    std::uint32_t after_third_crash;
+    bool is_told;
+};
+
+void PrintTo(const clearing_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class clearing_answers : public testing::TestWithParam<clearing_case>
+{
+};
+
+// Guards against an answer that takes back crashes behind it.
+TEST_P(clearing_answers, clear_of_the_crashes_before_them)
+{
+    suspect_table here(three_crashes());
+    suspect_table there(three_crashes());
+    const time_point second = start + seconds(2);
+    for (suspect_table* it : {&here, &there})
+    {
+        it->on_crash(request, crash_of("a", start), true, start);
+        it->on_crash(request, crash_of("b", second), true, second);
+    }
+    const time_point now = second + seconds(9);
+    EXPECT_EQ(here.on_completed(request, second + GetParam().answer_began, now),
+              GetParam().cleared);
+    std::size_t told = 0;
+    for (const request_notice& it : here.notices(now, false, now))
+    {
+        there.on_notice(it, now);
+        told += it.crashes == 0 ? 1 : 0;
+    }
+    EXPECT_EQ(told > 0, GetParam().is_told);
+    for (suspect_table* it : {&here, &there})
+    {
+        // A late report of a crash that no longer counts, and a new crash.
+        it->on_crash(request, crash_of("a", start), false, now);
+        EXPECT_EQ(it->on_crash(request, crash_of("c", now), true, now),
+                  GetParam().after_third_crash);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    suspect_table, clearing_answers,
+    testing::Values(
+        clearing_case{"behind_both", milliseconds(500), 2, 1, true},
+        clearing_case{"between_them", milliseconds(-500), 1, 2, true},
+        clearing_case{"before_both", milliseconds(-2'500), 0, 3, false}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 TEST(suspect_table, runs_one_suspect_at_a_time_on_a_server)
 {
     suspect_table it({});
