Suspicion: Examine the end of an answer that only the connection marks

One request crashed 26 servers in seven seconds, and its callers got 200. Cause: the end of a connection marks the end of an answer without length or chunks; a server that crashed behind a whole event was taken for one that had answered, which counted no crash and cleared the request. The same question was asked already before such an answer cleared a part of a prompt.

What an attempt shows of its request and of the parts of its prompt is now decided in one place (crash_evidence): a success clears both, if its end was marked or the server still accepts connections afterwards; else the server has crashed, unless it leaves or this host is cut off. An error no longer clears a request, as it never cleared a part, and a relayed answer is judged by the host that got it from the server. The end is examined behind the answer, which no longer waits for that.

--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/attempt_observer.cpp
@@ -1,6 +1,7 @@
 #include "entry/attempt_observer.hpp"
 
 #include "core/structured_log.hpp"
+#include "entry/crash_evidence.hpp"
 #include "entry/crash_notices.hpp"
 
 namespace cicadahub::entry
@@ -15,22 +16,6 @@
                                                     moment);
 }
 
-bool is_success(const exchange_result& result)
-{
-    constexpr unsigned first_failure_status = 300;
-    return !result.answer || result.answer->result_int() < first_failure_status;
-}
-
-std::string text_of(const std::vector<suspicion::part_fingerprint>& parts)
-{
-    std::string text;
-    for (const auto& it : parts)
-    {
-        text.append(text.empty() ? "" : " ").append(it.value());
-    }
-    return text;
-}
-
 } // namespace
 
 attempt_observer::attempt_observer(entry_state& state,
@@ -147,11 +132,11 @@
                       const suspicion::fingerprint& fingerprint)
 {
     count_rejection(result);
-    if (result.end == exchange_end::answered ||
-        result.end == exchange_end::streamed)
+    // The host on whose connection the answer came judges it.
+    if (m_relay.empty() && (result.end == exchange_end::answered ||
+                            result.end == exchange_end::streamed))
     {
-        clear(result, fingerprint);
-        co_await record_answer(result);
+        evidence_for(fingerprint).on_answer(result);
     }
     const bool has_failed_to_connect = result.end == exchange_end::not_sent;
     if (!m_relay.empty())
@@ -200,95 +185,15 @@
     update_health(result, copy);
     if (cause == loss_cause::crash)
     {
-        record_crash(fingerprint, failed_at);
+        evidence_for(fingerprint).on_crash(failed_at);
     }
     co_return false;
 }
 
-void attempt_observer::clear(const exchange_result& result,
-                             const suspicion::fingerprint& fingerprint)
-{
-    if (!result.answer_began)
-    {
-        return;
-    }
-    const std::uint32_t crashes = m_state.suspects.on_completed(
-        fingerprint, *result.answer_began, monotonic_clock::now());
-    if (crashes == 0)
-    {
-        return;
-    }
-    m_state.send_next_update_to_all();
-    log_event(
-        severity::info, event_number::request_cleared,
-        {{"request", m_request.value()},
-         {"fingerprint", fingerprint.value()},
-         {"crashes", crashes},
-         {"server", m_record->entry.id.value()},
-         {"framing", result.framing ? http::name_of(*result.framing) : ""},
-         {"relay", m_relay}});
-}
-
-net::awaitable<void>
-attempt_observer::record_answer(const exchange_result& result)
-{
-    suspicion::crash_attribution& parts = m_state.crashing_parts;
-    if (parts.is_empty() || !result.answer_began || !is_success(result))
-    {
-        co_return;
-    }
-    if (result.framing == http::body_framing::until_close &&
-        parts.is_any_accused(m_parts))
-    {
-        // A crash between two events looks like the end of the answer.
-        const http::endpoint server = m_record->entry.address;
-        const bool is_accepting =
-            co_await m_state.reach.is_accepting(server, monotonic_clock::now());
-        if (!is_accepting)
-        {
-            co_return;
-        }
-    }
-    const auto cleared = parts.on_completed(m_parts, *result.answer_began,
-                                            monotonic_clock::now());
-    for (const auto& it : cleared.readmitted)
-    {
-        log_event(severity::warning, event_number::prompt_part_cleared,
-                  {{"part", it.value()},
-                   {"request", m_request.value()},
-                   {"seen_by", m_state.settings.name.value()}});
-    }
-    if (!cleared.readmitted.empty())
-    {
-        m_state.send_update_to_all_soon();
-    }
-    else if (cleared.has_cleared)
-    {
-        m_state.send_next_update_to_all();
-    }
-}
-
-void attempt_observer::record_crash(const suspicion::fingerprint& fingerprint,
-                                    time_point crashed_at)
+crash_evidence
+attempt_observer::evidence_for(const suspicion::fingerprint& fingerprint) const
 {
-    suspicion::server_crash crash;
-    crash.key = {m_record->entry.id, m_record->entry.incarnation};
-    crash.at = crashed_at;
-    crash.requests.push_back({fingerprint, m_sent_at, m_parts});
-    m_state.crashing_parts.on_crash(crash, true, crashed_at);
-    const std::uint32_t crashes = m_state.suspects.on_crash(
-        fingerprint, {crash.key, crashed_at, m_sent_at}, true,
-        monotonic_clock::now());
-    m_state.send_update_to_all_soon();
-    log_event(severity::warning, event_number::request_suspected,
-              {{"request", m_request.value()},
-               {"fingerprint", fingerprint.value()},
-               {"crashes", crashes},
-               {"server", m_record->entry.id.value()},
-               {"incarnation", m_record->entry.incarnation},
-               {"servers_silent_ms", servers_silent_ms()},
-               {"prompt_parts", text_of(m_parts)},
-               {"seen_by", m_state.settings.name.value()}});
+    return {m_state, m_record, m_request, fingerprint, m_parts, m_sent_at};
 }
 
 void attempt_observer::update_health(
--- a/libraries/entry/attempt_observer.hpp
+++ b/libraries/entry/attempt_observer.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/crash_evidence.hpp"
 #include "entry/entry_state.hpp"
 #include "entry/exchange.hpp"
 
@@ -47,12 +48,8 @@
     void on_notice(const server_notice& it);
     void update_health(const exchange_result& result,
                        const std::optional<replicas::copy_name>& copy);
-    void record_crash(const suspicion::fingerprint& fingerprint,
-                      time_point crashed_at);
-    /// Clears the request of the crashes that are counted for it.
-    void clear(const exchange_result& result,
-               const suspicion::fingerprint& fingerprint);
-    net::awaitable<void> record_answer(const exchange_result& result);
+    crash_evidence
+    evidence_for(const suspicion::fingerprint& fingerprint) const;
     /// Time since any server last sent this host anything.
     std::int64_t servers_silent_ms() const;
 
