Suspicion: Tell of a crash as of when it was found out

A crash is found out some time after it, by a probe. Updates carry the crashes since the last one by the time of the crash, so that one went out without it if other news had been sent in between, and it was told only with the next full digest, up to a second later.

crash_attribution.tells_of_a_crash_that_was_found_out_late fails without the change: the crash is not among those to tell.

--- a/libraries/decision/suspicion/crash_attribution.cpp
+++ b/libraries/decision/suspicion/crash_attribution.cpp
@@ -21,6 +21,7 @@
         if (is_own)
         {
             crash.own_requests.insert(request.request);
+            crash.own_since = now;
         }
         m_has_changed =
             crash.requests.try_emplace(request.request, std::move(request))
@@ -174,7 +175,7 @@
     std::vector<server_crash> found;
     for (const auto& [key, crash] : m_crashes)
     {
-        if (crash.at < since || crash.own_requests.empty())
+        if (crash.own_since < since || crash.own_requests.empty())
         {
             continue;
         }
--- a/libraries/decision/suspicion/crash_attribution.hpp
+++ b/libraries/decision/suspicion/crash_attribution.hpp
@@ -125,6 +125,9 @@
         time_point at{};
         std::map<fingerprint, crashed_request> requests;
         std::set<fingerprint> own_requests;
+        /// This host learnt of the last of them then. A crash is found out some
+        /// time after it.
+        time_point own_since = time_point::min();
     };
 
     struct clearing
--- a/tests/decision/crash_attribution_test.cpp
+++ b/tests/decision/crash_attribution_test.cpp
@@ -531,5 +531,16 @@
                     run_case{"a_third_at_once_only", 9, 0, 1, 13}),
     [](const auto& it) { return std::string(it.param.name); });
 
+// Guards against a crash that is told to nobody at once, since the server had
+// to be probed first and other news went out meanwhile.
+TEST(crash_attribution, tells_of_a_crash_that_was_found_out_late)
+{
+    crash_attribution it;
+    const time_point found_out = start + milliseconds(800);
+    it.on_crash(crash(1, 0, {"a"}), true, found_out);
+    EXPECT_EQ(it.own_crashes_since(found_out - milliseconds(300)).size(), 1U);
+    EXPECT_TRUE(it.own_crashes_since(found_out + milliseconds(300)).empty());
+}
+
 } // namespace
 } // namespace cicadahub::suspicion
