--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/server_table.cpp
@@ -209,7 +209,7 @@
     const auto known = m_unlisted.find(entry.id);
     if (known != m_unlisted.end())
     {
-        const record_pointer unlisted = std::move(known->second.record);
+        record_pointer unlisted = std::move(known->second.record);
         m_unlisted.erase(known);
         if (unlisted->entry.incarnation == entry.incarnation)
         {
@@ -217,7 +217,7 @@
         }
         former = listed ? listed : unlisted;
     }
-    const auto record = std::make_shared<server_record>();
+    auto record = std::make_shared<server_record>();
     if (former && former->entry.is_leaving &&
         former->entry.address == entry.address)
     {
