--- a/tests/system/crashing_request_test.cpp
+++ b/tests/system/crashing_request_test.cpp
@@ -17,6 +17,7 @@
 /// Requests that may reach servers after that.
 constexpr std::size_t allowed_crashes = 3;
 constexpr std::size_t hosts_per_restart = 3;
+constexpr int kills_of_all = 2;
 
 /// What happens once all hosts have had time to learn of the crashes.
 enum class trouble
@@ -24,6 +25,8 @@
     none,
     /// Hosts are killed and start again, three at a time.
     hosts_restart,
+    /// All hosts are killed and start again, several times.
+    all_hosts_killed,
 };
 
 struct request_case
@@ -61,20 +64,27 @@
         }
     }
 
-    void restart_hosts(std::size_t first)
+    /// Sends the request to each of the hosts once they have had time to hear
+    /// of it.
+    void restart_and_ask(std::size_t first, std::size_t count)
     {
-        for (std::size_t n = first; n < first + hosts_per_restart; ++n)
+        for (std::size_t n = first; n < first + count; ++n)
         {
             m_fleet.daemons[n].program->kill();
         }
-        for (std::size_t n = first; n < first + hosts_per_restart; ++n)
+        for (std::size_t n = first; n < first + count; ++n)
         {
             m_fleet.start_daemon(n);
         }
-        for (std::size_t n = first; n < first + hosts_per_restart; ++n)
+        for (std::size_t n = first; n < first + count; ++n)
         {
             EXPECT_TRUE(eventually([&] { return m_fleet.is_ready(n); }));
         }
+        std::this_thread::sleep_for(contact_time);
+        for (std::size_t n = first; n < first + count; ++n)
+        {
+            send(n);
+        }
     }
 
     void make_trouble()
@@ -87,12 +97,13 @@
         case trouble::hosts_restart:
             for (std::size_t n = 0; n < daemon_count; n += hosts_per_restart)
             {
-                restart_hosts(n);
-                std::this_thread::sleep_for(contact_time);
-                for (std::size_t k = n; k < n + hosts_per_restart; ++k)
-                {
-                    send(k);
-                }
+                restart_and_ask(n, hosts_per_restart);
+            }
+            break;
+        case trouble::all_hosts_killed:
+            for (int n = 0; n < kills_of_all; ++n)
+            {
+                restart_and_ask(0, daemon_count);
             }
             break;
         }
@@ -142,7 +153,9 @@
             "until_close_behind_an_event",
             R"({"crash_part":"bb","unframed":true,"crash_behind_event":true})"},
         request_case{"hosts_restart", R"({"crash_part":"bb"})",
-                     trouble::hosts_restart}),
+                     trouble::hosts_restart},
+        request_case{"all_hosts_killed", R"({"crash_part":"bb"})",
+                     trouble::all_hosts_killed}),
     [](const auto& it) { return std::string(it.param.name); });
 
 } // namespace
