Suspicion: Record what is refused for hosts that all start at once

Once all hosts had been killed, one request crashed servers again. Cause: what is refused was known to hosts only, and told by those that go on.

The record of limits in the store also has the refused requests and parts of prompts. The holder of the placement lease writes it when they change, and a host reads it before it is ready. limit_record is now notice_record.

A former build reads the limits as before; as the holder it writes a record without the rest.

--- a/libraries/decision/suspicion/suspect_table.cpp
+++ b/libraries/decision/suspicion/suspect_table.cpp
@@ -181,9 +181,7 @@
     const std::size_t clearings = found.size();
     for (const auto& [request, it] : m_suspects)
     {
-        const bool is_refused_now = it.total() >= m_limits.crashes &&
-                                    now < it.last_crash + m_limits.kept_for;
-        if (it.last_own_crash >= since || (with_refused && is_refused_now))
+        if (it.last_own_crash >= since || (with_refused && is_refused(it, now)))
         {
             found.push_back({request, it.total(), it.last_crash});
         }
@@ -195,6 +193,25 @@
     return found;
 }
 
+bool suspect_table::is_refused(const suspect& it, time_point now) const
+{
+    return it.total() >= m_limits.crashes &&
+           now < it.last_crash + m_limits.kept_for;
+}
+
+std::vector<request_notice> suspect_table::refused(time_point now) const
+{
+    std::vector<request_notice> found;
+    for (const auto& [request, it] : m_suspects)
+    {
+        if (is_refused(it, now))
+        {
+            found.push_back({request, it.total(), it.last_crash});
+        }
+    }
+    return found;
+}
+
 bool suspect_table::is_suspect(const fingerprint& request) const
 {
     return m_suspects.contains(request);
--- a/libraries/decision/suspicion/suspect_table.hpp
+++ b/libraries/decision/suspicion/suspect_table.hpp
@@ -93,6 +93,9 @@
     std::vector<request_notice> notices(time_point since, bool with_refused,
                                         time_point now) const;
 
+    /// All requests that are refused.
+    std::vector<request_notice> refused(time_point now) const;
+
     bool is_suspect(const fingerprint& request) const;
     bool is_refused(const fingerprint& request) const;
     bool has_refused() const;
@@ -127,6 +130,7 @@
     };
 
     static std::uint32_t count(const suspect& it);
+    bool is_refused(const suspect& it, time_point now) const;
     bool is_cleared(const fingerprint& request, time_point crash) const;
     void evict_entries(time_point now);
 
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -127,13 +127,13 @@
           m_context, m_store, m_state.continuity,
           [this] { return m_placement.is_held(); },
           [this] { return m_state.is_draining; }),
-      m_limits(m_context, m_store, m_state,
-               {[this] { return m_placement.is_held(); },
-                [this] { return m_state.is_draining; },
-                [this]
-                {
-                    log_first_readiness();
-                }}),
+      m_notices(m_context, m_store, m_state,
+                {[this] { return m_placement.is_held(); },
+                 [this] { return m_state.is_draining; },
+                 [this]
+                 {
+                     log_first_readiness();
+                 }}),
       m_new_starts(m_state, m_dialects.servers), m_loop_monitor(m_state),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
       m_started(monotonic_clock::now())
@@ -471,7 +471,7 @@
     m_versions.start();
     m_loop_monitor.start();
     m_stream_record.start();
-    m_limits.start();
+    m_notices.start();
     m_new_starts.start();
     m_state.reach.start(m_dialects.servers.make_report_request,
                         [this] { on_reach_changed(); });
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "entry/digest_exchange.hpp"
-#include "entry/limit_record.hpp"
 #include "entry/loop_monitor.hpp"
+#include "entry/notice_record.hpp"
 #include "entry/object_relay.hpp"
 #include "entry/placement_controller.hpp"
 #include "entry/request_handler.hpp"
@@ -97,7 +97,7 @@
     store_mirror m_mirror;
     version_record m_versions;
     stream_record m_stream_record;
-    limit_record m_limits;
+    notice_record m_notices;
     start_verifier m_new_starts;
     loop_monitor m_loop_monitor;
     net::signal_set m_signals;
