Tests: Count the crashes of killed engines when they are collected

It took three engines for killed whatever had ended before, so that the number of crashes fell below the one before. The engines that were killed are told apart when their end is collected; the bound is the same.

--- a/tests/system/crashing_part_test.cpp
+++ b/tests/system/crashing_part_test.cpp
@@ -181,7 +181,7 @@
         [&] { return engines.crashes().size() >= counted_crashes; }));
     const time_point fifth = engines.crashes()[counted_crashes - 1];
     std::this_thread::sleep_until(fifth + contact_time);
-    const std::size_t before = engines.crashes().size();
+    const std::size_t before = engines.own_crashes();
     end_trouble(fleet, engines);
     std::optional<caller> more;
     if (is_host_troubled())
@@ -192,10 +192,7 @@
     std::this_thread::sleep_until(fifth + 2 * contact_time);
     const time_point begin = monotonic_clock::now();
     std::this_thread::sleep_for(measured_time);
-    const std::size_t killed = beside == trouble::third_of_servers_lost
-                                   ? (restarted_engines::count + 2) / 3
-                                   : 0;
-    const std::size_t after = engines.crashes().size() - killed;
+    const std::size_t after = engines.own_crashes();
     crashing.stop();
     more.reset();
     std::size_t served = 0;
--- a/tests/system/restarted_engines.hpp
+++ b/tests/system/restarted_engines.hpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <set>
 #include <thread>
 
 namespace cicadahub::system_tests
@@ -47,12 +48,25 @@
         return m_crashes;
     }
 
+    /// Number of crashes other than those of engines that were killed.
+    std::size_t own_crashes()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_crashes.size() - m_killed_crashes;
+    }
+
     void kill(std::size_t n)
     {
         const std::lock_guard lock(m_mutex);
-        if (n < m_indexes.size())
+        if (n >= m_indexes.size())
+        {
+            return;
+        }
+        process& engine = *m_fleet.engines[m_indexes[n]].program;
+        if (!engine.has_ended())
         {
-            m_fleet.engines[m_indexes[n]].program->kill();
+            engine.kill();
+            m_killed.insert(m_indexes[n]);
         }
     }
 
@@ -93,6 +107,7 @@
                               call(m_fleet.store, http::verb::delete_,
                                    "/v1/objects/servers/" + engine.id);
                               m_crashes.push_back(now);
+                              m_killed_crashes += m_killed.count(it);
                               ended.push_back(now);
                               return true;
                           });
@@ -109,6 +124,8 @@
     std::mutex m_mutex;
     std::vector<std::size_t> m_indexes;
     std::vector<time_point> m_crashes;
+    std::set<std::size_t> m_killed;
+    std::size_t m_killed_crashes = 0;
     int m_started = 0;
     std::atomic<bool> m_is_over = false;
     std::thread m_thread;
