Entry: Part the library by duty

Requests, servers, fleet, store and placement have folders of their own now, and the tests mirror them. Files are moved and their includes follow; nothing else changes.

--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -3,7 +3,7 @@
 #include "core/json_reader.hpp"
 #include "core/structured_log.hpp"
 #include "daemon/pause.hpp"
-#include "entry/crash_notices.hpp"
+#include "entry/servers/crash_notices.hpp"
 
 #include <csignal>
 
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -1,16 +1,16 @@
 #pragma once
 
-#include "entry/digest_exchange.hpp"
+#include "entry/fleet/digest_exchange.hpp"
 #include "entry/loop_monitor.hpp"
-#include "entry/notice_record.hpp"
-#include "entry/object_relay.hpp"
-#include "entry/placement_controller.hpp"
-#include "entry/request_handler.hpp"
-#include "entry/request_relay.hpp"
-#include "entry/start_verifier.hpp"
-#include "entry/store_mirror.hpp"
-#include "entry/stream_record.hpp"
-#include "entry/version_record.hpp"
+#include "entry/placement/placement_controller.hpp"
+#include "entry/requests/request_handler.hpp"
+#include "entry/requests/request_relay.hpp"
+#include "entry/requests/stream_record.hpp"
+#include "entry/servers/notice_record.hpp"
+#include "entry/servers/start_verifier.hpp"
+#include "entry/servers/version_record.hpp"
+#include "entry/store/object_relay.hpp"
+#include "entry/store/store_mirror.hpp"
 #include "http/server.hpp"
 
 #include <boost/asio/signal_set.hpp>
--- a/libraries/entry/digest_exchange.cpp
+++ b/libraries/entry/fleet/digest_exchange.cpp
@@ -1,8 +1,8 @@
-#include "entry/digest_exchange.hpp"
+#include "entry/fleet/digest_exchange.hpp"
 
 #include "core/structured_log.hpp"
 #include "daemon/pause.hpp"
-#include "entry/crash_notices.hpp"
+#include "entry/servers/crash_notices.hpp"
 #include "fleet/digest_codec.hpp"
 #include "fleet/frame_codec.hpp"
 
--- a/libraries/entry/fleet_view.cpp
+++ b/libraries/entry/fleet/fleet_view.cpp
@@ -1,4 +1,4 @@
-#include "entry/fleet_view.hpp"
+#include "entry/fleet/fleet_view.hpp"
 
 #include "core/structured_log.hpp"
 
--- a/libraries/entry/demand_table.cpp
+++ b/libraries/entry/placement/demand_table.cpp
@@ -1,4 +1,4 @@
-#include "entry/demand_table.hpp"
+#include "entry/placement/demand_table.hpp"
 
 namespace cicadahub::entry
 {
--- a/libraries/entry/placement_controller.cpp
+++ b/libraries/entry/placement/placement_controller.cpp
@@ -1,4 +1,4 @@
-#include "entry/placement_controller.hpp"
+#include "entry/placement/placement_controller.hpp"
 
 #include "core/structured_log.hpp"
 #include "daemon/pause.hpp"
--- a/libraries/entry/placement_controller.hpp
+++ b/libraries/entry/placement/placement_controller.hpp
@@ -2,13 +2,13 @@
 
 #include "daemon/shard_elector.hpp"
 #include "decision/replicas/replica_planner.hpp"
-#include "entry/demand_table.hpp"
 #include "entry/entry_metrics.hpp"
-#include "entry/fleet_view.hpp"
-#include "entry/reach_monitor.hpp"
-#include "entry/server_table.hpp"
+#include "entry/fleet/fleet_view.hpp"
+#include "entry/placement/demand_table.hpp"
+#include "entry/requests/wait_queue.hpp"
+#include "entry/servers/reach_monitor.hpp"
+#include "entry/servers/server_table.hpp"
 #include "entry/settings.hpp"
-#include "entry/wait_queue.hpp"
 #include "entry/work_meter.hpp"
 #include "http/client.hpp"
 
--- a/libraries/entry/active_request.hpp
+++ b/libraries/entry/requests/active_request.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "decision/routing/server_choice.hpp"
-#include "entry/attempt_observer.hpp"
 #include "entry/entry_state.hpp"
-#include "entry/exchange.hpp"
+#include "entry/requests/attempt_observer.hpp"
+#include "entry/requests/exchange.hpp"
 
 #include <set>
 
--- a/libraries/entry/attempt_observer.cpp
+++ b/libraries/entry/requests/attempt_observer.cpp
@@ -1,8 +1,8 @@
-#include "entry/attempt_observer.hpp"
+#include "entry/requests/attempt_observer.hpp"
 
 #include "core/structured_log.hpp"
-#include "entry/crash_evidence.hpp"
-#include "entry/crash_notices.hpp"
+#include "entry/servers/crash_evidence.hpp"
+#include "entry/servers/crash_notices.hpp"
 
 namespace cicadahub::entry
 {
--- a/libraries/entry/attempt_observer.hpp
+++ b/libraries/entry/requests/attempt_observer.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "entry/crash_evidence.hpp"
 #include "entry/entry_state.hpp"
-#include "entry/exchange.hpp"
+#include "entry/requests/exchange.hpp"
+#include "entry/servers/crash_evidence.hpp"
 
 namespace cicadahub::entry
 {
--- a/libraries/entry/exchange.cpp
+++ b/libraries/entry/requests/exchange.cpp
@@ -1,4 +1,4 @@
-#include "entry/exchange.hpp"
+#include "entry/requests/exchange.hpp"
 
 #include "http/event_stream_reader.hpp"
 #include "http/response_reading.hpp"
--- a/libraries/entry/exchange.hpp
+++ b/libraries/entry/requests/exchange.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "entry/dialects.hpp"
-#include "entry/exchange_end.hpp"
-#include "entry/relay_codec.hpp"
+#include "entry/requests/exchange_end.hpp"
+#include "entry/requests/relay_codec.hpp"
 #include "http/body_framing.hpp"
 #include "http/client.hpp"
 #include "http/reply_writer.hpp"
--- a/libraries/entry/relay_codec.hpp
+++ b/libraries/entry/requests/relay_codec.hpp
@@ -2,7 +2,7 @@
 
 #include "decision/suspicion/suspect_table.hpp"
 #include "entry/dialects.hpp"
-#include "entry/exchange_end.hpp"
+#include "entry/requests/exchange_end.hpp"
 
 #include <optional>
 
--- a/libraries/entry/request_handler.cpp
+++ b/libraries/entry/requests/request_handler.cpp
@@ -1,4 +1,4 @@
-#include "entry/request_handler.hpp"
+#include "entry/requests/request_handler.hpp"
 
 #include "core/errors.hpp"
 #include "core/structured_log.hpp"
--- a/libraries/entry/request_handler.hpp
+++ b/libraries/entry/requests/request_handler.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entry/active_request.hpp"
+#include "entry/requests/active_request.hpp"
 
 namespace cicadahub::entry
 {
--- a/libraries/entry/request_relay.cpp
+++ b/libraries/entry/requests/request_relay.cpp
@@ -1,4 +1,4 @@
-#include "entry/request_relay.hpp"
+#include "entry/requests/request_relay.hpp"
 
 namespace cicadahub::entry
 {
--- a/libraries/entry/request_relay.hpp
+++ b/libraries/entry/requests/request_relay.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "entry/attempt_observer.hpp"
-#include "entry/object_relay.hpp"
+#include "entry/requests/attempt_observer.hpp"
+#include "entry/store/object_relay.hpp"
 
 namespace cicadahub::entry
 {
--- a/libraries/entry/request_routing.cpp
+++ b/libraries/entry/requests/request_routing.cpp
@@ -1,4 +1,4 @@
-#include "entry/active_request.hpp"
+#include "entry/requests/active_request.hpp"
 
 #include "core/structured_log.hpp"
 
--- a/libraries/entry/stream_continuity.cpp
+++ b/libraries/entry/requests/stream_continuity.cpp
@@ -1,4 +1,4 @@
-#include "entry/stream_continuity.hpp"
+#include "entry/requests/stream_continuity.hpp"
 
 #include "core/structured_log.hpp"
 #include "decision/continuity/keeper_selection.hpp"
--- a/libraries/entry/stream_continuity.hpp
+++ b/libraries/entry/requests/stream_continuity.hpp
@@ -3,8 +3,8 @@
 #include "decision/continuity/origin_history.hpp"
 #include "decision/continuity/stream_origins.hpp"
 #include "digest_types.h"
-#include "entry/fleet_view.hpp"
-#include "entry/server_table.hpp"
+#include "entry/fleet/fleet_view.hpp"
+#include "entry/servers/server_table.hpp"
 #include "serving/configuration.hpp"
 #include "serving/request.hpp"
 
--- a/libraries/entry/stream_record.cpp
+++ b/libraries/entry/requests/stream_record.cpp
@@ -1,4 +1,4 @@
-#include "entry/stream_record.hpp"
+#include "entry/requests/stream_record.hpp"
 
 #include "core/errors.hpp"
 #include "core/json_reader.hpp"
--- a/libraries/entry/wait_queue.cpp
+++ b/libraries/entry/requests/wait_queue.cpp
@@ -1,4 +1,4 @@
-#include "entry/wait_queue.hpp"
+#include "entry/requests/wait_queue.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/libraries/entry/crash_evidence.cpp
+++ b/libraries/entry/servers/crash_evidence.cpp
@@ -1,4 +1,4 @@
-#include "entry/crash_evidence.hpp"
+#include "entry/servers/crash_evidence.hpp"
 
 #include "core/structured_log.hpp"
 
--- a/libraries/entry/crash_evidence.hpp
+++ b/libraries/entry/servers/crash_evidence.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "entry/entry_state.hpp"
-#include "entry/exchange.hpp"
+#include "entry/requests/exchange.hpp"
 
 namespace cicadahub::entry
 {
--- a/libraries/entry/crash_notices.cpp
+++ b/libraries/entry/servers/crash_notices.cpp
@@ -1,4 +1,4 @@
-#include "entry/crash_notices.hpp"
+#include "entry/servers/crash_notices.hpp"
 
 #include "core/digest.hpp"
 #include "core/structured_log.hpp"
--- a/libraries/entry/crash_notices.hpp
+++ b/libraries/entry/servers/crash_notices.hpp
@@ -3,7 +3,7 @@
 #include "core/units.hpp"
 #include "decision/suspicion/crash_attribution.hpp"
 #include "digest_types.h"
-#include "entry/fleet_view.hpp"
+#include "entry/fleet/fleet_view.hpp"
 #include "serving/request.hpp"
 
 namespace cicadahub::entry
--- a/libraries/entry/notice_record.cpp
+++ b/libraries/entry/servers/notice_record.cpp
@@ -1,4 +1,4 @@
-#include "entry/notice_record.hpp"
+#include "entry/servers/notice_record.hpp"
 
 #include "core/errors.hpp"
 #include "core/structured_log.hpp"
--- a/libraries/entry/reach_monitor.hpp
+++ b/libraries/entry/servers/reach_monitor.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "decision/reachability/server_reach.hpp"
-#include "entry/exchange.hpp"
-#include "entry/server_table.hpp"
+#include "entry/requests/exchange.hpp"
+#include "entry/servers/server_table.hpp"
 #include "http/client.hpp"
 
 #include <boost/asio/steady_timer.hpp>
--- a/libraries/entry/server_table.cpp
+++ b/libraries/entry/servers/server_table.cpp
@@ -1,4 +1,4 @@
-#include "entry/server_table.hpp"
+#include "entry/servers/server_table.hpp"
 
 #include "core/store_version.hpp"
 #include "core/structured_log.hpp"
--- a/libraries/entry/start_verifier.cpp
+++ b/libraries/entry/servers/start_verifier.cpp
@@ -1,4 +1,4 @@
-#include "entry/start_verifier.hpp"
+#include "entry/servers/start_verifier.hpp"
 
 #include "core/structured_log.hpp"
 #include "daemon/pause.hpp"
--- a/libraries/entry/version_record.cpp
+++ b/libraries/entry/servers/version_record.cpp
@@ -1,4 +1,4 @@
-#include "entry/version_record.hpp"
+#include "entry/servers/version_record.hpp"
 
 #include "core/errors.hpp"
 #include "core/json_reader.hpp"
--- a/libraries/entry/version_record.hpp
+++ b/libraries/entry/servers/version_record.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entry/stream_continuity.hpp"
+#include "entry/requests/stream_continuity.hpp"
 #include "platform/store.hpp"
 
 #include <functional>
--- a/libraries/entry/object_relay.cpp
+++ b/libraries/entry/store/object_relay.cpp
@@ -1,4 +1,4 @@
-#include "entry/object_relay.hpp"
+#include "entry/store/object_relay.hpp"
 
 #include "core/errors.hpp"
 #include "core/json_parts.hpp"
--- a/libraries/entry/store_mirror.cpp
+++ b/libraries/entry/store/store_mirror.cpp
@@ -1,4 +1,4 @@
-#include "entry/store_mirror.hpp"
+#include "entry/store/store_mirror.hpp"
 
 #include "core/structured_log.hpp"
 #include "daemon/pause.hpp"
--- a/libraries/entry/store_mirror.hpp
+++ b/libraries/entry/store/store_mirror.hpp
@@ -3,7 +3,7 @@
 #include "daemon/collection_follower.hpp"
 #include "decision/sharing/lag_detector.hpp"
 #include "entry/entry_state.hpp"
-#include "entry/object_relay.hpp"
+#include "entry/store/object_relay.hpp"
 
 #include <functional>
 #include <map>
--- a/tests/entry/disruption_run.hpp
+++ b/tests/entry/disruption_run.hpp
@@ -3,7 +3,7 @@
 #include "core/store_version.hpp"
 #include "decision/ownership/shard_lease.hpp"
 #include "decision/replicas/replica_planner.hpp"
-#include "entry/server_table.hpp"
+#include "entry/servers/server_table.hpp"
 #include "fake_engine.hpp"
 
 #include <gtest/gtest.h>
--- a/tests/entry/digest_exchange_test.cpp
+++ b/tests/entry/fleet/digest_exchange_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/digest_exchange.hpp"
+#include "entry/fleet/digest_exchange.hpp"
 
 #include "fleet/digest_codec.hpp"
 
--- a/tests/entry/membership_test.cpp
+++ b/tests/entry/fleet/membership_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/fleet_view.hpp"
+#include "entry/fleet/fleet_view.hpp"
 
 #include "simulation.hpp"
 
--- a/tests/entry/exchange_test.cpp
+++ b/tests/entry/requests/exchange_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/exchange.hpp"
+#include "entry/requests/exchange.hpp"
 
 #include "endless_responses.hpp"
 #include "relay_run.hpp"
--- a/tests/entry/relay_codec_test.cpp
+++ b/tests/entry/requests/relay_codec_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/relay_codec.hpp"
+#include "entry/requests/relay_codec.hpp"
 
 #include "core/errors.hpp"
 
--- a/tests/entry/reach_monitor_test.cpp
+++ b/tests/entry/servers/reach_monitor_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/reach_monitor.hpp"
+#include "entry/servers/reach_monitor.hpp"
 
 #include "daemon/pause.hpp"
 #include "scripted_server.hpp"
--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/servers/server_table_test.cpp
@@ -1,5 +1,5 @@
 #include "core/store_version.hpp"
-#include "entry/server_table.hpp"
+#include "entry/servers/server_table.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/entry/object_relay_test.cpp
+++ b/tests/entry/store/object_relay_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/object_relay.hpp"
+#include "entry/store/object_relay.hpp"
 
 #include "core/store_version.hpp"
 #include "http/client.hpp"
