--- a/libraries/platform/object_client.hpp
+++ b/libraries/platform/object_client.hpp
@@ -52,7 +52,8 @@
     /// objects; empty if there were none. Throws `watch_expired` if the caller
     /// must list the collection again.
     net::awaitable<listing> watch(collection where, object_version since,
-                                  milliseconds wait);
+                                  milliseconds wait,
+                                  freshness wanted = freshness::latest);
 
     /// Removes an object regardless of its version; no error if it is missing.
     net::awaitable<void> remove(collection where, std::string name);
