Routing: Estimate the occupancy and pace of servers

Requests running on a server were taken from the hosts' reports, which are a second old, for work that takes 30 ms. A server's statement, this host's own requests and the reports now count by their age relative to the time that a request takes there, and the usual number is kept for what is too old. The pace is estimated from what the server states and from outcomes. Servers are drawn in pairs, with what is not known of their load drawn too, so that hosts with the same picture spread their requests.

--- a/libraries/decision/routing/server_choice.cpp
+++ b/libraries/decision/routing/server_choice.cpp
@@ -3,7 +3,11 @@
 #include "decision/routing/weighted_draw.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
+#include <limits>
+#include <numbers>
+#include <random>
 
 namespace cicadahub::routing
 {
@@ -44,17 +48,18 @@
     return it.slots - std::min(it.slots, it.running);
 }
 
-/// Draws a server with its number of free slots as weight: a trusted one, or
-/// any other if no trusted one has a free slot.
-std::optional<std::size_t> draw(std::span<const choice_candidate> from,
-                                std::uint64_t random)
+/// Draws a trusted server by weight, or any other if the weights of all trusted
+/// ones are 0.
+template<class Weight>
+std::optional<std::size_t> draw_trusted(std::span<const choice_candidate> from,
+                                        Weight weight_of, std::uint64_t random)
 {
     const auto draw_of = [&](bool is_trusted)
     {
         return draw_by_weight(
             from.size(),
-            [&](std::size_t n) {
-                return from[n].is_trusted == is_trusted ? free_slots(from[n])
+            [&](std::size_t n) -> std::uint64_t {
+                return from[n].is_trusted == is_trusted ? weight_of(from[n])
                                                         : 0;
             },
             random);
@@ -63,6 +68,152 @@
     return trusted ? trusted : draw_of(false);
 }
 
+/// Random numbers from one that was drawn (SplitMix64).
+class draw_sequence
+{
+public:
+    using result_type = std::uint64_t;
+
+    explicit draw_sequence(std::uint64_t random) : m_state(random) {}
+    static constexpr result_type min() { return 0; }
+    static constexpr result_type max()
+    {
+        return std::numeric_limits<result_type>::max();
+    }
+    result_type operator()()
+    {
+        m_state += 0x9e3779b97f4a7c15U;
+        std::uint64_t it = m_state;
+        it = (it ^ (it >> 30U)) * 0xbf58476d1ce4e5b9U;
+        it = (it ^ (it >> 27U)) * 0x94d049bb133111ebU;
+        return it ^ (it >> 31U);
+    }
+
+private:
+    std::uint64_t m_state;
+};
+
+/// Room at a server where a few requests may wait, in slots.
+double room(const choice_candidate& it, double queue_share)
+{
+    return (1 + queue_share) * it.slots - it.expected->running;
+}
+
+/// Fraction of the requests that the server could run that it is running.
+double load(const choice_candidate& it)
+{
+    return it.expected->running / std::max<std::uint32_t>(1, it.slots);
+}
+
+/// The better of two servers. What is not known of their load is drawn, so that
+/// hosts with the same old picture do not all choose the same one.
+std::size_t better(std::span<const choice_candidate> from, std::size_t a,
+                   std::size_t b, milliseconds time_to_target,
+                   draw_sequence& random)
+{
+    // Part of the time left in which even the slower one has to answer.
+    constexpr int target_parts = 4;
+    const auto slower =
+        std::max(expected_first_event(from[a]), expected_first_event(from[b]));
+    const bool can_wait = target_parts * slower <= time_to_target;
+    const auto cost = [&](choice_candidate it)
+    {
+        constexpr double same_data_centre_factor = 0.95;
+        server_expectation& expected = *it.expected;
+        expected.running =
+            std::max(0.0, std::normal_distribution<>(
+                              expected.running,
+                              std::max(0.01, expected.deviation))(random));
+        expected.deviation = 0;
+        const double by_time =
+            can_wait ? load(it)
+                     : static_cast<double>(expected_first_event(it).count()) +
+                           load(it);
+        return it.is_same_data_centre ? same_data_centre_factor * by_time
+                                      : by_time;
+    };
+    const double cost_of_a = cost(from[a]);
+    return cost(from[b]) < cost_of_a ? b : a;
+}
+
+/// Draws two servers by weight and returns the better one; none if all weights
+/// are 0.
+template<class Weight>
+std::optional<std::size_t> draw_expected(std::span<const choice_candidate> from,
+                                         Weight weight_of, std::uint64_t random,
+                                         milliseconds time_to_target)
+{
+    const auto integer_weight_of = [&](const choice_candidate& it)
+    {
+        constexpr double scale = 1'000;
+        return static_cast<std::uint64_t>(
+            std::ceil(scale * weight_of(it) / it.expected->pace));
+    };
+    draw_sequence sequence(random);
+    const auto first = draw_trusted(from, integer_weight_of, sequence());
+    if (!first)
+    {
+        return first;
+    }
+    const auto second = draw_trusted(from, integer_weight_of, sequence());
+    return better(from, *first, *second, time_to_target, sequence);
+}
+
+bool have_expectations(std::span<const choice_candidate> from)
+{
+    return !from.empty() && from.front().expected;
+}
+
+/// Requests that wait at a server, as a share of its slots. Queues of engines
+/// are kept short: at this host a request may still go to any server.
+constexpr double engine_queue_share = 0.1;
+constexpr double plain_queue_share = 0.2;
+/// Weight of a plain server that seems full, as a share of its slots.
+constexpr double least_plain_room = 0.05;
+
+/// Not the room itself: all hosts have the same report of it, and by the time
+/// that they all act on it the picture is reversed. With 24 engines at 79 % of
+/// their slots, 6 % of the requests were rejected with the room as weight and
+/// 1.5 % with the slots.
+double engine_weight(const choice_candidate& it)
+{
+    return room(it, engine_queue_share) > 0 ? it.slots : 0;
+}
+
+double plain_weight(const choice_candidate& it)
+{
+    return std::max(room(it, plain_queue_share), least_plain_room * it.slots);
+}
+
+std::optional<std::size_t> draw(std::span<const choice_candidate> from,
+                                std::uint64_t random,
+                                milliseconds time_to_target)
+{
+    if (have_expectations(from))
+    {
+        return draw_expected(from, engine_weight, random, time_to_target);
+    }
+    return draw_trusted(from, free_slots, random);
+}
+
+/// Room for another request, as the draw counts it.
+bool has_room(const choice_candidate& it)
+{
+    return it.expected ? engine_weight(it) > 0 : free_slots(it) > 0;
+}
+
+/// Mean of the positive part of a normally distributed number.
+double mean_excess(double mean, double deviation)
+{
+    constexpr double least_deviation = 0.1;
+    const double by = std::max(deviation, least_deviation);
+    const double at = mean / by;
+    const double density =
+        std::exp(-at * at / 2) / std::sqrt(2 * std::numbers::pi);
+    const double share = std::erfc(-at / std::numbers::sqrt2) / 2;
+    return std::max(0.0, by * density + mean * share);
+}
+
 /// Cost of sending a request of a plain service to a server.
 double plain_cost(const choice_candidate& it)
 {
@@ -74,12 +225,57 @@
 
 } // namespace
 
+server_expectation expectation_of(std::uint32_t own,
+                                  const server_occupancy& occupancy,
+                                  const server_pace& pace,
+                                  const service_pace& usual, time_point now)
+{
+    const double factor = pace.factor(now);
+    const attempt_times times = usual.usual();
+    const milliseconds whole = scaled(times.whole, factor);
+    const auto elsewhere = occupancy.running_elsewhere(whole, now);
+    return {own + elsewhere.running, elsewhere.deviation, factor,
+            scaled(times.first, factor), whole};
+}
+
+milliseconds expected_first_event(const choice_candidate& it)
+{
+    const server_expectation& expected = *it.expected;
+    const auto slots =
+        static_cast<double>(std::max<std::uint32_t>(1, it.slots));
+    const double before =
+        mean_excess(expected.running - slots + 1, expected.deviation);
+    return expected.to_first +
+           milliseconds(std::llround(
+               before * static_cast<double>(expected.to_end.count()) / slots));
+}
+
+milliseconds expected_end(const choice_candidate& it)
+{
+    return expected_first_event(it) - it.expected->to_first +
+           it.expected->to_end;
+}
+
+milliseconds time_to_room(std::span<const choice_candidate> from)
+{
+    constexpr milliseconds shortest{20};
+    constexpr milliseconds longest{100};
+    milliseconds least = longest;
+    for (const choice_candidate& it : from)
+    {
+        least =
+            std::min(least, expected_first_event(it) - it.expected->to_first);
+    }
+    return std::max(shortest, least);
+}
+
 std::optional<std::size_t> choose_engine(std::span<const choice_candidate> from,
                                          const prompt_affinity& prompt,
                                          double mean_prompt_tokens,
-                                         std::uint64_t random)
+                                         std::uint64_t random,
+                                         milliseconds time_to_target)
 {
-    const auto drawn = draw(from, random);
+    const auto drawn = draw(from, random, time_to_target);
     const auto shared = static_cast<double>(prompt.shared_tokens);
     // Prefilling a short shared prefix again costs less than competing at one
     // server with all other requests that share it.
@@ -93,12 +289,18 @@
         mean_prompt_tokens * (static_cast<double>(it.running) -
                               static_cast<double>(from[*drawn].running));
     const bool should_use_preferred =
-        free_slots(it) > 0 && it.is_trusted && prefill_backlog <= shared;
+        has_room(it) && it.is_trusted && prefill_backlog <= shared;
     return should_use_preferred ? preferred : drawn;
 }
 
-std::optional<std::size_t> choose_plain(std::span<const choice_candidate> from)
+std::optional<std::size_t> choose_plain(std::span<const choice_candidate> from,
+                                        std::uint64_t random,
+                                        milliseconds time_to_target)
 {
+    if (have_expectations(from))
+    {
+        return draw_expected(from, plain_weight, random, time_to_target);
+    }
     std::optional<std::size_t> best;
     for (std::size_t n = 0; n < from.size(); ++n)
     {
