Entry: Choose servers by what they state of load and pace

The fourth figure of a server's statement is decoded, and all responses of a server, to requests, orders and reports, count for its occupancy. A service whose servers have stated their pace within 30 s is served by occupancy and pace, and a rejection there costs a short pause that does not grow. Other services are served as before.

--- a/libraries/entry/dialects.hpp
+++ b/libraries/entry/dialects.hpp
@@ -38,6 +38,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// How long work takes there at the moment, in percent of what is usual;
+    /// not stated in every deployment.
+    std::optional<std::uint32_t> pace_percent;
 };
 
 /// What the head of any response says of the server that sent it.
@@ -54,12 +57,12 @@
     std::optional<std::uint32_t> brittle_limit;
     /// Requests a second that the server takes from all hosts together.
     std::optional<double> rate_limit;
+    std::optional<server_load> load;
 };
 
 struct answer_head
 {
     outcome::response_facts facts;
-    std::optional<server_load> load;
 };
 
 /// Encoding of requests, orders and reports for one kind of backend server.
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -114,6 +114,50 @@
         on_limit(server, it.rate_limit, monotonic_clock::now(),
                  settings.name.value());
     }
+    if (it.load)
+    {
+        on_load(server, *it.load);
+    }
+}
+
+void entry_state::on_load(server_record& server, const server_load& it)
+{
+    const time_point now = monotonic_clock::now();
+    server.occupancy.on_statement({it.running, it.waiting, it.slots},
+                                  server.running, now);
+    if (it.pace_percent)
+    {
+        server.pace.on_statement(*it.pace_percent, now);
+        paces[server.entry.service].on_stated(now);
+    }
+}
+
+bool entry_state::states_pace(const service_id& service) const
+{
+    const auto known = paces.find(service);
+    return known != paces.end() &&
+           known->second.is_stated(monotonic_clock::now());
+}
+
+routing::server_expectation
+entry_state::expectation_of(const server_record& server, time_point now) const
+{
+    static const routing::service_pace unknown;
+    const auto known = paces.find(server.entry.service);
+    return routing::expectation_of(
+        server.running, server.occupancy, server.pace,
+        known == paces.end() ? unknown : known->second, now);
+}
+
+void entry_state::on_outcome(server_record& server,
+                             const routing::attempt_times& it, time_point now)
+{
+    const auto known = paces.find(server.entry.service);
+    if (known != paces.end())
+    {
+        server.pace.on_outcome(it, known->second.usual(), now);
+        known->second.on_outcome(it, server.pace.stated(now));
+    }
 }
 
 void entry_state::on_limit_notice(const fleet::wire::LimitedServer& it,
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/routing/server_choice.hpp"
 #include "decision/sharing/brittle_service.hpp"
 #include "decision/sharing/fleet_rate.hpp"
 #include "decision/sharing/retry_budget.hpp"
@@ -49,6 +50,8 @@
     std::map<organisation_id, sharing::fleet_rate> rates;
     std::map<service_id, sharing::retry_budget> retry_budgets;
     std::map<service_id, sharing::brittle_service> brittle_services;
+    /// Services whose servers have stated their pace.
+    std::map<service_id, routing::service_pace> paces;
     const time_point started_at = monotonic_clock::now();
     /// Higher after each start of this daemon.
     const std::int64_t incarnation;
@@ -94,8 +97,18 @@
     find_crashing_part(const std::vector<suspicion::part_fingerprint>& parts,
                        time_point now);
 
-    /// Takes in what an answer of a server says of how brittle it is and of the
-    /// rate that it takes.
+    /// True if a response of a server of the service stated its pace within the
+    /// last 30 s. Its servers are chosen by what they state of their load.
+    bool states_pace(const service_id& service) const;
+    /// What a request can expect at a server of a service that states its pace.
+    routing::server_expectation expectation_of(const server_record& server,
+                                               time_point now) const;
+    /// Counts an answer that the server has completed.
+    void on_outcome(server_record& server, const routing::attempt_times& it,
+                    time_point now);
+
+    /// Takes in what an answer of a server says of its load, of how brittle it
+    /// is and of the rate that it takes.
     void on_server_notice(server_record& server, const server_notice& it);
     /// Takes in what another host heard of the rate that a server takes, and
     /// whether it lends its part of that to this host.
@@ -141,6 +154,7 @@
                      time_point now) const;
 
 private:
+    void on_load(server_record& server, const server_load& it);
     void on_brittle_notice(const server_record& server,
                            const server_notice& it);
     void on_limit(server_record& server, std::optional<double> limit,
--- a/libraries/entry/requests/active_request.hpp
+++ b/libraries/entry/requests/active_request.hpp
@@ -84,6 +84,10 @@
     net::awaitable<void> attempt_until_answered();
     net::awaitable<server_table::record_pointer> wait_for_server();
     server_pick pick_server() const;
+    /// Completes a candidate of a service whose servers state their pace.
+    void expect_by_statements(routing::choice_candidate& to,
+                              const server_record& server,
+                              time_point now) const;
     net::awaitable<exchange_result>
     attempt(const server_table::record_pointer& record);
     /// Decides after an attempt whether the request is sent to another server;
--- a/libraries/entry/requests/attempt_observer.cpp
+++ b/libraries/entry/requests/attempt_observer.cpp
@@ -208,8 +208,10 @@
     }
     if (is_rejection(result))
     {
-        record.room.on_rejected(
-            m_sent_at, now, std::uniform_real_distribution<>()(m_state.random));
+        const double draw = std::uniform_real_distribution<>()(m_state.random);
+        record.room.on_rejected(m_sent_at, now, draw);
+        record.occupancy.on_rejected(
+            m_sent_at, m_state.expectation_of(record, now).to_end, draw, now);
     }
     bool is_suspended = false;
     if (result.end == exchange_end::not_sent)
@@ -227,6 +229,16 @@
     {
         record.health.on_success();
         record.room.on_ended();
+        record.occupancy.on_ended();
+        if (result.answer_began)
+        {
+            m_state.on_outcome(
+                record,
+                {std::chrono::duration_cast<milliseconds>(*result.answer_began -
+                                                          m_sent_at),
+                 std::chrono::duration_cast<milliseconds>(now - m_sent_at)},
+                now);
+        }
     }
     if (is_suspended)
     {
--- a/libraries/entry/requests/request_routing.cpp
+++ b/libraries/entry/requests/request_routing.cpp
@@ -47,6 +47,7 @@
     std::vector<server_table::record_pointer> records;
     std::vector<routing::choice_candidate> candidates;
     server_pick result;
+    const bool is_by_pace = m_state.states_pace(m_service->name);
     bool is_any_unpaused = false;
     bool is_any_unlimited = false;
     for (const auto& [id, record] : m_state.servers.records())
@@ -95,7 +96,9 @@
         {
             continue;
         }
-        const milliseconds full_for = record->room.time_to_try(now);
+        const milliseconds full_for = is_by_pace
+                                          ? record->occupancy.time_to_try(now)
+                                          : record->room.time_to_try(now);
         if (full_for.count() > 0)
         {
             result.full_for =
@@ -104,10 +107,16 @@
         }
         const std::uint32_t slots =
             m_service->engine ? m_service->engine->slots : entry.slots;
-        candidates.push_back(
-            {&record->entry.id, record->running + record->running_elsewhere,
-             slots, entry.data_centre == m_state.settings.data_centre,
-             record->health.is_trusted(now)});
+        candidates.push_back({&record->entry.id,
+                              record->running + record->running_elsewhere,
+                              slots,
+                              entry.data_centre == m_state.settings.data_centre,
+                              record->health.is_trusted(now),
+                              {}});
+        if (is_by_pace)
+        {
+            expect_by_statements(candidates.back(), *record, now);
+        }
         records.push_back(record);
     }
     if (is_any_unpaused)
@@ -118,11 +127,21 @@
     {
         result.limit_left.reset();
     }
-    const auto choice = m_copy
-                            ? routing::choose_engine(candidates, m_affinity,
-                                                     m_state.mean_prompt_tokens,
-                                                     m_state.random())
-                            : routing::choose_plain(candidates);
+    const milliseconds time_to_target =
+        m_route->target_latency -
+        std::chrono::duration_cast<milliseconds>(now - m_arrived);
+    const auto choice =
+        m_copy ? routing::choose_engine(candidates, m_affinity,
+                                        m_state.mean_prompt_tokens,
+                                        m_state.random(), time_to_target)
+               : routing::choose_plain(candidates,
+                                       is_by_pace ? m_state.random() : 0,
+                                       time_to_target);
+    if (!choice && is_by_pace && !candidates.empty())
+    {
+        const milliseconds recheck = routing::time_to_room(candidates);
+        result.full_for = std::min(recheck, result.full_for.value_or(recheck));
+    }
     if (choice)
     {
         result.record = records[*choice];
@@ -136,6 +155,18 @@
     return result;
 }
 
+void active_request::expect_by_statements(routing::choice_candidate& to,
+                                          const server_record& server,
+                                          time_point now) const
+{
+    to.expected = m_state.expectation_of(server, now);
+    to.running = static_cast<std::uint32_t>(std::lround(to.expected->running));
+    if (server.occupancy.slots() > 0)
+    {
+        to.slots = server.occupancy.slots();
+    }
+}
+
 std::optional<milliseconds>
 active_request::wait_for_limit(server_record& server, time_point now) const
 {
--- a/libraries/entry/servers/server_table.hpp
+++ b/libraries/entry/servers/server_table.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "decision/replicas/types.hpp"
+#include "decision/routing/server_occupancy.hpp"
+#include "decision/routing/server_pace.hpp"
 #include "decision/sharing/part_lender.hpp"
 #include "decision/sharing/server_health.hpp"
 #include "decision/sharing/server_limit.hpp"
@@ -37,6 +39,8 @@
     /// Requests of all other daemons that are running on the server, as last
     /// reported.
     std::uint32_t running_elsewhere = 0;
+    routing::server_occupancy occupancy;
+    routing::server_pace pace;
     sharing::server_health health;
     sharing::server_pause pause;
     sharing::server_limit limit;
--- a/tests/platform/server_notice_test.cpp
+++ b/tests/platform/server_notice_test.cpp
@@ -110,5 +110,52 @@
             "empty_pause", busy, {{"Retry-After", ""}}, false, std::nullopt}),
     [](const auto& it) { return std::string(it.param.name); });
 
+struct load_case
+{
+    const char* name;
+    const char* value;
+    bool is_read;
+    std::optional<std::uint32_t> pace_percent;
+    const char* sender = "s";
+};
+
+void PrintTo(const load_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class server_loads : public testing::TestWithParam<load_case>
+{
+};
+
+TEST_P(server_loads, are_read_with_or_without_a_pace)
+{
+    http::beast_http::response_header<> head;
+    head.set("Server-Load", GetParam().value);
+    head.set("Instance-Id", GetParam().sender);
+    const auto seen = servers.read_notice(head, server_id("s")).load;
+    ASSERT_EQ(seen.has_value(), GetParam().is_read);
+    if (seen)
+    {
+        EXPECT_EQ(seen->running, 3);
+        EXPECT_EQ(seen->waiting, 1);
+        EXPECT_EQ(seen->slots, 6);
+        EXPECT_EQ(seen->pace_percent, GetParam().pace_percent);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    servers, server_loads,
+    testing::Values(load_case{"three_figures", "3,1,6", true, {}},
+                    load_case{"four_figures", "3,1,6,250", true, 250},
+                    load_case{"spaces", "3, 1, 6, 250", true, 250},
+                    load_case{"a_malformed_pace", "3,1,6,fast", true, {}},
+                    load_case{"a_negative_pace", "3,1,6,-1", true, {}},
+                    load_case{"more_figures", "3,1,6,250,7", true, 250},
+                    load_case{"two_figures", "3,1", false, {}},
+                    load_case{"no_numbers", "a,b,c", false, {}},
+                    load_case{"another_server", "3,1,6", false, {}, "t"}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 } // namespace
 } // namespace cicadahub::adapter
