Servers: Limit cold servers to the rate that they take

A server that has just started, or says that it is cold, got as many requests as a warm one, and crashed.

It is now a server with a second limit, the rate of its service, until it is warm. Its period comes from its entry, its answers, the hosts that know it first-hand, and its start if there was traffic then; an entry that says 0 ends nothing. Requests go to warm copies first, and placement sends it one order a second.

--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -51,6 +51,8 @@
     host_cut_off = 530,
     host_reconnected = 531,
     server_entry_outdated = 532,
+    server_cold = 533,
+    evacuation_changed = 534,
     peer_connected = 600,
     peer_lost = 601,
     peer_frame_malformed = 602,
--- a/libraries/core/ids.hpp
+++ b/libraries/core/ids.hpp
@@ -11,6 +11,7 @@
 using daemon_id = strong_type<struct daemon_id_tag, std::string>;
 using server_id = strong_type<struct server_id_tag, std::string>;
 using data_centre_id = strong_type<struct data_centre_id_tag, std::string>;
+using region_id = strong_type<struct region_id_tag, std::string>;
 using organisation_id = strong_type<struct organisation_id_tag, std::string>;
 using class_id = strong_type<struct class_id_tag, std::string>;
 using model_id = strong_type<struct model_id_tag, std::string>;
--- a/libraries/decision/replicas/replica_planner.cpp
+++ b/libraries/decision/replicas/replica_planner.cpp
@@ -17,6 +17,9 @@
 /// fail until it is loaded from the store again. It is kept on several servers.
 constexpr double busy_model_missed_requests = 8;
 constexpr std::uint32_t busy_model_copies = 3;
+/// Added to the cost of a load on a server that is cold: more than a load from
+/// the weight store takes.
+constexpr double cold_penalty_ms = 10'000;
 
 } // namespace
 
@@ -96,6 +99,8 @@
         {
             continue;
         }
+        // What a cold server holds can hardly be used yet.
+        it->cost_ms += server.is_cold() ? cold_penalty_ms : 0;
         if (!best || it->cost_ms < best->cost_ms)
         {
             it->server = &server;
--- a/libraries/decision/replicas/server_state.hpp
+++ b/libraries/decision/replicas/server_state.hpp
@@ -47,6 +47,11 @@
     bool is_confirmed() const { return m_is_confirmed; }
     /// True while the server wants nothing from this host.
     void set_paused(bool it) { m_is_paused = it; }
+    /// True while the server is cold, and so slow.
+    void set_cold(bool it) { m_is_cold = it; }
+    bool is_cold() const { return m_is_cold; }
+    /// True while operators want nothing to be sent to its data centre.
+    void set_evacuated(bool it) { m_is_evacuated = it; }
     /// Blocks orders until the next report confirms the state.
     void require_report() { m_is_confirmed = false; }
 
@@ -54,7 +59,7 @@
     /// True if the model is loaded and is not being unloaded.
     bool serves(const model_id& model) const;
     bool is_loading(const model_id& model) const;
-    bool is_usable() const { return !m_entry.is_leaving; }
+    bool is_usable() const { return !m_entry.is_leaving && !m_is_evacuated; }
     /// True if `version` is not set, or is the server's software version.
     bool runs(const std::optional<software_version>& version) const
     {
@@ -91,6 +96,8 @@
     time_point m_changed_at{};
     bool m_awaits_answer = false;
     bool m_is_paused = false;
+    bool m_is_cold = false;
+    bool m_is_evacuated = false;
     std::optional<pending_order> m_pending;
 };
 
--- a/libraries/decision/sharing/server_limit.cpp
+++ b/libraries/decision/sharing/server_limit.cpp
@@ -43,9 +43,10 @@
         return false;
     }
     settle(now);
+    const bool was_limited = is_limited(now);
     m_heard_at = heard_at;
     const bool has_changed = m_requests_per_second != requests_per_second;
-    if (!m_requests_per_second)
+    if (!m_requests_per_second && !was_limited)
     {
         m_tokens = 0;
     }
@@ -53,14 +54,55 @@
     return has_changed;
 }
 
-bool server_limit::is_limited(time_point now) const
+void server_limit::set_cold(std::optional<double> requests_per_second,
+                            time_point until, double burst, time_point now)
+{
+    settle(now);
+    const bool was_limited = is_limited(now);
+    m_cold_rate = requests_per_second;
+    m_cold_until = until;
+    m_cold_burst = std::clamp(burst, 0.0, burst_seconds);
+    if (!was_limited && is_limited(now))
+    {
+        // What was sent before counts in the first second too.
+        m_tokens = std::min(m_tokens, 0.0);
+    }
+}
+
+bool server_limit::is_named(time_point now) const
 {
     return m_requests_per_second && now < *m_heard_at + notice_lifetime;
 }
 
+bool server_limit::is_cold(time_point now) const
+{
+    return m_cold_rate && now < m_cold_until;
+}
+
+bool server_limit::is_limited(time_point now) const
+{
+    return is_named(now) || is_cold(now);
+}
+
+std::optional<double>
+server_limit::named_requests_per_second(time_point now) const
+{
+    return is_named(now) ? m_requests_per_second : std::nullopt;
+}
+
 std::optional<double> server_limit::requests_per_second(time_point now) const
 {
-    return is_limited(now) ? m_requests_per_second : std::nullopt;
+    const auto named = named_requests_per_second(now);
+    if (!is_cold(now))
+    {
+        return named;
+    }
+    return std::min(*m_cold_rate, named.value_or(*m_cold_rate));
+}
+
+double server_limit::burst(time_point now) const
+{
+    return is_cold(now) ? m_cold_burst : burst_seconds;
 }
 
 double server_limit::whole_rate(time_point now) const
@@ -72,7 +114,7 @@
 double server_limit::tokens(time_point now) const
 {
     const double rate = whole_rate(now);
-    const double cap = 1 + rate * m_parts.sum(now) * burst_seconds;
+    const double cap = 1 + rate * m_parts.sum(now) * burst(now);
     return std::min(cap, m_tokens +
                              rate * m_parts.seconds_of_rate(m_settled_at, now));
 }
--- a/libraries/decision/sharing/server_limit.hpp
+++ b/libraries/decision/sharing/server_limit.hpp
@@ -10,8 +10,9 @@
 namespace cicadahub::sharing
 {
 
-/// What a server said of the rate that it takes from all hosts together, and
-/// this host's tokens for it. Each host owns an equal part of the rate and
+/// What a server said of the rate that it takes from all hosts together, the
+/// rate that it takes while it is cold, and this host's tokens for the lower of
+/// both. Each host owns an equal part of the rate and
 /// lends it to the one that sends to the server, through which it relays.
 class server_limit
 {
@@ -32,9 +33,20 @@
     bool on_answer(std::optional<double> requests_per_second,
                    time_point heard_at, time_point now);
 
+    /// Until `until` the server takes `requests_per_second` at most because it
+    /// is cold; empty if it takes any number. `burst` is the time for which
+    /// tokens can be saved meanwhile.
+    void set_cold(std::optional<double> requests_per_second, time_point until,
+                  double burst, time_point now);
+
     bool is_limited(time_point now) const;
+    /// The server itself named a limit.
+    bool is_named(time_point now) const;
+    bool is_cold(time_point now) const;
     /// Requests a second from all hosts; empty if the server is not limited.
     std::optional<double> requests_per_second(time_point now) const;
+    /// Those that the server itself named.
+    std::optional<double> named_requests_per_second(time_point now) const;
     /// Time of the answer that told the limit, or told that it ended; empty if
     /// the server never named one.
     std::optional<time_point> heard_at() const { return m_heard_at; }
@@ -79,6 +91,7 @@
     };
 
     double whole_rate(time_point now) const;
+    double burst(time_point now) const;
     double tokens(time_point now) const;
     void settle(time_point now);
     std::size_t bookings_before(const request_id& request,
@@ -86,6 +99,9 @@
 
     std::optional<double> m_requests_per_second;
     std::optional<time_point> m_heard_at;
+    std::optional<double> m_cold_rate;
+    time_point m_cold_until{};
+    double m_cold_burst = 0;
     rate_parts m_parts;
     double m_expected_part = 0;
     double m_tokens = 0;
--- a/libraries/entry/dialects.hpp
+++ b/libraries/entry/dialects.hpp
@@ -54,6 +54,8 @@
     std::optional<std::uint32_t> brittle_limit;
     /// Requests a second that the server takes from all hosts together.
     std::optional<double> rate_limit;
+    /// Time for which the server remains cold; 0 if it says that it is not.
+    std::optional<milliseconds> cold_left;
 };
 
 struct answer_head
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -242,6 +242,7 @@
         m_state.configuration = std::move(next);
         m_state.continuity.on_configuration(*m_state.configuration);
         m_state.update_rate_shares(monotonic_clock::now());
+        m_state.update_cold_servers(monotonic_clock::now());
         m_state.waiting.wake_all();
         log_first_readiness();
     }
@@ -285,6 +286,11 @@
 {
     m_mirror.on_digest(it);
     apply_crash_notices(it, m_state.suspects, m_state.crashing_parts);
+    if (it.digest.traffic_ms > 0)
+    {
+        m_state.on_traffic(it.received_at -
+                           milliseconds(it.digest.traffic_ms - 1));
+    }
     for (const auto& limited : it.digest.limited_servers)
     {
         m_state.on_limit_notice(limited, it);
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -22,6 +22,10 @@
 /// this time, unless they are too many for a digest a second.
 constexpr milliseconds first_reports_time{1'000};
 
+/// An order and a request for a report may reach a cold server in one second
+/// beside the requests of a host that begins to send.
+constexpr double min_slack_for_orders = 3;
+
 /// Wall-clock time of the start, so that each start of a daemon has a higher
 /// incarnation than the last, also after a move to another host.
 std::int64_t new_incarnation()
@@ -109,10 +113,126 @@
                                    const server_notice& it)
 {
     on_brittle_notice(server, it);
-    if (it.is_from_server)
+    if (!it.is_from_server)
+    {
+        return;
+    }
+    const time_point now = monotonic_clock::now();
+    on_limit(server, it.rate_limit, now, settings.name.value());
+    if (!it.cold_left)
+    {
+        return;
+    }
+    server.cold.on_answer(*it.cold_left, now);
+    if (update_cold(server, "answer", now))
+    {
+        send_update_to_all_soon();
+    }
+    waiting.wake_all();
+}
+
+void entry_state::on_traffic(time_point moment)
+{
+    if (traffic_since && *traffic_since <= moment)
+    {
+        return;
+    }
+    traffic_since = moment;
+    update_cold_servers(monotonic_clock::now());
+}
+
+void entry_state::judge_start(server_record& server, milliseconds cold_start,
+                              time_point now) const
+{
+    if (server.is_start_judged || !server.first_seen || !traffic_since)
+    {
+        return;
+    }
+    std::optional<milliseconds> age;
+    if (server.entry.incarnation > 0)
+    {
+        const auto wall_clock = std::chrono::duration_cast<milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+        age =
+            wall_clock - milliseconds(server.entry.incarnation) -
+            std::chrono::duration_cast<milliseconds>(now - *server.first_seen);
+    }
+    if (sharing::cold_period::is_start_during_traffic(*server.first_seen, age,
+                                                      *traffic_since))
+    {
+        server.is_start_judged = true;
+        server.cold.assume(sharing::cold_period::assumed_end(
+            cold_start, *server.first_seen, age));
+    }
+}
+
+bool entry_state::update_cold(server_record& server, std::string_view seen_by,
+                              time_point now)
+{
+    const auto* service =
+        configuration ? configuration->find_service(server.entry.service)
+                      : nullptr;
+    if (service == nullptr)
+    {
+        return false;
+    }
+    if (service->cold_start > milliseconds(0))
+    {
+        judge_start(server, service->cold_start, now);
+    }
+    const bool was_cold = server.limit.is_cold(now);
+    const bool was_limited = server.limit.is_limited(now);
+    // Half of what the bound allows above the rate remains for hosts that begin
+    // to send at the same time, and for orders.
+    constexpr double burst_share = 0.5;
+    server.limit.set_cold(service->cold_requests_per_second, server.cold.end(),
+                          burst_share * (settings.cold_overage - 1), now);
+    server.takes_orders_while_cold =
+        settings.cold_slack >= min_slack_for_orders;
+    const bool is_cold = server.limit.is_cold(now);
+    if (is_cold == was_cold)
+    {
+        return false;
+    }
+    if (is_cold && !was_limited)
+    {
+        update_loan(server, now);
+    }
+    log_event(
+        severity::info, event_number::server_cold,
+        {{"server", server.entry.id.value()},
+         {"incarnation", server.entry.incarnation},
+         {"is_cold", is_cold},
+         {"left_ms", server.cold.left(now).count()},
+         {"requests_per_second", service->cold_requests_per_second.value_or(0)},
+         {"sender", limit_sender(server)},
+         {"seen_by", seen_by}});
+    return is_cold;
+}
+
+bool entry_state::update_cold_servers(time_point now)
+{
+    bool is_any_new = false;
+    for (const auto& [id, record] : servers.records())
+    {
+        is_any_new = update_cold(*record, "list", now) || is_any_new;
+    }
+    return is_any_new;
+}
+
+void entry_state::on_crashed(server_record& server, time_point now)
+{
+    const auto* service =
+        configuration ? configuration->find_service(server.entry.service)
+                      : nullptr;
+    if (service == nullptr || service->cold_start == milliseconds(0))
     {
-        on_limit(server, it.rate_limit, monotonic_clock::now(),
-                 settings.name.value());
+        return;
+    }
+    server.cold.assume(now + service->cold_start);
+    if (update_cold(server, "crash", now))
+    {
+        send_update_to_all_soon();
     }
 }
 
@@ -130,6 +250,11 @@
                            : std::nullopt;
     on_limit(*record, limit, from.received_at - milliseconds(it.age_ms),
              from.digest.sender);
+    if (it.__isset.cold_left_ms)
+    {
+        record->cold.on_peer(milliseconds(it.cold_left_ms), from.received_at);
+        update_cold(*record, from.digest.sender, monotonic_clock::now());
+    }
     on_loan(*record, it, from);
 }
 
@@ -287,8 +412,10 @@
     }
     for (const auto& [name, it] : fleet.peers())
     {
-        if (!it.digest.__isset.sent_at_ms || it.digest.is_cut_off ||
-            it.digest.is_leaving)
+        const bool knows_limit =
+            server.limit.is_named(now) || it.digest.__isset.traffic_ms;
+        if (!it.digest.__isset.sent_at_ms || !knows_limit ||
+            it.digest.is_cut_off || it.digest.is_leaving)
         {
             continue;
         }
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -62,6 +62,10 @@
     /// What is recorded of the servers' limits has been read, or learnt from
     /// other hosts.
     bool are_limits_known = false;
+    /// Since when there has been traffic at any host; empty if there has been
+    /// none. Reports of others arrive late, so that the time is never too early
+    /// but for a record by another clock.
+    std::optional<time_point> traffic_since;
     /// Last time at which a response, or a part of one, arrived from any
     /// server.
     time_point last_server_contact = monotonic_clock::now();
@@ -106,6 +110,14 @@
     void on_recorded_limit(const server_id& server,
                            std::int64_t server_incarnation,
                            double requests_per_second, time_point heard_at);
+    /// There has been traffic since `moment`, or longer.
+    void on_traffic(time_point moment);
+    /// Takes in what the entries say of cold servers and what follows from
+    /// their starts. True if a server is cold that was not known to be.
+    bool update_cold_servers(time_point now);
+    /// The server has ended: what answers at its address until its next start
+    /// is listed may be cold.
+    void on_crashed(server_record& server, time_point now);
     /// Whether this host may send a server one more request now, as far as
     /// brittle servers and limits are concerned.
     bool may_send(server_record& server, const request_id& request,
@@ -145,6 +157,13 @@
                            const server_notice& it);
     void on_limit(server_record& server, std::optional<double> limit,
                   time_point heard_at, const std::string& seen_by);
+    /// Assumes the incarnation to be cold if it started while there was
+    /// traffic.
+    void judge_start(server_record& server, milliseconds cold_start,
+                     time_point now) const;
+    /// True if the server is cold and was not known to be.
+    bool update_cold(server_record& server, std::string_view seen_by,
+                     time_point now);
     void on_loan(server_record& server, const fleet::wire::LimitedServer& it,
                  const peer& from);
     /// The host that is to send to a server with a limit; null if it is this
--- a/libraries/entry/fleet/digest_exchange.cpp
+++ b/libraries/entry/fleet/digest_exchange.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <limits>
+
 namespace cicadahub::entry
 {
 
@@ -124,6 +126,11 @@
     {
         it.hosts = static_cast<std::int32_t>(m_state.fleet.part_count(now));
     }
+    it.__set_traffic_ms(m_state.traffic_since
+                            ? 1 + std::chrono::duration_cast<milliseconds>(
+                                      now - *m_state.traffic_since)
+                                      .count()
+                            : 0);
     const time_point since =
         is_update ? m_told_all_at : now - crash_notice_lifetime;
     add_crash_notices(it, m_state.suspects, since, now);
@@ -164,9 +171,10 @@
                                 time_point now) const
 {
     const auto heard_at = server.limit.heard_at();
-    const auto limit = server.limit.requests_per_second(now);
+    const auto named = server.limit.named_requests_per_second(now);
+    const bool is_limited = server.limit.is_limited(now);
     const bool is_told =
-        heard_at && (limit || now <= *heard_at + limit_notice_lifetime);
+        is_limited || (heard_at && now <= *heard_at + limit_notice_lifetime);
     if (!is_told || to.limited_servers.size() >= max_limit_notices)
     {
         return;
@@ -174,13 +182,26 @@
     fleet::wire::LimitedServer& it = to.limited_servers.emplace_back();
     it.server = server.entry.id.value();
     it.incarnation = server.entry.incarnation;
-    it.age_ms = static_cast<std::int32_t>(
-        std::chrono::duration_cast<milliseconds>(now - *heard_at).count());
-    if (!limit)
+    // A server that is only cold has ended no limit that it named before.
+    it.age_ms = std::numeric_limits<std::int32_t>::max();
+    if (heard_at)
+    {
+        it.age_ms = static_cast<std::int32_t>(
+            std::chrono::duration_cast<milliseconds>(now - *heard_at).count());
+    }
+    if (!is_limited)
     {
         return;
     }
-    it.__set_requests_per_second(*limit);
+    if (named)
+    {
+        it.__set_requests_per_second(*named);
+    }
+    const milliseconds cold_left = server.cold.left_first_hand(now);
+    if (cold_left > milliseconds(0))
+    {
+        it.__set_cold_left_ms(static_cast<std::int32_t>(cold_left.count()));
+    }
     m_state.update_loan(server, now);
     it.own_part = m_state.fleet.own_part(now);
     it.usable_part = server.limit.part(now);
--- a/libraries/entry/fleet/fleet_view.cpp
+++ b/libraries/entry/fleet/fleet_view.cpp
@@ -97,6 +97,10 @@
     known.configuration_version = update.configuration_version;
     known.servers_changed_version = update.servers_changed_version;
     known.reaches_store = update.reaches_store;
+    known.__isset.evacuations_version = update.__isset.evacuations_version;
+    known.evacuations_version = update.evacuations_version;
+    known.__isset.traffic_ms = update.__isset.traffic_ms;
+    known.traffic_ms = update.traffic_ms;
     known.watches_store = update.watches_store;
     known.silent_hosts = update.silent_hosts;
     known.__isset.sent_at_ms = update.__isset.sent_at_ms;
--- a/libraries/entry/placement/placement_controller.cpp
+++ b/libraries/entry/placement/placement_controller.cpp
@@ -220,8 +220,11 @@
         auto& servers = m_servers[service->name];
         const auto [known, is_new] =
             servers.try_emplace(id, replicas::server_state(record->entry, now));
-        known->second.set_paused(record->pause.is_active(now) ||
-                                 record->limit.is_limited(now));
+        known->second.set_paused(
+            record->pause.is_active(now) ||
+            (record->limit.is_limited(now) && !record->accepts_orders(now)));
+        known->second.set_cold(record->limit.is_cold(now));
+        known->second.set_evacuated(record->is_evacuated);
         if (is_new)
         {
             continue;
@@ -371,8 +374,9 @@
     {
         const auto may_send = [&]
         {
-            is_withheld =
-                !is_held() || !record->accepts_orders(monotonic_clock::now());
+            const time_point now = monotonic_clock::now();
+            is_withheld = !is_held() || !record->accepts_orders(now);
+            record->last_control = is_withheld ? record->last_control : now;
             return !is_withheld;
         };
         try
@@ -477,7 +481,9 @@
     bool is_withheld = false;
     const auto may_send = [&]
     {
-        is_withheld = !record->accepts_orders(monotonic_clock::now());
+        const time_point now = monotonic_clock::now();
+        is_withheld = !record->accepts_orders(now);
+        record->last_control = is_withheld ? record->last_control : now;
         return !is_withheld;
     };
     try
--- a/libraries/entry/requests/active_request.cpp
+++ b/libraries/entry/requests/active_request.cpp
@@ -63,6 +63,7 @@
     {
         refuse(refusal_kind::not_ready, retry_after_starting);
     }
+    m_state.on_traffic(m_arrived);
     find_route();
     if (m_reply.has_caller_left())
     {
--- a/libraries/entry/requests/attempt_observer.cpp
+++ b/libraries/entry/requests/attempt_observer.cpp
@@ -185,6 +185,7 @@
     update_health(result, copy);
     if (cause == loss_cause::crash)
     {
+        m_state.on_crashed(*m_record, failed_at);
         evidence_for(fingerprint).on_crash(failed_at);
     }
     co_return false;
--- a/libraries/entry/requests/request_routing.cpp
+++ b/libraries/entry/requests/request_routing.cpp
@@ -2,6 +2,8 @@
 
 #include "core/structured_log.hpp"
 
+#include <cmath>
+
 namespace cicadahub::entry
 {
 
@@ -15,6 +17,48 @@
 /// network latency to the server.
 constexpr milliseconds load_overhead{300};
 
+/// Places of a cold server: those taken, and as many as it takes in a second.
+std::uint32_t cold_slots(const server_record& it, time_point now)
+{
+    constexpr double most = 1e6;
+    const double rate = it.limit.requests_per_second(now).value_or(0);
+    return it.running + it.running_elsewhere +
+           static_cast<std::uint32_t>(std::ceil(std::min(rate, most)));
+}
+
+/// Removes the cold servers, which are slow, if a warm one has a free place.
+void prefer_warm(std::vector<routing::choice_candidate>& candidates,
+                 std::vector<server_table::record_pointer>& records,
+                 time_point now)
+{
+    bool is_any_warm_free = false;
+    bool is_any_cold = false;
+    for (std::size_t n = 0; n < candidates.size(); ++n)
+    {
+        const bool is_cold = records[n]->limit.is_cold(now);
+        is_any_cold = is_any_cold || is_cold;
+        is_any_warm_free =
+            is_any_warm_free || (!is_cold && candidates[n].is_trusted &&
+                                 candidates[n].running < candidates[n].slots);
+    }
+    if (!is_any_cold || !is_any_warm_free)
+    {
+        return;
+    }
+    std::size_t kept = 0;
+    for (std::size_t n = 0; n < candidates.size(); ++n)
+    {
+        if (!records[n]->limit.is_cold(now))
+        {
+            candidates[kept] = candidates[n];
+            records[kept] = records[n];
+            ++kept;
+        }
+    }
+    candidates.resize(kept);
+    records.resize(kept);
+}
+
 } // namespace
 
 bool active_request::has_origin(const serving::server_entry& server) const
@@ -102,14 +146,19 @@
                 std::min(full_for, result.full_for.value_or(full_for));
             continue;
         }
-        const std::uint32_t slots =
+        std::uint32_t slots =
             m_service->engine ? m_service->engine->slots : entry.slots;
+        if (record->limit.is_cold(now))
+        {
+            slots = std::min(slots, cold_slots(*record, now));
+        }
         candidates.push_back(
             {&record->entry.id, record->running + record->running_elsewhere,
              slots, entry.data_centre == m_state.settings.data_centre,
              record->health.is_trusted(now)});
         records.push_back(record);
     }
+    prefer_warm(candidates, records, now);
     if (is_any_unpaused)
     {
         result.pause_left.reset();
--- a/libraries/entry/servers/notice_record.cpp
+++ b/libraries/entry/servers/notice_record.cpp
@@ -22,6 +22,7 @@
 constexpr std::string_view limits_member = "limits";
 constexpr std::string_view requests_member = "refused_requests";
 constexpr std::string_view parts_member = "refused_parts";
+constexpr std::string_view traffic_member = "traffic_since_ms";
 constexpr std::array members{limits_member, requests_member, parts_member};
 constexpr milliseconds retry_pause{100};
 /// The holder looks this often whether anything has changed.
@@ -34,13 +35,15 @@
 /// A host that the store turns away learns the same from the digests of other
 /// hosts, of which several come in this time.
 constexpr milliseconds time_to_learn{1'000};
+/// More than any server is cold for.
+constexpr milliseconds max_traffic_time{86'400'000};
 /// Keeps numbers that are read within the range of their type.
 constexpr std::int64_t max_crashes = 1'000'000;
 
 void append_limit(boost::json::array& to, const server_record& server,
                   time_point now)
 {
-    if (const auto limit = server.limit.requests_per_second(now))
+    if (const auto limit = server.limit.named_requests_per_second(now))
     {
         to.push_back({{"server", server.entry.id.value()},
                       {"incarnation", server.entry.incarnation},
@@ -62,9 +65,48 @@
     return limits;
 }
 
-boost::json::object to_json(entry_state& state, time_point now)
+bool has_cold_starts(const entry_state& state)
+{
+    if (!state.configuration)
+    {
+        return false;
+    }
+    const auto& services = state.configuration->services;
+    return std::any_of(services.begin(), services.end(),
+                       [](const auto& it)
+                       { return it.second.cold_start > milliseconds(0); });
+}
+
+milliseconds wall_clock_now()
+{
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
+/// Since when there has been traffic, by the clock of the first host that wrote
+/// it, so that hosts whose clocks differ do not replace it in turn.
+void add_traffic(boost::json::object& to, const boost::json::object& stored,
+                 const entry_state& state, time_point now)
+{
+    const auto* known = stored.if_contains(traffic_member);
+    if (known != nullptr)
+    {
+        to[traffic_member] = *known;
+    }
+    else if (state.traffic_since && has_cold_starts(state))
+    {
+        const milliseconds since =
+            wall_clock_now() - std::chrono::duration_cast<milliseconds>(
+                                   now - *state.traffic_since);
+        to[traffic_member] = since.count();
+    }
+}
+
+boost::json::object to_json(entry_state& state,
+                            const boost::json::object& stored, time_point now)
 {
     boost::json::object spec;
+    add_traffic(spec, stored, state, now);
     spec[limits_member] = limits_json(state.servers, now);
     boost::json::array& requests = spec[requests_member].emplace_array();
     for (const suspicion::request_notice& it : state.suspects.refused(now))
@@ -84,7 +126,8 @@
 /// False if there is nothing to be known.
 bool names_any(const boost::json::object& spec)
 {
-    return std::any_of(members.begin(), members.end(),
+    return spec.contains(traffic_member) ||
+           std::any_of(members.begin(), members.end(),
                        [&](std::string_view member)
                        {
                            const auto* list = spec.if_contains(member);
@@ -129,8 +172,22 @@
     m_stored = std::move(stored);
 }
 
+void notice_record::apply_traffic()
+{
+    const auto* since = m_stored->spec.if_contains(traffic_member);
+    if (since == nullptr || !since->is_int64())
+    {
+        return;
+    }
+    const milliseconds lasted =
+        std::clamp(wall_clock_now() - milliseconds(since->get_int64()),
+                   milliseconds(0), max_traffic_time);
+    m_state.on_traffic(monotonic_clock::now() - lasted);
+}
+
 void notice_record::apply_stored()
 {
+    apply_traffic();
     const time_point heard_at = monotonic_clock::now() - recorded_age;
     for_each_entry(limits_member,
                    [&](const json_reader& it) { apply_limit(it, heard_at); });
@@ -244,7 +301,8 @@
 
 net::awaitable<void> notice_record::write()
 {
-    const boost::json::object spec = to_json(m_state, monotonic_clock::now());
+    const boost::json::object spec =
+        to_json(m_state, m_stored->spec, monotonic_clock::now());
     const bool is_written = m_stored->spec == spec ||
                             (!names_any(spec) && !names_any(m_stored->spec));
     if (is_written)
--- a/libraries/entry/servers/notice_record.hpp
+++ b/libraries/entry/servers/notice_record.hpp
@@ -11,8 +11,9 @@
 
 /// Keeps in the platform's store what hosts that start have to know before they
 /// send anything, even if all hosts start at the same moment: the limits that
-/// servers name, and the requests and parts of prompts that crash servers. The
-/// holder of the placement lease writes them, when they change.
+/// servers name, since when there has been traffic if a service has cold
+/// starts, and the requests and parts of prompts that crash servers. The holder
+/// of the placement lease writes them, when they change.
 class notice_record
 {
 public:
@@ -35,6 +36,7 @@
     net::awaitable<void> read();
     /// Takes in what is stored. An entry that can't be read costs only itself.
     void apply_stored();
+    void apply_traffic();
     void apply_limit(const json_reader& it, time_point heard_at);
     void apply_refused_request(const json_reader& it, time_point last_crash);
     void apply_refused_part(const json_reader& it, time_point last_crash);
--- a/libraries/entry/servers/reach_monitor.cpp
+++ b/libraries/entry/servers/reach_monitor.cpp
@@ -134,7 +134,7 @@
     std::vector<server_table::record_pointer> records;
     for (const auto& [id, record] : m_servers.records())
     {
-        if (record->accepts_orders(now))
+        if (record->accepts_probes(now))
         {
             known.push_back({id, record->entry.service});
             records.push_back(record);
--- a/libraries/entry/servers/server_table.cpp
+++ b/libraries/entry/servers/server_table.cpp
@@ -8,6 +8,15 @@
 namespace cicadahub::entry
 {
 
+namespace
+{
+
+/// A cold server gets one order or request for a report in this time, which the
+/// bound on its requests leaves room for.
+constexpr milliseconds cold_control_gap{1'000};
+
+} // namespace
+
 const serving::holdings& server_record::models() const
 {
     static const serving::holdings none;
@@ -31,14 +40,23 @@
 
 bool server_record::accepts_requests(time_point now) const
 {
-    return !entry.is_leaving && !is_unverified && !pause.is_active(now);
+    return !entry.is_leaving && !is_unverified && !is_evacuated &&
+           !pause.is_active(now);
 }
 
-bool server_record::accepts_orders(time_point now) const
+bool server_record::accepts_probes(time_point now) const
 {
     return accepts_requests(now) && !limit.is_limited(now);
 }
 
+bool server_record::accepts_orders(time_point now) const
+{
+    const bool has_room_for_order =
+        !limit.is_cold(now) ||
+        (takes_orders_while_cold && last_control + cold_control_gap <= now);
+    return accepts_requests(now) && !limit.is_named(now) && has_room_for_order;
+}
+
 void server_record::on_absent(const replicas::copy_name& copy)
 {
     const auto forget = [&](serving::holdings& held)
@@ -113,6 +131,13 @@
         !listed || listed->entry.incarnation != entry.incarnation;
     const record_pointer record = is_new ? take_record(entry, listed) : listed;
     record->last_seen = now;
+    record->first_seen = record->first_seen.value_or(now);
+    // A list shows the same version again.
+    if (record->entry.revision < it.version)
+    {
+        record->cold.on_entry(entry.cold_left, now);
+    }
+    record->is_evacuated = m_evacuated.contains(entry.data_centre);
     // An incarnation that leaves never stays, whatever an entry says that was
     // written earlier.
     entry.is_leaving = entry.is_leaving || record->entry.is_leaving;
@@ -344,6 +369,15 @@
     }
 }
 
+void server_table::set_evacuated(std::set<data_centre_id> data_centres)
+{
+    m_evacuated = std::move(data_centres);
+    for (const auto& [id, record] : m_records)
+    {
+        record->is_evacuated = m_evacuated.contains(record->entry.data_centre);
+    }
+}
+
 server_table::record_pointer server_table::find(const server_id& id) const
 {
     const auto it = m_records.find(id);
--- a/libraries/entry/servers/server_table.hpp
+++ b/libraries/entry/servers/server_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/replicas/types.hpp"
+#include "decision/sharing/cold_period.hpp"
 #include "decision/sharing/part_lender.hpp"
 #include "decision/sharing/server_health.hpp"
 #include "decision/sharing/server_limit.hpp"
@@ -40,6 +41,7 @@
     sharing::server_health health;
     sharing::server_pause pause;
     sharing::server_limit limit;
+    sharing::cold_period cold;
     /// Of the limit.
     sharing::part_lender lender;
     /// Parts of the limit that other hosts may use, if they have any.
@@ -50,6 +52,14 @@
     /// Last time at which its entry was seen in the list, or a peer told of it
     /// first.
     time_point last_seen{};
+    /// First time at which its entry was seen; unset before that.
+    std::optional<time_point> first_seen;
+    /// It was decided that the incarnation started while there was traffic.
+    bool is_start_judged = false;
+    /// Last order or request for a report while the server was cold.
+    time_point last_control{};
+    /// The bound on requests to cold servers leaves room for orders.
+    bool takes_orders_while_cold = false;
     /// Last check whether the server still accepts connections.
     time_point last_check{};
     /// The server said itself that it leaves; the platform's list may say so
@@ -62,11 +72,17 @@
     /// A former start of the server said that it leaves, and may still be the
     /// one that has the address.
     bool is_unverified = false;
+    /// Operators ask that the server's data centre gets no requests.
+    bool is_evacuated = false;
 
     /// True if new requests may be sent to the server.
     bool accepts_requests(time_point now) const;
+    /// The same for requests that only show whether the server can be reached.
+    /// A server with a limit gets none.
+    bool accepts_probes(time_point now) const;
     /// The same for orders and for requests for reports. A server that names a
-    /// limit gets callers' requests only.
+    /// limit gets callers' requests only; one that is cold gets few orders,
+    /// since it could not be filled otherwise.
     bool accepts_orders(time_point now) const;
     const serving::holdings& models() const;
     bool holds(const replicas::copy_name& copy) const;
@@ -123,6 +139,10 @@
         const std::unordered_map<std::string, std::uint32_t>& running,
         bool is_without_own);
 
+    /// Data centres to which nothing is to be sent.
+    void set_evacuated(std::set<data_centre_id> data_centres);
+    const std::set<data_centre_id>& evacuated() const { return m_evacuated; }
+
     using record_pointer = std::shared_ptr<server_record>;
     const std::map<server_id, record_pointer>& records() const
     {
@@ -176,6 +196,7 @@
     std::map<server_id, unlisted_server> m_unlisted;
     std::vector<unverified_start> m_unverified;
     std::set<server_id> m_seen_in_list;
+    std::set<data_centre_id> m_evacuated;
 };
 
 /// Counts a request as running on a server while the guard exists.
--- a/libraries/entry/settings.hpp
+++ b/libraries/entry/settings.hpp
@@ -4,6 +4,7 @@
 #include "core/units.hpp"
 #include "http/types.hpp"
 
+#include <map>
 #include <vector>
 
 namespace cicadahub::entry
@@ -39,6 +40,15 @@
     std::int64_t quota_slack = 0;
     double retry_budget_extra = 0;
     milliseconds retry_budget_window{10'000};
+    /// Requests that a cold server may get in one second from all hosts:
+    /// `cold_overage` times its rate, and `cold_slack` more.
+    double cold_overage = 1.5;
+    double cold_slack = 5;
+    /// True if operators may ask that data centres get no requests.
+    bool follows_evacuations = false;
+    /// Region of this host, and that of each data centre.
+    region_id region;
+    std::map<data_centre_id, region_id> regions;
 };
 
 } // namespace cicadahub::entry
--- a/libraries/entry/store/store_mirror.cpp
+++ b/libraries/entry/store/store_mirror.cpp
@@ -241,9 +241,12 @@
         return;
     }
     m_state.servers.end_of_list(is_complete, version);
+    const bool is_any_cold =
+        m_state.update_cold_servers(monotonic_clock::now());
     m_handlers.on_servers_changed();
-    if (m_announced_servers_version < m_state.servers.changed_version() &&
-        is_designated_watcher())
+    const bool has_changed =
+        m_announced_servers_version < m_state.servers.changed_version();
+    if ((has_changed || is_any_cold) && is_designated_watcher())
     {
         m_announced_servers_version = m_state.servers.changed_version();
         m_handlers.announce();
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -14,6 +14,8 @@
   4: i32 slack_ms
   /// Set for streams that go on only at servers of this software version.
   5: optional string version
+  /// Regions in which the copy is of use, one a line; absent if all are.
+  6: optional string allowed_regions
 }
 
 /// Request rate of a model or of one of its adapters.
@@ -111,6 +113,10 @@
   8: double own_part
   /// Part of the rate that the sender may use, lent by others and its own.
   9: double usable_part
+  /// Time for which the server is cold, as the sender knows it from the server,
+  /// its entry or its start, and not from another host; absent if it is not
+  /// cold, or the sender does not know.
+  10: optional i32 cold_left_ms
 }
 
 /// A server that said in a response that it leaves.
@@ -194,4 +200,10 @@
   /// Hosts among which limits are parted, as the sender knows; 0 if it does not
   /// know yet. Omitted in updates.
   31: i32 hosts
+  /// Newest version of the evacuations that the sender has; absent if it does
+  /// not follow them.
+  32: optional i64 evacuations_version
+  /// Time since the sender's first list of servers, if there has been traffic;
+  /// 0 if there has been none. Absent if it does not limit cold servers.
+  33: optional i64 traffic_ms
 }
--- a/libraries/serving/configuration.hpp
+++ b/libraries/serving/configuration.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -50,6 +51,8 @@
     std::uint32_t max_attempts = 1;
     bool is_public = false;
     bool is_resumable = false;
+    /// Empty if there is no restriction.
+    std::optional<std::set<region_id>> allowed_regions;
 };
 
 struct model_spec
@@ -79,6 +82,11 @@
     std::uint32_t connection_limit = 0;
     /// None for a plain service, which has no engines.
     std::optional<engine_spec> engine;
+    /// Time for which a server is cold after a start while there is traffic.
+    milliseconds cold_start{0};
+    /// Requests a second that a cold server takes from all hosts together;
+    /// empty if it takes any number.
+    std::optional<double> cold_requests_per_second;
 };
 
 struct organisation
@@ -92,6 +100,8 @@
     bool counts_tokens = false;
     /// Overrides the priority of the route.
     std::optional<std::int64_t> priority;
+    /// Binding beside those of the route; empty if there is no restriction.
+    std::optional<std::set<region_id>> allowed_regions;
 };
 
 struct caller_limits
--- a/libraries/serving/server_entry.hpp
+++ b/libraries/serving/server_entry.hpp
@@ -31,6 +31,8 @@
     data_centre_id data_centre;
     std::uint32_t slots = 1;
     bool is_leaving = false;
+    /// Time for which the server remains cold, when the entry was written.
+    milliseconds cold_left{0};
     holdings models;
     /// Weights cached in host memory and on disk, which load faster than from
     /// the weight store.
--- a/tests/decision/server_limit_test.cpp
+++ b/tests/decision/server_limit_test.cpp
@@ -80,6 +80,76 @@
                     rate_case{"part", 10, 0.5, 45, 50}),
     [](const auto& it) { return std::string(it.param.name); });
 
+struct cold_case
+{
+    const char* name;
+    std::optional<double> named;
+    double cold;
+    /// Requests a second that are in force while it is cold and afterwards.
+    double during;
+    std::optional<double> after;
+};
+
+void PrintTo(const cold_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class cold_limits : public testing::TestWithParam<cold_case>
+{
+};
+
+// Guards against a cold server that gets what it takes when it is warm, in its
+// first second too, and against one that remains limited.
+TEST_P(cold_limits, are_kept_beside_named_ones)
+{
+    const cold_case& it = GetParam();
+    constexpr double overage = 1.5;
+    constexpr double burst = 0.25;
+    constexpr milliseconds cold_time{5'000};
+    server_limit subject;
+    lend_all(subject, 1);
+    const time_point warm_at = start + seconds(10) + cold_time;
+    if (it.named)
+    {
+        subject.on_answer(it.named, start, start);
+    }
+    subject.set_cold(it.cold, warm_at, burst, start + seconds(10));
+    std::deque<time_point> sent;
+    std::size_t most = 0;
+    for (time_point now = start + seconds(10); now < warm_at;
+         now += milliseconds(1))
+    {
+        EXPECT_EQ(subject.requests_per_second(now), it.during);
+        while (subject.time_to_send(own, now).count() == 0)
+        {
+            subject.on_sent(own, now);
+            sent.push_back(now);
+        }
+        while (!sent.empty() && sent.front() + seconds(1) <= now)
+        {
+            sent.pop_front();
+        }
+        most = std::max(most, sent.size());
+    }
+    EXPECT_LE(static_cast<double>(most), overage * it.during + 1);
+    EXPECT_GE(static_cast<double>(most), std::floor(it.during));
+    EXPECT_EQ(subject.requests_per_second(warm_at), it.after);
+    // An answer without a limit ends the named one only.
+    subject.set_cold(it.cold, warm_at + cold_time, burst, warm_at);
+    subject.on_answer(std::nullopt, warm_at, warm_at);
+    EXPECT_EQ(subject.requests_per_second(warm_at), it.cold);
+}
+
+INSTANTIATE_TEST_SUITE_P(server_limit, cold_limits,
+                         testing::Values(cold_case{"only_cold", {}, 29, 29, {}},
+                                         cold_case{"few", {}, 1.6, 1.6, {}},
+                                         cold_case{"lower_named", 4, 29, 4, 4},
+                                         cold_case{"higher_named", 40, 8, 8,
+                                                   40}),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
 TEST(server_limit, does_not_limit_servers_that_name_none)
 {
     server_limit subject;
@@ -287,19 +357,27 @@
 {
 public:
     limit_run(std::uint64_t seed, std::size_t hosts, double limit,
-              contact contact_kind, bool is_choice_random)
+              contact contact_kind, bool is_choice_random, bool is_cold = false)
         : m_simulation(seed), m_contact(contact_kind),
           m_is_choice_random(is_choice_random), m_hosts(hosts),
           m_is_deaf_to(hosts, std::vector<bool>(hosts))
     {
+        constexpr double cold_burst = 0.25;
         for (host& it : m_hosts)
         {
-            it.limit.on_answer(limit, start, start);
+            if (is_cold)
+            {
+                it.limit.set_cold(limit, time_point::max(), cold_burst, start);
+            }
+            else
+            {
+                it.limit.on_answer(limit, start, start);
+            }
             it.group = 0;
         }
     }
 
-    std::size_t most_in_window()
+    std::size_t most_in_window(milliseconds window)
     {
         std::size_t most = 0;
         std::deque<time_point> sent;
@@ -323,7 +401,7 @@
                     send(n, now);
                 }
             }
-            while (!sent.empty() && sent.front() + seconds(4) < now)
+            while (!sent.empty() && sent.front() + window < now)
             {
                 sent.pop_front();
             }
@@ -516,7 +594,7 @@
     {
         limit_run run(seed, it.hosts, it.limit, it.contact_kind,
                       it.is_choice_random);
-        const std::size_t most = run.most_in_window();
+        const std::size_t most = run.most_in_window(seconds(4));
         EXPECT_LE(static_cast<double>(most), 1.5 * 4 * it.limit + 5) << seed;
         most_of_all = std::max(most, most_of_all);
     }
@@ -527,6 +605,36 @@
               << 1.5 * 4 * it.limit + 5 << "\n";
 }
 
+class cold_runs : public testing::TestWithParam<run_case>
+{
+};
+
+// The same for a cold server, which counts the requests of each second.
+TEST_P(cold_runs, keep_the_rate)
+{
+    const run_case& it = GetParam();
+    for (std::uint64_t seed = 0; seed < 5; ++seed)
+    {
+        limit_run run(seed, it.hosts, it.limit, it.contact_kind,
+                      it.is_choice_random, true);
+        EXPECT_LE(static_cast<double>(run.most_in_window(milliseconds(950))),
+                  1.5 * it.limit + 5)
+            << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    server_limit, cold_runs,
+    testing::Values(run_case{"one_host", 1, 2, contact::whole},
+                    run_case{"many_hosts", 91, 29, contact::whole},
+                    run_case{"most_hosts", 195, 29, contact::whole},
+                    run_case{"groups", 66, 29, contact::groups},
+                    run_case{"few_in_groups", 66, 4, contact::groups},
+                    run_case{"one_way", 66, 29, contact::one_way},
+                    run_case{"lossy", 66, 29, contact::lossy},
+                    run_case{"each_alone", 66, 29, contact::none}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 INSTANTIATE_TEST_SUITE_P(
     server_limit, limit_runs,
     testing::Values(run_case{"one_host", 1, 2, contact::whole},
