Servers: Follow evacuations and keep requests in allowed regions

Operators could not empty a data centre, and a request could reach servers and hosts of any region.

The store's kind of evacuations is followed like the configuration; servers of these data centres and those outside the regions of a request are not eligible, from the choice to the estimates and the planner. Both parts share that check. A host that loses a connection to a server takes it for cold for 2 s, since it may have started again, and one host asks a cold server whether it has.

--- a/libraries/decision/replicas/replica_index.cpp
+++ b/libraries/decision/replicas/replica_index.cpp
@@ -6,16 +6,16 @@
 {
 
 replica_counts count_replicas(const planner_view& view, const model_id& model,
-                              const std::optional<software_version>& version)
+                              const server_filter& filter)
 {
     replica_counts counts;
     for (const auto& [id, it] : view.servers)
     {
         const auto& pending = it.pending();
         counts.pending_evictions +=
-            it.runs(version) && pending && pending->makes_room_for == model ? 1
+            it.suits(filter) && pending && pending->makes_room_for == model ? 1
                                                                             : 0;
-        if (!it.is_usable() || !it.runs(version))
+        if (!it.is_usable() || !it.suits(filter))
         {
             continue;
         }
--- a/libraries/decision/replicas/replica_index.hpp
+++ b/libraries/decision/replicas/replica_index.hpp
@@ -28,7 +28,7 @@
 
 /// Counts one model over the servers of a software version, or over all.
 replica_counts count_replicas(const planner_view& view, const model_id& model,
-                              const std::optional<software_version>& version);
+                              const server_filter& filter);
 
 /// Replica counts of all models, updated while orders are planned. The planner
 /// reads them for each model and each eviction candidate; recounting them over
--- a/libraries/decision/replicas/replica_planner.cpp
+++ b/libraries/decision/replicas/replica_planner.cpp
@@ -79,8 +79,7 @@
 
 std::optional<replica_planner::candidate>
 replica_planner::best_server(const planning_state& plan, const model_id& model,
-                             load_scope scope,
-                             const std::optional<software_version>& version)
+                             load_scope scope, const server_filter& filter)
 {
     std::optional<candidate> best;
     for (auto& [id, server] : plan.view.servers)
@@ -90,7 +89,7 @@
              server.has_cached_copy(model)) &&
             (scope != load_scope::empty_server || server.models().empty());
         if (!is_in_scope || !server.is_usable() || server.is_order_blocked() ||
-            !server.runs(version) || server.models().contains(model))
+            !server.suits(filter) || server.models().contains(model))
         {
             continue;
         }
@@ -138,43 +137,43 @@
     plan.orders.push_back(std::move(it));
 }
 
-replica_counts
-replica_planner::counts_for(const planning_state& plan, const model_id& model,
-                            const std::optional<software_version>& version)
+replica_counts replica_planner::counts_for(const planning_state& plan,
+                                           const model_id& model,
+                                           const server_filter& filter)
 {
-    return version ? count_replicas(plan.view, model, version)
-                   : plan.index.counts_of(model);
+    return filter.allows_any() ? plan.index.counts_of(model)
+                               : count_replicas(plan.view, model, filter);
 }
 
 std::vector<replica_planner::unmet_demand>
 replica_planner::collect_unmet_demands(const planning_state& plan)
 {
     const planner_view& view = plan.view;
-    using wanted_model = std::pair<model_id, std::optional<software_version>>;
+    using wanted_model = std::pair<model_id, server_filter>;
     std::map<wanted_model, unmet_demand> demands;
     for (const pending_demand& it : view.pending_demands)
     {
-        unmet_demand& sum = demands[{it.copy.model, it.version}];
+        unmet_demand& sum = demands[{it.copy.model, {it.version, it.regions}}];
         sum.slack = sum.waiting == 0 ? it.slack : std::min(sum.slack, it.slack);
         sum.waiting += it.waiting;
     }
     for (const auto& [model, use] : view.use)
     {
-        demands[{model, std::nullopt}].rate += use.requests_per_second;
+        demands[{model, {}}].rate += use.requests_per_second;
     }
     std::vector<unmet_demand> unmet;
     for (auto& [wanted, it] : demands)
     {
-        const auto& [model, version] = wanted;
+        const auto& [model, filter] = wanted;
         const auto spec = view.engine.models.find(model);
-        const replica_counts counts = counts_for(plan, model, version);
+        const replica_counts counts = counts_for(plan, model, filter);
         if (spec == view.engine.models.end() || counts.replicas > 0 ||
             counts.pending_evictions > 0)
         {
             continue;
         }
         it.model = model;
-        it.version = version;
+        it.filter = filter;
         it.has_cached_copy = counts.cached > 0;
         const std::chrono::duration<double> load = spec->second.load_from_store;
         it.requests_until_loaded = it.waiting + it.rate * load.count();
@@ -186,10 +185,11 @@
 void replica_planner::plan_first_replicas(planning_state& plan) const
 {
     std::vector<unmet_demand> demands = collect_unmet_demands(plan);
-    // A copy for a stream of some version may be one for other requests too.
+    // A copy for a stream of some version, or for requests that only some
+    // regions may get, may be one for other requests too.
     const auto is_met = [&](const unmet_demand& it)
     {
-        const replica_counts counts = counts_for(plan, it.model, it.version);
+        const replica_counts counts = counts_for(plan, it.model, it.filter);
         return counts.replicas > 0 || counts.pending_evictions > 0;
     };
     // Loads of cached weights are short and many: the most urgent goes first,
@@ -197,16 +197,17 @@
     // a cached copy is not fetched from the store here, since waiting for a
     // server with the copy takes less time.
     std::stable_sort(demands.begin(), demands.end(),
-                     [](const unmet_demand& a, const unmet_demand& b) {
-                         return std::pair(!a.version, a.slack) <
-                                std::pair(!b.version, b.slack);
+                     [](const unmet_demand& a, const unmet_demand& b)
+                     {
+                         return std::pair(a.filter.allows_any(), a.slack) <
+                                std::pair(b.filter.allows_any(), b.slack);
                      });
     for (const unmet_demand& it : demands)
     {
         if (it.has_cached_copy && it.waiting > 0 && !is_met(it))
         {
-            if (const auto to = best_server(
-                    plan, it.model, load_scope::cached_copy, it.version))
+            if (const auto to = best_server(plan, it.model,
+                                            load_scope::cached_copy, it.filter))
             {
                 emit(plan, *to, it.model);
             }
@@ -226,8 +227,7 @@
         {
             continue;
         }
-        const auto to =
-            best_server(plan, it.model, load_scope::any, it.version);
+        const auto to = best_server(plan, it.model, load_scope::any, it.filter);
         if (to && to->eviction_cost_ms <=
                       it.requests_until_loaded * typical_request_ms)
         {
@@ -295,7 +295,8 @@
         bool is_held = false;
         for (auto& [id, server] : view.servers)
         {
-            if (!server.is_usable() || !server.serves(it.copy.model))
+            if (!server.is_usable() || !server.serves(it.copy.model) ||
+                !server.suits({std::nullopt, it.regions}))
             {
                 continue;
             }
--- a/libraries/decision/replicas/replica_planner.hpp
+++ b/libraries/decision/replicas/replica_planner.hpp
@@ -56,8 +56,8 @@
     struct unmet_demand
     {
         model_id model;
-        /// Set if only servers of this software version count.
-        std::optional<software_version> version;
+        /// Only servers that suit it count.
+        server_filter filter;
         std::uint32_t waiting = 0;
         milliseconds slack = milliseconds::max();
         double rate = 0;
@@ -69,9 +69,9 @@
 
     static std::vector<unmet_demand>
     collect_unmet_demands(const planning_state& plan);
-    static replica_counts
-    counts_for(const planning_state& plan, const model_id& model,
-               const std::optional<software_version>& version);
+    static replica_counts counts_for(const planning_state& plan,
+                                     const model_id& model,
+                                     const server_filter& filter);
     void plan_first_replicas(planning_state& plan) const;
     void plan_adapters(planning_state& plan) const;
     std::optional<order> adapter_order(const planner_view& view,
@@ -92,11 +92,10 @@
         empty_server,
     };
 
-    /// Among the servers of `version`, if it is set.
+    /// Among the servers that suit the filter.
     static std::optional<candidate>
     best_server(const planning_state& plan, const model_id& model,
-                load_scope scope,
-                const std::optional<software_version>& version = {});
+                load_scope scope, const server_filter& filter = {});
     static std::optional<candidate> evaluate_server(const planning_state& plan,
                                                     const server_state& server,
                                                     const model_id& model);
--- a/libraries/decision/replicas/server_state.hpp
+++ b/libraries/decision/replicas/server_state.hpp
@@ -60,10 +60,12 @@
     bool serves(const model_id& model) const;
     bool is_loading(const model_id& model) const;
     bool is_usable() const { return !m_entry.is_leaving && !m_is_evacuated; }
-    /// True if `version` is not set, or is the server's software version.
-    bool runs(const std::optional<software_version>& version) const
+    /// Region of its data centre; empty if that is not known.
+    void set_region(std::optional<region_id> it) { m_region = std::move(it); }
+    bool suits(const server_filter& it) const
     {
-        return !version || *version == m_entry.version;
+        return (!it.version || *it.version == m_entry.version) &&
+               (!it.regions || (m_region && it.regions->contains(*m_region)));
     }
     /// True if no order can be sent now: one is in progress or not yet
     /// answered, the server's state is not confirmed, or the server wants
@@ -98,6 +100,7 @@
     bool m_is_paused = false;
     bool m_is_cold = false;
     bool m_is_evacuated = false;
+    std::optional<region_id> m_region;
     std::optional<pending_order> m_pending;
 };
 
--- a/libraries/decision/replicas/types.hpp
+++ b/libraries/decision/replicas/types.hpp
@@ -4,6 +4,7 @@
 #include "serving/server_entry.hpp"
 
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace cicadahub::replicas
@@ -18,12 +19,26 @@
     auto operator<=>(const copy_name&) const = default;
 };
 
+/// Servers that will do for a request.
+struct server_filter
+{
+    /// Set for streams that go on only at servers of this software version.
+    std::optional<software_version> version;
+    /// Set if only servers in these regions may get the request.
+    std::optional<std::set<region_id>> regions;
+
+    bool allows_any() const { return !version && !regions; }
+    auto operator<=>(const server_filter&) const = default;
+};
+
 /// Requests at one daemon that wait for the same model or adapter.
 struct pending_demand
 {
     copy_name copy;
     /// Set for streams that go on only at servers of this software version.
     std::optional<software_version> version;
+    /// Set if only servers in these regions may get the requests.
+    std::optional<std::set<region_id>> regions;
     std::uint32_t waiting = 0;
     /// Time left until the earliest deadline among these requests.
     milliseconds slack{0};
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -107,6 +107,11 @@
                {[this](const platform::stored_object& it)
                 { on_configuration(it); },
                 [this] { on_servers_changed(); },
+                [this]
+                {
+                    log_first_readiness();
+                    m_placement.schedule_planning();
+                },
                 [this] { m_digests.send_update_to_all_soon(); },
                 [this]
                 {
@@ -174,7 +179,8 @@
 bool entry_daemon::is_ready() const
 {
     return m_state.configuration && m_state.has_servers &&
-           m_state.are_limits_known && !m_state.is_draining;
+           m_state.are_limits_known && m_state.are_evacuations_known &&
+           !m_state.is_draining;
 }
 
 void entry_daemon::log_first_readiness()
--- a/libraries/entry/entry_metrics.cpp
+++ b/libraries/entry/entry_metrics.cpp
@@ -78,10 +78,27 @@
                           .Name("cicadahub_entry_log_lines_dropped")
                           .Help("Log lines dropped since the start.")
                           .Register(m_registry)
-                          .Add({}))
+                          .Add({})),
+      m_evacuated(prometheus::BuildGauge()
+                      .Name("cicadahub_entry_evacuated")
+                      .Help("1 while nothing is sent to a data centre.")
+                      .Register(m_registry))
 {
 }
 
+void entry_metrics::set_evacuated(const std::set<data_centre_id>& before,
+                                  const std::set<data_centre_id>& now)
+{
+    for (const data_centre_id& it : before)
+    {
+        m_evacuated.Add({{"zone", it.value()}}).Set(0);
+    }
+    for (const data_centre_id& it : now)
+    {
+        m_evacuated.Add({{"zone", it.value()}}).Set(1);
+    }
+}
+
 void entry_metrics::count_request(std::string_view outcome, milliseconds took)
 {
     m_requests.Add({{"outcome", std::string(outcome)}}).Increment();
--- a/libraries/entry/entry_metrics.hpp
+++ b/libraries/entry/entry_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/ids.hpp"
 #include "core/refusal.hpp"
 #include "core/units.hpp"
 
@@ -8,6 +9,8 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <set>
+
 namespace cicadahub::entry
 {
 
@@ -33,6 +36,9 @@
     void observe_load(milliseconds took);
     /// Counts an entry of a server that names no server to use.
     void count_unreadable_server();
+    /// Data centres that were evacuated before, and those that are now.
+    void set_evacuated(const std::set<data_centre_id>& before,
+                       const std::set<data_centre_id>& now);
     /// Records how late the event loop ran a timer.
     void observe_loop_delay(milliseconds late);
 
@@ -55,6 +61,7 @@
     prometheus::Histogram& m_load_time;
     prometheus::Histogram& m_loop_delay;
     prometheus::Gauge& m_dropped_lines;
+    prometheus::Family<prometheus::Gauge>& m_evacuated;
 };
 
 } // namespace cicadahub::entry
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -1,7 +1,10 @@
 #include "entry/entry_state.hpp"
 
+#include "core/store_version.hpp"
 #include "core/structured_log.hpp"
 
+#include <utility>
+
 namespace cicadahub::entry
 {
 
@@ -26,6 +29,11 @@
 /// beside the requests of a host that begins to send.
 constexpr double min_slack_for_orders = 3;
 
+/// A server whose connection was lost may have started again. Its next entry is
+/// known within this time: a pause and a watch of a host that watches the
+/// store, and a message.
+constexpr milliseconds restart_doubt{2'000};
+
 /// Wall-clock time of the start, so that each start of a daemon has a higher
 /// incarnation than the last, also after a move to another host.
 std::int64_t new_incarnation()
@@ -54,6 +62,19 @@
       incarnation(new_incarnation()), reach(io, pool, servers, random),
       continuity(io, servers, fleet)
 {
+    are_evacuations_known = !settings.follows_evacuations;
+}
+
+bool entry_state::is_allowed(const routing::allowed_regions& regions,
+                             const data_centre_id& data_centre) const
+{
+    if (!regions.is_restricted())
+    {
+        return true;
+    }
+    const auto known = settings.regions.find(data_centre);
+    return regions.allows(known == settings.regions.end() ? nullptr
+                                                          : &known->second);
 }
 
 void entry_state::update_rate_shares(time_point now)
@@ -123,12 +144,16 @@
     {
         return;
     }
+    const bool was_cold = server.limit.is_cold(now);
     server.cold.on_answer(*it.cold_left, now);
     if (update_cold(server, "answer", now))
     {
         send_update_to_all_soon();
     }
-    waiting.wake_all();
+    if (server.limit.is_cold(now) != was_cold)
+    {
+        waiting.wake_all();
+    }
 }
 
 void entry_state::on_traffic(time_point moment)
@@ -212,6 +237,13 @@
 
 bool entry_state::update_cold_servers(time_point now)
 {
+    const bool has_cold_rates =
+        configuration && configuration->has_cold_rates();
+    if (!has_cold_rates && !std::exchange(m_had_cold_rates, has_cold_rates))
+    {
+        return false;
+    }
+    m_had_cold_rates = has_cold_rates;
     bool is_any_new = false;
     for (const auto& [id, record] : servers.records())
     {
@@ -220,6 +252,40 @@
     return is_any_new;
 }
 
+bool entry_state::update_evacuations()
+{
+    auto wanted = evacuations.data_centres();
+    if (wanted == servers.evacuated())
+    {
+        return false;
+    }
+    std::string names;
+    for (const data_centre_id& it : wanted)
+    {
+        names += (names.empty() ? "" : " ") + it.value();
+    }
+    log_event(severity::warning, event_number::evacuation_changed,
+              {{"data_centres", names},
+               {"version", revision_of(evacuations.changed_version())}});
+    metrics.set_evacuated(servers.evacuated(), wanted);
+    servers.set_evacuated(std::move(wanted));
+    waiting.wake_all();
+    return true;
+}
+
+void entry_state::on_connection_lost(server_record& server, time_point now)
+{
+    const auto* service =
+        configuration ? configuration->find_service(server.entry.service)
+                      : nullptr;
+    if (service == nullptr || service->cold_start == milliseconds(0))
+    {
+        return;
+    }
+    server.cold.on_peer(std::min(restart_doubt, service->cold_start), now);
+    update_cold(server, "lost-connection", now);
+}
+
 void entry_state::on_crashed(server_record& server, time_point now)
 {
     const auto* service =
@@ -394,21 +460,38 @@
                                  time_point now) const
 {
     std::optional<const peer*> first;
-    // The more a host may use already, the earlier it comes.
-    std::pair<double, std::pair<std::size_t, std::string>> first_key;
-    const auto consider =
-        [&](const std::string& name, double usable, const peer* it)
-    {
-        std::pair key(-usable, rank_of(name, server));
-        if (!first || key < first_key)
+    // Requests that only some regions may get reach the server through a host
+    // of its own region. The more a host may use already, the earlier it comes.
+    std::pair<bool, double> first_key;
+    std::string first_name;
+    const bool are_regions_bound = !settings.regions.empty() && configuration &&
+                                   configuration->has_allowed_regions();
+    const auto region_of = [&](const data_centre_id& it)
+    {
+        const auto known = settings.regions.find(it);
+        return known == settings.regions.end() ? region_id() : known->second;
+    };
+    const region_id region = region_of(server.entry.data_centre);
+    const auto consider = [&](const std::string& name, double usable,
+                              const peer* it, const data_centre_id& where)
+    {
+        const bool is_elsewhere =
+            are_regions_bound && region_of(where) != region;
+        const std::pair key(is_elsewhere, -usable);
+        // The rank is costly with many cold servers, and seldom needed.
+        if (!first || key < first_key ||
+            (key == first_key &&
+             rank_of(name, server) < rank_of(first_name, server)))
         {
             first = it;
-            first_key = std::move(key);
+            first_key = key;
+            first_name = name;
         }
     };
     if (!reach.is_cut_off() && !is_draining)
     {
-        consider(settings.name.value(), server.limit.part(now), nullptr);
+        consider(settings.name.value(), server.limit.part(now), nullptr,
+                 settings.data_centre);
     }
     for (const auto& [name, it] : fleet.peers())
     {
@@ -422,7 +505,7 @@
         const auto known = server.usable_elsewhere.find(daemon_id(name));
         consider(name,
                  known == server.usable_elsewhere.end() ? 0 : known->second,
-                 &it);
+                 &it, data_centre_id(it.digest.data_centre));
     }
     return first;
 }
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decision/routing/allowed_regions.hpp"
+#include "decision/routing/evacuation_set.hpp"
 #include "decision/sharing/brittle_service.hpp"
 #include "decision/sharing/fleet_rate.hpp"
 #include "decision/sharing/retry_budget.hpp"
@@ -66,6 +68,9 @@
     /// none. Reports of others arrive late, so that the time is never too early
     /// but for a record by another clock.
     std::optional<time_point> traffic_since;
+    routing::evacuation_set evacuations;
+    /// False until the evacuations are known, or nobody can tell of them.
+    bool are_evacuations_known = false;
     /// Last time at which a response, or a part of one, arrived from any
     /// server.
     time_point last_server_contact = monotonic_clock::now();
@@ -88,6 +93,10 @@
     /// Called when a response said that its server leaves.
     std::function<void()> on_server_leaving;
 
+    /// Whether servers or hosts of a data centre may get a request.
+    bool is_allowed(const routing::allowed_regions& regions,
+                    const data_centre_id& data_centre) const;
+
     /// Recomputes this host's share of each rate from the current demand.
     void update_rate_shares(time_point now);
     sharing::retry_budget& retry_budget_of(const service_id& service);
@@ -115,6 +124,10 @@
     /// Takes in what the entries say of cold servers and what follows from
     /// their starts. True if a server is cold that was not known to be.
     bool update_cold_servers(time_point now);
+    /// Applies the evacuations as they are known now. True if any changed.
+    bool update_evacuations();
+    /// The server may have ended, or a link. Only this host acts on that.
+    void on_connection_lost(server_record& server, time_point now);
     /// The server has ended: what answers at its address until its next start
     /// is listed may be cold.
     void on_crashed(server_record& server, time_point now);
@@ -153,6 +166,9 @@
                      time_point now) const;
 
 private:
+    /// A service had a rate for cold servers when these were last updated.
+    bool m_had_cold_rates = false;
+
     void on_brittle_notice(const server_record& server,
                            const server_notice& it);
     void on_limit(server_record& server, std::optional<double> limit,
--- a/libraries/entry/fleet/digest_exchange.cpp
+++ b/libraries/entry/fleet/digest_exchange.cpp
@@ -246,6 +246,10 @@
         {
             wanted.__set_version(item.version->value());
         }
+        if (item.regions)
+        {
+            wanted.__set_allowed_regions(routing::to_text(*item.regions));
+        }
         to.wants.push_back(std::move(wanted));
     }
 }
--- a/libraries/entry/placement/placement_controller.cpp
+++ b/libraries/entry/placement/placement_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "core/structured_log.hpp"
 #include "daemon/pause.hpp"
+#include "decision/routing/allowed_regions.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -225,6 +226,11 @@
             (record->limit.is_limited(now) && !record->accepts_orders(now)));
         known->second.set_cold(record->limit.is_cold(now));
         known->second.set_evacuated(record->is_evacuated);
+        const auto region =
+            m_inputs.settings.regions.find(record->entry.data_centre);
+        known->second.set_region(region == m_inputs.settings.regions.end()
+                                     ? std::nullopt
+                                     : std::optional(region->second));
         if (is_new)
         {
             continue;
@@ -296,6 +302,10 @@
             {
                 item.version = software_version(it.version);
             }
+            if (it.__isset.allowed_regions)
+            {
+                item.regions = routing::regions_from(it.allowed_regions);
+            }
             view.pending_demands.push_back(std::move(item));
         }
         for (const auto& it : peer.digest.usage)
--- a/libraries/entry/requests/active_request.cpp
+++ b/libraries/entry/requests/active_request.cpp
@@ -59,7 +59,7 @@
 net::awaitable<void> active_request::serve()
 {
     if (!m_configuration || !m_state.has_servers || !m_state.are_limits_known ||
-        m_arrived >= m_state.accept_deadline)
+        !m_state.are_evacuations_known || m_arrived >= m_state.accept_deadline)
     {
         refuse(refusal_kind::not_ready, retry_after_starting);
     }
@@ -72,6 +72,11 @@
         co_return;
     }
     authenticate();
+    m_allowed_regions.restrict_to(m_route->allowed_regions);
+    if (m_organisation != nullptr)
+    {
+        m_allowed_regions.restrict_to(m_organisation->allowed_regions);
+    }
     co_await find_stream_origin();
     choose_service();
     const auto caller_timeout =
@@ -131,7 +136,9 @@
     {
         if ((!only.empty() && name != only) || it.digest.is_cut_off ||
             it.digest.is_leaving || m_excluded_relays.contains(name) ||
-            !m_state.is_entitled(daemon_id(name), server, now))
+            !m_state.is_entitled(daemon_id(name), server, now) ||
+            !m_state.is_allowed(m_allowed_regions,
+                                data_centre_id(it.digest.data_centre)))
         {
             continue;
         }
--- a/libraries/entry/requests/active_request.hpp
+++ b/libraries/entry/requests/active_request.hpp
@@ -80,6 +80,10 @@
     void on_first_event();
     /// False if the stream can't go on at the server.
     bool has_origin(const serving::server_entry& server) const;
+    /// True if the server may get the request once it has room.
+    bool is_eligible(const server_record& server) const;
+    /// False if no server in a region that may get the request is listed.
+    bool is_any_region_eligible() const;
     bool is_origin_listed() const;
     net::awaitable<void> attempt_until_answered();
     net::awaitable<server_table::record_pointer> wait_for_server();
@@ -131,6 +135,7 @@
     const serving::route* m_route = nullptr;
     const serving::organisation* m_organisation = nullptr;
     const serving::service* m_service = nullptr;
+    routing::allowed_regions m_allowed_regions;
     std::optional<replicas::copy_name> m_copy;
     routing::prompt_affinity m_affinity;
     suspicion::fingerprint m_fingerprint;
--- a/libraries/entry/requests/attempt_observer.cpp
+++ b/libraries/entry/requests/attempt_observer.cpp
@@ -183,6 +183,7 @@
         co_return true;
     }
     update_health(result, copy);
+    m_state.on_connection_lost(*m_record, failed_at);
     if (cause == loss_cause::crash)
     {
         m_state.on_crashed(*m_record, failed_at);
--- a/libraries/entry/requests/request_routing.cpp
+++ b/libraries/entry/requests/request_routing.cpp
@@ -67,18 +67,33 @@
                          server.version == m_origin->version);
 }
 
-bool active_request::is_origin_listed() const
+bool active_request::is_eligible(const server_record& server) const
+{
+    const serving::server_entry& entry = server.entry;
+    return !entry.is_leaving && !server.is_evacuated && has_origin(entry) &&
+           m_state.is_allowed(m_allowed_regions, entry.data_centre);
+}
+
+bool active_request::is_any_region_eligible() const
 {
     const auto& records = m_state.servers.records();
-    return std::any_of(records.begin(), records.end(),
+    return !m_allowed_regions.is_restricted() ||
+           std::any_of(records.begin(), records.end(),
                        [this](const auto& it)
                        {
-                           const serving::server_entry& entry =
-                               it.second->entry;
-                           return !entry.is_leaving && has_origin(entry);
+                           return it.second->entry.service == m_service->name &&
+                                  is_eligible(*it.second);
                        });
 }
 
+bool active_request::is_origin_listed() const
+{
+    const auto& records = m_state.servers.records();
+    return std::any_of(records.begin(), records.end(),
+                       [this](const auto& it)
+                       { return is_eligible(*it.second); });
+}
+
 milliseconds active_request::time_left(time_point now) const
 {
     return std::chrono::duration_cast<milliseconds>(m_deadline - now);
@@ -96,8 +111,8 @@
     for (const auto& [id, record] : m_state.servers.records())
     {
         const auto& entry = record->entry;
-        if (entry.service != m_service->name || entry.is_leaving ||
-            !has_origin(entry) || (m_copy && !record->holds(*m_copy)))
+        if (entry.service != m_service->name || !is_eligible(*record) ||
+            (m_copy && !record->holds(*m_copy)))
         {
             continue;
         }
@@ -226,8 +241,7 @@
     milliseconds least = spec.load_from_store + load_overhead;
     for (const auto& [id, record] : m_state.servers.records())
     {
-        if (record->entry.service != m_service->name ||
-            record->entry.is_leaving || !has_origin(record->entry))
+        if (record->entry.service != m_service->name || !is_eligible(*record))
         {
             continue;
         }
@@ -277,6 +291,10 @@
     {
         refuse_to_resume("no server of its software version is left");
     }
+    if (!is_any_region_eligible())
+    {
+        refuse(refusal_kind::no_capacity, retry_after_full);
+    }
     if (m_copy && estimate + min_processing_time > left)
     {
         refuse(refusal_kind::target_unreachable, estimate);
@@ -364,6 +382,7 @@
         {
             m_waiter->version = m_origin->version;
         }
+        m_waiter->regions = m_allowed_regions.regions();
         m_waiter->priority =
             m_organisation != nullptr && m_organisation->priority
                 ? *m_organisation->priority
--- a/libraries/entry/requests/wait_queue.cpp
+++ b/libraries/entry/requests/wait_queue.cpp
@@ -45,7 +45,7 @@
 std::vector<replicas::pending_demand>
 wait_queue::pending_demand(time_point now) const
 {
-    std::map<std::pair<replicas::copy_name, std::optional<software_version>>,
+    std::map<std::pair<replicas::copy_name, replicas::server_filter>,
              replicas::pending_demand>
         by_copy;
     for (const waiter_pointer& it : m_waiters)
@@ -56,9 +56,10 @@
         }
         const auto slack =
             std::chrono::duration_cast<milliseconds>(it->deadline - now);
-        auto& item = by_copy[{*it->copy, it->version}];
+        auto& item = by_copy[{*it->copy, {it->version, it->regions}}];
         item.copy = *it->copy;
         item.version = it->version;
+        item.regions = it->regions;
         item.slack = item.waiting == 0 ? slack : std::min(item.slack, slack);
         ++item.waiting;
     }
--- a/libraries/entry/requests/wait_queue.hpp
+++ b/libraries/entry/requests/wait_queue.hpp
@@ -23,6 +23,8 @@
     std::optional<replicas::copy_name> copy;
     /// Set if only servers of this software version will do.
     std::optional<software_version> version;
+    /// Set if only servers in these regions will do.
+    std::optional<std::set<region_id>> regions;
     std::int64_t priority = 0;
     time_point arrived{};
     time_point deadline{};
--- a/libraries/entry/servers/start_verifier.cpp
+++ b/libraries/entry/servers/start_verifier.cpp
@@ -40,7 +40,8 @@
             {
                 m_state.servers.on_verified(it.record);
             }
-            else if (now >= it.record->last_check + answer_timeout)
+            else if (may_ask(*it.record, now) &&
+                     now >= it.record->last_check + answer_timeout)
             {
                 it.record->last_check = now;
                 net::co_spawn(m_state.context, ask(it.record), net::detached);
@@ -49,6 +50,15 @@
     }
 }
 
+bool start_verifier::may_ask(const server_record& it, time_point now) const
+{
+    // All hosts would ask a cold server at the same time.
+    const bool is_asked_by_other =
+        it.limit.is_cold(now) &&
+        entry_state::limit_sender(it) != m_state.settings.name.value();
+    return !it.is_evacuated && !is_asked_by_other;
+}
+
 net::awaitable<void> start_verifier::ask(server_table::record_pointer server)
 {
     const serving::server_entry entry = server->entry;
--- a/libraries/entry/servers/start_verifier.hpp
+++ b/libraries/entry/servers/start_verifier.hpp
@@ -23,6 +23,7 @@
 
 private:
     net::awaitable<void> run();
+    bool may_ask(const server_record& it, time_point now) const;
     net::awaitable<void> ask(server_table::record_pointer server);
 
     entry_state& m_state;
--- a/libraries/entry/store/object_relay.cpp
+++ b/libraries/entry/store/object_relay.cpp
@@ -21,7 +21,8 @@
 
 constexpr std::string_view path_prefix = "/objects/";
 constexpr std::array relayed_collections{platform::collection::configurations,
-                                         platform::collection::servers};
+                                         platform::collection::servers,
+                                         platform::collection::evacuations};
 
 /// Hosts of earlier landings ignore the field, and return all objects.
 constexpr std::string_view known_version_field = "Known-Version";
--- a/libraries/entry/store/store_mirror.cpp
+++ b/libraries/entry/store/store_mirror.cpp
@@ -8,8 +8,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <array>
-
 namespace cicadahub::entry
 {
 
@@ -19,8 +17,6 @@
 using daemon::pause;
 using platform::collection;
 
-constexpr std::array followed{collection::configurations, collection::servers};
-
 /// Watch timeout of the designated watchers and of starting hosts. The store
 /// may drop a watch silently while the connection stays open. The watch plus
 /// the time limit of its response stay below the 2 s in which a change must be
@@ -48,6 +44,9 @@
 /// kept for this long: those that are alive register again within some 2 s.
 constexpr milliseconds restore_grace{4'000};
 constexpr milliseconds peer_timeout{500};
+/// Hosts that the store turns away hear within this time of peers that follow
+/// the evacuations; hosts of earlier builds do not.
+constexpr milliseconds time_to_hear_of_evacuations{3'000};
 constexpr milliseconds peer_check_period{200};
 /// A daemon in contact with the store that still misses a change after this
 /// time fetches it from a peer: longer than a call to the store, and well below
@@ -78,14 +77,32 @@
           [this](bool is_full_list) {
               end_batch(collection::servers, is_full_list, m_servers.version());
           },
-          [this] { return servers_pace(); })
+          [this] { return servers_pace(); }),
+      m_evacuations(
+          state.context, store, collection::evacuations,
+          [this](const platform::stored_object& it)
+          { apply_object(collection::evacuations, it); },
+          [this](bool is_full_list) {
+              end_batch(collection::evacuations, is_full_list,
+                        m_evacuations.version());
+          },
+          [this] { return evacuations_pace(); }),
+      m_followed{collection::configurations, collection::servers}
 {
+    if (state.settings.follows_evacuations)
+    {
+        m_followed.push_back(collection::evacuations);
+    }
 }
 
 void store_mirror::start()
 {
     m_configurations.start();
     m_servers.start();
+    if (m_state.settings.follows_evacuations)
+    {
+        m_evacuations.start();
+    }
     net::co_spawn(m_state.context, follow_peers(), net::detached);
 }
 
@@ -132,8 +149,19 @@
     return {{}, server_poll_pause};
 }
 
+daemon::follow_pace store_mirror::evacuations_pace() const
+{
+    const bool is_short_watch =
+        !m_state.are_evacuations_known || is_designated_watcher();
+    return {is_short_watch ? short_watch_timeout : long_watch_timeout, {}};
+}
+
 daemon::collection_follower& store_mirror::follower_of(collection where)
 {
+    if (where == collection::evacuations)
+    {
+        return m_evacuations;
+    }
     return where == collection::servers ? m_servers : m_configurations;
 }
 
@@ -144,6 +172,11 @@
 
 object_version store_mirror::reported_version(const peer& it, collection where)
 {
+    if (where == collection::evacuations)
+    {
+        return object_version(
+            static_cast<std::uint64_t>(it.digest.evacuations_version));
+    }
     const std::int64_t version = where == collection::servers
                                      ? it.digest.servers_changed_version
                                      : it.digest.configuration_version;
@@ -163,13 +196,20 @@
         m_state.configuration
             ? static_cast<std::int64_t>(m_state.configuration->revision.value())
             : 0;
+    if (m_state.evacuations.is_known())
+    {
+        // 1 if there has been none: the sender knows that.
+        it.__set_evacuations_version(std::max<std::int64_t>(
+            1, static_cast<std::int64_t>(
+                   m_state.evacuations.changed_version().value())));
+    }
     it.servers_changed_version =
         static_cast<std::int64_t>(m_state.servers.changed_version().value());
 }
 
 void store_mirror::on_digest(const peer& it)
 {
-    for (const collection where : followed)
+    for (const collection where : followed())
     {
         // A store that does not answer is not loaded with more requests.
         if (follower_of(where).is_platform_reachable() &&
@@ -184,6 +224,12 @@
                                 const platform::stored_object& it)
 {
     const work_meter::scope metered(m_state.work, duty::objects);
+    if (where == collection::evacuations)
+    {
+        m_relay.on_object(where, it);
+        m_state.evacuations.apply(it.name, it.version, it.is_deleted);
+        return;
+    }
     if (where == collection::servers)
     {
         m_relay.on_object(where, it);
@@ -226,6 +272,7 @@
 {
     co_await pause(m_state.context, restore_grace);
     m_servers.relist();
+    m_evacuations.relist();
 }
 
 void store_mirror::end_batch(collection where, bool is_full_list,
@@ -236,6 +283,11 @@
     const bool is_complete =
         is_full_list && monotonic_clock::now() >= m_removals_from;
     m_relay.end_of_batch(where, is_complete, version);
+    if (where == collection::evacuations)
+    {
+        end_evacuations(is_full_list, version);
+        return;
+    }
     if (where != collection::servers)
     {
         return;
@@ -253,6 +305,42 @@
     }
 }
 
+void store_mirror::end_evacuations(bool is_full_list, object_version version)
+{
+    // A copy that the store was restored from may lack an evacuation in force
+    // for as long as its servers are kept.
+    const bool is_complete =
+        is_full_list && monotonic_clock::now() >= m_removals_from;
+    m_state.evacuations.end_of_batch(
+        is_complete || !m_state.evacuations.is_known(), version);
+    const bool was_known = std::exchange(m_state.are_evacuations_known, true);
+    const bool has_changed = m_state.update_evacuations();
+    if (has_changed || !was_known)
+    {
+        m_handlers.on_evacuations_changed();
+    }
+    if (has_changed && is_designated_watcher())
+    {
+        m_handlers.announce();
+    }
+}
+
+void store_mirror::give_up_evacuations()
+{
+    const auto& peers = m_state.fleet.peers();
+    const bool can_anybody_tell =
+        reaches_store() ||
+        std::any_of(peers.begin(), peers.end(),
+                    [](const auto& it)
+                    { return it.second.digest.__isset.evacuations_version; });
+    if (!m_state.are_evacuations_known && !can_anybody_tell && !peers.empty() &&
+        monotonic_clock::now() >= m_started_at + time_to_hear_of_evacuations)
+    {
+        m_state.are_evacuations_known = true;
+        m_handlers.on_evacuations_changed();
+    }
+}
+
 object_version store_mirror::newest_reported(collection where) const
 {
     object_version newest;
@@ -339,7 +427,7 @@
     m_next_poll_at =
         now + std::chrono::duration_cast<monotonic_clock::duration>(
                   unheard_poll_period * spread);
-    for (const collection where : followed)
+    for (const collection where : followed())
     {
         // A store that does not answer is asked again by the follower itself.
         if (follower_of(where).is_platform_reachable())
@@ -352,7 +440,7 @@
 net::awaitable<void> store_mirror::follow_peers()
 {
     std::map<collection, sharing::lag_detector> lags;
-    for (const collection where : followed)
+    for (const collection where : followed())
     {
         lags.emplace(where, sharing::lag_detector(peer_fetch_delay));
     }
@@ -360,6 +448,7 @@
     {
         co_await pause(m_state.context, peer_check_period);
         poll_without_watchers(monotonic_clock::now());
+        give_up_evacuations();
         for (auto& [where, lag] : lags)
         {
             const object_version reported = newest_reported(where);
--- a/libraries/entry/store/store_mirror.hpp
+++ b/libraries/entry/store/store_mirror.hpp
@@ -11,7 +11,8 @@
 namespace cicadahub::entry
 {
 
-/// Keeps a copy of the configuration and the servers in the platform's store.
+/// Keeps a copy of the configuration, the servers and, if the settings ask for
+/// it, the evacuations in the platform's store.
 /// A few designated watchers follow the store closely and announce new versions
 /// to the other hosts, which fetch them from the store or, if it does not
 /// answer, from a peer.
@@ -23,6 +24,8 @@
         std::function<void(const platform::stored_object&)> on_configuration;
         /// Called after a batch of changes was applied to the server table.
         std::function<void()> on_servers_changed;
+        /// Called after the evacuations became known, or changed.
+        std::function<void()> on_evacuations_changed;
         /// Called on a designated watcher when the other hosts need to learn of
         /// a change.
         std::function<void()> announce;
@@ -42,6 +45,15 @@
     daemon::collection_follower& follower_of(platform::collection where);
     daemon::follow_pace configuration_pace() const;
     daemon::follow_pace servers_pace() const;
+    daemon::follow_pace evacuations_pace() const;
+    const std::vector<platform::collection>& followed() const
+    {
+        return m_followed;
+    }
+    /// Applies a batch of changes of the evacuations.
+    void end_evacuations(bool is_full_list, object_version version);
+    /// Stops waiting for evacuations that nobody can tell of.
+    void give_up_evacuations();
     bool is_designated_watcher() const;
     bool reaches_store() const;
     void apply_object(platform::collection where,
@@ -72,6 +84,9 @@
     handlers m_handlers;
     daemon::collection_follower m_configurations;
     daemon::collection_follower m_servers;
+    daemon::collection_follower m_evacuations;
+    std::vector<platform::collection> m_followed;
+    time_point m_started_at = monotonic_clock::now();
     object_version m_announced_servers_version;
     /// Era of the store that this host's knowledge is of.
     store_era m_era;
--- a/libraries/platform/object_client.cpp
+++ b/libraries/platform/object_client.cpp
@@ -25,9 +25,10 @@
 constexpr std::size_t list_limit_pages = 256;
 constexpr std::size_t list_limit_bytes = 8 * 1024 * 1024;
 
-constexpr std::array<std::string_view, 11> collection_names{
-    "configurations", "hosts",   "leases",   "placements", "members", "intents",
-    "audits",         "servers", "versions", "streams",    "limits"};
+constexpr std::array<std::string_view, 12> collection_names{
+    "configurations", "hosts",   "leases", "placements",
+    "members",        "intents", "audits", "servers",
+    "versions",       "streams", "limits", "evacuations"};
 
 void expect_ok(const http::response& answer)
 {
--- a/libraries/platform/stored_object.hpp
+++ b/libraries/platform/stored_object.hpp
@@ -29,6 +29,8 @@
     streams,
     /// Limits that servers name.
     limits,
+    /// Data centres to which operators want nothing to be sent.
+    evacuations,
 };
 
 std::string_view name_of(collection it);
--- a/libraries/serving/configuration.cpp
+++ b/libraries/serving/configuration.cpp
@@ -1,5 +1,7 @@
 #include "serving/configuration.hpp"
 
+#include <algorithm>
+
 namespace cicadahub::serving
 {
 
@@ -21,6 +23,26 @@
     return best;
 }
 
+bool configuration::has_cold_rates() const
+{
+    return std::any_of(
+        services.begin(), services.end(),
+        [](const auto& it)
+        { return it.second.cold_requests_per_second.has_value(); });
+}
+
+bool configuration::has_allowed_regions() const
+{
+    const auto is_restricted = [](const auto& it)
+    {
+        return it.allowed_regions.has_value();
+    };
+    return std::any_of(routes.begin(), routes.end(), is_restricted) ||
+           std::any_of(organisations.begin(), organisations.end(),
+                       [&](const auto& it)
+                       { return is_restricted(it.second); });
+}
+
 const service* configuration::find_service(const service_id& name) const
 {
     const auto it = services.find(name);
--- a/libraries/serving/configuration.hpp
+++ b/libraries/serving/configuration.hpp
@@ -128,6 +128,10 @@
     /// null if there is none.
     const route* find_route(std::string_view host, std::string_view path) const;
     const service* find_service(const service_id& name) const;
+    /// True if any service has a rate for cold servers.
+    bool has_cold_rates() const;
+    /// True if any route or organisation has allowed regions.
+    bool has_allowed_regions() const;
     const organisation* find_organisation(const key_hash& key) const;
 };
 
--- a/tests/decision/replica_planner_test.cpp
+++ b/tests/decision/replica_planner_test.cpp
@@ -152,6 +152,43 @@
     EXPECT_EQ(planned(), texts{"load b s"});
 }
 
+// Guards against requests without a copy that they may use: the only one is in
+// an evacuated data centre or in a region that they may not reach. A warm
+// server is loaded rather than a cold one.
+TEST_F(planner_fixture, copies_count_only_where_requests_may_use_them)
+{
+    std::erase_if(m_engine.models,
+                  [](const auto& it) { return it.first != model_id("a"); });
+    add_server("s1", {"a"}, {});
+    add_server("s2", {}, {"a"});
+    add_server("s3", {}, {"a"});
+    add_demand("a");
+    EXPECT_EQ(planned(), texts{});
+    const auto state = [&](const char* name) -> server_state&
+    {
+        return m_servers.at(server_id(name));
+    };
+    state("s2").set_cold(true);
+    m_pending_demands.back().regions = {region_id("south")};
+    EXPECT_EQ(planned(), texts{});
+    state("s2").set_region(region_id("south"));
+    state("s3").set_region(region_id("south"));
+    EXPECT_EQ(planned(), texts{"load a s3"});
+    m_pending_demands.clear();
+    EXPECT_EQ(planned(), texts{});
+}
+
+TEST_F(planner_fixture, copies_of_an_evacuated_data_centre_are_replaced)
+{
+    std::erase_if(m_engine.models,
+                  [](const auto& it) { return it.first != model_id("a"); });
+    add_server("s1", {"a"}, {});
+    add_server("s2", {}, {"a"});
+    m_servers.at(server_id("s1")).set_evacuated(true);
+    add_demand("a");
+    EXPECT_EQ(planned(), texts{"load a s2"});
+}
+
 TEST_F(planner_fixture, a_stream_whose_version_has_no_server_causes_no_load)
 {
     std::erase_if(m_engine.models,
--- a/tests/entry/servers/server_table_test.cpp
+++ b/tests/entry/servers/server_table_test.cpp
@@ -18,6 +18,13 @@
     entry.is_leaving = it.spec.contains("leaving");
     const auto* port = it.spec.if_contains("port");
     entry.address.port(port == nullptr ? 1 : port->to_number<std::uint16_t>());
+    if (it.spec.contains("cold"))
+    {
+        entry.cold_left = milliseconds(60'000);
+    }
+    const auto* zone = it.spec.if_contains("zone");
+    entry.data_centre =
+        data_centre_id(zone == nullptr ? "" : std::string(zone->as_string()));
     if (it.spec.contains("model"))
     {
         entry.models[model_id("m")];
@@ -64,6 +71,46 @@
     EXPECT_EQ(changed(), 9U);
 }
 
+// Guards against a list that extends the time by showing the same entry again,
+// and against an entry written before the server became cold.
+TEST_F(server_table_test, an_entry_tells_once_that_its_server_is_cold)
+{
+    m_table.apply(object("s", 5, {{"cold", true}}));
+    const auto server = m_table.find(server_id("s"));
+    const time_point end = server->cold.end();
+    EXPECT_TRUE(server->cold.is_cold(monotonic_clock::now()));
+    m_table.apply(object("s", 5, {{"cold", true}}));
+    m_table.apply(object("s", 6));
+    EXPECT_EQ(server->cold.end(), end);
+    platform::stored_object deleted = object("s", 7);
+    deleted.is_deleted = true;
+    m_table.apply(deleted);
+    m_table.apply(object("s", 8));
+    EXPECT_EQ(m_table.find(server_id("s"))->cold.end(), end);
+}
+
+// Guards against a server that is listed later and gets requests in spite of
+// the evacuation.
+TEST_F(server_table_test, servers_of_an_evacuated_data_centre_accept_nothing)
+{
+    const auto accepts = [&](const char* name)
+    {
+        const time_point now = monotonic_clock::now();
+        const auto server = m_table.find(server_id(name));
+        return server->accepts_requests(now) || server->accepts_orders(now) ||
+               server->accepts_probes(now);
+    };
+    m_table.apply(object("s", 5, {{"zone", "north"}}));
+    m_table.set_evacuated({data_centre_id("north")});
+    m_table.apply(object("t", 6, {{"zone", "north"}}));
+    m_table.apply(object("u", 7, {{"zone", "south"}}));
+    EXPECT_FALSE(accepts("s"));
+    EXPECT_FALSE(accepts("t"));
+    EXPECT_TRUE(accepts("u"));
+    m_table.set_evacuated({});
+    EXPECT_TRUE(accepts("s"));
+}
+
 TEST_F(server_table_test, a_full_list_removes_servers_missing_from_it)
 {
     m_table.apply(object("s", 5));
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -55,7 +55,9 @@
 
 } // namespace
 
-platform_fleet::platform_fleet(int daemon_count, bool has_links)
+platform_fleet::platform_fleet(int daemon_count, bool has_links,
+                               additions added)
+    : m_added(std::move(added))
 {
     store = free_address();
     m_store_program = std::make_unique<process>(
@@ -101,10 +103,11 @@
             << "portRange = [" << port << "," << port << "]\n"
             << "seeds = [\"" << loopback_host(2) << ":9\",\""
             << loopback_host(3) << ":9\"]\n"
-            << "something_new = 3\n[listen]\nfront = \"" << it.callers
+            << "something_new = 3\n"
+            << m_added.settings << "[listen]\nfront = \"" << it.callers
             << "\"\nready = \"" << it.readiness << "\"\n[bounds]\ngraceS = 8\n"
             << "leaseMs = 1500\nbudgetRatio = 0.2\nbudgetExtra = 50\n"
-            << "[platform]\naddress = \""
+            << m_added.bounds << "[platform]\naddress = \""
             << (it.links ? it.links->store() : store) << "\"\n";
         daemons.push_back(std::move(it));
     }
@@ -134,6 +137,21 @@
            200;
 }
 
+void platform_fleet::restart_service(std::size_t n)
+{
+    worker& it = services[n];
+    it.program.reset();
+    // A start takes some time, in which hosts find that the server has ended.
+    std::this_thread::sleep_for(milliseconds(300));
+    it.program = std::make_unique<process>(
+        "utilities/cicada-standin",
+        std::vector<std::string>{"worker", "--listen", it.address, "--store",
+                                 store, "--id", it.id, "--service", "ledger"});
+    EXPECT_TRUE(eventually(
+        [&]
+        { return call(it.address, http::verb::get, "/stats").status == 200; }));
+}
+
 void platform_fleet::restart_worker(std::size_t engine,
                                     const std::vector<std::string>& more)
 {
@@ -216,8 +234,18 @@
     {
         names.emplace_back(it);
     }
+    for (boost::json::value& it : routes)
+    {
+        boost::json::object& plain = it.as_object();
+        if (plain.contains("service") && plain.at("service") == "ledger")
+        {
+            plain.insert(m_added.route.begin(), m_added.route.end());
+        }
+    }
     boost::json::array all;
-    all.push_back({{"name", "ledger"}, {"maxConns", 100}});
+    boost::json::object ledger{{"name", "ledger"}, {"maxConns", 100}};
+    ledger.insert(m_added.service.begin(), m_added.service.end());
+    all.push_back(std::move(ledger));
     all.push_back(engine_service("engines"));
     for (const auto& [name, weight] : streams)
     {
--- a/tests/system/platform_fleet.hpp
+++ b/tests/system/platform_fleet.hpp
@@ -31,15 +31,29 @@
         std::string address;
     };
 
+    /// What tests add to the settings and the configuration.
+    struct additions
+    {
+        std::string settings;
+        std::string bounds;
+        /// Members of the plain service, and of the routes to it.
+        boost::json::object service;
+        boost::json::object route;
+    };
+
     /// `has_links` gives each daemon links of its own to the servers. The
     /// data centres have three daemons each.
-    explicit platform_fleet(int daemon_count, bool has_links = false);
+    explicit platform_fleet(int daemon_count, bool has_links = false,
+                            additions added = {});
 
     void start_daemon(std::size_t n);
     bool is_ready(std::size_t n) const;
     std::size_t add_worker(const std::string& service, const std::string& id,
                            const std::vector<std::string>& more);
 
+    /// Kills a server of the plain service and starts it again under its id and
+    /// address.
+    void restart_service(std::size_t n);
     /// Kills an engine and starts it again under its id and address.
     void restart_worker(std::size_t engine,
                         const std::vector<std::string>& more);
@@ -79,6 +93,7 @@
     std::vector<worker> services;
 
 private:
+    additions m_added;
     std::string m_folder = make_folder();
     std::unique_ptr<process> m_store_program;
 };
--- a/utilities/cicada-standin/main.cpp
+++ b/utilities/cicada-standin/main.cpp
@@ -146,10 +146,12 @@
     TCLAP::ValueArg<std::string> version("", "software-version",
                                          "Worker: version of its software.",
                                          false, "v1", "VERSION");
+    TCLAP::ValueArg<std::string> zone("", "zone", "Worker: its data centre.",
+                                      false, "dc-1", "NAME");
     const std::vector<TCLAP::Arg*> arguments{
-        &bandwidth, &full_speed, &rate,    &preloaded, &threads, &weights,
-        &token_gap, &prefill,    &fencing, &slots,     &memory,  &listen,
-        &store,     &id,         &service, &megabytes, &version};
+        &zone,    &bandwidth, &full_speed, &rate,    &preloaded, &threads,
+        &weights, &token_gap, &prefill,    &fencing, &slots,     &memory,
+        &listen,  &store,     &id,         &service, &megabytes, &version};
     for (TCLAP::Arg* it : arguments)
     {
         line.add(it);
@@ -180,7 +182,7 @@
         standin::worker_settings settings;
         settings.id = id.getValue();
         settings.service = service.getValue();
-        settings.data_centre = "dc-1";
+        settings.data_centre = zone.getValue();
         settings.address = listen.getValue();
         settings.store = http::parse_endpoint(store.getValue());
         settings.slots = slots.getValue();
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -238,6 +238,7 @@
             refusal(http::status::misdirected_request, message["Request-Id"]));
         co_return;
     }
+    count_arrival();
     count_limited_arrival();
     const bool is_placement = path == "/v1/report" || path == "/v1/order";
     if (is_placement && m_sheds_placement && is_shedding())
@@ -323,6 +324,18 @@
     }
 }
 
+void worker_standin::count_arrival()
+{
+    const time_point now = monotonic_clock::now();
+    std::erase_if(m_last_arrivals, [&](time_point at)
+                  { return at + std::chrono::seconds(1) <= now; });
+    m_last_arrivals.push_back(now);
+    ++m_arrivals;
+    m_most_arrivals_in_second =
+        std::max(m_most_arrivals_in_second,
+                 static_cast<std::int64_t>(m_last_arrivals.size()));
+}
+
 void worker_standin::count_limited_arrival()
 {
     const time_point now = monotonic_clock::now();
@@ -418,6 +431,8 @@
                         {"arrivals_in_pause", m_arrivals_in_pause},
                         {"falls", m_falls},
                         {"most_limited_arrivals", m_most_limited_arrivals},
+                        {"arrivals", m_arrivals},
+                        {"most_arrivals_in_second", m_most_arrivals_in_second},
                         {"keys_seen", m_keys_seen},
                         {"endless_bytes", m_endless_bytes},
                         {"orders", m_orders},
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -90,6 +90,8 @@
     http::response error_for_resumed(std::string_view request) const;
     bool is_shedding() const;
     void count_arrival_in_pause();
+    /// Counts a request that another server was not meant by.
+    void count_arrival();
     /// Counts a request against the rate limit, over a sliding window.
     void count_limited_arrival();
     /// Counts a rejection for want of room, which may make the server fail.
@@ -152,6 +154,10 @@
     time_point m_limit_counts_from{};
     std::deque<time_point> m_limited_arrivals;
     std::int64_t m_most_limited_arrivals = 0;
+    /// Of the last second.
+    std::deque<time_point> m_last_arrivals;
+    std::int64_t m_arrivals = 0;
+    std::int64_t m_most_arrivals_in_second = 0;
     std::optional<std::int64_t> m_brittle_limit;
     std::optional<std::int64_t> m_room;
     std::deque<time_point> m_rejections;
