--- a/libraries/decision/replicas/server_state.hpp
+++ b/libraries/decision/replicas/server_state.hpp
@@ -47,6 +47,11 @@
     bool is_confirmed() const { return m_is_confirmed; }
     /// True while the server wants nothing from this host.
     void set_paused(bool it) { m_is_paused = it; }
+    /// True while the server is cold, and so slow.
+    void set_cold(bool it) { m_is_cold = it; }
+    bool is_cold() const { return m_is_cold; }
+    /// True while operators want nothing to be sent to its data centre.
+    void set_evacuated(bool it) { m_is_evacuated = it; }
     /// Blocks orders until the next report confirms the state.
     void require_report() { m_is_confirmed = false; }
 
@@ -54,11 +59,13 @@
     /// True if the model is loaded and is not being unloaded.
     bool serves(const model_id& model) const;
     bool is_loading(const model_id& model) const;
-    bool is_usable() const { return !m_entry.is_leaving; }
-    /// True if `version` is not set, or is the server's software version.
-    bool runs(const std::optional<software_version>& version) const
+    bool is_usable() const { return !m_entry.is_leaving && !m_is_evacuated; }
+    /// Region of its data centre; empty if that is not known.
+    void set_region(std::optional<region_id> it) { m_region = std::move(it); }
+    bool suits(const server_filter& it) const
     {
-        return !version || *version == m_entry.version;
+        return (!it.version || *it.version == m_entry.version) &&
+               (!it.regions || (m_region && it.regions->contains(*m_region)));
     }
     /// True if no order can be sent now: one is in progress or not yet
     /// answered, the server's state is not confirmed, or the server wants
@@ -91,6 +98,9 @@
     time_point m_changed_at{};
     bool m_awaits_answer = false;
     bool m_is_paused = false;
+    bool m_is_cold = false;
+    bool m_is_evacuated = false;
+    std::optional<region_id> m_region;
     std::optional<pending_order> m_pending;
 };
 
--- a/libraries/entry/dialects.hpp
+++ b/libraries/entry/dialects.hpp
@@ -58,6 +58,8 @@
     /// Requests a second that the server takes from all hosts together.
     std::optional<double> rate_limit;
     std::optional<server_load> load;
+    /// Time for which the server remains cold; 0 if it says that it is not.
+    std::optional<milliseconds> cold_left;
 };
 
 struct answer_head
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -107,6 +107,11 @@
                {[this](const platform::stored_object& it)
                 { on_configuration(it); },
                 [this] { on_servers_changed(); },
+                [this]
+                {
+                    log_first_readiness();
+                    m_placement.schedule_planning();
+                },
                 [this] { m_digests.send_update_to_all_soon(); },
                 [this]
                 {
@@ -174,7 +179,8 @@
 bool entry_daemon::is_ready() const
 {
     return m_state.configuration && m_state.has_servers &&
-           m_state.are_limits_known && !m_state.is_draining;
+           m_state.are_limits_known && m_state.are_evacuations_known &&
+           !m_state.is_draining;
 }
 
 void entry_daemon::log_first_readiness()
@@ -242,6 +248,7 @@
         m_state.configuration = std::move(next);
         m_state.continuity.on_configuration(*m_state.configuration);
         m_state.update_rate_shares(monotonic_clock::now());
+        m_state.update_cold_servers(monotonic_clock::now());
         m_state.waiting.wake_all();
         log_first_readiness();
     }
@@ -285,6 +292,11 @@
 {
     m_mirror.on_digest(it);
     apply_crash_notices(it, m_state.suspects, m_state.crashing_parts);
+    if (it.digest.traffic_ms > 0)
+    {
+        m_state.on_traffic(it.received_at -
+                           milliseconds(it.digest.traffic_ms - 1));
+    }
     for (const auto& limited : it.digest.limited_servers)
     {
         m_state.on_limit_notice(limited, it);
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decision/routing/allowed_regions.hpp"
+#include "decision/routing/evacuation_set.hpp"
 #include "decision/routing/server_choice.hpp"
 #include "decision/sharing/brittle_service.hpp"
 #include "decision/sharing/fleet_rate.hpp"
@@ -65,6 +67,13 @@
     /// What is recorded of the servers' limits has been read, or learnt from
     /// other hosts.
     bool are_limits_known = false;
+    /// Since when there has been traffic at any host; empty if there has been
+    /// none. Reports of others arrive late, so that the time is never too early
+    /// but for a record by another clock.
+    std::optional<time_point> traffic_since;
+    routing::evacuation_set evacuations;
+    /// False until the evacuations are known, or nobody can tell of them.
+    bool are_evacuations_known = false;
     /// Last time at which a response, or a part of one, arrived from any
     /// server.
     time_point last_server_contact = monotonic_clock::now();
@@ -87,6 +96,10 @@
     /// Called when a response said that its server leaves.
     std::function<void()> on_server_leaving;
 
+    /// Whether servers or hosts of a data centre may get a request.
+    bool is_allowed(const routing::allowed_regions& regions,
+                    const data_centre_id& data_centre) const;
+
     /// Recomputes this host's share of each rate from the current demand.
     void update_rate_shares(time_point now);
     sharing::retry_budget& retry_budget_of(const service_id& service);
@@ -119,6 +132,18 @@
     void on_recorded_limit(const server_id& server,
                            std::int64_t server_incarnation,
                            double requests_per_second, time_point heard_at);
+    /// There has been traffic since `moment`, or longer.
+    void on_traffic(time_point moment);
+    /// Takes in what the entries say of cold servers and what follows from
+    /// their starts. True if a server is cold that was not known to be.
+    bool update_cold_servers(time_point now);
+    /// Applies the evacuations as they are known now. True if any changed.
+    bool update_evacuations();
+    /// The server may have ended, or a link. Only this host acts on that.
+    void on_connection_lost(server_record& server, time_point now);
+    /// The server has ended: what answers at its address until its next start
+    /// is listed may be cold.
+    void on_crashed(server_record& server, time_point now);
     /// Whether this host may send a server one more request now, as far as
     /// brittle servers and limits are concerned.
     bool may_send(server_record& server, const request_id& request,
@@ -155,10 +180,20 @@
 
 private:
     void on_load(server_record& server, const server_load& it);
+    /// A service had a rate for cold servers when these were last updated.
+    bool m_had_cold_rates = false;
+
     void on_brittle_notice(const server_record& server,
                            const server_notice& it);
     void on_limit(server_record& server, std::optional<double> limit,
                   time_point heard_at, const std::string& seen_by);
+    /// Assumes the incarnation to be cold if it started while there was
+    /// traffic.
+    void judge_start(server_record& server, milliseconds cold_start,
+                     time_point now) const;
+    /// True if the server is cold and was not known to be.
+    bool update_cold(server_record& server, std::string_view seen_by,
+                     time_point now);
     void on_loan(server_record& server, const fleet::wire::LimitedServer& it,
                  const peer& from);
     /// The host that is to send to a server with a limit; null if it is this
--- a/libraries/entry/requests/request_routing.cpp
+++ b/libraries/entry/requests/request_routing.cpp
@@ -2,6 +2,8 @@
 
 #include "core/structured_log.hpp"
 
+#include <cmath>
+
 namespace cicadahub::entry
 {
 
@@ -15,6 +17,48 @@
 /// network latency to the server.
 constexpr milliseconds load_overhead{300};
 
+/// Places of a cold server: those taken, and as many as it takes in a second.
+std::uint32_t cold_slots(const server_record& it, time_point now)
+{
+    constexpr double most = 1e6;
+    const double rate = it.limit.requests_per_second(now).value_or(0);
+    return it.running + it.running_elsewhere +
+           static_cast<std::uint32_t>(std::ceil(std::min(rate, most)));
+}
+
+/// Removes the cold servers, which are slow, if a warm one has a free place.
+void prefer_warm(std::vector<routing::choice_candidate>& candidates,
+                 std::vector<server_table::record_pointer>& records,
+                 time_point now)
+{
+    bool is_any_warm_free = false;
+    bool is_any_cold = false;
+    for (std::size_t n = 0; n < candidates.size(); ++n)
+    {
+        const bool is_cold = records[n]->limit.is_cold(now);
+        is_any_cold = is_any_cold || is_cold;
+        is_any_warm_free =
+            is_any_warm_free || (!is_cold && candidates[n].is_trusted &&
+                                 candidates[n].running < candidates[n].slots);
+    }
+    if (!is_any_cold || !is_any_warm_free)
+    {
+        return;
+    }
+    std::size_t kept = 0;
+    for (std::size_t n = 0; n < candidates.size(); ++n)
+    {
+        if (!records[n]->limit.is_cold(now))
+        {
+            candidates[kept] = candidates[n];
+            records[kept] = records[n];
+            ++kept;
+        }
+    }
+    candidates.resize(kept);
+    records.resize(kept);
+}
+
 } // namespace
 
 bool active_request::has_origin(const serving::server_entry& server) const
@@ -23,18 +67,33 @@
                          server.version == m_origin->version);
 }
 
-bool active_request::is_origin_listed() const
+bool active_request::is_eligible(const server_record& server) const
+{
+    const serving::server_entry& entry = server.entry;
+    return !entry.is_leaving && !server.is_evacuated && has_origin(entry) &&
+           m_state.is_allowed(m_allowed_regions, entry.data_centre);
+}
+
+bool active_request::is_any_region_eligible() const
 {
     const auto& records = m_state.servers.records();
-    return std::any_of(records.begin(), records.end(),
+    return !m_allowed_regions.is_restricted() ||
+           std::any_of(records.begin(), records.end(),
                        [this](const auto& it)
                        {
-                           const serving::server_entry& entry =
-                               it.second->entry;
-                           return !entry.is_leaving && has_origin(entry);
+                           return it.second->entry.service == m_service->name &&
+                                  is_eligible(*it.second);
                        });
 }
 
+bool active_request::is_origin_listed() const
+{
+    const auto& records = m_state.servers.records();
+    return std::any_of(records.begin(), records.end(),
+                       [this](const auto& it)
+                       { return is_eligible(*it.second); });
+}
+
 milliseconds active_request::time_left(time_point now) const
 {
     return std::chrono::duration_cast<milliseconds>(m_deadline - now);
@@ -53,8 +112,8 @@
     for (const auto& [id, record] : m_state.servers.records())
     {
         const auto& entry = record->entry;
-        if (entry.service != m_service->name || entry.is_leaving ||
-            !has_origin(entry) || (m_copy && !record->holds(*m_copy)))
+        if (entry.service != m_service->name || !is_eligible(*record) ||
+            (m_copy && !record->holds(*m_copy)))
         {
             continue;
         }
@@ -105,8 +164,12 @@
                 std::min(full_for, result.full_for.value_or(full_for));
             continue;
         }
-        const std::uint32_t slots =
+        std::uint32_t slots =
             m_service->engine ? m_service->engine->slots : entry.slots;
+        if (record->limit.is_cold(now))
+        {
+            slots = std::min(slots, cold_slots(*record, now));
+        }
         candidates.push_back({&record->entry.id,
                               record->running + record->running_elsewhere,
                               slots,
@@ -119,6 +182,7 @@
         }
         records.push_back(record);
     }
+    prefer_warm(candidates, records, now);
     if (is_any_unpaused)
     {
         result.pause_left.reset();
@@ -208,8 +272,7 @@
     milliseconds least = spec.load_from_store + load_overhead;
     for (const auto& [id, record] : m_state.servers.records())
     {
-        if (record->entry.service != m_service->name ||
-            record->entry.is_leaving || !has_origin(record->entry))
+        if (record->entry.service != m_service->name || !is_eligible(*record))
         {
             continue;
         }
@@ -259,6 +322,10 @@
     {
         refuse_to_resume("no server of its software version is left");
     }
+    if (!is_any_region_eligible())
+    {
+        refuse(refusal_kind::no_capacity, retry_after_full);
+    }
     if (m_copy && estimate + min_processing_time > left)
     {
         refuse(refusal_kind::target_unreachable, estimate);
@@ -346,6 +413,7 @@
         {
             m_waiter->version = m_origin->version;
         }
+        m_waiter->regions = m_allowed_regions.regions();
         m_waiter->priority =
             m_organisation != nullptr && m_organisation->priority
                 ? *m_organisation->priority
