--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -140,6 +140,10 @@
     }
     const time_point now = monotonic_clock::now();
     on_limit(server, it.rate_limit, now, settings.name.value());
+    if (it.load)
+    {
+        on_load(server, *it.load);
+    }
     if (!it.cold_left)
     {
         return;
@@ -300,10 +304,6 @@
     {
         send_update_to_all_soon();
     }
-    if (it.load)
-    {
-        on_load(server, *it.load);
-    }
 }
 
 void entry_state::on_load(server_record& server, const server_load& it)
