--- a/tests/system/limited_server_test.cpp
+++ b/tests/system/limited_server_test.cpp
@@ -335,6 +335,51 @@
                    trouble::all_hosts_killed, many_daemons, 4}),
     [](const auto& it) { return std::string(it.param.name); });
 
+class cold_servers : public limited_servers
+{
+};
+
+// Guards against a server that starts amid traffic and gets as many requests as
+// a warm one, from hosts that start meanwhile too, although its entry says, as
+// the stand-in's do, that it is not cold.
+TEST_P(cold_servers, get_no_more_than_they_take)
+{
+    constexpr milliseconds cold_time{6'000};
+    const limit_case& it = GetParam();
+    const auto allowed =
+        std::llround(1.5 * std::stod(it.limit)) + std::int64_t{5};
+    platform_fleet::additions added;
+    added.service = {{"coldStartS", 6}, {"coldPerS", std::stod(it.limit)}};
+    platform_fleet fleet(static_cast<int>(it.hosts), false, std::move(added));
+    const std::string& address = fleet.services[0].address;
+    load_result all;
+    const load running(fleet, all, {}, it.callers_per_daemon);
+    std::this_thread::sleep_for(3 * warm_up);
+    fleet.restart_service(0);
+    const time_point end = monotonic_clock::now() + cold_time - warm_up;
+    std::this_thread::sleep_for(warm_up);
+    make_trouble(fleet, all);
+    std::this_thread::sleep_until(end);
+    const std::int64_t most = read_stat(address, "most_arrivals_in_second");
+    EXPECT_LE(most, allowed);
+    EXPECT_GT(most, 0);
+    std::cout << "most in a second " << most << " of " << allowed << "\n";
+    // It is used like the other one afterwards.
+    EXPECT_TRUE(eventually(
+        [&]
+        { return read_stat(address, "most_arrivals_in_second") > allowed; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    platform_path, cold_servers,
+    testing::Values(limit_case{"undisturbed", "4", 1, 0, trouble::none,
+                               daemon_count, 4},
+                    limit_case{"hosts_restart", "4", 1, 0,
+                               trouble::hosts_restart, daemon_count, 4},
+                    limit_case{"all_hosts_killed", "4", 1, 0,
+                               trouble::all_hosts_killed, daemon_count, 4}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 // Guards against a host that forgets the limits when it starts again: nobody is
 // there to tell it, and many requests are sent before the first answer.
 TEST(platform_path, a_host_that_starts_alone_knows_the_limits)
