Entry: Read the pace that servers state and forward an urgency

The fourth figure of a server's load was not decoded, and no urgency could be added to a forwarded request. `states_pace` tells whether a server of a service has stated its pace within 30 s. An urgency travels with a relayed request; it is not set yet.

--- a/libraries/entry/dialects.hpp
+++ b/libraries/entry/dialects.hpp
@@ -31,6 +31,8 @@
     /// Id of the last event that the caller has received; set to resume a
     /// stream.
     std::optional<std::string> after_event;
+    /// 0 to 9, 0 first; the server's default if empty.
+    std::optional<int> urgency{};
 };
 
 struct server_load
@@ -38,6 +40,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// How long work takes there at the moment, in percent of what is usual;
+    /// empty if the server does not state it.
+    std::optional<double> pace_percent{};
 };
 
 /// What the head of any response says of the server that sent it.
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// A service whose servers have not stated their pace for this long is served
+/// as if they never had.
+constexpr milliseconds pace_memory{30'000};
 constexpr std::size_t idle_connections_per_server = 32;
 /// A crash counts against every request that was running on the server: two
 /// crashes in a row can be a coincidence, three are unlikely to be one.
@@ -116,6 +119,28 @@
     }
 }
 
+void entry_state::on_server_load(const server_record& server,
+                                 const server_load& it)
+{
+    if (it.pace_percent)
+    {
+        pace_stated_at[server.entry.service] = monotonic_clock::now();
+    }
+}
+
+bool entry_state::states_pace(const service_id& service) const
+{
+    const auto known = pace_stated_at.find(service);
+    return known != pace_stated_at.end() &&
+           monotonic_clock::now() - known->second < pace_memory;
+}
+
+admission::admission_control*
+entry_state::admission_of(const service_id& service)
+{
+    return states_pace(service) ? &admission[service] : nullptr;
+}
+
 void entry_state::on_limit_notice(const fleet::wire::LimitedServer& it,
                                   const peer& from)
 {
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/admission/admission_control.hpp"
 #include "decision/sharing/brittle_service.hpp"
 #include "decision/sharing/fleet_rate.hpp"
 #include "decision/sharing/retry_budget.hpp"
@@ -49,6 +50,9 @@
     std::map<organisation_id, sharing::fleet_rate> rates;
     std::map<service_id, sharing::retry_budget> retry_budgets;
     std::map<service_id, sharing::brittle_service> brittle_services;
+    std::map<service_id, admission::admission_control> admission;
+    /// Last time at which a server of the service stated its pace.
+    std::map<service_id, time_point> pace_stated_at;
     const time_point started_at = monotonic_clock::now();
     /// Higher after each start of this daemon.
     const std::int64_t incarnation;
@@ -97,6 +101,13 @@
     /// Takes in what an answer of a server says of how brittle it is and of the
     /// rate that it takes.
     void on_server_notice(server_record& server, const server_notice& it);
+    /// Takes in what an answer of a server says of its load.
+    void on_server_load(const server_record& server, const server_load& it);
+    /// True if a server of the service has stated its pace lately.
+    bool states_pace(const service_id& service) const;
+    /// What orders the service's requests and decides whether they wait; null
+    /// if its servers do not state their pace.
+    admission::admission_control* admission_of(const service_id& service);
     /// Takes in what another host heard of the rate that a server takes, and
     /// whether it lends its part of that to this host.
     void on_limit_notice(const fleet::wire::LimitedServer& it,
--- a/libraries/entry/requests/attempt_observer.cpp
+++ b/libraries/entry/requests/attempt_observer.cpp
@@ -41,6 +41,10 @@
             {
                 m_record->room.on_accepted(m_sent_at);
                 m_on_first_event();
+            },
+            [this](const server_load& it)
+            {
+                m_state.on_server_load(*m_record, it);
             }};
 }
 
--- a/libraries/entry/requests/exchange.cpp
+++ b/libraries/entry/requests/exchange.cpp
@@ -311,6 +311,11 @@
     {
         m_result.notice = m_dialect.read_notice(head, sender);
         m_handlers.on_notice(m_result.notice);
+        if (m_result.head->load && m_handlers.on_load &&
+            m_result.head->facts.server != outcome::named_party::other)
+        {
+            m_handlers.on_load(*m_result.head->load);
+        }
     }
     m_result.framing = http::framing_of(*m_parser);
     if (meaning == response_meaning::not_an_answer)
--- a/libraries/entry/requests/exchange.hpp
+++ b/libraries/entry/requests/exchange.hpp
@@ -87,6 +87,8 @@
     std::function<void()> on_contact;
     /// Called before the first event of the exchange is forwarded.
     std::function<void()> on_first_event;
+    /// Called with what a response to the request says of its server's load.
+    std::function<void(const server_load&)> on_load{};
 };
 
 /// Sends a request to a backend server and forwards the response. Of a stream
--- a/libraries/entry/requests/relay_codec.cpp
+++ b/libraries/entry/requests/relay_codec.cpp
@@ -5,6 +5,7 @@
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/lexical_cast/try_lexical_convert.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace cicadahub::entry
@@ -19,6 +20,7 @@
 constexpr std::string_view time_field = "Cicadahub-Relay-Time-Left";
 constexpr std::string_view organisation_field = "Cicadahub-Relay-Organisation";
 constexpr std::string_view after_event_field = "Cicadahub-Relay-After-Event";
+constexpr std::string_view urgency_field = "Cicadahub-Relay-Urgency";
 constexpr std::string_view fingerprint_field = "Cicadahub-Relay-Fingerprint";
 constexpr std::string_view new_connection_field =
     "Cicadahub-Relay-New-Connection";
@@ -30,6 +32,7 @@
 constexpr std::string_view reason_field = "Cicadahub-Relay-Reason";
 /// Longer times are not those of a request.
 constexpr std::chrono::hours longest_request{24};
+constexpr std::int64_t least_urgent = 9;
 constexpr std::string_view unavailable = "unavailable";
 
 constexpr std::array all_ends{
@@ -115,6 +118,10 @@
     {
         append_field(head, after_event_field, *it.added.after_event);
     }
+    if (it.added.urgency)
+    {
+        append_field(head, urgency_field, std::to_string(*it.added.urgency));
+    }
     if (it.use_new_connection)
     {
         append_field(head, new_connection_field, "1");
@@ -155,6 +162,11 @@
         it.added.organisation = organisation_id(std::move(*name));
     }
     it.added.after_event = text_in(message, after_event_field);
+    if (message.count(urgency_field) > 0)
+    {
+        it.added.urgency = static_cast<int>(std::clamp<std::int64_t>(
+            number_in(message, urgency_field), 0, least_urgent));
+    }
     it.use_new_connection = message.count(new_connection_field) > 0;
     it.books_place = message.count(books_place_field) > 0;
     message.erase(http::field::connection);
--- a/tests/entry/requests/relay_codec_test.cpp
+++ b/tests/entry/requests/relay_codec_test.cpp
@@ -41,6 +41,7 @@
     it.added.organisation = organisation_id("trust");
     it.added.time_left = milliseconds(1'234);
     it.added.after_event = "7";
+    it.added.urgency = 3;
     it.incarnation = 99;
     it.fingerprint = suspicion::fingerprint("abc");
     it.use_new_connection = true;
@@ -60,6 +61,7 @@
     EXPECT_EQ(it.added.organisation, expected.added.organisation);
     EXPECT_EQ(it.added.time_left, expected.added.time_left);
     EXPECT_EQ(it.added.after_event, expected.added.after_event);
+    EXPECT_EQ(it.added.urgency, expected.added.urgency);
     EXPECT_EQ(it.incarnation, expected.incarnation);
     EXPECT_EQ(it.fingerprint, expected.fingerprint);
     EXPECT_EQ(it.use_new_connection, expected.use_new_connection);
