Entry: Let admission_control order and refuse waiting requests

Where servers state their pace, requests wait in the order of what is lost, leave the last slots to more urgent ones, are refused at once by the estimate of when they begin, and carry an urgency. Only the first of those that wait for the same is woken, instead of all. Elsewhere requests wait as before. request_waits has the position; two metrics are broken down by priority.

--- a/libraries/entry/entry_metrics.cpp
+++ b/libraries/entry/entry_metrics.cpp
@@ -4,6 +4,7 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace cicadahub::entry
@@ -38,6 +39,13 @@
     return std::chrono::duration<double>(it).count();
 }
 
+/// Bounds the number of labels: all less urgent classes count as the last.
+std::string class_of(std::int64_t priority)
+{
+    constexpr std::int64_t last_class = 9;
+    return std::to_string(std::clamp<std::int64_t>(priority, 0, last_class));
+}
+
 std::string kind_of(bool is_taken_up)
 {
     return is_taken_up ? "taken-up" : "new";
@@ -54,6 +62,13 @@
                           "Sends to backend servers, by how they ended.")),
       m_streams(counters(m_registry, "cicadahub_entry_streams_total",
                          "Streams asked for and begun, new and taken up.")),
+      m_classes(counters(m_registry, "cicadahub_entry_class_requests_total",
+                         "Requests by priority and result: within their "
+                         "target, late or refused.")),
+      m_class_waits(prometheus::BuildHistogram()
+                        .Name("cicadahub_entry_class_wait_seconds")
+                        .Help("Wait for a place, by priority.")
+                        .Register(m_registry)),
       m_orders(counters(m_registry, "cicadahub_entry_orders_total",
                         "Orders to backend servers, by their answer.")),
       m_unreadable_servers(
@@ -106,6 +121,21 @@
         in_seconds(milliseconds(std::abs((waited - estimate).count()))));
 }
 
+void entry_metrics::count_class(std::int64_t priority, std::string_view result)
+{
+    m_classes
+        .Add(
+            {{"priority", class_of(priority)}, {"result", std::string(result)}})
+        .Increment();
+}
+
+void entry_metrics::observe_class_wait(std::int64_t priority,
+                                       milliseconds waited)
+{
+    m_class_waits.Add({{"priority", class_of(priority)}}, time_buckets)
+        .Observe(in_seconds(waited));
+}
+
 void entry_metrics::observe_first_event(milliseconds after)
 {
     m_first_event.Observe(in_seconds(after));
--- a/libraries/entry/entry_metrics.hpp
+++ b/libraries/entry/entry_metrics.hpp
@@ -24,6 +24,10 @@
     /// Records the wait of a request that was assigned a server, and its
     /// difference from `estimate`, which was made when the wait began.
     void observe_wait(milliseconds waited, milliseconds estimate);
+    /// Counts how a request of a class ended: within its target, late or
+    /// refused, by the priority of its class.
+    void count_class(std::int64_t priority, std::string_view result);
+    void observe_class_wait(std::int64_t priority, milliseconds waited);
     void observe_first_event(milliseconds after);
     /// Streams that callers begin, or take up again: those asked for, and those
     /// that went on to an event.
@@ -45,6 +49,8 @@
     prometheus::Family<prometheus::Counter>& m_refusals;
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_streams;
+    prometheus::Family<prometheus::Counter>& m_classes;
+    prometheus::Family<prometheus::Histogram>& m_class_waits;
     prometheus::Family<prometheus::Counter>& m_orders;
     prometheus::Counter& m_unreadable_servers;
     prometheus::Histogram& m_request_time;
--- a/libraries/entry/requests/active_request.cpp
+++ b/libraries/entry/requests/active_request.cpp
@@ -25,6 +25,7 @@
     : m_state(state), m_servers(servers), m_message(message),
       m_request(std::move(request)), m_reply(reply),
       m_configuration(state.configuration), m_arrived(monotonic_clock::now()),
+      m_first_arrived(m_arrived),
       m_observer(state, m_request, [this] { on_first_event(); }),
       m_exchange(state.pool, servers, m_observer.handlers()),
       m_waiter(state.waiting.make_waiter())
@@ -41,6 +42,20 @@
     const refusal it =
         without_untrue_promise({reason, m_runs == 0, retry_after});
     m_state.metrics.count_refusal(it.kind);
+    if (m_service != nullptr)
+    {
+        m_state.metrics.count_class(priority(), "refused");
+    }
+    const bool is_for_want_of_room =
+        it.kind == refusal_kind::no_capacity ||
+        it.kind == refusal_kind::target_unreachable;
+    if (m_waiter->control != nullptr && it.is_not_run && is_for_want_of_room &&
+        retry_after.count() > 0)
+    {
+        m_state.admission[m_service->name].refused().on_refused(
+            m_fingerprint.value(), m_first_arrived, retry_after,
+            monotonic_clock::now());
+    }
     log_event(
         severity::warning, event_number::request_refused,
         {{"request", m_request.id.value()},
@@ -156,6 +171,10 @@
         added.organisation = m_organisation->name;
     }
     added.after_event = m_progress.last_event;
+    if (m_waiter->control != nullptr)
+    {
+        added.urgency = m_waiter->control->urgency_of(m_waiter->request, now);
+    }
     exchange_path path{record->entry.address,
                        m_attempted_addresses.contains(record->entry.address),
                        std::nullopt};
@@ -183,6 +202,7 @@
         result = co_await m_exchange.run(std::move(path), m_message, added,
                                          m_request.id, m_reply, m_progress,
                                          m_deadline);
+        observe_start(*record, result, now);
     }
     m_observer.log(result, now);
     co_return result;
@@ -376,6 +396,19 @@
                                     unsigned status) const
 {
     m_state.metrics.count_request(outcome, time_since(m_arrived));
+    constexpr unsigned least_error = 400;
+    if (outcome != "caller-gone" && status < least_error)
+    {
+        const auto took =
+            m_progress.first_event_at
+                ? std::chrono::duration_cast<milliseconds>(
+                      *m_progress.first_event_at - m_first_arrived)
+                : time_since(m_first_arrived);
+        const milliseconds target = m_route->target_latency;
+        m_state.metrics.count_class(
+            priority(),
+            target.count() > 0 && took > target ? "late" : "in-target");
+    }
     if (m_progress.first_event_at)
     {
         m_state.metrics.observe_first_event(
--- a/libraries/entry/requests/active_request.hpp
+++ b/libraries/entry/requests/active_request.hpp
@@ -115,6 +115,21 @@
     bool can_book(const server_record& server, milliseconds wait) const;
     [[noreturn]] void refuse(refusal_kind reason, milliseconds retry_after);
     void refuse_if_unservable(time_point now, const server_pick& pick);
+    /// For services with an `admission_control`: refuses the request if it
+    /// can't begin in time behind those that go ahead of it. Returns the time
+    /// after which it is expected to begin.
+    milliseconds refuse_if_queue_too_long(time_point now,
+                                          const server_pick& pick,
+                                          bool has_waited);
+    /// Brings up to date what the queue knows of the request.
+    void update_waiter(time_point now);
+    admission::queue_view view_queue(time_point now, const server_pick& pick);
+    /// Whether a request that goes ahead of this one waits for the server.
+    bool is_any_ahead(const server_record& server) const;
+    /// For an attempt that has ended.
+    void observe_start(const server_record& server,
+                       const exchange_result& result, time_point sent_at);
+    std::int64_t priority() const;
     milliseconds estimated_wait(time_point now) const;
     milliseconds time_left(time_point now) const;
     /// `status` is that of a forwarded response; 0 if there is none.
@@ -135,6 +150,10 @@
     routing::prompt_affinity m_affinity;
     suspicion::fingerprint m_fingerprint;
     time_point m_arrived{};
+    /// That of the first attempt of the caller that this host knows of.
+    time_point m_first_arrived{};
+    bool m_is_returned = false;
+    bool m_is_in_demand = false;
     time_point m_deadline{};
     /// The caller gives up if it has received nothing more by then.
     time_point m_first_byte_deadline{};
--- a/libraries/entry/requests/request_routing.cpp
+++ b/libraries/entry/requests/request_routing.cpp
@@ -47,6 +47,9 @@
     std::vector<server_table::record_pointer> records;
     std::vector<routing::choice_candidate> candidates;
     server_pick result;
+    const bool leaves_last_slots =
+        m_waiter->control != nullptr &&
+        m_waiter->control->leaves_last_slots(m_waiter->request, now);
     bool is_any_unpaused = false;
     bool is_any_unlimited = false;
     for (const auto& [id, record] : m_state.servers.records())
@@ -104,9 +107,12 @@
         }
         const std::uint32_t slots =
             m_service->engine ? m_service->engine->slots : entry.slots;
+        const std::uint32_t kept =
+            leaves_last_slots ? admission::admission_control::last_slots(slots)
+                              : 0;
         candidates.push_back(
             {&record->entry.id, record->running + record->running_elsewhere,
-             slots, entry.data_centre == m_state.settings.data_centre,
+             slots - kept, entry.data_centre == m_state.settings.data_centre,
              record->health.is_trusted(now)});
         records.push_back(record);
     }
@@ -246,23 +252,195 @@
     }
 }
 
+std::int64_t active_request::priority() const
+{
+    return m_organisation != nullptr && m_organisation->priority
+               ? *m_organisation->priority
+               : m_route->priority;
+}
+
+void active_request::update_waiter(time_point now)
+{
+    m_waiter->copy = m_copy;
+    if (m_origin)
+    {
+        m_waiter->version = m_origin->version;
+    }
+    m_waiter->priority = priority();
+    m_waiter->arrived = m_arrived;
+    m_waiter->deadline = m_first_byte_deadline;
+    admission::admission_control* control =
+        m_state.admission_of(m_service->name);
+    m_waiter->control = control;
+    if (control == nullptr)
+    {
+        return;
+    }
+    if (!std::exchange(m_is_in_demand, true))
+    {
+        const auto returned =
+            control->refused().take_returned(m_fingerprint.value(), now);
+        m_first_arrived = returned.value_or(m_arrived);
+        m_is_returned = returned.has_value();
+        control->on_arrival({priority()}, now);
+    }
+    const milliseconds target = m_route->target_latency;
+    m_waiter->service = m_service->name;
+    m_waiter->request = {
+        m_waiter->priority,
+        m_request.tokens
+            ? m_request.tokens->prompt + m_request.tokens->output_limit
+            : 0,
+        m_first_arrived,
+        m_arrived,
+        target.count() > 0 ? m_first_arrived + target : m_first_byte_deadline,
+        m_first_byte_deadline,
+        m_is_returned,
+        m_progress.first_event_at.has_value()};
+}
+
+bool active_request::is_any_ahead(const server_record& server) const
+{
+    const auto competes = [&](const waiter& it)
+    {
+        return it.service == server.entry.service &&
+               (!it.copy || server.holds(*it.copy)) &&
+               (!it.version || *it.version == server.entry.version);
+    };
+    return m_waiter->control != nullptr && m_state.waiting.size() > 0 &&
+           m_state.waiting.count_ahead(*m_waiter, competes) > 0;
+}
+
+admission::queue_view active_request::view_queue(time_point now,
+                                                 const server_pick& pick)
+{
+    std::vector<admission::running_work> work;
+    std::vector<const server_record*> records;
+    for (const auto& [id, record] : m_state.servers.records())
+    {
+        const auto& entry = record->entry;
+        if (entry.service == m_service->name && !entry.is_leaving &&
+            has_origin(entry) && (!m_copy || record->holds(*m_copy)))
+        {
+            work.push_back({&id, record->running, record->running_elsewhere});
+            records.push_back(record.get());
+        }
+    }
+    // Other requests wait for the same models most of the time.
+    std::map<replicas::copy_name, bool> is_held;
+    const auto competes = [&](const waiter& it)
+    {
+        if (it.service != m_service->name)
+        {
+            return false;
+        }
+        if (!it.copy || it.copy == m_copy)
+        {
+            return true;
+        }
+        const auto [known, is_new] = is_held.try_emplace(*it.copy, false);
+        if (is_new)
+        {
+            known->second = std::any_of(records.begin(), records.end(),
+                                        [&](const server_record* record)
+                                        { return record->holds(*it.copy); });
+        }
+        return known->second;
+    };
+    admission::queue_view view;
+    view.ahead = m_state.waiting.count_ahead(*m_waiter, competes);
+    if (m_waiter->control == nullptr)
+    {
+        return view;
+    }
+    view.starts_per_second =
+        m_state.admission[m_service->name].starts().starts_per_second(
+            work, m_state.fleet.host_count(now), now);
+    view.not_before = std::max(pick.pause_left.value_or(milliseconds(0)),
+                               pick.limit_left.value_or(milliseconds(0)));
+    if (m_copy && !pick.has_eligible_server)
+    {
+        view.not_before = std::max(view.not_before, estimated_wait(now));
+    }
+    return view;
+}
+
+milliseconds active_request::refuse_if_queue_too_long(time_point now,
+                                                      const server_pick& pick,
+                                                      bool has_waited)
+{
+    const work_meter::scope metered(m_state.work, duty::server_choice);
+    admission::admission_control& control = m_state.admission[m_service->name];
+    const admission::queue_view view = view_queue(now, pick);
+    // One that comes again from a server was let in already.
+    const auto decision =
+        has_waited || m_sends > 0 ? control.decide_while_waiting(m_waiter->request, view,
+                                                  min_processing_time, now)
+                   : control.decide_on_arrival(m_waiter->request, view,
+                                               min_processing_time, now);
+    if (!decision.may_wait)
+    {
+        refuse(refusal_kind::no_capacity, decision.retry_after);
+    }
+    return decision.begins_after;
+}
+
+void active_request::observe_start(const server_record& server,
+                                   const exchange_result& result,
+                                   time_point sent_at)
+{
+    admission::admission_control* control =
+        m_state.admission_of(m_service->name);
+    if (control == nullptr || (result.end != exchange_end::streamed &&
+                               result.end != exchange_end::answered))
+    {
+        return;
+    }
+    std::optional<milliseconds> first_event_after;
+    if (result.answer_began)
+    {
+        first_event_after = std::chrono::duration_cast<milliseconds>(
+            *result.answer_began - sent_at);
+    }
+    control->starts().on_ended(server.entry.id, time_since(sent_at),
+                               first_event_after, monotonic_clock::now());
+}
+
 net::awaitable<server_table::record_pointer> active_request::wait_for_server()
 {
     bool has_waited = false;
+    bool has_let_others_pass = false;
     const time_point began = monotonic_clock::now();
     milliseconds estimate{0};
     while (!m_is_caller_gone)
     {
+        update_waiter(monotonic_clock::now());
         const server_pick choice = pick_server();
+        if (choice.record && !has_let_others_pass &&
+            is_any_ahead(*choice.record))
+        {
+            // Once only: those that go ahead may not be able to use the slot.
+            has_let_others_pass = true;
+            co_await m_state.waiting.let_others_pass(m_waiter);
+            continue;
+        }
         if (choice.record)
         {
             m_books_place = choice.books_place;
             if (has_waited)
             {
                 m_state.metrics.observe_wait(time_since(began), estimate);
+                m_state.metrics.observe_class_wait(priority(),
+                                                   time_since(began));
+            }
+            if (m_waiter->control != nullptr)
+            {
+                // There may be more slots for those that come next.
+                m_state.waiting.wake_first();
             }
             co_return choice.record;
         }
+        has_let_others_pass = false;
         const time_point now = monotonic_clock::now();
         if (choice.pause_left)
         {
@@ -285,10 +463,16 @@
             refuse(refusal_kind::no_capacity, retry_after_full);
         }
         refuse_if_unservable(now, choice);
+        milliseconds begins_after{0};
+        if (m_waiter->control != nullptr)
+        {
+            begins_after = refuse_if_queue_too_long(now, choice, has_waited);
+        }
         if (!has_waited)
         {
             has_waited = true;
-            estimate = estimated_wait(now);
+            estimate = m_waiter->control == nullptr ? estimated_wait(now)
+                                                    : begins_after;
             log_event(
                 severity::info, event_number::request_waits,
                 {{"request", m_request.id.value()},
@@ -297,6 +481,7 @@
                                  ? m_copy->adapter->value()
                                  : std::string()},
                  {"is_any_there", choice.has_eligible_server},
+                 {"position", view_queue(now, choice).ahead},
                  {"estimate_ms", estimate.count()},
                  {"left_ms", time_left(now).count()}});
         }
@@ -310,17 +495,6 @@
         {
             recheck = std::min(recheck, *choice.full_for);
         }
-        m_waiter->copy = m_copy;
-        if (m_origin)
-        {
-            m_waiter->version = m_origin->version;
-        }
-        m_waiter->priority =
-            m_organisation != nullptr && m_organisation->priority
-                ? *m_organisation->priority
-                : m_route->priority;
-        m_waiter->arrived = m_arrived;
-        m_waiter->deadline = m_first_byte_deadline;
         m_excluded_servers.clear();
         co_await m_state.waiting.wait(m_waiter, recheck);
     }
