--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -201,6 +201,10 @@
         {
             m_brittle_limit = reader.integer("brittle");
         }
+        if (json.contains("pace"))
+        {
+            m_pace_percent = reader.integer("pace");
+        }
         if (json.contains("room"))
         {
             m_room = reader.integer("room");
@@ -286,6 +290,12 @@
     {
         it.set("Server-Brittle", std::to_string(*m_brittle_limit));
     }
+    if (m_pace_percent)
+    {
+        it.set("Server-Load", std::to_string(m_running) + ",0," +
+                                  std::to_string(m_settings.slots) + "," +
+                                  std::to_string(*m_pace_percent));
+    }
 }
 
 http::response worker_standin::error_for_resumed(std::string_view request) const
@@ -417,6 +427,7 @@
                         {"organisations", organisations},
                         {"arrivals_in_pause", m_arrivals_in_pause},
                         {"falls", m_falls},
+                        {"with_urgency", m_with_urgency},
                         {"most_limited_arrivals", m_most_limited_arrivals},
                         {"keys_seen", m_keys_seen},
                         {"endless_bytes", m_endless_bytes},
@@ -562,6 +573,7 @@
     ++m_runs[std::string(message["Request-Id"])];
     m_keys_seen += message.count(http::field::authorization) > 0 ? 1 : 0;
     m_organisations.insert(std::string(message["Tenant"]));
+    m_with_urgency += message.count("Request-Urgency") > 0 ? 1 : 0;
     ++m_running;
     if (m_crashes_after_run)
     {
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -61,8 +61,9 @@
 /// empty for none), `resumed_status` (status of the error that answers requests
 /// to resume a stream; 0 for none), `limit` (requests a second, as text, that
 /// responses say the server takes from all hosts together; empty for none),
-/// `brittle` (limit that responses announce) and `room` (requests that it runs
-/// at the same time, if fewer than its slots; from then on, after more
+/// `brittle` (limit that responses announce), `pace` (how long work takes, in
+/// percent of what is usual, as responses state it) and `room` (requests that
+/// it runs at the same time, if fewer than its slots; from then on, after more
 /// rejections for want of room in a second than the limit, the server fails,
 /// which is counted as `falls`, and for a second closes all connections). `GET
 /// /stats` returns counters and `GET /runs` how often each request was
@@ -154,6 +155,8 @@
     std::int64_t m_most_limited_arrivals = 0;
     std::optional<std::int64_t> m_brittle_limit;
     std::optional<std::int64_t> m_room;
+    std::optional<std::int64_t> m_pace_percent;
+    std::int64_t m_with_urgency = 0;
     std::deque<time_point> m_rejections;
     std::int64_t m_falls = 0;
     time_point m_down_until{};
