--- a/libraries/entry/dialects.hpp
+++ b/libraries/entry/dialects.hpp
@@ -31,6 +31,8 @@
     /// Id of the last event that the caller has received; set to resume a
     /// stream.
     std::optional<std::string> after_event;
+    /// 0 to 9, 0 first; the server's default if empty.
+    std::optional<int> urgency{};
 };
 
 struct server_load
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -346,6 +346,12 @@
     }
 }
 
+admission::admission_control*
+entry_state::admission_of(const service_id& service)
+{
+    return states_pace(service) ? &admission[service] : nullptr;
+}
+
 void entry_state::on_limit_notice(const fleet::wire::LimitedServer& it,
                                   const peer& from)
 {
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/admission/admission_control.hpp"
 #include "decision/routing/allowed_regions.hpp"
 #include "decision/routing/evacuation_set.hpp"
 #include "decision/routing/server_choice.hpp"
@@ -54,6 +55,7 @@
     std::map<service_id, sharing::brittle_service> brittle_services;
     /// Services whose servers have stated their pace.
     std::map<service_id, routing::service_pace> paces;
+    std::map<service_id, admission::admission_control> admission;
     const time_point started_at = monotonic_clock::now();
     /// Higher after each start of this daemon.
     const std::int64_t incarnation;
@@ -123,6 +125,9 @@
     /// Takes in what an answer of a server says of its load, of how brittle it
     /// is and of the rate that it takes.
     void on_server_notice(server_record& server, const server_notice& it);
+    /// What orders the service's requests and decides whether they wait; null
+    /// if its servers do not state their pace.
+    admission::admission_control* admission_of(const service_id& service);
     /// Takes in what another host heard of the rate that a server takes, and
     /// whether it lends its part of that to this host.
     void on_limit_notice(const fleet::wire::LimitedServer& it,
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -201,6 +201,10 @@
         {
             m_brittle_limit = reader.integer("brittle");
         }
+        if (json.contains("pace"))
+        {
+            m_pace_percent = reader.integer("pace");
+        }
         if (json.contains("room"))
         {
             m_room = reader.integer("room");
@@ -287,6 +291,12 @@
     {
         it.set("Server-Brittle", std::to_string(*m_brittle_limit));
     }
+    if (m_pace_percent)
+    {
+        it.set("Server-Load", std::to_string(m_running) + ",0," +
+                                  std::to_string(m_settings.slots) + "," +
+                                  std::to_string(*m_pace_percent));
+    }
 }
 
 http::response worker_standin::error_for_resumed(std::string_view request) const
@@ -430,6 +440,7 @@
                         {"organisations", organisations},
                         {"arrivals_in_pause", m_arrivals_in_pause},
                         {"falls", m_falls},
+                        {"with_urgency", m_with_urgency},
                         {"most_limited_arrivals", m_most_limited_arrivals},
                         {"arrivals", m_arrivals},
                         {"most_arrivals_in_second", m_most_arrivals_in_second},
@@ -577,6 +588,7 @@
     ++m_runs[std::string(message["Request-Id"])];
     m_keys_seen += message.count(http::field::authorization) > 0 ? 1 : 0;
     m_organisations.insert(std::string(message["Tenant"]));
+    m_with_urgency += message.count("Request-Urgency") > 0 ? 1 : 0;
     ++m_running;
     if (m_crashes_after_run)
     {
