Admission: Refuse only what is late even if slots become free faster

At two hosts and a server of 8 slots, one of 24 requests was refused by the mean estimate: the host had two requests running and knew late of the others. A request is now refused only if it would be late even if slots became free faster by a standard deviation of their number, and servers without a free slot count as full whatever late reports say.

--- a/libraries/decision/admission/admission_control.cpp
+++ b/libraries/decision/admission/admission_control.cpp
@@ -18,13 +18,35 @@
 constexpr int waiting_margin = 2;
 /// Retry-After without an estimate, or for a queue that is only just too long.
 constexpr milliseconds least_retry_after{250};
-constexpr std::int64_t longest_estimate_ms = 3'600'000;
+constexpr double longest_estimate_ms = 3'600'000;
 
 milliseconds time_until(time_point moment, time_point now)
 {
     return std::chrono::floor<milliseconds>(moment - now);
 }
 
+/// Time until so many requests have begun.
+milliseconds time_of(double starts, double starts_per_second)
+{
+    return milliseconds(std::llround(
+        std::min(starts * milliseconds_per_second / starts_per_second,
+                 longest_estimate_ms)));
+}
+
+/// Starts until a request behind `ahead` others has begun.
+double starts_until(std::size_t ahead)
+{
+    return static_cast<double>(ahead) + 1;
+}
+
+/// The same if slots become free faster than expected by a standard deviation
+/// of their number.
+double least_starts_until(std::size_t ahead)
+{
+    const double mean = starts_until(ahead);
+    return mean - std::sqrt(mean);
+}
+
 } // namespace
 
 void admission_control::on_arrival(const pending_request& it, time_point now)
@@ -108,28 +130,20 @@
 
 milliseconds admission_control::begins_after(const pending_request& it,
                                              const queue_view& queue,
-                                             double starts,
-                                             time_point now) const
+                                             double starts_before,
+                                             double starts_left, time_point now)
 {
-    if (starts <= 0)
+    if (starts_left <= 0)
     {
         return queue.not_before;
     }
-    const double wait_ms =
-        static_cast<double>(queue.ahead + 1) * milliseconds_per_second / starts;
-    auto wait = milliseconds(std::llround(
-        std::min(wait_ms, static_cast<double>(longest_estimate_ms))));
+    milliseconds wait = time_of(starts_before, starts_left);
     if (!keeps_place(it, now))
     {
         // From its half time on only those that are ahead now still are.
-        const double ahead_ms = static_cast<double>(queue.ahead + 1) *
-                                milliseconds_per_second /
-                                queue.starts_per_second;
-        const milliseconds latest =
-            std::max(time_until(due_at(it), now),
-                     milliseconds(std::llround(std::min(
-                         ahead_ms, static_cast<double>(longest_estimate_ms)))));
-        wait = std::min(wait, latest);
+        wait = std::min(
+            wait, std::max(time_until(due_at(it), now),
+                           time_of(starts_before, queue.starts_per_second)));
     }
     return std::max(queue.not_before, wait);
 }
@@ -153,31 +167,34 @@
     const pending_request& it, const queue_view& queue,
     milliseconds min_processing_time, time_point now)
 {
-    admission_decision result;
     const double starts = starts_left_for(it, queue.starts_per_second, now);
-    result.begins_after = begins_after(it, queue, starts, now);
     const milliseconds left =
         time_until(it.deadline, now) - min_processing_time;
-    const auto waits_for_others =
-        starts <= 0 ? milliseconds(0)
-                    : milliseconds(std::llround(
-                          std::min(static_cast<double>(queue.ahead + 1) *
-                                       milliseconds_per_second / starts,
-                                   static_cast<double>(longest_estimate_ms))));
-    // What begins by its half time would take slots from more urgent requests
-    // then, and more of it than the capacity would keep them from their target.
+    // A request that would begin only by keeping its place would then take a
+    // slot from more urgent ones.
     const milliseconds allowed =
         has_more_urgent(it, now) && !keeps_place(it, now)
             ? std::min(left, time_until(due_at(it), now))
             : left;
-    const milliseconds excess =
-        std::max(result.begins_after - left, waits_for_others - allowed);
-    result.may_wait = it.is_returned || it.is_continued
-                          ? left.count() >= 0 && queue.not_before <= left
-                          : excess.count() <= 0;
+    const auto excess = [&](double starts_before)
+    {
+        const milliseconds turn =
+            starts <= 0 ? milliseconds(0) : time_of(starts_before, starts);
+        return std::max(begins_after(it, queue, starts_before, starts, now) -
+                            left,
+                        turn - allowed);
+    };
+    admission_decision result;
+    result.begins_after =
+        begins_after(it, queue, starts_until(queue.ahead), starts, now);
+    result.may_wait =
+        it.is_returned || it.is_continued
+            ? left.count() >= 0 && queue.not_before <= left
+            : excess(least_starts_until(queue.ahead)).count() <= 0;
     if (!result.may_wait)
     {
-        result.retry_after = next_return(excess, starts, now);
+        result.retry_after =
+            next_return(excess(starts_until(queue.ahead)), starts, now);
     }
     return result;
 }
@@ -188,7 +205,8 @@
 {
     admission_decision result;
     const double starts = starts_left_for(it, queue.starts_per_second, now);
-    result.begins_after = begins_after(it, queue, starts, now);
+    result.begins_after =
+        begins_after(it, queue, starts_until(queue.ahead), starts, now);
     const milliseconds left =
         time_until(it.deadline, now) - min_processing_time;
     result.may_wait = left.count() >= 0 && queue.not_before <= left &&
--- a/libraries/decision/admission/admission_control.hpp
+++ b/libraries/decision/admission/admission_control.hpp
@@ -49,7 +49,9 @@
     /// Slots that are left to them, of a server with this many.
     static std::uint32_t last_slots(std::uint32_t slots);
 
-    /// Decides about a request that finds no free slot. `min_processing_time`
+    /// Decides about a request that finds no free slot: it is refused if it
+    /// would be late even if slots became free somewhat faster than expected.
+    /// `min_processing_time`
     /// is what it needs before its deadline once it has begun.
     admission_decision decide_on_arrival(const pending_request& it,
                                          const queue_view& queue,
@@ -77,9 +79,11 @@
     /// Starts a second that more urgent arrivals leave for the request.
     double starts_left_for(const pending_request& it, double starts_per_second,
                            time_point now);
-    milliseconds begins_after(const pending_request& it,
-                              const queue_view& queue, double starts,
-                              time_point now) const;
+    /// Time until the request begins after so many starts.
+    static milliseconds begins_after(const pending_request& it,
+                                     const queue_view& queue,
+                                     double starts_before, double starts_left,
+                                     time_point now);
     /// Time after which a request that is refused now may return: when the
     /// queue has become short enough, behind those refused before it.
     milliseconds next_return(milliseconds excess, double starts,
--- a/libraries/entry/requests/request_routing.cpp
+++ b/libraries/entry/requests/request_routing.cpp
@@ -322,7 +322,14 @@
         if (entry.service == m_service->name && !entry.is_leaving &&
             has_origin(entry) && (!m_copy || record->holds(*m_copy)))
         {
-            work.push_back({&id, record->running, record->running_elsewhere});
+            // What other hosts run there is reported late. None of the servers
+            // has a free slot now.
+            const std::uint32_t slots =
+                m_service->engine ? m_service->engine->slots : entry.slots;
+            work.push_back(
+                {&id, record->running,
+                 std::max(record->running_elsewhere,
+                          slots - std::min(slots, record->running))});
             records.push_back(record.get());
         }
     }
@@ -374,10 +381,11 @@
     const admission::queue_view view = view_queue(now, pick);
     // One that comes again from a server was let in already.
     const auto decision =
-        has_waited || m_sends > 0 ? control.decide_while_waiting(m_waiter->request, view,
-                                                  min_processing_time, now)
-                   : control.decide_on_arrival(m_waiter->request, view,
-                                               min_processing_time, now);
+        has_waited || m_sends > 0
+            ? control.decide_while_waiting(m_waiter->request, view,
+                                           min_processing_time, now)
+            : control.decide_on_arrival(m_waiter->request, view,
+                                        min_processing_time, now);
     if (!decision.may_wait)
     {
         refuse(refusal_kind::no_capacity, decision.retry_after);
