--- a/libraries/entry/requests/request_routing.cpp
+++ b/libraries/entry/requests/request_routing.cpp
@@ -421,7 +421,14 @@
         if (entry.service == m_service->name && !entry.is_leaving &&
             has_origin(entry) && (!m_copy || record->holds(*m_copy)))
         {
-            work.push_back({&id, record->running, record->running_elsewhere});
+            // What other hosts run there is reported late. None of the servers
+            // has a free slot now.
+            const std::uint32_t slots =
+                m_service->engine ? m_service->engine->slots : entry.slots;
+            work.push_back(
+                {&id, record->running,
+                 std::max(record->running_elsewhere,
+                          slots - std::min(slots, record->running))});
             records.push_back(record.get());
         }
     }
