--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <set>
 #include <spawn.h>
@@ -137,6 +138,14 @@
     throw std::runtime_error("the process has no peak memory");
 }
 
+std::size_t process::open_descriptors() const
+{
+    const std::filesystem::directory_iterator all(
+        "/proc/" + std::to_string(m_pid) + "/fd");
+    return static_cast<std::size_t>(
+        std::distance(std::filesystem::begin(all), std::filesystem::end(all)));
+}
+
 std::string loopback_host(unsigned n)
 {
     const auto pid = static_cast<unsigned>(::getpid());
--- a/tests/system/process.hpp
+++ b/tests/system/process.hpp
@@ -36,6 +36,8 @@
     /// Most bytes of memory that were resident at once since the start.
     std::size_t peak_memory_bytes() const;
 
+    std::size_t open_descriptors() const;
+
 private:
     void end(int raw);
 
