HTTP: Send no body in answers to HEAD requests

A refusal of a HEAD request had the body of a problem document, which stood where the caller expected the next answer (RFC 9110, section 9.3.2). The writer of answers now knows the method and sends heads only, on all listeners, for refusals, answers and streams alike.

--- a/libraries/http/reply_writer.cpp
+++ b/libraries/http/reply_writer.cpp
@@ -23,15 +23,14 @@
 /// Time to write what is sent at or after the deadline.
 constexpr milliseconds late_write_timeout{250};
 
-/// A read finds a close only behind all unread bytes, but poll at once.
+} // namespace
+
 bool is_closed_by_peer(net::ip::tcp::socket& it)
 {
     pollfd found{it.native_handle(), POLLRDHUP, 0};
     return poll(&found, 1, 0) > 0 && found.revents != 0;
 }
 
-} // namespace
-
 /// Looks for a close until it has no handler.
 class reply_writer::caller_watch
     : public std::enable_shared_from_this<caller_watch>
@@ -110,6 +109,10 @@
     it.keep_alive(m_is_keep_alive);
     limit_write_time();
     const std::string head = serialize_head(it);
+    if (m_is_head)
+    {
+        it.body().clear();
+    }
     co_await net::async_write(m_stream, wire_buffers(head, it.body()),
                               net::use_awaitable);
 }
@@ -160,6 +163,10 @@
 
 net::awaitable<void> reply_writer::write_chunk(std::string_view data)
 {
+    if (m_is_head)
+    {
+        co_return;
+    }
     limit_write_time();
     if (m_stream_framing == body_framing::until_close)
     {
@@ -174,7 +181,7 @@
 
 net::awaitable<void> reply_writer::end_stream()
 {
-    if (m_stream_framing == body_framing::until_close)
+    if (m_is_head || m_stream_framing == body_framing::until_close)
     {
         co_return;
     }
--- a/libraries/http/reply_writer.hpp
+++ b/libraries/http/reply_writer.hpp
@@ -9,6 +9,10 @@
 namespace cicadahub::http
 {
 
+/// True if the peer has closed or reset the connection. A read finds that only
+/// behind all unread bytes.
+bool is_closed_by_peer(net::ip::tcp::socket& it);
+
 /// Writes the response to one request, either complete or as a stream. Streams
 /// are chunked or, for callers that do not know chunks, end with the
 /// connection.
@@ -21,6 +25,10 @@
     reply_writer(const reply_writer&) = delete;
     reply_writer& operator=(const reply_writer&) = delete;
 
+    /// The request has the method HEAD: only heads of responses are sent (RFC
+    /// 9110, section 9.3.2). A body would be read as the next response.
+    void set_is_head(bool it) { m_is_head = it; }
+
     /// Sends a complete response, head and body.
     net::awaitable<void> send(response it);
 
@@ -74,6 +82,7 @@
 
     boost::beast::tcp_stream& m_stream;
     bool m_is_keep_alive;
+    bool m_is_head = false;
     milliseconds m_write_timeout;
     std::optional<time_point> m_deadline;
     bool m_has_started = false;
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -141,8 +141,9 @@
     net::awaitable<bool> serve_next(boost::beast::tcp_stream& stream,
                                     boost::beast::flat_buffer& buf,
                                     read_deadline& deadline, Handler& handler);
+    /// `is_head`: the request has the method HEAD.
     net::awaitable<void> refuse_and_discard(boost::beast::tcp_stream& stream,
-                                            refusal it);
+                                            refusal it, bool is_head);
 
     server_limits m_limits;
     std::vector<lane> m_lanes;
@@ -296,7 +297,10 @@
             log_event(
                 severity::warning, event_number::request_not_read,
                 {{"reason", name_of(reason->kind)}, {"error", ec.message()}});
-            co_await refuse_and_discard(stream, *reason);
+            co_await refuse_and_discard(stream, *reason,
+                                        parser.is_header_done() &&
+                                            parser.get().method() ==
+                                                verb::head);
         }
         co_return false;
     }
@@ -304,11 +308,13 @@
     if (has_ambiguous_length(message))
     {
         co_await refuse_and_discard(stream,
-                                    refusal{refusal_kind::malformed_request});
+                                    refusal{refusal_kind::malformed_request},
+                                    message.method() == verb::head);
         co_return false;
     }
     const bool keep_alive = message.keep_alive() && !m_is_draining;
     reply_writer reply(stream, keep_alive, m_limits.write_timeout);
+    reply.set_is_head(message.method() == verb::head);
     if (message.version() < first_version_with_chunks)
     {
         reply.set_stream_framing(body_framing::until_close);
@@ -341,9 +347,10 @@
 template<request_handler Handler>
 net::awaitable<void>
 server<Handler>::refuse_and_discard(boost::beast::tcp_stream& stream,
-                                    refusal it)
+                                    refusal it, bool is_head)
 {
     reply_writer reply(stream, false, m_limits.write_timeout);
+    reply.set_is_head(is_head);
     co_await reply.send(it);
     boost::system::error_code ec;
     // Closing a socket with unread input sends a reset, which can discard the
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -134,5 +134,54 @@
     EXPECT_GT(caller.available(), 0U);
 }
 
+struct refusing_handler
+{
+    net::awaitable<void> serve(request&, reply_writer&)
+    {
+        throw refused_error({refusal_kind::no_capacity, true, seconds(1)});
+    }
+};
+
+/// Sends the bytes; returns what the server has sent once `is_end` holds for
+/// it, or after a time limit.
+template<class Handler>
+std::string exchange_bytes(const std::string& bytes,
+                           const std::function<bool(std::string_view)>& is_end)
+{
+    net::io_context context(1);
+    Handler handler;
+    server<Handler> subject({net::ip::address_v4::loopback(), 0},
+                            server_limits{}, {{context, handler}});
+    subject.start();
+    net::io_context callers;
+    net::ip::tcp::socket caller(callers);
+    caller.connect(subject.local_endpoint());
+    net::write(caller, net::buffer(bytes));
+    std::string text;
+    const time_point limit = monotonic_clock::now() + seconds(20);
+    while (!is_end(text) && monotonic_clock::now() < limit)
+    {
+        context.run_for(milliseconds(5));
+        std::array<char, 4096> buf{};
+        const std::size_t n = std::min(caller.available(), buf.size());
+        text.append(buf.data(), caller.read_some(net::buffer(buf.data(), n)));
+    }
+    return text;
+}
+
+// Guards against a refusal of a HEAD request whose body stands where the caller
+// expects the next response.
+TEST(server, refuses_head_requests_without_a_body)
+{
+    const std::string text = exchange_bytes<refusing_handler>(
+        "HEAD /a HTTP/1.1\r\nHost: a\r\n\r\n"
+        "HEAD /b HTTP/1.1\r\nHost: a\r\n\r\n",
+        [](std::string_view it) {
+            return it.find("HTTP/1.1", 1) != it.npos && it.ends_with("\n\r\n");
+        });
+    EXPECT_NE(text.find("\r\n\r\nHTTP/1.1 503"), std::string::npos) << text;
+    EXPECT_TRUE(text.ends_with("\r\n\r\n")) << text;
+}
+
 } // namespace
 } // namespace cicadahub::http
