Servers: Read the pace that servers state

Some deployments add a fourth figure to the load that each response carries: how long work takes on the machine, in percent of the usual duration. It was ignored. server_notice now holds the load with an optional pace; a malformed or zero pace counts as none, and leaves the other figures as they are.

--- a/libraries/entry/dialects.hpp
+++ b/libraries/entry/dialects.hpp
@@ -38,6 +38,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// How long work takes on the machine at this moment, in percent of the
+    /// usual duration; empty if the server does not state it.
+    std::optional<double> pace;
 };
 
 /// What the head of any response says of the server that sent it.
@@ -54,6 +57,7 @@
     std::optional<std::uint32_t> brittle_limit;
     /// Requests a second that the server takes from all hosts together.
     std::optional<double> rate_limit;
+    std::optional<server_load> load;
 };
 
 struct answer_head
--- a/tests/platform/server_notice_test.cpp
+++ b/tests/platform/server_notice_test.cpp
@@ -110,5 +110,50 @@
             "empty_pause", busy, {{"Retry-After", ""}}, false, std::nullopt}),
     [](const auto& it) { return std::string(it.param.name); });
 
+struct load_case
+{
+    const char* name;
+    const char* text;
+    bool is_load;
+    std::optional<double> pace;
+};
+
+void PrintTo(const load_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class server_loads : public testing::TestWithParam<load_case>
+{
+};
+
+// A malformed pace must not cost the other figures, and none must not count as
+// one: it enables decisions.
+TEST_P(server_loads, may_state_a_pace)
+{
+    http::beast_http::response_header<> head;
+    head.result(status::ok);
+    head.set("Server-Load", GetParam().text);
+    const auto seen = servers.read_notice(head, server_id("s")).load;
+    ASSERT_EQ(seen.has_value(), GetParam().is_load);
+    if (seen)
+    {
+        EXPECT_EQ(seen->slots, 6U);
+        EXPECT_EQ(seen->pace, GetParam().pace);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    servers, server_loads,
+    testing::Values(load_case{"three", "4,1,6", true, std::nullopt},
+                    load_case{"four", "4,1,6,250", true, 250},
+                    load_case{"decimal", "4,1,6,99.5", true, 99.5},
+                    load_case{"more", "4,1,6,100,7", true, 100},
+                    load_case{"zero", "4,1,6,0", true, std::nullopt},
+                    load_case{"infinite", "4,1,6,inf", true, std::nullopt},
+                    load_case{"text", "4,1,6,slow", true, std::nullopt},
+                    load_case{"two", "4,1", false, std::nullopt}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 } // namespace
 } // namespace cicadahub::adapter
