Routing: Choose servers by the prompts that they have still to read

A prompt of 9,000 tokens takes an engine 240 to 470 ms to read. Requests were drawn to servers by free slots alone, so that short prompts waited behind several long ones.

prefill_budget learns the reading rate of a service from first events and gives each server a budget of unread tokens; unread_prompts counts them for one server, cached_prefixes what need not be read again. choose_engine uses them for candidates that have an outlook: long prompts go to as many servers as they need, the same ones at every host, and short ones to the others, as far as neither group is overloaded; within a group the draw avoids what this host itself has sent. A long prompt without budget waits, at most for half of its target.

Without candidates that have an outlook nothing changes.

--- a/libraries/decision/routing/server_choice.hpp
+++ b/libraries/decision/routing/server_choice.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.hpp"
+#include "decision/routing/prefill_budget.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -18,6 +19,8 @@
     std::uint32_t slots = 1;
     bool is_same_data_centre = false;
     bool is_trusted = true;
+    /// Empty if prompts are not taken into account for the service.
+    std::optional<prefill_outlook> prefill = std::nullopt;
 };
 
 /// The prefix that a prompt shares with other requests and that a server may
@@ -34,12 +37,32 @@
 /// that its extra backlog takes no longer to prefill than the prefix itself.
 /// Otherwise a server is drawn by `random` with its free slots as weight: the
 /// reported load is out of date, and if all daemons chose the server with the
-/// least reported load, they would overload it.
+/// least reported load, they would overload it. If all candidates have a
+/// prefill outlook, see `choose_by_prefill`.
 std::optional<std::size_t> choose_engine(std::span<const choice_candidate> from,
                                          const prompt_affinity& prompt,
                                          double mean_prompt_tokens,
                                          std::uint64_t random);
 
+/// The same by what the servers have still to read. Of two servers that are
+/// drawn with their free slots as weight among those within their budget, the
+/// one is taken that reads the prompt earlier; if none is within its budget, of
+/// more that are drawn among all. A long shared prefix leads to the server that
+/// all daemons prefer for it, or to one known to have it cached, if that saves
+/// more time than the extra backlog costs.
+std::optional<std::size_t>
+choose_by_prefill(std::span<const choice_candidate> from,
+                  const prompt_affinity& prompt, double mean_prompt_tokens,
+                  std::uint64_t random);
+
+/// Time for which a long prompt is to wait before it looks for a server again,
+/// because no server with a free slot has budget for it. Empty if it is not to
+/// wait: it is short, it has waited for half of its target, or it would miss
+/// its target by waiting and does not yet.
+std::optional<milliseconds> time_to_wait_for_budget(
+    std::span<const choice_candidate> from, const prompt_affinity& prompt,
+    double mean_prompt_tokens, milliseconds target, milliseconds waited);
+
 /// Chooses the server for a request of a plain service: the least loaded one,
 /// preferring this data centre among equals.
 std::optional<std::size_t> choose_plain(std::span<const choice_candidate> from);
