Fleet: Report prompt tokens that are still to be read

ServerWork gains the optional field unread_tokens, which fleet_view sums like the running requests: hosts that are cut off, silent or of an earlier build add nothing.

--- a/libraries/entry/fleet/fleet_view.cpp
+++ b/libraries/entry/fleet/fleet_view.cpp
@@ -25,6 +25,10 @@
             known->second.gap = std::chrono::duration_cast<milliseconds>(
                 now - known->second.received_at);
             known->second.received_at = now;
+            if (it.__isset.work)
+            {
+                known->second.work_received_at = now;
+            }
             return true;
         }
     }
@@ -44,7 +48,7 @@
                                  ? silence_limit
                                  : std::chrono::duration_cast<milliseconds>(
                                        now - known->second.received_at);
-    m_peers[it.sender] = {it, from, now, gap};
+    m_peers[it.sender] = {it, from, now, gap, now};
     return true;
 }
 
@@ -319,6 +323,40 @@
     return sum;
 }
 
+std::unordered_map<std::string, std::int64_t>
+fleet_view::unread_by_server() const
+{
+    std::unordered_map<std::string, std::int64_t> sum;
+    for (const auto& [name, it] : m_peers)
+    {
+        if (it.digest.is_cut_off)
+        {
+            continue;
+        }
+        for (const auto& work : it.digest.work)
+        {
+            if (work.__isset.unread_tokens && work.unread_tokens > 0)
+            {
+                sum[work.server] += work.unread_tokens;
+            }
+        }
+    }
+    return sum;
+}
+
+time_point fleet_view::work_received_at() const
+{
+    time_point latest{};
+    for (const auto& [name, it] : m_peers)
+    {
+        if (it.digest.__isset.work)
+        {
+            latest = std::max(latest, it.work_received_at);
+        }
+    }
+    return latest;
+}
+
 double fleet_view::demand_of_others(const organisation_id& organisation,
                                     double own, time_point now) const
 {
--- a/libraries/entry/fleet/fleet_view.hpp
+++ b/libraries/entry/fleet/fleet_view.hpp
@@ -21,6 +21,8 @@
     time_point received_at{};
     /// Time between the last two digests.
     milliseconds gap{0};
+    /// Arrival of the last digest that had `work`.
+    time_point work_received_at{};
 };
 
 /// State of the other daemons, from their digests. Digests that arrive out of
@@ -83,6 +85,11 @@
     const peer* placement_holder() const;
     /// Running requests by server, as reported by the other daemons.
     std::unordered_map<std::string, std::uint32_t> running_by_server() const;
+    /// Unread prompt tokens by server, from the same reports. Servers without
+    /// any are omitted.
+    std::unordered_map<std::string, std::int64_t> unread_by_server() const;
+    /// Arrival of the last of these reports; default if there is none.
+    time_point work_received_at() const;
 
     /// Hosts that may be serving, this one included: those in contact, those
     /// silent for less than their limit, which may only be partitioned, and
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -33,6 +33,9 @@
   /// Requests in flight by model; set only in digests to the holder of the
   /// placement lease, and empty for a plain service.
   3: map<string, i32> models
+  /// Prompt tokens of these requests that the server has not read yet; absent
+  /// if there are none, or if the sender does not count them.
+  4: optional i64 unread_tokens
 }
 
 /// Models and adapters loaded on one server by order of the placement lease's
--- a/tests/entry/fleet/fleet_view_test.cpp
+++ b/tests/entry/fleet/fleet_view_test.cpp
@@ -156,5 +156,40 @@
     EXPECT_DOUBLE_EQ(view.demand_of_others(trust, 10, start), 20);
 }
 
+// Guards against prompts that stay counted, so that servers are avoided, after
+// the host that reported them is lost or cut off.
+TEST(fleet_view, unread_prompts_are_those_of_hosts_in_contact)
+{
+    const auto with_work = [](const std::string& sender, std::int64_t number,
+                              std::optional<std::int64_t> unread)
+    {
+        fleet::wire::Digest it = digest(sender, number, 0);
+        fleet::wire::ServerWork work;
+        work.server = "s";
+        work.running = 1;
+        if (unread)
+        {
+            work.__set_unread_tokens(*unread);
+        }
+        it.__set_work({work});
+        return it;
+    };
+    fleet_view view;
+    view.on_digest(with_work("a", 1, 9'000), address(2), start);
+    view.on_digest(with_work("b", 1, 300), address(3), start);
+    // An earlier build does not count prompts.
+    view.on_digest(with_work("c", 1, std::nullopt), address(4), start);
+    EXPECT_EQ(view.unread_by_server().at("s"), 9'300);
+    EXPECT_EQ(view.running_by_server().at("s"), 3U);
+    EXPECT_EQ(view.work_received_at(), start);
+    auto cut_off = with_work("b", 2, 300);
+    cut_off.is_cut_off = true;
+    const time_point later = start + seconds(5);
+    view.on_digest(cut_off, address(3), later);
+    EXPECT_EQ(view.unread_by_server().at("s"), 9'000);
+    EXPECT_TRUE(view.drop_silent(later));
+    EXPECT_TRUE(view.unread_by_server().empty());
+}
+
 } // namespace
 } // namespace cicadahub::entry
