Requests: Take the servers' unread prompts into account

pick_server gives each candidate the expected delay by prompts, if servers of the service stated a pace in the last 30 s (entry_state::states_pace). A prompt counts from the choice of its server to the first event (prompt_reading), at the host that sends it, and is reported to the others. A long prompt that finds no budget waits like other requests, but asks for no further copy of its model and is not refused for want of one. 711 gains unread_tokens and prefill_ms, 710 is_for_budget; metrics count the choices and the unread tokens.

Services whose servers state no pace are served as before.

--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -301,8 +301,7 @@
     }
     if (m_placement.is_held() || it.digest.__isset.placement_epoch)
     {
-        m_state.servers.set_running_elsewhere(m_state.fleet.running_by_server(),
-                                              m_placement.is_held());
+        m_state.on_fleet_work(m_placement.is_held());
     }
     if (m_holder == it.digest.sender && !it.digest.__isset.placement_epoch)
     {
--- a/libraries/entry/entry_metrics.cpp
+++ b/libraries/entry/entry_metrics.cpp
@@ -78,6 +78,15 @@
                           .Name("cicadahub_entry_log_lines_dropped")
                           .Help("Log lines dropped since the start.")
                           .Register(m_registry)
+                          .Add({})),
+      m_prefill_choices(
+          counters(m_registry, "cicadahub_entry_prefill_choices_total",
+                   "Choices of a server by its unread prompts, by result.")),
+      m_unread_tokens(prometheus::BuildGauge()
+                          .Name("cicadahub_entry_unread_prompt_tokens")
+                          .Help("Prompt tokens that servers have still to "
+                                "read for this host.")
+                          .Register(m_registry)
                           .Add({}))
 {
 }
@@ -138,6 +147,16 @@
     m_loop_delay.Observe(in_seconds(late));
 }
 
+void entry_metrics::count_prefill_choice(std::string_view result)
+{
+    m_prefill_choices.Add({{"result", std::string(result)}}).Increment();
+}
+
+void entry_metrics::add_unread_tokens(std::int64_t tokens)
+{
+    m_unread_tokens.Increment(static_cast<double>(tokens));
+}
+
 void entry_metrics::count_unreadable_server()
 {
     m_unreadable_servers.Increment();
--- a/libraries/entry/entry_metrics.hpp
+++ b/libraries/entry/entry_metrics.hpp
@@ -31,6 +31,12 @@
     void count_stream_began(bool is_taken_up);
     void count_order(std::string_view answer);
     void observe_load(milliseconds took);
+    /// Counts a choice of a server by what the servers have still to read; see
+    /// docs/METRICS.md for the names of the results.
+    void count_prefill_choice(std::string_view result);
+    /// Changes the number of prompt tokens of this host's requests that servers
+    /// have still to read.
+    void add_unread_tokens(std::int64_t tokens);
     /// Counts an entry of a server that names no server to use.
     void count_unreadable_server();
     /// Records how late the event loop ran a timer.
@@ -55,6 +61,8 @@
     prometheus::Histogram& m_load_time;
     prometheus::Histogram& m_loop_delay;
     prometheus::Gauge& m_dropped_lines;
+    prometheus::Family<prometheus::Counter>& m_prefill_choices;
+    prometheus::Gauge& m_unread_tokens;
 };
 
 } // namespace cicadahub::entry
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -22,6 +22,14 @@
 /// this time, unless they are too many for a digest a second.
 constexpr milliseconds first_reports_time{1'000};
 
+/// Servers of a service state their pace in each response, if at all. Without
+/// any for this long the service counts as one that does not.
+constexpr milliseconds pace_statement_lifetime{30'000};
+
+/// Ranks of servers are a second late at most; ranking takes time in proportion
+/// to all servers of the fleet.
+constexpr milliseconds server_ranking_period{1'000};
+
 /// Wall-clock time of the start, so that each start of a daemon has a higher
 /// incarnation than the last, also after a move to another host.
 std::int64_t new_incarnation()
@@ -105,10 +113,43 @@
     return found;
 }
 
+bool entry_state::states_pace(const service_id& service) const
+{
+    const auto known = pace_stated_at.find(service);
+    return known != pace_stated_at.end() &&
+           monotonic_clock::now() < known->second + pace_statement_lifetime;
+}
+
+void entry_state::update_server_ranks(time_point now)
+{
+    if (now >= servers_ranked_at + server_ranking_period)
+    {
+        servers_ranked_at = now;
+        servers.update_ranks();
+    }
+}
+
+void entry_state::on_fleet_work(bool is_without_own)
+{
+    servers.set_running_elsewhere(fleet.running_by_server(), is_without_own);
+    const auto unread = fleet.unread_by_server();
+    // The holder of the placement lease passes reports on that it does not use.
+    if (!pace_stated_at.empty() || !unread.empty())
+    {
+        servers.set_unread_elsewhere(unread, is_without_own,
+                                     fleet.work_received_at(),
+                                     monotonic_clock::now());
+    }
+}
+
 void entry_state::on_server_notice(server_record& server,
                                    const server_notice& it)
 {
     on_brittle_notice(server, it);
+    if (it.load && it.load->pace)
+    {
+        pace_stated_at[server.entry.service] = monotonic_clock::now();
+    }
     if (it.is_from_server)
     {
         on_limit(server, it.rate_limit, monotonic_clock::now(),
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decision/routing/cached_prefixes.hpp"
+#include "decision/routing/prefill_budget.hpp"
 #include "decision/sharing/brittle_service.hpp"
 #include "decision/sharing/fleet_rate.hpp"
 #include "decision/sharing/retry_budget.hpp"
@@ -49,6 +51,12 @@
     std::map<organisation_id, sharing::fleet_rate> rates;
     std::map<service_id, sharing::retry_budget> retry_budgets;
     std::map<service_id, sharing::brittle_service> brittle_services;
+    /// Of services whose servers state their pace.
+    std::map<service_id, routing::prefill_budget> prefill_budgets;
+    routing::cached_prefixes cached_prefixes;
+    /// Last time at which a server of the service stated its pace.
+    std::map<service_id, time_point> pace_stated_at;
+    time_point servers_ranked_at{};
     const time_point started_at = monotonic_clock::now();
     /// Higher after each start of this daemon.
     const std::int64_t incarnation;
@@ -94,6 +102,17 @@
     find_crashing_part(const std::vector<suspicion::part_fingerprint>& parts,
                        time_point now);
 
+    /// True if servers of the service have stated their pace lately, so that
+    /// prompts are taken into account in the choice of a server.
+    bool states_pace(const service_id& service) const;
+
+    /// Ranks the servers anew, if the last time was some time ago.
+    void update_server_ranks(time_point now);
+
+    /// Takes in what the other hosts reported of running requests; see
+    /// `server_table::set_running_elsewhere`.
+    void on_fleet_work(bool is_without_own);
+
     /// Takes in what an answer of a server says of how brittle it is and of the
     /// rate that it takes.
     void on_server_notice(server_record& server, const server_notice& it);
--- a/libraries/entry/fleet/digest_exchange.cpp
+++ b/libraries/entry/fleet/digest_exchange.cpp
@@ -241,7 +241,8 @@
     }
 }
 
-void digest_exchange::add_work(fleet::wire::Digest& to, bool has_models) const
+void digest_exchange::add_work(fleet::wire::Digest& to, bool has_models,
+                               time_point now) const
 {
     to.__isset.work = true;
     for (const auto& [id, record] : m_state.servers.records())
@@ -253,6 +254,11 @@
         fleet::wire::ServerWork work;
         work.server = id.value();
         work.running = static_cast<std::int32_t>(record->running);
+        const std::int64_t unread = record->unread.own(now);
+        if (unread > 0)
+        {
+            work.__set_unread_tokens(unread);
+        }
         if (has_models)
         {
             for (const auto& [model, n] : record->running_models)
@@ -264,7 +270,8 @@
     }
 }
 
-void digest_exchange::add_fleet_work(fleet::wire::Digest& to) const
+void digest_exchange::add_fleet_work(fleet::wire::Digest& to,
+                                     time_point now) const
 {
     to.__isset.work = true;
     for (const auto& [id, record] : m_state.servers.records())
@@ -273,6 +280,12 @@
         work.server = id.value();
         work.running = static_cast<std::int32_t>(record->running +
                                                  record->running_elsewhere);
+        const std::int64_t unread =
+            record->unread.own(now) + record->unread.reported_elsewhere();
+        if (unread > 0)
+        {
+            work.__set_unread_tokens(unread);
+        }
         if (work.running > 0)
         {
             to.work.push_back(std::move(work));
@@ -399,7 +412,7 @@
     add_demand(common, now);
     add_peers(common);
     fleet::wire::Digest for_holder = common;
-    add_work(common, false);
+    add_work(common, false, now);
     auto others = m_addresses;
     for (const auto& it : holder)
     {
@@ -407,13 +420,13 @@
     }
     if (m_is_holder())
     {
-        add_fleet_work(common);
+        add_fleet_work(common, now);
     }
     send(fleet::datagram_kind::routine, common, others);
     m_told_all_at = now;
     if (!holder.empty())
     {
-        add_work(for_holder, true);
+        add_work(for_holder, true, now);
         add_usage(for_holder, now);
         add_pending_demand(for_holder, now);
         send(fleet::datagram_kind::routine, for_holder, holder);
@@ -435,7 +448,7 @@
     const time_point now = monotonic_clock::now();
     fleet::wire::Digest it = make_digest(now, false);
     add_demand(it, now);
-    add_work(it, false);
+    add_work(it, false, now);
     send(fleet::datagram_kind::urgent, it, {peer});
 }
 
@@ -464,7 +477,7 @@
     {
         // Receivers ignore a digest whose number is not higher than the last.
         update.number = ++m_number;
-        add_work(update, true);
+        add_work(update, true, now);
         add_pending_demand(update, now);
         send(fleet::datagram_kind::urgent, update, holder);
     }
@@ -476,8 +489,7 @@
     {
         return;
     }
-    m_state.servers.set_running_elsewhere(m_state.fleet.running_by_server(),
-                                          m_is_holder());
+    m_state.on_fleet_work(m_is_holder());
     if (m_state.fleet.placement_holder() == nullptr && !m_is_holder())
     {
         m_state.servers.forget_published();
--- a/libraries/entry/fleet/digest_exchange.hpp
+++ b/libraries/entry/fleet/digest_exchange.hpp
@@ -58,10 +58,11 @@
     borrower_addresses(const fleet::wire::Digest& loans) const;
     void add_pending_demand(fleet::wire::Digest& to, time_point now) const;
     void add_usage(fleet::wire::Digest& to, time_point now);
-    void add_work(fleet::wire::Digest& to, bool has_models) const;
+    void add_work(fleet::wire::Digest& to, bool has_models,
+                  time_point now) const;
     /// Adds the running requests of all daemons; only the holder of the
     /// placement lease knows them.
-    void add_fleet_work(fleet::wire::Digest& to) const;
+    void add_fleet_work(fleet::wire::Digest& to, time_point now) const;
     void add_demand(fleet::wire::Digest& to, time_point now);
     void add_peers(fleet::wire::Digest& to);
     /// `is_beacon` is set at times, also if nothing has changed, so that others
--- a/libraries/entry/requests/active_request.cpp
+++ b/libraries/entry/requests/active_request.cpp
@@ -81,6 +81,10 @@
                  m_state.wait_deadline);
     m_first_byte_deadline =
         std::min(m_deadline, m_arrived + m_route->first_byte_timeout);
+    if (m_copy)
+    {
+        m_observer.set_target(first_event_target());
+    }
     // A caller's connection that accepts no more bytes must not keep the
     // request beyond its deadline.
     m_reply.set_deadline(m_deadline);
--- a/libraries/entry/requests/active_request.hpp
+++ b/libraries/entry/requests/active_request.hpp
@@ -52,6 +52,10 @@
         std::optional<milliseconds> full_for;
         /// A place at `record` is to be booked.
         bool books_place = false;
+        /// Set if the prompt is to wait until a server has less to read.
+        std::optional<milliseconds> budget_wait;
+        /// What the prompt is expected to meet at `record`.
+        std::optional<routing::prefill_cost> prefill;
     };
 
     /// A place for the request at a server with a limit.
@@ -117,6 +121,12 @@
     void refuse_if_unservable(time_point now, const server_pick& pick);
     milliseconds estimated_wait(time_point now) const;
     milliseconds time_left(time_point now) const;
+    /// Time from the arrival in which the first event should come.
+    milliseconds first_event_target() const;
+    /// See `routing::time_to_wait_for_budget`.
+    std::optional<milliseconds>
+    budget_wait(std::span<const routing::choice_candidate> from,
+                time_point now) const;
     /// `status` is that of a forwarded response; 0 if there is none.
     void record_outcome(std::string_view outcome, unsigned status = 0) const;
     bool is_stream() const;
--- a/libraries/entry/requests/attempt_observer.cpp
+++ b/libraries/entry/requests/attempt_observer.cpp
@@ -23,7 +23,8 @@
                                    std::function<void()> on_first_event)
     : m_state(state), m_request(request.id),
       m_on_first_event(std::move(on_first_event)),
-      m_parts(shared_parts_of(request.prompt))
+      m_parts(shared_parts_of(request.prompt)),
+      m_prompt(prompt_size_of(request))
 {
 }
 
@@ -40,6 +41,10 @@
             [this]
             {
                 m_record->room.on_accepted(m_sent_at);
+                if (m_reading)
+                {
+                    m_reading->on_first_event(m_sent_at);
+                }
                 m_on_first_event();
             }};
 }
@@ -53,6 +58,12 @@
     m_sent.reset();
     // Not only when it is sent: other requests may choose the server meanwhile.
     m_record->room.on_sent(monotonic_clock::now());
+    m_reading.reset();
+    if (m_relay.empty() && m_prompt.tokens > 0 &&
+        m_state.states_pace(m_record->entry.service))
+    {
+        m_reading.emplace(m_state, m_record, m_prompt, m_target);
+    }
 }
 
 bool attempt_observer::may_send()
@@ -132,6 +143,12 @@
                       const suspicion::fingerprint& fingerprint)
 {
     count_rejection(result);
+    if (m_reading && (result.end == exchange_end::answered ||
+                      result.end == exchange_end::streamed))
+    {
+        m_reading->on_completed();
+    }
+    m_reading.reset();
     // The host on whose connection the answer came judges it.
     if (m_relay.empty() && (result.end == exchange_end::answered ||
                             result.end == exchange_end::streamed))
@@ -264,6 +281,9 @@
          {"framing", result.framing ? http::name_of(*result.framing) : ""},
          {"partial_event_bytes", result.partial_event_bytes},
          {"took_ms", time_since(sent_at).count()},
+         {"unread_tokens", m_reading ? m_reading->unread_tokens() : 0},
+         {"prefill_ms",
+          m_expected_prefill ? m_expected_prefill->expected_delay.count() : 0},
          {"servers_silent_ms", servers_silent_ms()},
          {"relay", m_relay},
          {"limit", m_record->limit.requests_per_second(now).value_or(0)},
--- a/libraries/entry/requests/attempt_observer.hpp
+++ b/libraries/entry/requests/attempt_observer.hpp
@@ -2,6 +2,7 @@
 
 #include "entry/entry_state.hpp"
 #include "entry/requests/exchange.hpp"
+#include "entry/requests/prompt_reading.hpp"
 #include "entry/servers/crash_evidence.hpp"
 
 namespace cicadahub::entry
@@ -38,6 +39,18 @@
         return m_parts;
     }
 
+    const routing::prompt_size& prompt() const { return m_prompt; }
+
+    /// Target of the request, for the servers that it runs on.
+    void set_target(milliseconds target) { m_target = target; }
+
+    /// For the log: what the request was expected to meet at the server that
+    /// was chosen; empty if that was not taken into account.
+    void set_expected_prefill(std::optional<routing::prefill_cost> it)
+    {
+        m_expected_prefill = it;
+    }
+
     /// The request is sent although a part of its prompt crashed servers.
     void admit_crashing_part() { m_is_trial = true; }
 
@@ -64,6 +77,12 @@
     /// That of the incarnation which the attempt is meant for.
     software_version m_version;
     std::string m_relay;
+    routing::prompt_size m_prompt;
+    std::optional<milliseconds> m_target;
+    std::optional<routing::prefill_cost> m_expected_prefill;
+    /// Set while a request of a service whose servers state their pace runs at
+    /// a server directly.
+    std::optional<prompt_reading> m_reading;
     /// Set once the request was sent to the server directly.
     std::optional<sharing::brittle_service::send_number> m_sent;
 };
--- a/libraries/entry/requests/request_routing.cpp
+++ b/libraries/entry/requests/request_routing.cpp
@@ -47,6 +47,10 @@
     std::vector<server_table::record_pointer> records;
     std::vector<routing::choice_candidate> candidates;
     server_pick result;
+    if (m_state.states_pace(m_service->name))
+    {
+        m_state.update_server_ranks(now);
+    }
     bool is_any_unpaused = false;
     bool is_any_unlimited = false;
     for (const auto& [id, record] : m_state.servers.records())
@@ -107,7 +111,10 @@
         candidates.push_back(
             {&record->entry.id, record->running + record->running_elsewhere,
              slots, entry.data_centre == m_state.settings.data_centre,
-             record->health.is_trusted(now)});
+             record->health.is_trusted(now),
+             m_copy ? prefill_outlook_of(m_state, *record, m_observer.prompt(),
+                                         first_event_target(), now)
+                    : std::nullopt});
         records.push_back(record);
     }
     if (is_any_unpaused)
@@ -118,6 +125,11 @@
     {
         result.limit_left.reset();
     }
+    result.budget_wait = budget_wait(candidates, now);
+    if (result.budget_wait)
+    {
+        return result;
+    }
     const auto choice = m_copy
                             ? routing::choose_engine(candidates, m_affinity,
                                                      m_state.mean_prompt_tokens,
@@ -126,6 +138,9 @@
     if (choice)
     {
         result.record = records[*choice];
+        const auto& prefill = candidates[*choice].prefill;
+        result.prefill =
+            prefill ? std::optional(prefill->as_known) : std::nullopt;
     }
     else if (result.limit_left && can_book(*result.limited, *result.limit_left))
     {
@@ -136,6 +151,31 @@
     return result;
 }
 
+milliseconds active_request::first_event_target() const
+{
+    const auto longest = std::chrono::duration_cast<milliseconds>(
+        m_first_byte_deadline - m_arrived);
+    return m_route->target_latency.count() > 0
+               ? std::min(m_route->target_latency, longest)
+               : longest;
+}
+
+std::optional<milliseconds>
+active_request::budget_wait(std::span<const routing::choice_candidate> from,
+                            time_point now) const
+{
+    // A request that was sent before has lost time already, and a stream that
+    // is taken up has begun.
+    if (!m_copy || m_sends > 0 || !m_excluded_servers.empty() || m_origin ||
+        m_request.after_event)
+    {
+        return std::nullopt;
+    }
+    return routing::time_to_wait_for_budget(
+        from, m_affinity, m_state.mean_prompt_tokens, first_event_target(),
+        std::chrono::duration_cast<milliseconds>(now - m_arrived));
+}
+
 std::optional<milliseconds>
 active_request::wait_for_limit(server_record& server, time_point now) const
 {
@@ -257,6 +297,13 @@
         if (choice.record)
         {
             m_books_place = choice.books_place;
+            m_observer.set_expected_prefill(choice.prefill);
+            if (choice.prefill)
+            {
+                m_state.metrics.count_prefill_choice(
+                    choice.prefill->is_within_budget ? "within-budget"
+                                                     : "over-budget");
+            }
             if (has_waited)
             {
                 m_state.metrics.observe_wait(time_since(began), estimate);
@@ -284,11 +331,18 @@
             // Every eligible server has been tried or has no free slot.
             refuse(refusal_kind::no_capacity, retry_after_full);
         }
-        refuse_if_unservable(now, choice);
+        if (!choice.budget_wait)
+        {
+            refuse_if_unservable(now, choice);
+        }
+        if (choice.budget_wait && !has_waited)
+        {
+            m_state.metrics.count_prefill_choice("waits");
+        }
         if (!has_waited)
         {
             has_waited = true;
-            estimate = estimated_wait(now);
+            estimate = choice.budget_wait.value_or(estimated_wait(now));
             log_event(
                 severity::info, event_number::request_waits,
                 {{"request", m_request.id.value()},
@@ -297,6 +351,7 @@
                                  ? m_copy->adapter->value()
                                  : std::string()},
                  {"is_any_there", choice.has_eligible_server},
+                 {"is_for_budget", choice.budget_wait.has_value()},
                  {"estimate_ms", estimate.count()},
                  {"left_ms", time_left(now).count()}});
         }
@@ -310,7 +365,10 @@
         {
             recheck = std::min(recheck, *choice.full_for);
         }
-        m_waiter->copy = m_copy;
+        recheck = std::min(recheck, choice.budget_wait.value_or(recheck));
+        // Another copy of the model is not needed for a prompt that waits for
+        // budget at those that there are.
+        m_waiter->copy = choice.budget_wait ? std::nullopt : m_copy;
         if (m_origin)
         {
             m_waiter->version = m_origin->version;
--- a/libraries/entry/servers/server_table.cpp
+++ b/libraries/entry/servers/server_table.cpp
@@ -336,6 +336,44 @@
     }
 }
 
+void server_table::set_unread_elsewhere(
+    const std::unordered_map<std::string, std::int64_t>& tokens,
+    bool is_without_own, time_point reported_at, time_point now)
+{
+    for (const auto& [id, record] : m_records)
+    {
+        const auto it = tokens.find(id.value());
+        const std::int64_t reported = it == tokens.end() ? 0 : it->second;
+        const std::int64_t own = is_without_own ? 0 : record->unread.own(now);
+        record->unread.on_report(reported - std::min(reported, own),
+                                 reported_at, now);
+    }
+}
+
+void server_table::update_ranks()
+{
+    std::map<service_id, std::vector<std::pair<std::size_t, record_pointer>>>
+        by_service;
+    for (const auto& [id, record] : m_records)
+    {
+        if (!record->entry.is_leaving)
+        {
+            by_service[record->entry.service].emplace_back(
+                std::hash<std::string>{}(id.value()), record);
+        }
+    }
+    for (auto& [service, servers] : by_service)
+    {
+        std::sort(servers.begin(), servers.end(),
+                  [](const auto& a, const auto& b)
+                  { return a.first < b.first; });
+        for (std::size_t n = 0; n < servers.size(); ++n)
+        {
+            servers[n].second->rank = {n, servers.size()};
+        }
+    }
+}
+
 void server_table::forget_published()
 {
     for (const auto& [id, record] : m_records)
--- a/libraries/entry/servers/server_table.hpp
+++ b/libraries/entry/servers/server_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/replicas/types.hpp"
+#include "decision/routing/prefill_budget.hpp"
 #include "decision/sharing/part_lender.hpp"
 #include "decision/sharing/server_health.hpp"
 #include "decision/sharing/server_limit.hpp"
@@ -45,6 +46,8 @@
     /// Parts of the limit that other hosts may use, if they have any.
     std::map<daemon_id, double> usable_elsewhere;
     sharing::server_room room;
+    routing::unread_prompts unread;
+    routing::server_rank rank;
     /// Last time at which the server sent this daemon anything.
     time_point last_contact{};
     /// Last time at which its entry was seen in the list, or a peer told of it
@@ -123,6 +126,16 @@
         const std::unordered_map<std::string, std::uint32_t>& running,
         bool is_without_own);
 
+    /// The same for prompt tokens that are still to be read, as reported at
+    /// `reported_at`.
+    void set_unread_elsewhere(
+        const std::unordered_map<std::string, std::int64_t>& tokens,
+        bool is_without_own, time_point reported_at, time_point now);
+
+    /// Ranks the servers of each service, those that leave excepted. The ranks
+    /// stay until the next call.
+    void update_ranks();
+
     using record_pointer = std::shared_ptr<server_record>;
     const std::map<server_id, record_pointer>& records() const
     {
