--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -161,6 +161,8 @@
         const boost::json::object json = parse_json_object(message.body());
         const json_reader reader(json);
         m_lost_answers = reader.integer_or("lose_answers", m_lost_answers);
+        m_pace = reader.integer_or("pace", m_pace);
+        m_tokens_per_ms = reader.integer_or("tokens_per_ms", m_tokens_per_ms);
         m_broken_streams = reader.integer_or("break_streams", m_broken_streams);
         m_settings.event_gap = milliseconds(
             reader.integer_or("event_gap_ms", m_settings.event_gap.count()));
@@ -286,6 +288,28 @@
     {
         it.set("Server-Brittle", std::to_string(*m_brittle_limit));
     }
+    if (m_pace > 0)
+    {
+        it.set("Server-Load", std::to_string(m_running) + ",0," +
+                                  std::to_string(m_settings.slots) + ',' +
+                                  std::to_string(m_pace));
+    }
+}
+
+net::awaitable<void> worker_standin::read_prompt(const http::request& message)
+{
+    if (m_tokens_per_ms <= 0)
+    {
+        co_return;
+    }
+    const std::string_view counts = message["Token-Count"];
+    const time_point now = monotonic_clock::now();
+    m_reads_until =
+        std::max(m_reads_until, now) +
+        milliseconds(parse_number(counts.substr(0, counts.find(','))) /
+                     m_tokens_per_ms);
+    co_await pause(
+        std::chrono::duration_cast<milliseconds>(m_reads_until - now));
 }
 
 http::response worker_standin::error_for_resumed(std::string_view request) const
@@ -706,6 +730,7 @@
         reply.set_stream_framing(http::body_framing::until_close);
     }
     co_await reply.begin_stream(std::move(head));
+    co_await read_prompt(message);
     if (makes_server_crash(message))
     {
         co_await pause(m_settings.event_gap);
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -64,9 +64,11 @@
 /// `brittle` (limit that responses announce) and `room` (requests that it runs
 /// at the same time, if fewer than its slots; from then on, after more
 /// rejections for want of room in a second than the limit, the server fails,
-/// which is counted as `falls`, and for a second closes all connections). `GET
-/// /stats` returns counters and `GET /runs` how often each request was
-/// executed.
+/// which is counted as `falls`, and for a second closes all connections),
+/// `pace` (that responses state, in percent; 0 for none) and `tokens_per_ms`
+/// (prompts are read one after the other at this rate before their first
+/// events; 0 for at once). `GET /stats` returns counters and `GET /runs` how
+/// often each request was executed.
 class worker_standin
 {
 public:
@@ -87,6 +89,8 @@
     void announce(http::response& it) const;
     /// The refusal of another request that arrives in front of a response.
     http::response stale_refusal();
+    /// Waits until the prompt and those before it have been read.
+    net::awaitable<void> read_prompt(const http::request& message);
     http::response error_for_resumed(std::string_view request) const;
     bool is_shedding() const;
     void count_arrival_in_pause();
@@ -129,6 +133,9 @@
     std::int64_t m_running = 0;
     std::int64_t m_lost_answers = 0;
     std::int64_t m_broken_streams = 0;
+    std::int64_t m_pace = 0;
+    std::int64_t m_tokens_per_ms = 0;
+    time_point m_reads_until{};
     std::int64_t m_silent_orders = 0;
     bool m_is_unframed = false;
     bool m_is_leaving = false;
