Routing: Learn the reading rate from long prompts first

Much of the time to the first event of a short prompt is spent on the network and on the first token. Where most prompts are short, the fastest tenth of all samples gave a rate far below that of reading. Prompts of 2,048 tokens or more now have samples of their own, and shorter ones count only as long as there are fewer than three of these.

An untrusted server no longer keeps a long prompt from waiting, and the budget is looked up once for all candidates.

--- a/libraries/decision/routing/prefill_budget.cpp
+++ b/libraries/decision/routing/prefill_budget.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace cicadahub::routing
 {
@@ -12,6 +13,8 @@
 /// The time to the first event of a shorter prompt tells little of the rate:
 /// most of it is spent on the network and on the first token.
 constexpr std::int64_t min_sample_tokens = 256;
+/// It takes a server 50 to 110 ms to read as much, many times the rest.
+constexpr std::int64_t large_sample_tokens = 2'048;
 constexpr std::size_t min_samples = 3;
 /// Most requests wait for others at the server; the fastest tenth does not.
 constexpr std::size_t samples_per_fastest = 10;
@@ -74,6 +77,27 @@
     return std::min(*m_previous_target, *m_current_target);
 }
 
+void prefill_budget::rate_samples::add(double rate)
+{
+    m_rates[m_count % max_samples] = rate;
+    ++m_count;
+}
+
+std::optional<double> prefill_budget::rate_samples::fastest() const
+{
+    const std::size_t n = std::min(m_count, max_samples);
+    if (n < min_samples)
+    {
+        return std::nullopt;
+    }
+    std::array<double, max_samples> sorted = m_rates;
+    const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(n);
+    const auto at =
+        sorted.begin() + static_cast<std::ptrdiff_t>(n / samples_per_fastest);
+    std::nth_element(sorted.begin(), at, end, std::greater<>());
+    return *at;
+}
+
 void prefill_budget::on_first_event(std::int64_t tokens, microseconds took)
 {
     if (tokens < min_sample_tokens || took.count() <= 0)
@@ -81,19 +105,11 @@
         return;
     }
     const double ms = std::chrono::duration<double, std::milli>(took).count();
-    m_samples[m_sample_count % max_samples] = static_cast<double>(tokens) / ms;
-    ++m_sample_count;
-    const std::size_t n = std::min(m_sample_count, max_samples);
-    if (n < min_samples)
-    {
-        return;
-    }
-    std::array<double, max_samples> sorted = m_samples;
-    const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(n);
-    const auto fastest =
-        sorted.begin() + static_cast<std::ptrdiff_t>(n / samples_per_fastest);
-    std::nth_element(sorted.begin(), fastest, end, std::greater<>());
-    m_tokens_per_ms = *fastest;
+    auto& samples =
+        tokens < large_sample_tokens ? m_small_samples : m_large_samples;
+    samples.add(static_cast<double>(tokens) / ms);
+    const auto of_large = m_large_samples.fastest();
+    m_tokens_per_ms = of_large ? of_large : m_small_samples.fastest();
 }
 
 bool prefill_budget::is_long(std::int64_t unread, milliseconds target,
--- a/libraries/decision/routing/prefill_budget.hpp
+++ b/libraries/decision/routing/prefill_budget.hpp
@@ -113,9 +113,23 @@
                          double tokens_per_ms, time_point now) const;
 
     /// Rates of the last first events, in tokens per millisecond.
-    static constexpr std::size_t max_samples = 64;
-    std::array<double, max_samples> m_samples{};
-    std::size_t m_sample_count = 0;
+    class rate_samples
+    {
+    public:
+        void add(double rate);
+        /// That of the fastest; empty if there are too few.
+        std::optional<double> fastest() const;
+
+    private:
+        static constexpr std::size_t max_samples = 64;
+        std::array<double, max_samples> m_rates{};
+        std::size_t m_count = 0;
+    };
+
+    /// Of long prompts, and of those that count as long as there are too few of
+    /// these: much of their time is spent on the network and the first token.
+    rate_samples m_large_samples;
+    rate_samples m_small_samples;
     std::optional<double> m_tokens_per_ms;
 
     /// Shortest targets in the current and in the previous window.
--- a/libraries/decision/routing/server_choice.cpp
+++ b/libraries/decision/routing/server_choice.cpp
@@ -85,10 +85,10 @@
 constexpr int draws_over_budget = 4;
 
 /// Part of the slots of the servers for short prompts from which on these go to
-/// the others too, and from which on they go there alike: reports of what runs
-/// are late, and a full server rejects.
-constexpr double spill_occupancy = 0.6;
-constexpr double full_spill_occupancy = 0.9;
+/// the others too, and from which on they go there alike. Of servers with 24
+/// slots that have three quarters of them taken on average, 7 in 100 are full.
+constexpr double spill_occupancy = 0.5;
+constexpr double full_spill_occupancy = 0.75;
 
 /// The same for long prompts by their usual backlog, as a part of the time that
 /// they can wait.
@@ -311,7 +311,7 @@
     milliseconds recheck = max_budget_recheck;
     for (const choice_candidate& it : from)
     {
-        if (free_slots(it) == 0)
+        if (free_slots(it) == 0 || !it.is_trusted)
         {
             continue;
         }
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -120,6 +120,15 @@
            monotonic_clock::now() < known->second + pace_statement_lifetime;
 }
 
+const routing::prefill_budget*
+entry_state::prefill_budget_of(const service_id& service) const
+{
+    const auto known = prefill_budgets.find(service);
+    return known != prefill_budgets.end() && states_pace(service)
+               ? &known->second
+               : nullptr;
+}
+
 void entry_state::update_server_ranks(time_point now)
 {
     if (now >= servers_ranked_at + server_ranking_period)
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -106,6 +106,10 @@
     /// prompts are taken into account in the choice of a server.
     bool states_pace(const service_id& service) const;
 
+    /// Null if prompts are not taken into account for the service.
+    const routing::prefill_budget*
+    prefill_budget_of(const service_id& service) const;
+
     /// Ranks the servers anew, if the last time was some time ago.
     void update_server_ranks(time_point now);
 
--- a/libraries/entry/requests/prompt_reading.cpp
+++ b/libraries/entry/requests/prompt_reading.cpp
@@ -12,8 +12,9 @@
 
 std::uint64_t key_of(const server_record& server)
 {
-    return std::hash<std::string>{}(server.entry.id.value() + '/' +
-                                    std::to_string(server.entry.incarnation));
+    constexpr std::uint64_t odd_factor = 0x9e3779b97f4a7c15U;
+    return std::hash<std::string>{}(server.entry.id.value()) ^
+           static_cast<std::uint64_t>(server.entry.incarnation) * odd_factor;
 }
 
 std::int64_t unread_tokens_of(const entry_state& state,
@@ -58,18 +59,16 @@
     return it;
 }
 
-std::optional<routing::prefill_outlook>
-prefill_outlook_of(const entry_state& state, const server_record& server,
-                   const routing::prompt_size& prompt, milliseconds target,
-                   time_point now)
+std::optional<routing::prefill_outlook> prefill_outlook_of(
+    const entry_state& state, const routing::prefill_budget* budget,
+    const server_record& server, const routing::prompt_size& prompt,
+    milliseconds target, time_point now)
 {
-    const service_id& service = server.entry.service;
-    const auto budget = state.prefill_budgets.find(service);
-    if (budget == state.prefill_budgets.end() || !state.states_pace(service))
+    if (budget == nullptr)
     {
         return std::nullopt;
     }
-    return budget->second.outlook_of(
+    return budget->outlook_of(
         server.unread,
         {unread_tokens_of(state, server, prompt, now),
          std::max<std::int64_t>(0, prompt.tokens - prompt.shared_tokens()),
--- a/libraries/entry/requests/prompt_reading.hpp
+++ b/libraries/entry/requests/prompt_reading.hpp
@@ -8,13 +8,13 @@
 /// Size of a request's prompt; 0 tokens if the request does not state it.
 routing::prompt_size prompt_size_of(const serving::request& request);
 
-/// What the prompt would meet and cause at a server, for a request with this
-/// target. Empty if prompts are not taken into account for its service, or the
+/// What the prompt would meet and cause at a server of the service with this
+/// budget, for a request with this target. Empty if there is no budget, or the
 /// servers' reading rate is not known.
-std::optional<routing::prefill_outlook>
-prefill_outlook_of(const entry_state& state, const server_record& server,
-                   const routing::prompt_size& prompt, milliseconds target,
-                   time_point now);
+std::optional<routing::prefill_outlook> prefill_outlook_of(
+    const entry_state& state, const routing::prefill_budget* budget,
+    const server_record& server, const routing::prompt_size& prompt,
+    milliseconds target, time_point now);
 
 /// Counts a prompt among those that a server has still to read, while the
 /// object exists and until the first event of the answer.
--- a/libraries/entry/requests/request_routing.cpp
+++ b/libraries/entry/requests/request_routing.cpp
@@ -47,7 +47,9 @@
     std::vector<server_table::record_pointer> records;
     std::vector<routing::choice_candidate> candidates;
     server_pick result;
-    if (m_state.states_pace(m_service->name))
+    const routing::prefill_budget* budget =
+        m_copy ? m_state.prefill_budget_of(m_service->name) : nullptr;
+    if (budget != nullptr)
     {
         m_state.update_server_ranks(now);
     }
@@ -112,9 +114,8 @@
             {&record->entry.id, record->running + record->running_elsewhere,
              slots, entry.data_centre == m_state.settings.data_centre,
              record->health.is_trusted(now),
-             m_copy ? prefill_outlook_of(m_state, *record, m_observer.prompt(),
-                                         first_event_target(), now)
-                    : std::nullopt});
+             prefill_outlook_of(m_state, budget, *record, m_observer.prompt(),
+                                first_event_target(), now)});
         records.push_back(record);
     }
     if (is_any_unpaused)
