Metrics: Show the choices by prompts before the first one

The three results now start at 0.

The holder of the placement lease sums the unread prompts at most ten times a second, and not for each digest of each host.

--- a/libraries/entry/entry_metrics.cpp
+++ b/libraries/entry/entry_metrics.cpp
@@ -89,6 +89,11 @@
                           .Register(m_registry)
                           .Add({}))
 {
+    // Shown from the start: most deployments never count any.
+    for (const char* result : {"within-budget", "over-budget", "waits"})
+    {
+        m_prefill_choices.Add({{"result", result}});
+    }
 }
 
 void entry_metrics::count_request(std::string_view outcome, milliseconds took)
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -26,6 +26,9 @@
 /// any for this long the service counts as one that does not.
 constexpr milliseconds pace_statement_lifetime{30'000};
 
+/// A tenth of the time between two reports of the holder.
+constexpr milliseconds unread_sum_period{100};
+
 /// Ranks of servers are a second late at most; ranking takes time in proportion
 /// to all servers of the fleet.
 constexpr milliseconds server_ranking_period{1'000};
@@ -141,13 +144,19 @@
 void entry_state::on_fleet_work(bool is_without_own)
 {
     servers.set_running_elsewhere(fleet.running_by_server(), is_without_own);
+    const time_point now = monotonic_clock::now();
+    // The holder of the placement lease is called for each digest of each host.
+    if (is_without_own && now < unread_summed_at + unread_sum_period)
+    {
+        return;
+    }
+    unread_summed_at = now;
     const auto unread = fleet.unread_by_server();
     // The holder of the placement lease passes reports on that it does not use.
     if (!pace_stated_at.empty() || !unread.empty())
     {
         servers.set_unread_elsewhere(unread, is_without_own,
-                                     fleet.work_received_at(),
-                                     monotonic_clock::now());
+                                     fleet.work_received_at(), now);
     }
 }
 
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -57,6 +57,7 @@
     /// Last time at which a server of the service stated its pace.
     std::map<service_id, time_point> pace_stated_at;
     time_point servers_ranked_at{};
+    time_point unread_summed_at{};
     const time_point started_at = monotonic_clock::now();
     /// Higher after each start of this daemon.
     const std::int64_t incarnation;
