--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -51,6 +51,8 @@
     host_cut_off = 530,
     host_reconnected = 531,
     server_entry_outdated = 532,
+    server_cold = 533,
+    evacuation_changed = 534,
     peer_connected = 600,
     peer_lost = 601,
     peer_frame_malformed = 602,
@@ -70,6 +72,7 @@
     stream_not_resumed = 716,
     stream_resumed = 717,
     stream_origin_unknown = 718,
+    client_limited = 719,
     audit_segment_failed = 800,
     malformed_object = 801,
 };
--- a/libraries/decision/routing/server_choice.hpp
+++ b/libraries/decision/routing/server_choice.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "core/ids.hpp"
+#include "core/units.hpp"
 #include "decision/routing/prefill_budget.hpp"
+#include "decision/routing/server_occupancy.hpp"
+#include "decision/routing/server_pace.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -11,6 +14,26 @@
 namespace cicadahub::routing
 {
 
+/// What a request can expect at a server that states its load and pace.
+struct server_expectation
+{
+    /// Requests that run or wait there.
+    double running = 0;
+    /// Standard deviation of the actual number.
+    double deviation = 0;
+    /// How many times as long as usual work takes there.
+    double pace = 1;
+    /// Times that requests take there once they run.
+    milliseconds to_first{0};
+    milliseconds to_end{0};
+};
+
+/// `own` is the number of this host's requests that are running there.
+server_expectation expectation_of(std::uint32_t own,
+                                  const server_occupancy& occupancy,
+                                  const server_pace& pace,
+                                  const service_pace& usual, time_point now);
+
 /// A server that can run the request, with its load from the whole fleet.
 struct choice_candidate
 {
@@ -19,10 +42,18 @@
     std::uint32_t slots = 1;
     bool is_same_data_centre = false;
     bool is_trusted = true;
+    /// Set for all candidates or for none.
+    std::optional<server_expectation> expected = std::nullopt;
     /// Empty if prompts are not taken into account for the service.
     std::optional<prefill_outlook> prefill = std::nullopt;
 };
 
+/// Time until the request is sent and its first event arrives. A request that
+/// finds no free slot waits until one of those before it ends.
+milliseconds expected_first_event(const choice_candidate& it);
+/// The same until its end.
+milliseconds expected_end(const choice_candidate& it);
+
 /// The prefix that a prompt shares with other requests and that a server may
 /// therefore have in its KV cache.
 struct prompt_affinity
@@ -39,10 +70,21 @@
 /// reported load is out of date, and if all daemons chose the server with the
 /// least reported load, they would overload it. If all candidates have a
 /// prefill outlook, see `choose_by_prefill`.
-std::optional<std::size_t> choose_engine(std::span<const choice_candidate> from,
-                                         const prompt_affinity& prompt,
-                                         double mean_prompt_tokens,
-                                         std::uint64_t random);
+///
+/// Where servers state their load and pace, two are drawn with the work that
+/// they can take on in a given time as weight, and the one with the less
+/// expected time is chosen, so that neither a common picture nor an old one
+/// leads all hosts to one server. A request that meets its target at the slower
+/// one too, with `time_to_target` left, takes the less loaded one, which leaves
+/// the faster servers to others.
+std::optional<std::size_t>
+choose_engine(std::span<const choice_candidate> from,
+              const prompt_affinity& prompt, double mean_prompt_tokens,
+              std::uint64_t random,
+              milliseconds time_to_target = milliseconds(0));
+
+/// Time after which one of the servers may have room, if none has now.
+milliseconds time_to_room(std::span<const choice_candidate> from);
 
 /// The same by what the servers have still to read. Of two servers that are
 /// drawn with their free slots as weight among those within their budget, the
@@ -64,7 +106,12 @@
     double mean_prompt_tokens, milliseconds target, milliseconds waited);
 
 /// Chooses the server for a request of a plain service: the least loaded one,
-/// preferring this data centre among equals.
-std::optional<std::size_t> choose_plain(std::span<const choice_candidate> from);
+/// preferring this data centre among equals. Where servers state their load and
+/// pace, it is chosen like an engine, but none counts as full: the statements
+/// are older than the work that they tell of, and a rejection costs less than
+/// an idle server.
+std::optional<std::size_t>
+choose_plain(std::span<const choice_candidate> from, std::uint64_t random = 0,
+             milliseconds time_to_target = milliseconds(0));
 
 } // namespace cicadahub::routing
--- a/libraries/entry/dialects.hpp
+++ b/libraries/entry/dialects.hpp
@@ -31,6 +31,8 @@
     /// Id of the last event that the caller has received; set to resume a
     /// stream.
     std::optional<std::string> after_event;
+    /// 0 to 9, 0 first; the server's default if empty.
+    std::optional<int> urgency{};
 };
 
 struct server_load
@@ -38,9 +40,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
-    /// How long work takes on the machine at this moment, in percent of the
-    /// usual duration; empty if the server does not state it.
-    std::optional<double> pace;
+    /// How long work takes there at the moment, in percent of what is usual;
+    /// not stated in every deployment.
+    std::optional<std::uint32_t> pace_percent;
 };
 
 /// What the head of any response says of the server that sent it.
@@ -58,12 +60,13 @@
     /// Requests a second that the server takes from all hosts together.
     std::optional<double> rate_limit;
     std::optional<server_load> load;
+    /// Time for which the server remains cold; 0 if it says that it is not.
+    std::optional<milliseconds> cold_left;
 };
 
 struct answer_head
 {
     outcome::response_facts facts;
-    std::optional<server_load> load;
 };
 
 /// Encoding of requests, orders and reports for one kind of backend server.
--- a/libraries/entry/entry_metrics.cpp
+++ b/libraries/entry/entry_metrics.cpp
@@ -4,6 +4,7 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace cicadahub::entry
@@ -38,6 +39,13 @@
     return std::chrono::duration<double>(it).count();
 }
 
+/// Bounds the number of labels: all less urgent classes count as the last.
+std::string class_of(std::int64_t priority)
+{
+    constexpr std::int64_t last_class = 9;
+    return std::to_string(std::clamp<std::int64_t>(priority, 0, last_class));
+}
+
 std::string kind_of(bool is_taken_up)
 {
     return is_taken_up ? "taken-up" : "new";
@@ -50,10 +58,21 @@
                           "Requests that were taken, by outcome.")),
       m_refusals(counters(m_registry, "cicadahub_entry_refusals_total",
                           "Requests that were refused, by reason.")),
+      m_client_limits(counters(m_registry,
+                               "cicadahub_entry_client_limits_total",
+                               "Clients that exceeded a bound, by what was "
+                               "done.")),
       m_attempts(counters(m_registry, "cicadahub_entry_attempts_total",
                           "Sends to backend servers, by how they ended.")),
       m_streams(counters(m_registry, "cicadahub_entry_streams_total",
                          "Streams asked for and begun, new and taken up.")),
+      m_classes(counters(m_registry, "cicadahub_entry_class_requests_total",
+                         "Requests by priority and result: within their "
+                         "target, late or refused.")),
+      m_class_waits(prometheus::BuildHistogram()
+                        .Name("cicadahub_entry_class_wait_seconds")
+                        .Help("Wait for a place, by priority.")
+                        .Register(m_registry)),
       m_orders(counters(m_registry, "cicadahub_entry_orders_total",
                         "Orders to backend servers, by their answer.")),
       m_unreadable_servers(
@@ -87,7 +106,11 @@
                           .Help("Prompt tokens that servers have still to "
                                 "read for this host.")
                           .Register(m_registry)
-                          .Add({}))
+                          .Add({})),
+      m_evacuated(prometheus::BuildGauge()
+                      .Name("cicadahub_entry_evacuated")
+                      .Help("1 while nothing is sent to a data centre.")
+                      .Register(m_registry))
 {
     // Shown from the start: most deployments never count any.
     for (const char* result : {"within-budget", "over-budget", "waits"})
@@ -96,6 +119,19 @@
     }
 }
 
+void entry_metrics::set_evacuated(const std::set<data_centre_id>& before,
+                                  const std::set<data_centre_id>& now)
+{
+    for (const data_centre_id& it : before)
+    {
+        m_evacuated.Add({{"zone", it.value()}}).Set(0);
+    }
+    for (const data_centre_id& it : now)
+    {
+        m_evacuated.Add({{"zone", it.value()}}).Set(1);
+    }
+}
+
 void entry_metrics::count_request(std::string_view outcome, milliseconds took)
 {
     m_requests.Add({{"outcome", std::string(outcome)}}).Increment();
@@ -107,6 +143,11 @@
     m_refusals.Add({{"reason", std::string(name_of(kind))}}).Increment();
 }
 
+void entry_metrics::count_client_limit(std::string_view limit)
+{
+    m_client_limits.Add({{"limit", std::string(limit)}}).Increment();
+}
+
 void entry_metrics::count_attempt(std::string_view end, milliseconds took)
 {
     m_attempts.Add({{"end", std::string(end)}}).Increment();
@@ -120,6 +161,21 @@
         in_seconds(milliseconds(std::abs((waited - estimate).count()))));
 }
 
+void entry_metrics::count_class(std::int64_t priority, std::string_view result)
+{
+    m_classes
+        .Add(
+            {{"priority", class_of(priority)}, {"result", std::string(result)}})
+        .Increment();
+}
+
+void entry_metrics::observe_class_wait(std::int64_t priority,
+                                       milliseconds waited)
+{
+    m_class_waits.Add({{"priority", class_of(priority)}}, time_buckets)
+        .Observe(in_seconds(waited));
+}
+
 void entry_metrics::observe_first_event(milliseconds after)
 {
     m_first_event.Observe(in_seconds(after));
--- a/libraries/entry/entry_metrics.hpp
+++ b/libraries/entry/entry_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/ids.hpp"
 #include "core/refusal.hpp"
 #include "core/units.hpp"
 
@@ -8,6 +9,8 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <set>
+
 namespace cicadahub::entry
 {
 
@@ -24,6 +27,10 @@
     /// Records the wait of a request that was assigned a server, and its
     /// difference from `estimate`, which was made when the wait began.
     void observe_wait(milliseconds waited, milliseconds estimate);
+    /// Counts how a request of a class ended: within its target, late or
+    /// refused, by the priority of its class.
+    void count_class(std::int64_t priority, std::string_view result);
+    void observe_class_wait(std::int64_t priority, milliseconds waited);
     void observe_first_event(milliseconds after);
     /// Streams that callers begin, or take up again: those asked for, and those
     /// that went on to an event.
@@ -37,8 +44,13 @@
     /// Changes the number of prompt tokens of this host's requests that servers
     /// have still to read.
     void add_unread_tokens(std::int64_t tokens);
+    /// Counts what was done to a client that exceeded a bound of this host.
+    void count_client_limit(std::string_view limit);
     /// Counts an entry of a server that names no server to use.
     void count_unreadable_server();
+    /// Data centres that were evacuated before, and those that are now.
+    void set_evacuated(const std::set<data_centre_id>& before,
+                       const std::set<data_centre_id>& now);
     /// Records how late the event loop ran a timer.
     void observe_loop_delay(milliseconds late);
 
@@ -49,8 +61,11 @@
     prometheus::Registry m_registry;
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_refusals;
+    prometheus::Family<prometheus::Counter>& m_client_limits;
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_streams;
+    prometheus::Family<prometheus::Counter>& m_classes;
+    prometheus::Family<prometheus::Histogram>& m_class_waits;
     prometheus::Family<prometheus::Counter>& m_orders;
     prometheus::Counter& m_unreadable_servers;
     prometheus::Histogram& m_request_time;
@@ -63,6 +78,7 @@
     prometheus::Gauge& m_dropped_lines;
     prometheus::Family<prometheus::Counter>& m_prefill_choices;
     prometheus::Gauge& m_unread_tokens;
+    prometheus::Family<prometheus::Gauge>& m_evacuated;
 };
 
 } // namespace cicadahub::entry
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -1,7 +1,10 @@
 #include "entry/entry_state.hpp"
 
+#include "core/store_version.hpp"
 #include "core/structured_log.hpp"
 
+#include <utility>
+
 namespace cicadahub::entry
 {
 
@@ -22,16 +25,20 @@
 /// this time, unless they are too many for a digest a second.
 constexpr milliseconds first_reports_time{1'000};
 
-/// Servers of a service state their pace in each response, if at all. Without
-/// any for this long the service counts as one that does not.
-constexpr milliseconds pace_statement_lifetime{30'000};
-
 /// A tenth of the time between two reports of the holder.
 constexpr milliseconds unread_sum_period{100};
 
 /// Ranks of servers are a second late at most; ranking takes time in proportion
 /// to all servers of the fleet.
 constexpr milliseconds server_ranking_period{1'000};
+/// An order and a request for a report may reach a cold server in one second
+/// beside the requests of a host that begins to send.
+constexpr double min_slack_for_orders = 3;
+
+/// A server whose connection was lost may have started again. Its next entry is
+/// known within this time: a pause and a watch of a host that watches the
+/// store, and a message.
+constexpr milliseconds restart_doubt{2'000};
 
 /// Wall-clock time of the start, so that each start of a daemon has a higher
 /// incarnation than the last, also after a move to another host.
@@ -57,10 +64,25 @@
     : context(io), settings(given), servers(documents), waiting(io),
       suspects(suspicion::suspicion_limits{max_crashes, suspect_retention,
                                            max_suspects}),
-      pool(io, connect_timeout, idle_connections_per_server),
+      memory(std::make_shared<admission::memory_account>(
+          admission::memory_limits_of(given.memory_bytes))),
+      pool(io, connect_timeout, idle_connections_per_server, {}, memory),
       incarnation(new_incarnation()), reach(io, pool, servers, random),
       continuity(io, servers, fleet)
 {
+    are_evacuations_known = !settings.follows_evacuations;
+}
+
+bool entry_state::is_allowed(const routing::allowed_regions& regions,
+                             const data_centre_id& data_centre) const
+{
+    if (!regions.is_restricted())
+    {
+        return true;
+    }
+    const auto known = settings.regions.find(data_centre);
+    return regions.allows(known == settings.regions.end() ? nullptr
+                                                          : &known->second);
 }
 
 void entry_state::update_rate_shares(time_point now)
@@ -116,13 +138,6 @@
     return found;
 }
 
-bool entry_state::states_pace(const service_id& service) const
-{
-    const auto known = pace_stated_at.find(service);
-    return known != pace_stated_at.end() &&
-           monotonic_clock::now() < known->second + pace_statement_lifetime;
-}
-
 const routing::prefill_budget*
 entry_state::prefill_budget_of(const service_id& service) const
 {
@@ -153,7 +168,7 @@
     unread_summed_at = now;
     const auto unread = fleet.unread_by_server();
     // The holder of the placement lease passes reports on that it does not use.
-    if (!pace_stated_at.empty() || !unread.empty())
+    if (!paces.empty() || !unread.empty())
     {
         servers.set_unread_elsewhere(unread, is_without_own,
                                      fleet.work_received_at(), now);
@@ -164,15 +179,222 @@
                                    const server_notice& it)
 {
     on_brittle_notice(server, it);
-    if (it.load && it.load->pace)
+    if (!it.is_from_server)
+    {
+        return;
+    }
+    const time_point now = monotonic_clock::now();
+    on_limit(server, it.rate_limit, now, settings.name.value());
+    if (it.load)
+    {
+        on_load(server, *it.load);
+    }
+    if (!it.cold_left)
+    {
+        return;
+    }
+    const bool was_cold = server.limit.is_cold(now);
+    server.cold.on_answer(*it.cold_left, now);
+    if (update_cold(server, "answer", now))
+    {
+        send_update_to_all_soon();
+    }
+    if (server.limit.is_cold(now) != was_cold)
+    {
+        waiting.wake_all();
+    }
+}
+
+void entry_state::on_traffic(time_point moment)
+{
+    if (traffic_since && *traffic_since <= moment)
+    {
+        return;
+    }
+    traffic_since = moment;
+    update_cold_servers(monotonic_clock::now());
+}
+
+void entry_state::judge_start(server_record& server, milliseconds cold_start,
+                              time_point now) const
+{
+    if (server.is_start_judged || !server.first_seen || !traffic_since)
+    {
+        return;
+    }
+    std::optional<milliseconds> age;
+    if (server.entry.incarnation > 0)
+    {
+        const auto wall_clock = std::chrono::duration_cast<milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+        age =
+            wall_clock - milliseconds(server.entry.incarnation) -
+            std::chrono::duration_cast<milliseconds>(now - *server.first_seen);
+    }
+    if (sharing::cold_period::is_start_during_traffic(*server.first_seen, age,
+                                                      *traffic_since))
+    {
+        server.is_start_judged = true;
+        server.cold.assume(sharing::cold_period::assumed_end(
+            cold_start, *server.first_seen, age));
+    }
+}
+
+bool entry_state::update_cold(server_record& server, std::string_view seen_by,
+                              time_point now)
+{
+    const auto* service =
+        configuration ? configuration->find_service(server.entry.service)
+                      : nullptr;
+    if (service == nullptr)
+    {
+        return false;
+    }
+    if (service->cold_start > milliseconds(0))
+    {
+        judge_start(server, service->cold_start, now);
+    }
+    const bool was_cold = server.limit.is_cold(now);
+    const bool was_limited = server.limit.is_limited(now);
+    // Half of what the bound allows above the rate remains for hosts that begin
+    // to send at the same time, and for orders.
+    constexpr double burst_share = 0.5;
+    server.limit.set_cold(service->cold_requests_per_second, server.cold.end(),
+                          burst_share * (settings.cold_overage - 1), now);
+    server.takes_orders_while_cold =
+        settings.cold_slack >= min_slack_for_orders;
+    const bool is_cold = server.limit.is_cold(now);
+    if (is_cold == was_cold)
+    {
+        return false;
+    }
+    if (is_cold && !was_limited)
+    {
+        update_loan(server, now);
+    }
+    log_event(
+        severity::info, event_number::server_cold,
+        {{"server", server.entry.id.value()},
+         {"incarnation", server.entry.incarnation},
+         {"is_cold", is_cold},
+         {"left_ms", server.cold.left(now).count()},
+         {"requests_per_second", service->cold_requests_per_second.value_or(0)},
+         {"sender", limit_sender(server)},
+         {"seen_by", seen_by}});
+    return is_cold;
+}
+
+bool entry_state::update_cold_servers(time_point now)
+{
+    const bool has_cold_rates =
+        configuration && configuration->has_cold_rates();
+    if (!has_cold_rates && !std::exchange(m_had_cold_rates, has_cold_rates))
+    {
+        return false;
+    }
+    m_had_cold_rates = has_cold_rates;
+    bool is_any_new = false;
+    for (const auto& [id, record] : servers.records())
+    {
+        is_any_new = update_cold(*record, "list", now) || is_any_new;
+    }
+    return is_any_new;
+}
+
+bool entry_state::update_evacuations()
+{
+    auto wanted = evacuations.data_centres();
+    if (wanted == servers.evacuated())
+    {
+        return false;
+    }
+    std::string names;
+    for (const data_centre_id& it : wanted)
     {
-        pace_stated_at[server.entry.service] = monotonic_clock::now();
+        names += (names.empty() ? "" : " ") + it.value();
     }
-    if (it.is_from_server)
+    log_event(severity::warning, event_number::evacuation_changed,
+              {{"data_centres", names},
+               {"version", revision_of(evacuations.changed_version())}});
+    metrics.set_evacuated(servers.evacuated(), wanted);
+    servers.set_evacuated(std::move(wanted));
+    waiting.wake_all();
+    return true;
+}
+
+void entry_state::on_connection_lost(server_record& server, time_point now)
+{
+    const auto* service =
+        configuration ? configuration->find_service(server.entry.service)
+                      : nullptr;
+    if (service == nullptr || service->cold_start == milliseconds(0))
     {
-        on_limit(server, it.rate_limit, monotonic_clock::now(),
-                 settings.name.value());
+        return;
     }
+    server.cold.on_peer(std::min(restart_doubt, service->cold_start), now);
+    update_cold(server, "lost-connection", now);
+}
+
+void entry_state::on_crashed(server_record& server, time_point now)
+{
+    const auto* service =
+        configuration ? configuration->find_service(server.entry.service)
+                      : nullptr;
+    if (service == nullptr || service->cold_start == milliseconds(0))
+    {
+        return;
+    }
+    server.cold.assume(now + service->cold_start);
+    if (update_cold(server, "crash", now))
+    {
+        send_update_to_all_soon();
+    }
+}
+
+void entry_state::on_load(server_record& server, const server_load& it)
+{
+    const time_point now = monotonic_clock::now();
+    server.occupancy.on_statement({it.running, it.waiting, it.slots},
+                                  server.running, now);
+    if (it.pace_percent)
+    {
+        server.pace.on_statement(*it.pace_percent, now);
+        paces[server.entry.service].on_stated(now);
+    }
+}
+
+bool entry_state::states_pace(const service_id& service) const
+{
+    const auto known = paces.find(service);
+    return known != paces.end() &&
+           known->second.is_stated(monotonic_clock::now());
+}
+
+routing::server_expectation
+entry_state::expectation_of(const server_record& server, time_point now) const
+{
+    static const routing::service_pace unknown;
+    const auto known = paces.find(server.entry.service);
+    return routing::expectation_of(
+        server.running, server.occupancy, server.pace,
+        known == paces.end() ? unknown : known->second, now);
+}
+
+void entry_state::on_outcome(server_record& server,
+                             const routing::attempt_times& it, time_point now)
+{
+    const auto known = paces.find(server.entry.service);
+    if (known != paces.end())
+    {
+        server.pace.on_outcome(it, known->second.usual(), now);
+        known->second.on_outcome(it, server.pace.stated(now));
+    }
+}
+
+admission::admission_control*
+entry_state::admission_of(const service_id& service)
+{
+    return states_pace(service) ? &admission[service] : nullptr;
 }
 
 void entry_state::on_limit_notice(const fleet::wire::LimitedServer& it,
@@ -189,6 +411,11 @@
                            : std::nullopt;
     on_limit(*record, limit, from.received_at - milliseconds(it.age_ms),
              from.digest.sender);
+    if (it.__isset.cold_left_ms)
+    {
+        record->cold.on_peer(milliseconds(it.cold_left_ms), from.received_at);
+        update_cold(*record, from.digest.sender, monotonic_clock::now());
+    }
     on_loan(*record, it, from);
 }
 
@@ -328,33 +555,52 @@
                                  time_point now) const
 {
     std::optional<const peer*> first;
-    // The more a host may use already, the earlier it comes.
-    std::pair<double, std::pair<std::size_t, std::string>> first_key;
-    const auto consider =
-        [&](const std::string& name, double usable, const peer* it)
-    {
-        std::pair key(-usable, rank_of(name, server));
-        if (!first || key < first_key)
+    // Requests that only some regions may get reach the server through a host
+    // of its own region. The more a host may use already, the earlier it comes.
+    std::pair<bool, double> first_key;
+    std::string first_name;
+    const bool are_regions_bound = !settings.regions.empty() && configuration &&
+                                   configuration->has_allowed_regions();
+    const auto region_of = [&](const data_centre_id& it)
+    {
+        const auto known = settings.regions.find(it);
+        return known == settings.regions.end() ? region_id() : known->second;
+    };
+    const region_id region = region_of(server.entry.data_centre);
+    const auto consider = [&](const std::string& name, double usable,
+                              const peer* it, const data_centre_id& where)
+    {
+        const bool is_elsewhere =
+            are_regions_bound && region_of(where) != region;
+        const std::pair key(is_elsewhere, -usable);
+        // The rank is costly with many cold servers, and seldom needed.
+        if (!first || key < first_key ||
+            (key == first_key &&
+             rank_of(name, server) < rank_of(first_name, server)))
         {
             first = it;
-            first_key = std::move(key);
+            first_key = key;
+            first_name = name;
         }
     };
     if (!reach.is_cut_off() && !is_draining)
     {
-        consider(settings.name.value(), server.limit.part(now), nullptr);
+        consider(settings.name.value(), server.limit.part(now), nullptr,
+                 settings.data_centre);
     }
     for (const auto& [name, it] : fleet.peers())
     {
-        if (!it.digest.__isset.sent_at_ms || it.digest.is_cut_off ||
-            it.digest.is_leaving)
+        const bool knows_limit =
+            server.limit.is_named(now) || it.digest.__isset.traffic_ms;
+        if (!it.digest.__isset.sent_at_ms || !knows_limit ||
+            it.digest.is_cut_off || it.digest.is_leaving)
         {
             continue;
         }
         const auto known = server.usable_elsewhere.find(daemon_id(name));
         consider(name,
                  known == server.usable_elsewhere.end() ? 0 : known->second,
-                 &it);
+                 &it, data_centre_id(it.digest.data_centre));
     }
     return first;
 }
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "decision/admission/admission_control.hpp"
+#include "decision/routing/allowed_regions.hpp"
 #include "decision/routing/cached_prefixes.hpp"
+#include "decision/routing/evacuation_set.hpp"
 #include "decision/routing/prefill_budget.hpp"
+#include "decision/routing/server_choice.hpp"
 #include "decision/sharing/brittle_service.hpp"
 #include "decision/sharing/fleet_rate.hpp"
 #include "decision/sharing/retry_budget.hpp"
@@ -46,6 +50,8 @@
     suspicion::crash_attribution crashing_parts;
     entry_metrics metrics;
     work_meter work;
+    /// Bytes that this host holds for callers.
+    std::shared_ptr<admission::memory_account> memory;
     /// Connections to backend servers for callers' requests.
     http::client_pool pool;
     std::map<organisation_id, sharing::fleet_rate> rates;
@@ -54,10 +60,11 @@
     /// Of services whose servers state their pace.
     std::map<service_id, routing::prefill_budget> prefill_budgets;
     routing::cached_prefixes cached_prefixes;
-    /// Last time at which a server of the service stated its pace.
-    std::map<service_id, time_point> pace_stated_at;
     time_point servers_ranked_at{};
     time_point unread_summed_at{};
+    /// Services whose servers have stated their pace.
+    std::map<service_id, routing::service_pace> paces;
+    std::map<service_id, admission::admission_control> admission;
     const time_point started_at = monotonic_clock::now();
     /// Higher after each start of this daemon.
     const std::int64_t incarnation;
@@ -71,6 +78,13 @@
     /// What is recorded of the servers' limits has been read, or learnt from
     /// other hosts.
     bool are_limits_known = false;
+    /// Since when there has been traffic at any host; empty if there has been
+    /// none. Reports of others arrive late, so that the time is never too early
+    /// but for a record by another clock.
+    std::optional<time_point> traffic_since;
+    routing::evacuation_set evacuations;
+    /// False until the evacuations are known, or nobody can tell of them.
+    bool are_evacuations_known = false;
     /// Last time at which a response, or a part of one, arrived from any
     /// server.
     time_point last_server_contact = monotonic_clock::now();
@@ -93,6 +107,10 @@
     /// Called when a response said that its server leaves.
     std::function<void()> on_server_leaving;
 
+    /// Whether servers or hosts of a data centre may get a request.
+    bool is_allowed(const routing::allowed_regions& regions,
+                    const data_centre_id& data_centre) const;
+
     /// Recomputes this host's share of each rate from the current demand.
     void update_rate_shares(time_point now);
     sharing::retry_budget& retry_budget_of(const service_id& service);
@@ -103,10 +121,6 @@
     find_crashing_part(const std::vector<suspicion::part_fingerprint>& parts,
                        time_point now);
 
-    /// True if servers of the service have stated their pace lately, so that
-    /// prompts are taken into account in the choice of a server.
-    bool states_pace(const service_id& service) const;
-
     /// Null if prompts are not taken into account for the service.
     const routing::prefill_budget*
     prefill_budget_of(const service_id& service) const;
@@ -118,9 +132,22 @@
     /// `server_table::set_running_elsewhere`.
     void on_fleet_work(bool is_without_own);
 
-    /// Takes in what an answer of a server says of how brittle it is and of the
-    /// rate that it takes.
+    /// True if a response of a server of the service stated its pace within the
+    /// last 30 s. Its servers are chosen by what they state of their load.
+    bool states_pace(const service_id& service) const;
+    /// What a request can expect at a server of a service that states its pace.
+    routing::server_expectation expectation_of(const server_record& server,
+                                               time_point now) const;
+    /// Counts an answer that the server has completed.
+    void on_outcome(server_record& server, const routing::attempt_times& it,
+                    time_point now);
+
+    /// Takes in what an answer of a server says of its load, of how brittle it
+    /// is and of the rate that it takes.
     void on_server_notice(server_record& server, const server_notice& it);
+    /// What orders the service's requests and decides whether they wait; null
+    /// if its servers do not state their pace.
+    admission::admission_control* admission_of(const service_id& service);
     /// Takes in what another host heard of the rate that a server takes, and
     /// whether it lends its part of that to this host.
     void on_limit_notice(const fleet::wire::LimitedServer& it,
@@ -130,6 +157,18 @@
     void on_recorded_limit(const server_id& server,
                            std::int64_t server_incarnation,
                            double requests_per_second, time_point heard_at);
+    /// There has been traffic since `moment`, or longer.
+    void on_traffic(time_point moment);
+    /// Takes in what the entries say of cold servers and what follows from
+    /// their starts. True if a server is cold that was not known to be.
+    bool update_cold_servers(time_point now);
+    /// Applies the evacuations as they are known now. True if any changed.
+    bool update_evacuations();
+    /// The server may have ended, or a link. Only this host acts on that.
+    void on_connection_lost(server_record& server, time_point now);
+    /// The server has ended: what answers at its address until its next start
+    /// is listed may be cold.
+    void on_crashed(server_record& server, time_point now);
     /// Whether this host may send a server one more request now, as far as
     /// brittle servers and limits are concerned.
     bool may_send(server_record& server, const request_id& request,
@@ -165,10 +204,21 @@
                      time_point now) const;
 
 private:
+    void on_load(server_record& server, const server_load& it);
+    /// A service had a rate for cold servers when these were last updated.
+    bool m_had_cold_rates = false;
+
     void on_brittle_notice(const server_record& server,
                            const server_notice& it);
     void on_limit(server_record& server, std::optional<double> limit,
                   time_point heard_at, const std::string& seen_by);
+    /// Assumes the incarnation to be cold if it started while there was
+    /// traffic.
+    void judge_start(server_record& server, milliseconds cold_start,
+                     time_point now) const;
+    /// True if the server is cold and was not known to be.
+    bool update_cold(server_record& server, std::string_view seen_by,
+                     time_point now);
     void on_loan(server_record& server, const fleet::wire::LimitedServer& it,
                  const peer& from);
     /// The host that is to send to a server with a limit; null if it is this
--- a/libraries/entry/placement/placement_controller.cpp
+++ b/libraries/entry/placement/placement_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "core/structured_log.hpp"
 #include "daemon/pause.hpp"
+#include "decision/routing/allowed_regions.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -220,8 +221,16 @@
         auto& servers = m_servers[service->name];
         const auto [known, is_new] =
             servers.try_emplace(id, replicas::server_state(record->entry, now));
-        known->second.set_paused(record->pause.is_active(now) ||
-                                 record->limit.is_limited(now));
+        known->second.set_paused(
+            record->pause.is_active(now) ||
+            (record->limit.is_limited(now) && !record->accepts_orders(now)));
+        known->second.set_cold(record->limit.is_cold(now));
+        known->second.set_evacuated(record->is_evacuated);
+        const auto region =
+            m_inputs.settings.regions.find(record->entry.data_centre);
+        known->second.set_region(region == m_inputs.settings.regions.end()
+                                     ? std::nullopt
+                                     : std::optional(region->second));
         if (is_new)
         {
             continue;
@@ -293,6 +302,10 @@
             {
                 item.version = software_version(it.version);
             }
+            if (it.__isset.allowed_regions)
+            {
+                item.regions = routing::regions_from(it.allowed_regions);
+            }
             view.pending_demands.push_back(std::move(item));
         }
         for (const auto& it : peer.digest.usage)
@@ -371,8 +384,9 @@
     {
         const auto may_send = [&]
         {
-            is_withheld =
-                !is_held() || !record->accepts_orders(monotonic_clock::now());
+            const time_point now = monotonic_clock::now();
+            is_withheld = !is_held() || !record->accepts_orders(now);
+            record->last_control = is_withheld ? record->last_control : now;
             return !is_withheld;
         };
         try
@@ -477,7 +491,9 @@
     bool is_withheld = false;
     const auto may_send = [&]
     {
-        is_withheld = !record->accepts_orders(monotonic_clock::now());
+        const time_point now = monotonic_clock::now();
+        is_withheld = !record->accepts_orders(now);
+        record->last_control = is_withheld ? record->last_control : now;
         return !is_withheld;
     };
     try
--- a/libraries/entry/requests/active_request.cpp
+++ b/libraries/entry/requests/active_request.cpp
@@ -25,6 +25,7 @@
     : m_state(state), m_servers(servers), m_message(message),
       m_request(std::move(request)), m_reply(reply),
       m_configuration(state.configuration), m_arrived(monotonic_clock::now()),
+      m_first_arrived(m_arrived),
       m_observer(state, m_request, [this] { on_first_event(); }),
       m_exchange(state.pool, servers, m_observer.handlers()),
       m_waiter(state.waiting.make_waiter())
@@ -41,6 +42,20 @@
     const refusal it =
         without_untrue_promise({reason, m_runs == 0, retry_after});
     m_state.metrics.count_refusal(it.kind);
+    if (m_service != nullptr)
+    {
+        m_state.metrics.count_class(priority(), "refused");
+    }
+    const bool is_for_want_of_room =
+        it.kind == refusal_kind::no_capacity ||
+        it.kind == refusal_kind::target_unreachable;
+    if (m_waiter->control != nullptr && it.is_not_run && is_for_want_of_room &&
+        retry_after.count() > 0)
+    {
+        m_state.admission[m_service->name].refused().on_refused(
+            m_fingerprint.value(), m_first_arrived, retry_after,
+            monotonic_clock::now());
+    }
     log_event(
         severity::warning, event_number::request_refused,
         {{"request", m_request.id.value()},
@@ -59,10 +74,11 @@
 net::awaitable<void> active_request::serve()
 {
     if (!m_configuration || !m_state.has_servers || !m_state.are_limits_known ||
-        m_arrived >= m_state.accept_deadline)
+        !m_state.are_evacuations_known || m_arrived >= m_state.accept_deadline)
     {
         refuse(refusal_kind::not_ready, retry_after_starting);
     }
+    m_state.on_traffic(m_arrived);
     find_route();
     if (m_reply.has_caller_left())
     {
@@ -71,6 +87,11 @@
         co_return;
     }
     authenticate();
+    m_allowed_regions.restrict_to(m_route->allowed_regions);
+    if (m_organisation != nullptr)
+    {
+        m_allowed_regions.restrict_to(m_organisation->allowed_regions);
+    }
     co_await find_stream_origin();
     choose_service();
     const auto caller_timeout =
@@ -134,7 +155,9 @@
     {
         if ((!only.empty() && name != only) || it.digest.is_cut_off ||
             it.digest.is_leaving || m_excluded_relays.contains(name) ||
-            !m_state.is_entitled(daemon_id(name), server, now))
+            !m_state.is_entitled(daemon_id(name), server, now) ||
+            !m_state.is_allowed(m_allowed_regions,
+                                data_centre_id(it.digest.data_centre)))
         {
             continue;
         }
@@ -160,6 +183,10 @@
         added.organisation = m_organisation->name;
     }
     added.after_event = m_progress.last_event;
+    if (m_waiter->control != nullptr)
+    {
+        added.urgency = m_waiter->control->urgency_of(m_waiter->request, now);
+    }
     exchange_path path{record->entry.address,
                        m_attempted_addresses.contains(record->entry.address),
                        std::nullopt};
@@ -187,6 +214,7 @@
         result = co_await m_exchange.run(std::move(path), m_message, added,
                                          m_request.id, m_reply, m_progress,
                                          m_deadline);
+        observe_start(*record, result, now);
     }
     m_observer.log(result, now);
     co_return result;
@@ -380,6 +408,19 @@
                                     unsigned status) const
 {
     m_state.metrics.count_request(outcome, time_since(m_arrived));
+    constexpr unsigned least_error = 400;
+    if (outcome != "caller-gone" && status < least_error)
+    {
+        const auto took =
+            m_progress.first_event_at
+                ? std::chrono::duration_cast<milliseconds>(
+                      *m_progress.first_event_at - m_first_arrived)
+                : time_since(m_first_arrived);
+        const milliseconds target = m_route->target_latency;
+        m_state.metrics.count_class(
+            priority(),
+            target.count() > 0 && took > target ? "late" : "in-target");
+    }
     if (m_progress.first_event_at)
     {
         m_state.metrics.observe_first_event(
--- a/libraries/entry/requests/active_request.hpp
+++ b/libraries/entry/requests/active_request.hpp
@@ -84,10 +84,18 @@
     void on_first_event();
     /// False if the stream can't go on at the server.
     bool has_origin(const serving::server_entry& server) const;
+    /// True if the server may get the request once it has room.
+    bool is_eligible(const server_record& server) const;
+    /// False if no server in a region that may get the request is listed.
+    bool is_any_region_eligible() const;
     bool is_origin_listed() const;
     net::awaitable<void> attempt_until_answered();
     net::awaitable<server_table::record_pointer> wait_for_server();
     server_pick pick_server() const;
+    /// Completes a candidate of a service whose servers state their pace.
+    void expect_by_statements(routing::choice_candidate& to,
+                              const server_record& server,
+                              time_point now) const;
     net::awaitable<exchange_result>
     attempt(const server_table::record_pointer& record);
     /// Decides after an attempt whether the request is sent to another server;
@@ -119,6 +127,21 @@
     bool can_book(const server_record& server, milliseconds wait) const;
     [[noreturn]] void refuse(refusal_kind reason, milliseconds retry_after);
     void refuse_if_unservable(time_point now, const server_pick& pick);
+    /// For services with an `admission_control`: refuses the request if it
+    /// can't begin in time behind those that go ahead of it. Returns the time
+    /// after which it is expected to begin.
+    milliseconds refuse_if_queue_too_long(time_point now,
+                                          const server_pick& pick,
+                                          bool has_waited);
+    /// Brings up to date what the queue knows of the request.
+    void update_waiter(time_point now);
+    admission::queue_view view_queue(time_point now, const server_pick& pick);
+    /// Whether a request that goes ahead of this one waits for the server.
+    bool is_any_ahead(const server_record& server) const;
+    /// For an attempt that has ended.
+    void observe_start(const server_record& server,
+                       const exchange_result& result, time_point sent_at);
+    std::int64_t priority() const;
     milliseconds estimated_wait(time_point now) const;
     milliseconds time_left(time_point now) const;
     /// Time from the arrival in which the first event should come.
@@ -141,10 +164,15 @@
     const serving::route* m_route = nullptr;
     const serving::organisation* m_organisation = nullptr;
     const serving::service* m_service = nullptr;
+    routing::allowed_regions m_allowed_regions;
     std::optional<replicas::copy_name> m_copy;
     routing::prompt_affinity m_affinity;
     suspicion::fingerprint m_fingerprint;
     time_point m_arrived{};
+    /// That of the first attempt of the caller that this host knows of.
+    time_point m_first_arrived{};
+    bool m_is_returned = false;
+    bool m_is_in_demand = false;
     time_point m_deadline{};
     /// The caller gives up if it has received nothing more by then.
     time_point m_first_byte_deadline{};
--- a/libraries/entry/requests/attempt_observer.cpp
+++ b/libraries/entry/requests/attempt_observer.cpp
@@ -200,8 +200,10 @@
         co_return true;
     }
     update_health(result, copy);
+    m_state.on_connection_lost(*m_record, failed_at);
     if (cause == loss_cause::crash)
     {
+        m_state.on_crashed(*m_record, failed_at);
         evidence_for(fingerprint).on_crash(failed_at);
     }
     co_return false;
@@ -225,8 +227,10 @@
     }
     if (is_rejection(result))
     {
-        record.room.on_rejected(
-            m_sent_at, now, std::uniform_real_distribution<>()(m_state.random));
+        const double draw = std::uniform_real_distribution<>()(m_state.random);
+        record.room.on_rejected(m_sent_at, now, draw);
+        record.occupancy.on_rejected(
+            m_sent_at, m_state.expectation_of(record, now).to_end, draw, now);
     }
     bool is_suspended = false;
     if (result.end == exchange_end::not_sent)
@@ -244,6 +248,16 @@
     {
         record.health.on_success();
         record.room.on_ended();
+        record.occupancy.on_ended();
+        if (result.answer_began)
+        {
+            m_state.on_outcome(
+                record,
+                {std::chrono::duration_cast<milliseconds>(*result.answer_began -
+                                                          m_sent_at),
+                 std::chrono::duration_cast<milliseconds>(now - m_sent_at)},
+                now);
+        }
     }
     if (is_suspended)
     {
--- a/libraries/entry/settings.hpp
+++ b/libraries/entry/settings.hpp
@@ -4,6 +4,7 @@
 #include "core/units.hpp"
 #include "http/types.hpp"
 
+#include <map>
 #include <vector>
 
 namespace cicadahub::entry
@@ -27,6 +28,10 @@
     double processor_share = 1;
     /// Bytes that this host's link carries each second.
     double link_bytes_per_second = 125e6;
+    /// Memory of this host; a process that exceeds it is killed.
+    std::size_t memory_bytes = 256'000'000;
+    /// Descriptors that the process may have open, with those of files.
+    std::size_t descriptors = 4'096;
     /// Time between the stop signal and the kill of the process.
     milliseconds stop_grace{8'000};
     /// Time without a renewal after which another host may take over the
@@ -39,6 +44,15 @@
     std::int64_t quota_slack = 0;
     double retry_budget_extra = 0;
     milliseconds retry_budget_window{10'000};
+    /// Requests that a cold server may get in one second from all hosts:
+    /// `cold_overage` times its rate, and `cold_slack` more.
+    double cold_overage = 1.5;
+    double cold_slack = 5;
+    /// True if operators may ask that data centres get no requests.
+    bool follows_evacuations = false;
+    /// Region of this host, and that of each data centre.
+    region_id region;
+    std::map<data_centre_id, region_id> regions;
 };
 
 } // namespace cicadahub::entry
--- a/libraries/platform/object_client.cpp
+++ b/libraries/platform/object_client.cpp
@@ -25,9 +25,10 @@
 constexpr std::size_t list_limit_pages = 256;
 constexpr std::size_t list_limit_bytes = 8 * 1024 * 1024;
 
-constexpr std::array<std::string_view, 11> collection_names{
-    "configurations", "hosts",   "leases",   "placements", "members", "intents",
-    "audits",         "servers", "versions", "streams",    "limits"};
+constexpr std::array<std::string_view, 12> collection_names{
+    "configurations", "hosts",   "leases", "placements",
+    "members",        "intents", "audits", "servers",
+    "versions",       "streams", "limits", "evacuations"};
 
 void expect_ok(const http::response& answer)
 {
@@ -253,16 +254,19 @@
     co_return write_result{write_outcome::unknown, {}};
 }
 
-net::awaitable<listing>
-object_client::watch(collection where, object_version since, milliseconds wait)
+net::awaitable<listing> object_client::watch(collection where,
+                                             object_version since,
+                                             milliseconds wait,
+                                             freshness wanted)
 {
     if (era_of(since) != m_era)
     {
         throw watch_expired();
     }
     const object_version revision(revision_of(since));
-    const auto answer = co_await call(m_dialect.watch(where, revision, wait),
-                                      wait + m_timing.call_timeout);
+    const auto answer =
+        co_await call(m_dialect.watch(where, revision, wait, wanted),
+                      wait + m_timing.call_timeout);
     expect_ok(answer);
     if (era_of(since) != m_era)
     {
--- a/tests/platform/server_notice_test.cpp
+++ b/tests/platform/server_notice_test.cpp
@@ -113,9 +113,10 @@
 struct load_case
 {
     const char* name;
-    const char* text;
-    bool is_load;
-    std::optional<double> pace;
+    const char* value;
+    bool is_read;
+    std::optional<std::uint32_t> pace_percent;
+    const char* sender = "s";
 };
 
 void PrintTo(const load_case& it, std::ostream* out)
@@ -127,32 +128,36 @@
 {
 };
 
-// A malformed pace must not cost the other figures, and none must not count as
-// one: it enables decisions.
-TEST_P(server_loads, may_state_a_pace)
+TEST_P(server_loads, are_read_with_or_without_a_pace)
 {
     http::beast_http::response_header<> head;
-    head.result(status::ok);
-    head.set("Server-Load", GetParam().text);
+    head.set("Server-Load", GetParam().value);
+    head.set("Instance-Id", GetParam().sender);
     const auto seen = servers.read_notice(head, server_id("s")).load;
-    ASSERT_EQ(seen.has_value(), GetParam().is_load);
+    ASSERT_EQ(seen.has_value(), GetParam().is_read);
     if (seen)
     {
-        EXPECT_EQ(seen->slots, 6U);
-        EXPECT_EQ(seen->pace, GetParam().pace);
+        EXPECT_EQ(seen->running, 3);
+        EXPECT_EQ(seen->waiting, 1);
+        EXPECT_EQ(seen->slots, 6);
+        EXPECT_EQ(seen->pace_percent, GetParam().pace_percent);
     }
 }
 
 INSTANTIATE_TEST_SUITE_P(
     servers, server_loads,
-    testing::Values(load_case{"three", "4,1,6", true, std::nullopt},
-                    load_case{"four", "4,1,6,250", true, 250},
-                    load_case{"decimal", "4,1,6,99.5", true, 99.5},
-                    load_case{"more", "4,1,6,100,7", true, 100},
-                    load_case{"zero", "4,1,6,0", true, std::nullopt},
-                    load_case{"infinite", "4,1,6,inf", true, std::nullopt},
-                    load_case{"text", "4,1,6,slow", true, std::nullopt},
-                    load_case{"two", "4,1", false, std::nullopt}),
+    testing::Values(load_case{"three_figures", "3,1,6", true, {}},
+                    load_case{"four_figures", "3,1,6,250", true, 250},
+                    load_case{"spaces", "3, 1, 6, 250", true, 250},
+                    load_case{"a_malformed_pace", "3,1,6,fast", true, {}},
+                    load_case{"a_negative_pace", "3,1,6,-1", true, {}},
+                    load_case{"an_infinite_pace", "3,1,6,inf", true, {}},
+                    load_case{"a_pace_of_zero", "3,1,6,0", true, {}},
+                    load_case{"an_empty_pace", "3,1,6,", true, {}},
+                    load_case{"more_figures", "3,1,6,250,7", true, 250},
+                    load_case{"two_figures", "3,1", false, {}},
+                    load_case{"no_numbers", "a,b,c", false, {}},
+                    load_case{"another_server", "3,1,6", false, {}, "t"}),
     [](const auto& it) { return std::string(it.param.name); });
 
 } // namespace
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -161,7 +161,6 @@
         const boost::json::object json = parse_json_object(message.body());
         const json_reader reader(json);
         m_lost_answers = reader.integer_or("lose_answers", m_lost_answers);
-        m_pace = reader.integer_or("pace", m_pace);
         m_tokens_per_ms = reader.integer_or("tokens_per_ms", m_tokens_per_ms);
         m_broken_streams = reader.integer_or("break_streams", m_broken_streams);
         m_settings.event_gap = milliseconds(
@@ -203,6 +202,10 @@
         {
             m_brittle_limit = reader.integer("brittle");
         }
+        if (json.contains("pace"))
+        {
+            m_pace_percent = reader.integer("pace");
+        }
         if (json.contains("room"))
         {
             m_room = reader.integer("room");
@@ -240,6 +243,7 @@
             refusal(http::status::misdirected_request, message["Request-Id"]));
         co_return;
     }
+    count_arrival();
     count_limited_arrival();
     const bool is_placement = path == "/v1/report" || path == "/v1/order";
     if (is_placement && m_sheds_placement && is_shedding())
@@ -288,11 +292,11 @@
     {
         it.set("Server-Brittle", std::to_string(*m_brittle_limit));
     }
-    if (m_pace > 0)
+    if (m_pace_percent)
     {
         it.set("Server-Load", std::to_string(m_running) + ",0," +
-                                  std::to_string(m_settings.slots) + ',' +
-                                  std::to_string(m_pace));
+                                  std::to_string(m_settings.slots) + "," +
+                                  std::to_string(*m_pace_percent));
     }
 }
 
@@ -347,6 +351,18 @@
     }
 }
 
+void worker_standin::count_arrival()
+{
+    const time_point now = monotonic_clock::now();
+    std::erase_if(m_last_arrivals, [&](time_point at)
+                  { return at + std::chrono::seconds(1) <= now; });
+    m_last_arrivals.push_back(now);
+    ++m_arrivals;
+    m_most_arrivals_in_second =
+        std::max(m_most_arrivals_in_second,
+                 static_cast<std::int64_t>(m_last_arrivals.size()));
+}
+
 void worker_standin::count_limited_arrival()
 {
     const time_point now = monotonic_clock::now();
@@ -441,7 +457,10 @@
                         {"organisations", organisations},
                         {"arrivals_in_pause", m_arrivals_in_pause},
                         {"falls", m_falls},
+                        {"with_urgency", m_with_urgency},
                         {"most_limited_arrivals", m_most_limited_arrivals},
+                        {"arrivals", m_arrivals},
+                        {"most_arrivals_in_second", m_most_arrivals_in_second},
                         {"keys_seen", m_keys_seen},
                         {"endless_bytes", m_endless_bytes},
                         {"orders", m_orders},
@@ -586,6 +605,7 @@
     ++m_runs[std::string(message["Request-Id"])];
     m_keys_seen += message.count(http::field::authorization) > 0 ? 1 : 0;
     m_organisations.insert(std::string(message["Tenant"]));
+    m_with_urgency += message.count("Request-Urgency") > 0 ? 1 : 0;
     ++m_running;
     if (m_crashes_after_run)
     {
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -61,8 +61,9 @@
 /// empty for none), `resumed_status` (status of the error that answers requests
 /// to resume a stream; 0 for none), `limit` (requests a second, as text, that
 /// responses say the server takes from all hosts together; empty for none),
-/// `brittle` (limit that responses announce) and `room` (requests that it runs
-/// at the same time, if fewer than its slots; from then on, after more
+/// `brittle` (limit that responses announce), `pace` (how long work takes, in
+/// percent of what is usual, as responses state it) and `room` (requests that
+/// it runs at the same time, if fewer than its slots; from then on, after more
 /// rejections for want of room in a second than the limit, the server fails,
 /// which is counted as `falls`, and for a second closes all connections),
 /// `pace` (that responses state, in percent; 0 for none) and `tokens_per_ms`
@@ -94,6 +95,8 @@
     http::response error_for_resumed(std::string_view request) const;
     bool is_shedding() const;
     void count_arrival_in_pause();
+    /// Counts a request that another server was not meant by.
+    void count_arrival();
     /// Counts a request against the rate limit, over a sliding window.
     void count_limited_arrival();
     /// Counts a rejection for want of room, which may make the server fail.
@@ -133,7 +136,6 @@
     std::int64_t m_running = 0;
     std::int64_t m_lost_answers = 0;
     std::int64_t m_broken_streams = 0;
-    std::int64_t m_pace = 0;
     std::int64_t m_tokens_per_ms = 0;
     time_point m_reads_until{};
     std::int64_t m_silent_orders = 0;
@@ -159,8 +161,14 @@
     time_point m_limit_counts_from{};
     std::deque<time_point> m_limited_arrivals;
     std::int64_t m_most_limited_arrivals = 0;
+    /// Of the last second.
+    std::deque<time_point> m_last_arrivals;
+    std::int64_t m_arrivals = 0;
+    std::int64_t m_most_arrivals_in_second = 0;
     std::optional<std::int64_t> m_brittle_limit;
     std::optional<std::int64_t> m_room;
+    std::optional<std::int64_t> m_pace_percent;
+    std::int64_t m_with_urgency = 0;
     std::deque<time_point> m_rejections;
     std::int64_t m_falls = 0;
     time_point m_down_until{};
