Tests: Let a server become cold amid its life

The stand-in's entry states the time left, and it counts the requests of each second anew, 1.5 s after it became cold.

--- a/tests/system/limited_server_test.cpp
+++ b/tests/system/limited_server_test.cpp
@@ -57,7 +57,7 @@
 {
     const char* name;
     std::string limit;
-    /// Servers of the service that name the limit, of three.
+    /// Servers of the service that name the limit, of three, or that start.
     std::size_t servers;
     /// Share of all requests that must be served.
     double served_share;
@@ -339,9 +339,9 @@
 {
 };
 
-// Guards against a server that starts amid traffic and gets as many requests as
-// a warm one, from hosts that start meanwhile too, although its entry says, as
-// the stand-in's do, that it is not cold.
+// Guards against a server that starts or becomes cold amid traffic and gets as
+// many requests as a warm one, from hosts that start meanwhile too, although
+// its entry says after a start, as the stand-in's do, that it is not cold.
 TEST_P(cold_servers, get_no_more_than_they_take)
 {
     constexpr milliseconds cold_time{6'000};
@@ -355,7 +355,14 @@
     load_result all;
     const load running(fleet, all, {}, it.callers_per_daemon);
     std::this_thread::sleep_for(3 * warm_up);
-    fleet.restart_service(0);
+    if (it.servers > 0)
+    {
+        fleet.restart_service(0);
+    }
+    else
+    {
+        fleet.set_fault(address, R"({"cold_ms":6000})");
+    }
     const time_point end = monotonic_clock::now() + cold_time - warm_up;
     std::this_thread::sleep_for(warm_up);
     make_trouble(fleet, all);
@@ -372,12 +379,13 @@
 
 INSTANTIATE_TEST_SUITE_P(
     platform_path, cold_servers,
-    testing::Values(limit_case{"undisturbed", "4", 1, 0, trouble::none,
-                               daemon_count, 4},
-                    limit_case{"hosts_restart", "4", 1, 0,
-                               trouble::hosts_restart, daemon_count, 4},
-                    limit_case{"all_hosts_killed", "4", 1, 0,
-                               trouble::all_hosts_killed, daemon_count, 4}),
+    testing::Values(
+        limit_case{"amid_its_life", "4", 0, 0, trouble::none, daemon_count, 4},
+        limit_case{"undisturbed", "4", 1, 0, trouble::none, daemon_count, 4},
+        limit_case{"hosts_restart", "4", 1, 0, trouble::hosts_restart,
+                   daemon_count, 4},
+        limit_case{"all_hosts_killed", "4", 1, 0, trouble::all_hosts_killed,
+                   daemon_count, 4}),
     [](const auto& it) { return std::string(it.param.name); });
 
 // Guards against a host that forgets the limits when it starts again: nobody is
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -23,6 +23,9 @@
 /// All hosts know a limit after this time.
 constexpr milliseconds limit_grace{700};
 constexpr milliseconds limit_window{4'000};
+/// All hosts know this long after it that a server has become cold: a
+/// heartbeat, and the pause of the hosts that watch the store.
+constexpr milliseconds cold_grace{1'500};
 constexpr int crash_status = 134;
 constexpr int events_per_stream = 8;
 constexpr std::string_view first_version = "v1";
@@ -120,7 +123,7 @@
             {"version", m_settings.software_version},
             {"slots", m_settings.slots},
             {"state", m_is_draining ? "draining" : "ready"},
-            {"coldLeftMs", 0},
+            {"coldLeftMs", cold_left().count()},
             {"born", m_started_at_ms},
             {"seq", ++m_heartbeats}};
         if (m_settings.megabytes > 0)
@@ -197,6 +200,13 @@
             m_limited_arrivals.clear();
             m_most_limited_arrivals = 0;
         }
+        if (json.contains("cold_ms"))
+        {
+            const time_point now = monotonic_clock::now();
+            m_cold_until = now + milliseconds(reader.integer("cold_ms"));
+            m_seconds_count_from = now + cold_grace;
+            m_most_arrivals_in_second = 0;
+        }
         if (json.contains("brittle"))
         {
             m_brittle_limit = reader.integer("brittle");
@@ -324,13 +334,25 @@
     }
 }
 
+milliseconds worker_standin::cold_left() const
+{
+    const time_point now = monotonic_clock::now();
+    return now < m_cold_until
+               ? std::chrono::ceil<milliseconds>(m_cold_until - now)
+               : milliseconds(0);
+}
+
 void worker_standin::count_arrival()
 {
     const time_point now = monotonic_clock::now();
+    ++m_arrivals;
+    if (now < m_seconds_count_from)
+    {
+        return;
+    }
     std::erase_if(m_last_arrivals, [&](time_point at)
                   { return at + std::chrono::seconds(1) <= now; });
     m_last_arrivals.push_back(now);
-    ++m_arrivals;
     m_most_arrivals_in_second =
         std::max(m_most_arrivals_in_second,
                  static_cast<std::int64_t>(m_last_arrivals.size()));
--- a/utilities/cicada-standin/worker_standin.hpp
+++ b/utilities/cicada-standin/worker_standin.hpp
@@ -61,12 +61,13 @@
 /// empty for none), `resumed_status` (status of the error that answers requests
 /// to resume a stream; 0 for none), `limit` (requests a second, as text, that
 /// responses say the server takes from all hosts together; empty for none),
-/// `brittle` (limit that responses announce) and `room` (requests that it runs
-/// at the same time, if fewer than its slots; from then on, after more
-/// rejections for want of room in a second than the limit, the server fails,
-/// which is counted as `falls`, and for a second closes all connections). `GET
-/// /stats` returns counters and `GET /runs` how often each request was
-/// executed.
+/// `cold_ms` (time for which its entry says that it is cold; arrivals in a
+/// second are counted anew), `brittle` (limit that responses announce) and
+/// `room` (requests that it runs at the same time, if fewer than its slots;
+/// from then on, after more rejections for want of room in a second than the
+/// limit, the server fails, which is counted as `falls`, and for a second
+/// closes all connections). `GET /stats` returns counters and `GET /runs` how
+/// often each request was executed.
 class worker_standin
 {
 public:
@@ -90,6 +91,8 @@
     http::response error_for_resumed(std::string_view request) const;
     bool is_shedding() const;
     void count_arrival_in_pause();
+    /// Time left that the entry states.
+    milliseconds cold_left() const;
     /// Counts a request that another server was not meant by.
     void count_arrival();
     /// Counts a request against the rate limit, over a sliding window.
@@ -156,7 +159,9 @@
     std::int64_t m_most_limited_arrivals = 0;
     /// Of the last second.
     std::deque<time_point> m_last_arrivals;
+    time_point m_seconds_count_from{};
     std::int64_t m_arrivals = 0;
+    time_point m_cold_until{};
     std::int64_t m_most_arrivals_in_second = 0;
     std::optional<std::int64_t> m_brittle_limit;
     std::optional<std::int64_t> m_room;
