Admission: Count on loads where all servers of a copy are held back

For a copy whose servers all paused or were at their limit, the estimate took their wait alone, although its model may be loaded at another server meanwhile.

--- a/libraries/entry/requests/request_routing.cpp
+++ b/libraries/entry/requests/request_routing.cpp
@@ -363,11 +363,17 @@
     view.starts_per_second =
         m_state.admission[m_service->name].starts().starts_per_second(
             work, m_state.fleet.host_count(now), now);
-    view.not_before = std::max(pick.pause_left.value_or(milliseconds(0)),
-                               pick.limit_left.value_or(milliseconds(0)));
-    if (m_copy && !pick.has_eligible_server)
+    const milliseconds held_back =
+        std::max(pick.pause_left.value_or(milliseconds(0)),
+                 pick.limit_left.value_or(milliseconds(0)));
+    if (!m_copy)
+    {
+        view.not_before = held_back;
+    }
+    else if (!pick.has_eligible_server || held_back.count() > 0)
     {
-        view.not_before = std::max(view.not_before, estimated_wait(now));
+        // A model may be loaded at another server meanwhile.
+        view.not_before = estimated_wait(now);
     }
     return view;
 }
