HTTP: Bound the memory and connections of clients

A host held the bodies of all requests without a common limit, so that a crowd of large or unfinished bodies exhausted its memory, and a crowd of silent connections its descriptors.

All bytes held for callers are now charged, as they are allocated, to one account of 5/8 of limits.memoryMb: connections, heads, bodies by their capacity, served and relayed requests, and answers. Large requests leave a reserve to small ones, and leave free what they hold, so that those that hold most wait first; one of them at a time is read to its end. While any waits, new large requests get 503 memory-full with Retry-After. The pools of control traffic are sized by the same setting. Listeners have bounds for all connections and for one address, by limits.maxFds; at a bound the connection that has waited longest for a request is closed. Expect: 100-continue is answered.

--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -73,6 +73,7 @@
     CICADAHUB_ROW(stream_not_resumed),
     CICADAHUB_ROW(stream_resumed),
     CICADAHUB_ROW(stream_origin_unknown),
+    CICADAHUB_ROW(client_limited),
     CICADAHUB_ROW(audit_segment_failed),
     CICADAHUB_ROW(malformed_object),
 };
--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -70,6 +70,7 @@
     stream_not_resumed = 716,
     stream_resumed = 717,
     stream_origin_unknown = 718,
+    client_limited = 719,
     audit_segment_failed = 800,
     malformed_object = 801,
 };
--- a/libraries/core/refusal.cpp
+++ b/libraries/core/refusal.cpp
@@ -70,6 +70,8 @@
                 "The object has changed since it was read.", 409},
     refusal_row{refusal_kind::platform_unavailable, "platform-unavailable",
                 "The platform's object API does not answer.", 503},
+    refusal_row{refusal_kind::memory_full, "memory-full",
+                "The daemon has no memory for the request.", 503},
 };
 
 constexpr unsigned request_timeout_status = 408;
--- a/libraries/core/refusal.hpp
+++ b/libraries/core/refusal.hpp
@@ -37,10 +37,11 @@
     outcome_unknown,
     conflict,
     platform_unavailable,
+    memory_full,
 };
 
 inline constexpr std::size_t refusal_kind_count =
-    static_cast<std::size_t>(refusal_kind::platform_unavailable) + 1;
+    static_cast<std::size_t>(refusal_kind::memory_full) + 1;
 
 /// An error response to the caller.
 struct refusal
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -19,17 +19,20 @@
 /// Answers to orders and reports name no request: on a connection that carried
 /// another one, a late second response to that could be taken for them.
 constexpr std::size_t idle_order_connections = 0;
-/// The pools of a daemon together hold at most half the memory of the smallest
-/// host, 160 MB. Reports and answers to orders are small, and relayed lists
-/// come one at a time.
-constexpr http::response_limits control_responses{.held_bytes =
-                                                      8 * 1024 * 1024};
+/// The pools for control traffic together hold at most 3/16 of the host's
+/// memory, callers' requests 5/8. Reports and answers to orders are small, and
+/// relayed lists come one at a time.
+constexpr std::size_t platform_memory_part = 8;
+constexpr std::size_t control_memory_part = 32;
+constexpr std::size_t most_control_bytes = 8 * 1024 * 1024;
 /// The store answers within milliseconds; a call that times out is retried well
 /// within the 2 s in which a change must reach every daemon.
 constexpr platform::client_timing store_timing{milliseconds(600),
                                                milliseconds(3'000)};
 /// What a relayed request has in its head beside the caller's fields.
 constexpr std::uint32_t relay_header_bytes = 4 * 1024;
+/// Probes and scrapes have no body.
+constexpr std::uint64_t readiness_body_bytes = 4 * 1024;
 constexpr std::string_view metrics_path = "/metrics";
 /// Interval between reads of the list of members. Starting hosts announce
 /// themselves by digest; the list covers announcements that were lost.
@@ -44,6 +47,29 @@
 /// Part of the grace period reserved for the process to exit by itself.
 constexpr milliseconds exit_reserve{700};
 
+http::response_limits platform_responses(const entry_settings& settings)
+{
+    http::response_limits it;
+    it.held_bytes =
+        std::min(it.held_bytes, settings.memory_bytes / platform_memory_part);
+    return it;
+}
+
+http::response_limits control_responses(const entry_settings& settings)
+{
+    http::response_limits it;
+    it.held_bytes = std::min(most_control_bytes,
+                             settings.memory_bytes / control_memory_part);
+    return it;
+}
+
+http::server_limits readiness_limits()
+{
+    http::server_limits it;
+    it.body_bytes = readiness_body_bytes;
+    return it;
+}
+
 } // namespace
 
 net::awaitable<void> readiness_handler::serve(http::request& message,
@@ -65,11 +91,12 @@
                            reload_handler reload)
     : m_settings(std::move(settings)), m_dialects(dialects),
       m_reload(std::move(reload)),
-      m_state(m_context, m_settings, dialects.documents),
-      m_platform_pool(m_context, connect_timeout, idle_connections),
+      m_state(m_context, m_settings, dialects.documents), m_bounds(m_state),
+      m_platform_pool(m_context, connect_timeout, idle_connections,
+                      platform_responses(m_settings)),
       m_order_pool(m_context, connect_timeout, idle_order_connections,
-                   control_responses),
-      m_peer_pool(m_context, connect_timeout, 1, control_responses),
+                   control_responses(m_settings)),
+      m_peer_pool(m_context, connect_timeout, 1, control_responses(m_settings)),
       m_store(m_platform_pool, m_settings.store, store_timing, dialects.store,
               [this] { on_store_restored(); }),
       m_placement(m_context, m_order_pool, m_store,
@@ -98,11 +125,11 @@
       m_requests(m_state, dialects.callers, dialects.servers),
       m_readiness([this] { return is_ready(); }, m_state.metrics),
       m_caller_server(m_settings.callers, limits_of({}),
-                      {{m_context, m_requests}}),
-      m_readiness_server(m_settings.readiness, http::server_limits{},
-                         {{m_context, m_readiness}}),
+                      {{m_context, m_requests}}, m_bounds.callers()),
+      m_readiness_server(m_settings.readiness, readiness_limits(),
+                         {{m_context, m_readiness}}, m_bounds.readiness()),
       m_relay_server(m_settings.fleet, http::server_limits{},
-                     {{m_context, m_relay}}),
+                     {{m_context, m_relay}}, m_bounds.peers()),
       m_mirror(m_state, m_store, m_peer_pool, m_objects,
                {[this](const platform::stored_object& it)
                 { on_configuration(it); },
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/client_bounds.hpp"
 #include "entry/fleet/digest_exchange.hpp"
 #include "entry/loop_monitor.hpp"
 #include "entry/placement/placement_controller.hpp"
@@ -81,6 +82,7 @@
     platform_dialects m_dialects;
     reload_handler m_reload;
     entry_state m_state;
+    client_bounds m_bounds;
     http::client_pool m_platform_pool;
     http::client_pool m_order_pool;
     http::client_pool m_peer_pool;
--- a/libraries/entry/entry_metrics.cpp
+++ b/libraries/entry/entry_metrics.cpp
@@ -50,6 +50,10 @@
                           "Requests that were taken, by outcome.")),
       m_refusals(counters(m_registry, "cicadahub_entry_refusals_total",
                           "Requests that were refused, by reason.")),
+      m_client_limits(counters(m_registry,
+                               "cicadahub_entry_client_limits_total",
+                               "Clients that exceeded a bound, by what was "
+                               "done.")),
       m_attempts(counters(m_registry, "cicadahub_entry_attempts_total",
                           "Sends to backend servers, by how they ended.")),
       m_streams(counters(m_registry, "cicadahub_entry_streams_total",
@@ -93,6 +97,11 @@
     m_refusals.Add({{"reason", std::string(name_of(kind))}}).Increment();
 }
 
+void entry_metrics::count_client_limit(std::string_view limit)
+{
+    m_client_limits.Add({{"limit", std::string(limit)}}).Increment();
+}
+
 void entry_metrics::count_attempt(std::string_view end, milliseconds took)
 {
     m_attempts.Add({{"end", std::string(end)}}).Increment();
--- a/libraries/entry/entry_metrics.hpp
+++ b/libraries/entry/entry_metrics.hpp
@@ -31,6 +31,8 @@
     void count_stream_began(bool is_taken_up);
     void count_order(std::string_view answer);
     void observe_load(milliseconds took);
+    /// Counts what was done to a client that exceeded a bound of this host.
+    void count_client_limit(std::string_view limit);
     /// Counts an entry of a server that names no server to use.
     void count_unreadable_server();
     /// Records how late the event loop ran a timer.
@@ -43,6 +45,7 @@
     prometheus::Registry m_registry;
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_refusals;
+    prometheus::Family<prometheus::Counter>& m_client_limits;
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_streams;
     prometheus::Family<prometheus::Counter>& m_orders;
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -46,7 +46,9 @@
     : context(io), settings(given), servers(documents), waiting(io),
       suspects(suspicion::suspicion_limits{max_crashes, suspect_retention,
                                            max_suspects}),
-      pool(io, connect_timeout, idle_connections_per_server),
+      memory(std::make_shared<admission::memory_account>(
+          admission::memory_limits_of(given.memory_bytes))),
+      pool(io, connect_timeout, idle_connections_per_server, {}, memory),
       incarnation(new_incarnation()), reach(io, pool, servers, random),
       continuity(io, servers, fleet)
 {
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -44,6 +44,8 @@
     suspicion::crash_attribution crashing_parts;
     entry_metrics metrics;
     work_meter work;
+    /// Bytes that this host holds for callers.
+    std::shared_ptr<admission::memory_account> memory;
     /// Connections to backend servers for callers' requests.
     http::client_pool pool;
     std::map<organisation_id, sharing::fleet_rate> rates;
--- a/libraries/entry/settings.hpp
+++ b/libraries/entry/settings.hpp
@@ -27,6 +27,10 @@
     double processor_share = 1;
     /// Bytes that this host's link carries each second.
     double link_bytes_per_second = 125e6;
+    /// Memory of this host; a process that exceeds it is killed.
+    std::size_t memory_bytes = 256'000'000;
+    /// Descriptors that the process may have open, with those of files.
+    std::size_t descriptors = 4'096;
     /// Time between the stop signal and the kill of the process.
     milliseconds stop_grace{8'000};
     /// Time without a renewal after which another host may take over the
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -41,10 +41,12 @@
 }
 
 client_pool::client_pool(net::io_context& context, milliseconds connect_timeout,
-                         std::size_t idle_limit, response_limits limits)
+                         std::size_t idle_limit, response_limits limits,
+                         std::shared_ptr<admission::memory_account> account)
     : m_context(context), m_connect_timeout(connect_timeout),
       m_idle_limit(idle_limit), m_limits(limits),
-      m_budget(std::make_shared<memory_budget>(limits.held_bytes))
+      m_budget(std::make_shared<memory_budget>(limits.held_bytes,
+                                               std::move(account)))
 {
 }
 
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -57,9 +57,12 @@
 class client_pool
 {
 public:
-    /// The responses on all connections of the pool share one memory budget.
-    explicit client_pool(net::io_context& context, milliseconds connect_timeout,
-                         std::size_t idle_limit, response_limits limits = {});
+    /// The responses on all connections of the pool share one memory budget,
+    /// which is part of `account`, unless that is null.
+    explicit client_pool(
+        net::io_context& context, milliseconds connect_timeout,
+        std::size_t idle_limit, response_limits limits = {},
+        std::shared_ptr<admission::memory_account> account = {});
 
     using connection_pointer = std::unique_ptr<client_connection>;
 
--- a/libraries/http/memory_budget.cpp
+++ b/libraries/http/memory_budget.cpp
@@ -9,7 +9,8 @@
 
 bool memory_budget::take(std::size_t bytes)
 {
-    if (bytes > m_limit - m_used)
+    if (bytes > m_limit - m_used ||
+        (m_account && !m_account->take_for_response(bytes)))
     {
         return false;
     }
@@ -17,6 +18,15 @@
     return true;
 }
 
+void memory_budget::give_back(std::size_t bytes)
+{
+    m_used -= bytes;
+    if (m_account)
+    {
+        m_account->give_back(bytes);
+    }
+}
+
 memory_share::memory_share(std::shared_ptr<memory_budget> budget)
     : m_budget(std::move(budget))
 {
--- a/libraries/http/memory_budget.hpp
+++ b/libraries/http/memory_budget.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decision/admission/memory_account.hpp"
+
 #include <cstddef>
 #include <memory>
 
@@ -10,14 +12,21 @@
 class memory_budget
 {
 public:
-    explicit memory_budget(std::size_t limit) : m_limit(limit) {}
+    /// What is taken is also charged to `account`, unless that is null.
+    explicit memory_budget(
+        std::size_t limit,
+        std::shared_ptr<admission::memory_account> account = {})
+        : m_limit(limit), m_account(std::move(account))
+    {
+    }
 
     bool take(std::size_t bytes);
-    void give_back(std::size_t bytes) { m_used -= bytes; }
+    void give_back(std::size_t bytes);
     std::size_t used() const { return m_used; }
 
 private:
     std::size_t m_limit;
+    std::shared_ptr<admission::memory_account> m_account;
     std::size_t m_used = 0;
 };
 
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -2,7 +2,10 @@
 
 #include "core/errors.hpp"
 #include "core/structured_log.hpp"
+#include "http/client_guard.hpp"
 #include "http/reply_writer.hpp"
+#include "http/request_body.hpp"
+#include "http/response_error.hpp"
 #include "http/response_limits.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -42,6 +45,14 @@
 /// `response_limits.hpp`.
 inline constexpr std::size_t request_framing_limit_bytes = 64 * 1024;
 
+/// Memory of a connection without a request: its socket, coroutine and read
+/// buffer.
+inline constexpr std::size_t connection_bytes = 16 * 1024;
+
+/// Memory of a request that is served, beside its head and body: coroutines and
+/// the connection to the server.
+inline constexpr std::size_t served_request_bytes = 24 * 1024;
+
 /// Limits of one listener on the requests and connections of its clients.
 struct server_limits
 {
@@ -97,13 +108,46 @@
     std::shared_ptr<state> m_state;
 };
 
+/// A connection on which requests are read, within the bounds of its listener.
+class guarded_connection
+{
+public:
+    /// `it` must outlive the object.
+    guarded_connection(boost::beast::tcp_stream& it, const client_guard& guard);
+    ~guarded_connection();
+    guarded_connection(const guarded_connection&) = delete;
+    guarded_connection& operator=(const guarded_connection&) = delete;
+
+    /// False if a bound was reached: the connection is to be closed.
+    bool is_taken() const { return m_is_taken; }
+
+    /// May be closed for a new connection, or no longer.
+    void set_idle();
+    void set_busy();
+
+    /// Gives the memory of a request back.
+    void release_request();
+
+    boost::beast::tcp_stream& stream;
+    boost::beast::flat_buffer buf{read_buffer_limit_bytes};
+    read_deadline deadline;
+    held_memory memory;
+
+private:
+    void admit(const client_guard& guard);
+
+    std::shared_ptr<admission::connection_table> m_table;
+    std::optional<admission::connection_table::handle> m_handle;
+    bool m_is_taken = false;
+};
+
 /// Reads what `parser` has not read yet of a request. Returns
 /// `operation_aborted` after the deadline, `header_limit` if the head is too
-/// long, `buffer_overflow` if the framing of the body is.
+/// long, `buffer_overflow` if the framing of the body is, and `over_budget` if
+/// there is no memory for the request.
 net::awaitable<boost::system::error_code>
-read_request(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buf,
-             beast_http::request_parser<beast_http::string_body>& parser,
-             std::size_t header_limit, const read_deadline& deadline);
+read_request(guarded_connection& from, request_parser& parser,
+             std::size_t header_limit);
 
 /// HTTP/1.1 server that assigns its connections to its lanes in round-robin
 /// order.
@@ -116,7 +160,7 @@
     /// Binds and listens immediately; throws `boost::system::system_error` on
     /// failure.
     server(const endpoint& address, server_limits limits,
-           std::vector<lane> lanes);
+           std::vector<lane> lanes, client_guard guard = {});
 
     void start();
 
@@ -138,14 +182,18 @@
     net::awaitable<void> accept_loop();
     net::awaitable<void> session(boost::beast::tcp_stream stream,
                                  Handler& handler);
-    net::awaitable<bool> serve_next(boost::beast::tcp_stream& stream,
-                                    boost::beast::flat_buffer& buf,
-                                    read_deadline& deadline, Handler& handler);
+    net::awaitable<bool> serve_next(guarded_connection& from, Handler& handler);
     /// `is_head`: the request has the method HEAD.
     net::awaitable<void> refuse_and_discard(boost::beast::tcp_stream& stream,
                                             refusal it, bool is_head);
+    /// Refuses a request that could not be read; frees what was read of it.
+    net::awaitable<void> refuse_unread(guarded_connection& from,
+                                       std::optional<request_parser>& parser,
+                                       boost::system::error_code ec);
+    void on_limit(client_limit it) const;
 
     server_limits m_limits;
+    client_guard m_guard;
     std::vector<lane> m_lanes;
     net::ip::tcp::acceptor m_acceptor;
     std::atomic<bool> m_is_draining{false};
@@ -163,8 +211,8 @@
 
 template<request_handler Handler>
 server<Handler>::server(const endpoint& address, server_limits limits,
-                        std::vector<lane> lanes)
-    : m_limits(limits), m_lanes(std::move(lanes)),
+                        std::vector<lane> lanes, client_guard guard)
+    : m_limits(limits), m_guard(std::move(guard)), m_lanes(std::move(lanes)),
       m_acceptor(m_lanes.front().context)
 {
     m_acceptor.open(address.protocol());
@@ -225,11 +273,14 @@
 {
     boost::system::error_code ec;
     stream.socket().set_option(net::ip::tcp::no_delay(true), ec);
-    boost::beast::flat_buffer buf(read_buffer_limit_bytes);
-    read_deadline deadline(stream);
+    guarded_connection from(stream, m_guard);
+    if (!from.is_taken())
+    {
+        co_return;
+    }
     try
     {
-        while (co_await serve_next(stream, buf, deadline, handler))
+        while (co_await serve_next(from, handler))
         {
         }
     }
@@ -258,53 +309,91 @@
 };
 
 template<request_handler Handler>
-net::awaitable<bool>
-server<Handler>::serve_next(boost::beast::tcp_stream& stream,
-                            boost::beast::flat_buffer& buf,
-                            read_deadline& deadline, Handler& handler)
+void server<Handler>::on_limit(client_limit it) const
+{
+    if (m_guard.on_limit)
+    {
+        m_guard.on_limit(it);
+    }
+}
+
+template<request_handler Handler>
+net::awaitable<void>
+server<Handler>::refuse_unread(guarded_connection& from,
+                               std::optional<request_parser>& parser,
+                               boost::system::error_code ec)
+{
+    const bool has_passed = from.deadline.has_passed();
+    const bool is_head =
+        parser->is_header_done() && parser->get().method() == verb::head;
+    parser.reset();
+    from.release_request();
+    const bool is_over_budget = ec == response_error::over_budget;
+    const auto reason =
+        has_passed && !is_over_budget
+            ? std::optional(refusal{refusal_kind::request_timeout})
+            : refusal_of_read_error(ec);
+    if (!reason)
+    {
+        co_return;
+    }
+    if (is_over_budget)
+    {
+        on_limit(has_passed ? client_limit::memory_timeout
+                            : client_limit::memory_refused);
+    }
+    else
+    {
+        log_event(severity::warning, event_number::request_not_read,
+                  {{"reason", name_of(reason->kind)}, {"error", ec.message()}});
+    }
+    if (m_guard.on_refusal)
+    {
+        m_guard.on_refusal(reason->kind);
+    }
+    co_await refuse_and_discard(from.stream, *reason, is_head);
+}
+
+template<request_handler Handler>
+net::awaitable<bool> server<Handler>::serve_next(guarded_connection& from,
+                                                 Handler& handler)
 {
     constexpr auto token = net::as_tuple(net::use_awaitable);
-    beast_http::request_parser<beast_http::string_body> parser;
-    parser.header_limit(m_limits.header_bytes);
-    buf.max_size(std::max(read_buffer_limit_bytes,
-                          m_limits.header_bytes + first_read_bytes));
-    parser.body_limit(m_limits.body_bytes);
-    if (buf.size() == 0)
+    boost::beast::tcp_stream& stream = from.stream;
+    std::optional<request_parser> parser(std::in_place);
+    parser->header_limit(m_limits.header_bytes);
+    parser->body_limit(m_limits.body_bytes);
+    from.release_request();
+    from.buf.max_size(std::max(read_buffer_limit_bytes,
+                               m_limits.header_bytes + first_read_bytes));
+    from.set_idle();
+    if (from.buf.size() == 0)
     {
         stream.expires_after(m_limits.idle_timeout);
         auto [ec, n] = co_await stream.async_read_some(
-            buf.prepare(first_read_bytes), token);
+            from.buf.prepare(first_read_bytes), token);
         if (ec)
         {
             co_return false;
         }
-        buf.commit(n);
+        from.buf.commit(n);
     }
     busy_guard guard(m_busy);
     stream.expires_never();
-    deadline.arm(m_limits.read_timeout);
-    const auto ec = co_await read_request(stream, buf, parser,
-                                          m_limits.header_bytes, deadline);
-    deadline.disarm();
+    from.deadline.arm(m_limits.read_timeout);
+    auto ec = co_await read_request(from, *parser, m_limits.header_bytes);
+    from.deadline.disarm();
+    if (!ec && !from.memory.resize(from.memory.bytes() + served_request_bytes))
+    {
+        ec = response_error::over_budget;
+    }
     if (ec)
     {
-        const auto reason =
-            deadline.has_passed()
-                ? std::optional(refusal{refusal_kind::request_timeout})
-                : refusal_of_read_error(ec);
-        if (reason)
-        {
-            log_event(
-                severity::warning, event_number::request_not_read,
-                {{"reason", name_of(reason->kind)}, {"error", ec.message()}});
-            co_await refuse_and_discard(stream, *reason,
-                                        parser.is_header_done() &&
-                                            parser.get().method() ==
-                                                verb::head);
-        }
+        co_await refuse_unread(from, parser, ec);
         co_return false;
     }
-    request message = parser.release();
+    auto read = parser->release();
+    request message(std::move(read.base()), std::move(read.body()));
     if (has_ambiguous_length(message))
     {
         co_await refuse_and_discard(stream,
--- a/services/cicada-entry/main.cpp
+++ b/services/cicada-entry/main.cpp
@@ -11,11 +11,17 @@
 
 #include <csignal>
 
+#include <malloc.h>
+
 namespace
 {
 
 using namespace cicadahub;
 
+/// Blocks of this size, such as bodies, go back to the system when they are
+/// freed.
+constexpr int mapped_block_bytes = 128 * 1024;
+
 int serve(const std::string& file)
 {
     const adapter::settings_file given = adapter::read_settings_file(file);
@@ -26,6 +32,9 @@
     // A write to a connection that the peer has closed must return an error
     // instead of ending the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // By default the threshold grows with each large block that is freed, and
+    // later ones stay resident in the heap.
+    mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
     open_structured_log(given.settings.name.value());
     entry::entry_daemon daemon(
         given.settings,
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -183,5 +183,34 @@
     EXPECT_TRUE(text.ends_with("\r\n\r\n")) << text;
 }
 
+struct expectation
+{
+    const char* name;
+    std::size_t length;
+    const char* status;
+};
+
+class expectations : public testing::TestWithParam<expectation>
+{
+};
+
+// Guards against clients that wait for leave to send a body, or get it for one
+// over the limit.
+TEST_P(expectations, are_answered)
+{
+    const std::string text = exchange_bytes<empty_handler>(
+        "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+        "Content-Length: " +
+            std::to_string(GetParam().length) + "\r\n\r\n",
+        [](std::string_view it) { return it.find("\r\n\r\n") != it.npos; });
+    EXPECT_TRUE(text.starts_with(GetParam().status)) << text;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    server, expectations,
+    testing::Values(expectation{"legal", 4'194'304, "HTTP/1.1 100"},
+                    expectation{"too_long", 4'194'305, "HTTP/1.1 413"}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 } // namespace
 } // namespace cicadahub::http
