Entry: Count the requests of other hosts once for the occupancy

What a host reported as running was in its own entry and again in the sum that the holder of the placement lease adds, so that other hosts saw twice the requests. The occupancy now takes each host's own entries, four times a second, with the mean age of digests. The figure of services that state no pace is unchanged.

--- a/libraries/decision/routing/server_occupancy.cpp
+++ b/libraries/decision/routing/server_occupancy.cpp
@@ -69,9 +69,10 @@
     update_mean(m_stated.elsewhere, now);
 }
 
-void server_occupancy::on_report(std::uint32_t running, time_point now)
+void server_occupancy::on_report(std::uint32_t running, time_point counted_at,
+                                 time_point now)
 {
-    m_report = observation{static_cast<double>(running), now};
+    m_report = observation{static_cast<double>(running), counted_at};
     update_mean(m_report->elsewhere, now);
 }
 
@@ -135,10 +136,9 @@
     double all = by_statement;
     if (m_report)
     {
-        estimate.add(
-            m_report->elsewhere - m_mean,
-            correlation(now - m_report->at + report_delay, request_time),
-            report_noise);
+        estimate.add(m_report->elsewhere - m_mean,
+                     correlation(now - m_report->at, request_time),
+                     report_noise);
         all = m_mean + estimate.value();
     }
     const bool was_queue_empty =
--- a/libraries/decision/routing/server_occupancy.hpp
+++ b/libraries/decision/routing/server_occupancy.hpp
@@ -36,15 +36,14 @@
     static constexpr milliseconds statement_retention{30'000};
     /// Over this time the usual number of requests is averaged.
     static constexpr milliseconds mean_time{5'000};
-    /// Age of the hosts' reports on arrival: they come by way of the holder of
-    /// the placement lease, in digests that are sent about once a second.
-    static constexpr milliseconds report_delay{750};
 
     /// `own` is the number of this host's requests that the statement counts.
     void on_statement(const load_statement& it, std::uint32_t own,
                       time_point now);
-    /// The other hosts' requests on the server, as they report them.
-    void on_report(std::uint32_t running, time_point now);
+    /// The other hosts' requests on the server, as they report them;
+    /// `counted_at` is the mean of the moments at which they counted them.
+    void on_report(std::uint32_t running, time_point counted_at,
+                   time_point now);
     /// The server rejected a request for want of room. Such a request costs the
     /// server little, so that the pause is short and does not grow: about the
     /// time in which a few of its slots become free. `draw`, from 0 to 1,
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -304,6 +304,7 @@
         m_state.servers.set_running_elsewhere(m_state.fleet.running_by_server(),
                                               m_placement.is_held());
     }
+    m_state.update_occupancy(monotonic_clock::now());
     if (m_holder == it.digest.sender && !it.digest.__isset.placement_epoch)
     {
         m_holder.clear();
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -149,6 +149,24 @@
         known == paces.end() ? unknown : known->second, now);
 }
 
+void entry_state::update_occupancy(time_point now)
+{
+    if (paces.empty() || now < m_next_occupancy_update)
+    {
+        return;
+    }
+    m_next_occupancy_update = now + report_interval;
+    const auto running = fleet.running_elsewhere();
+    // Digests come at any time of their period.
+    const time_point counted_at = now - fleet.digest_period() / 2;
+    for (const auto& [id, record] : servers.records())
+    {
+        const auto it = running.find(id.value());
+        record->occupancy.on_report(it == running.end() ? 0 : it->second,
+                                    counted_at, now);
+    }
+}
+
 void entry_state::on_outcome(server_record& server,
                              const routing::attempt_times& it, time_point now)
 {
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -52,6 +52,7 @@
     std::map<service_id, sharing::brittle_service> brittle_services;
     /// Services whose servers have stated their pace.
     std::map<service_id, routing::service_pace> paces;
+    static constexpr milliseconds report_interval{250};
     const time_point started_at = monotonic_clock::now();
     /// Higher after each start of this daemon.
     const std::int64_t incarnation;
@@ -103,6 +104,10 @@
     /// What a request can expect at a server of a service that states its pace.
     routing::server_expectation expectation_of(const server_record& server,
                                                time_point now) const;
+    /// Takes in what the other hosts report of their requests, for services
+    /// that state their pace; at most each `report_interval`, since it takes
+    /// the number of hosts times that of servers.
+    void update_occupancy(time_point now);
     /// Counts an answer that the server has completed.
     void on_outcome(server_record& server, const routing::attempt_times& it,
                     time_point now);
@@ -169,6 +174,8 @@
                                        const server_record& server,
                                        std::uint32_t limit,
                                        time_point now) const;
+
+    time_point m_next_occupancy_update{};
 };
 
 } // namespace cicadahub::entry
--- a/libraries/entry/fleet/fleet_view.cpp
+++ b/libraries/entry/fleet/fleet_view.cpp
@@ -319,6 +319,33 @@
     return sum;
 }
 
+std::unordered_map<std::string, std::uint32_t>
+fleet_view::running_elsewhere() const
+{
+    std::unordered_map<std::string, std::uint32_t> all;
+    for (const auto& [name, it] : m_peers)
+    {
+        if (it.digest.is_cut_off)
+        {
+            continue;
+        }
+        // The holder's sums come behind its own requests, which are missing
+        // for servers where it has none.
+        const bool has_sums = it.digest.__isset.placement_epoch;
+        std::unordered_map<std::string, std::uint32_t> first;
+        for (const auto& work : it.digest.work)
+        {
+            const auto running = static_cast<std::uint32_t>(work.running);
+            const auto [own, is_first] = first.emplace(work.server, running);
+            if (has_sums != is_first)
+            {
+                all[work.server] += own->second;
+            }
+        }
+    }
+    return all;
+}
+
 double fleet_view::demand_of_others(const organisation_id& organisation,
                                     double own, time_point now) const
 {
--- a/libraries/entry/fleet/fleet_view.hpp
+++ b/libraries/entry/fleet/fleet_view.hpp
@@ -83,6 +83,9 @@
     const peer* placement_holder() const;
     /// Running requests by server, as reported by the other daemons.
     std::unordered_map<std::string, std::uint32_t> running_by_server() const;
+    /// The same without the sums that the holder of the placement lease adds,
+    /// which count the requests of all hosts once more and are older.
+    std::unordered_map<std::string, std::uint32_t> running_elsewhere() const;
 
     /// Hosts that may be serving, this one included: those in contact, those
     /// silent for less than their limit, which may only be partitioned, and
--- a/libraries/entry/servers/server_table.cpp
+++ b/libraries/entry/servers/server_table.cpp
@@ -327,14 +327,12 @@
     const std::unordered_map<std::string, std::uint32_t>& running,
     bool is_without_own)
 {
-    const time_point now = monotonic_clock::now();
     for (const auto& [id, record] : m_records)
     {
         const auto it = running.find(id.value());
         const std::uint32_t reported = it == running.end() ? 0 : it->second;
         const std::uint32_t own = is_without_own ? 0 : record->running;
         record->running_elsewhere = reported - std::min(reported, own);
-        record->occupancy.on_report(record->running_elsewhere, now);
     }
 }
 
--- a/tests/decision/server_choice_run_test.cpp
+++ b/tests/decision/server_choice_run_test.cpp
@@ -102,8 +102,10 @@
         {
             if (m_case.has_reports)
             {
-                m_run.after(m_run.pick_ms(0, report_period.count()),
-                            [this, n] { report(n); });
+                m_run.after(m_run.pick_ms(0, digest_period.count()),
+                            [this, n] { tell(n); });
+                m_run.after(m_run.pick_ms(0, report_interval.count()),
+                            [this, n] { take_in_reports(n); });
             }
         }
         arrive();
@@ -115,7 +117,8 @@
     }
 
 private:
-    static constexpr milliseconds report_period{1'160};
+    static constexpr milliseconds digest_period{1'160};
+    static constexpr milliseconds report_interval{250};
     static constexpr microseconds link{500};
 
     struct request
@@ -166,7 +169,17 @@
         m_run.after(milliseconds(300), [this] { vary_pace(); });
     }
 
-    void report(std::size_t at)
+    /// Tells the others, by a digest, what runs from this host.
+    void tell(std::size_t at)
+    {
+        for (known_server& it : m_hosts[at].servers)
+        {
+            it.told = it.running;
+        }
+        m_run.after(digest_period, [this, at] { tell(at); });
+    }
+
+    void take_in_reports(std::size_t at)
     {
         for (std::size_t n = 0; n < m_servers.size(); ++n)
         {
@@ -177,10 +190,10 @@
             }
             known_server& it = m_hosts[at].servers[n];
             it.running_elsewhere = elsewhere;
-            it.told = it.running;
-            it.occupancy.on_report(elsewhere, m_run.now());
+            it.occupancy.on_report(elsewhere, m_run.now() - digest_period / 2,
+                                   m_run.now());
         }
-        m_run.after(report_period, [this, at] { report(at); });
+        m_run.after(report_interval, [this, at] { take_in_reports(at); });
     }
 
     void arrive()
--- a/tests/decision/server_occupancy_test.cpp
+++ b/tests/decision/server_occupancy_test.cpp
@@ -9,6 +9,7 @@
 
 constexpr time_point start{seconds(100)};
 constexpr milliseconds request_time{20};
+constexpr milliseconds report_age{750};
 
 struct statement_case
 {
@@ -40,7 +41,7 @@
     }
     subject.on_statement({9 - GetParam().waiting, GetParam().waiting, 6}, 1,
                          start);
-    subject.on_report(GetParam().reported, start);
+    subject.on_report(GetParam().reported, start - report_age, start);
     const auto estimate =
         subject.running_elsewhere(request_time, start + GetParam().age);
     EXPECT_GE(estimate.running, GetParam().least);
@@ -62,7 +63,7 @@
     constexpr milliseconds long_request{2'000};
     server_occupancy subject;
     subject.on_statement({2, 0, 24}, 0, start);
-    subject.on_report(24, start + milliseconds(500));
+    subject.on_report(24, start + milliseconds(200), start);
     const time_point now = start + milliseconds(600);
     EXPECT_LE(subject.running_elsewhere(long_request, now).running, 6);
 }
@@ -71,8 +72,8 @@
 TEST(server_occupancy, without_a_statement_the_last_report_counts)
 {
     server_occupancy subject;
-    subject.on_report(20, start);
-    subject.on_report(5, start + milliseconds(10));
+    subject.on_report(20, start, start);
+    subject.on_report(5, start, start + milliseconds(10));
     EXPECT_EQ(subject.running_elsewhere(request_time, start).running, 5);
     EXPECT_FALSE(subject.has_statement(start));
     subject.on_statement({1, 0, 6}, 0, start);
--- a/tests/entry/fleet/fleet_view_test.cpp
+++ b/tests/entry/fleet/fleet_view_test.cpp
@@ -41,6 +41,31 @@
     EXPECT_DOUBLE_EQ(view.demand_of_others(trust, 0, start), 7);
 }
 
+// Guards against requests that count twice, as a host's own and in the sum that
+// the holder of the placement lease adds, so that servers seem full at half of
+// their slots.
+TEST(fleet_view, counts_the_requests_of_other_hosts_once)
+{
+    const auto work = [](const char* server, int running)
+    {
+        fleet::wire::ServerWork it;
+        it.server = server;
+        it.running = running;
+        return it;
+    };
+    fleet_view view;
+    auto holder = digest("a", 1, 0);
+    holder.__set_placement_epoch(1);
+    holder.__set_work({work("s", 2), work("s", 10), work("t", 4)});
+    view.on_digest(holder, address(2), start);
+    auto other = digest("b", 1, 0);
+    other.__set_work({work("s", 3), work("t", 1)});
+    view.on_digest(other, address(3), start);
+    const auto seen = view.running_elsewhere();
+    EXPECT_EQ(seen.at("s"), 5U);
+    EXPECT_EQ(seen.at("t"), 1U);
+}
+
 // A partitioned host still serves its callers. If the other hosts took over its
 // share of the rate at once, the organisation would exceed its rate.
 TEST(fleet_view, a_silent_host_keeps_its_part_of_the_demand)
