--- a/libraries/entry/fleet/fleet_view.hpp
+++ b/libraries/entry/fleet/fleet_view.hpp
@@ -90,6 +90,9 @@
     std::unordered_map<std::string, std::int64_t> unread_by_server() const;
     /// Arrival of the last of these reports; default if there is none.
     time_point work_received_at() const;
+    /// The same without the sums that the holder of the placement lease adds,
+    /// which count the requests of all hosts once more and are older.
+    std::unordered_map<std::string, std::uint32_t> running_elsewhere() const;
 
     /// Hosts that may be serving, this one included: those in contact, those
     /// silent for less than their limit, which may only be partitioned, and
