Entry: Choose servers by their load where callers compete for room

The choice by stated load, the admission of waiting requests and the account of unread prompts were enabled by the fourth figure of a server's load only.

--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -142,7 +142,7 @@
 entry_state::prefill_budget_of(const service_id& service) const
 {
     const auto known = prefill_budgets.find(service);
-    return known != prefill_budgets.end() && states_pace(service)
+    return known != prefill_budgets.end() && chooses_by_load(service)
                ? &known->second
                : nullptr;
 }
@@ -361,13 +361,19 @@
         server.pace.on_statement(*it.pace_percent, now);
         paces[server.entry.service].on_stated(now);
     }
+    else if (settings.is_contended)
+    {
+        // The usual times are learnt without any statement of the pace.
+        paces.try_emplace(server.entry.service);
+    }
 }
 
-bool entry_state::states_pace(const service_id& service) const
+bool entry_state::chooses_by_load(const service_id& service) const
 {
     const auto known = paces.find(service);
     return known != paces.end() &&
-           known->second.is_stated(monotonic_clock::now());
+           (settings.is_contended ||
+            known->second.is_stated(monotonic_clock::now()));
 }
 
 routing::server_expectation
@@ -412,7 +418,7 @@
 admission::admission_control*
 entry_state::admission_of(const service_id& service)
 {
-    return states_pace(service) ? &admission[service] : nullptr;
+    return chooses_by_load(service) ? &admission[service] : nullptr;
 }
 
 void entry_state::on_limit_notice(const fleet::wire::LimitedServer& it,
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -133,9 +133,10 @@
     /// `server_table::set_running_elsewhere`.
     void on_fleet_work(bool is_without_own);
 
-    /// True if a response of a server of the service stated its pace within the
-    /// last 30 s. Its servers are chosen by what they state of their load.
-    bool states_pace(const service_id& service) const;
+    /// True if servers of the service are chosen, and its requests admitted, by
+    /// what the servers state of their load: if one stated its pace within the
+    /// last 30 s, or if callers compete for too little room.
+    bool chooses_by_load(const service_id& service) const;
     /// What a request can expect at a server of a service that states its pace.
     routing::server_expectation expectation_of(const server_record& server,
                                                time_point now) const;
--- a/libraries/entry/requests/attempt_observer.cpp
+++ b/libraries/entry/requests/attempt_observer.cpp
@@ -60,7 +60,7 @@
     m_record->room.on_sent(monotonic_clock::now());
     m_reading.reset();
     if (m_relay.empty() && m_prompt.tokens > 0 &&
-        m_state.states_pace(m_record->entry.service))
+        m_state.chooses_by_load(m_record->entry.service))
     {
         m_reading.emplace(m_state, m_record, m_prompt, m_target);
     }
--- a/libraries/entry/requests/request_routing.cpp
+++ b/libraries/entry/requests/request_routing.cpp
@@ -112,7 +112,7 @@
     {
         m_state.update_server_ranks(now);
     }
-    const bool is_by_pace = m_state.states_pace(m_service->name);
+    const bool is_by_pace = m_state.chooses_by_load(m_service->name);
     const bool leaves_last_slots =
         m_waiter->control != nullptr &&
         m_waiter->control->leaves_last_slots(m_waiter->request, now);
--- a/libraries/entry/settings.hpp
+++ b/libraries/entry/settings.hpp
@@ -24,6 +24,10 @@
     /// Hosts to contact first; the list may be out of date.
     std::vector<http::endpoint> seed_hosts;
 
+    /// Callers compete for servers with too little room: requests are admitted
+    /// and servers chosen by what the servers state of their load, also if they
+    /// do not state their pace.
+    bool is_contended = false;
     /// Fraction of a processor core that is available to this host.
     double processor_share = 1;
     /// Bytes that this host's link carries each second.
--- a/tests/decision/prefill_budget_test.cpp
+++ b/tests/decision/prefill_budget_test.cpp
@@ -184,7 +184,7 @@
             {
                 candidates.push_back(
                     {&m_ids[i], from.running[i] + from.running_elsewhere[i],
-                     slots, false, true,
+                     slots, false, true, std::nullopt,
                      m_is_on ? from.budget.outlook_of(
                                    from.unread[i],
                                    {it.kind->tokens,
