--- a/libraries/decision/routing/server_choice.hpp
+++ b/libraries/decision/routing/server_choice.hpp
@@ -2,6 +2,7 @@
 
 #include "core/ids.hpp"
 #include "core/units.hpp"
+#include "decision/routing/prefill_budget.hpp"
 #include "decision/routing/server_occupancy.hpp"
 #include "decision/routing/server_pace.hpp"
 
@@ -43,6 +44,8 @@
     bool is_trusted = true;
     /// Set for all candidates or for none.
     std::optional<server_expectation> expected = std::nullopt;
+    /// Empty if prompts are not taken into account for the service.
+    std::optional<prefill_outlook> prefill = std::nullopt;
 };
 
 /// Time until the request is sent and its first event arrives. A request that
@@ -65,7 +68,8 @@
 /// that its extra backlog takes no longer to prefill than the prefix itself.
 /// Otherwise a server is drawn by `random` with its free slots as weight: the
 /// reported load is out of date, and if all daemons chose the server with the
-/// least reported load, they would overload it.
+/// least reported load, they would overload it. If all candidates have a
+/// prefill outlook, see `choose_by_prefill`.
 ///
 /// Where servers state their load and pace, two are drawn with the work that
 /// they can take on in a given time as weight, and the one with the less
@@ -82,6 +86,25 @@
 /// Time after which one of the servers may have room, if none has now.
 milliseconds time_to_room(std::span<const choice_candidate> from);
 
+/// The same by what the servers have still to read. Of two servers that are
+/// drawn with their free slots as weight among those within their budget, the
+/// one is taken that reads the prompt earlier; if none is within its budget, of
+/// more that are drawn among all. A long shared prefix leads to the server that
+/// all daemons prefer for it, or to one known to have it cached, if that saves
+/// more time than the extra backlog costs.
+std::optional<std::size_t>
+choose_by_prefill(std::span<const choice_candidate> from,
+                  const prompt_affinity& prompt, double mean_prompt_tokens,
+                  std::uint64_t random);
+
+/// Time for which a long prompt is to wait before it looks for a server again,
+/// because no server with a free slot has budget for it. Empty if it is not to
+/// wait: it is short, it has waited for half of its target, or it would miss
+/// its target by waiting and does not yet.
+std::optional<milliseconds> time_to_wait_for_budget(
+    std::span<const choice_candidate> from, const prompt_affinity& prompt,
+    double mean_prompt_tokens, milliseconds target, milliseconds waited);
+
 /// Chooses the server for a request of a plain service: the least loaded one,
 /// preferring this data centre among equals. Where servers state their load and
 /// pace, it is chosen like an engine, but none counts as full: the statements
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -25,6 +25,12 @@
 /// this time, unless they are too many for a digest a second.
 constexpr milliseconds first_reports_time{1'000};
 
+/// A tenth of the time between two reports of the holder.
+constexpr milliseconds unread_sum_period{100};
+
+/// Ranks of servers are a second late at most; ranking takes time in proportion
+/// to all servers of the fleet.
+constexpr milliseconds server_ranking_period{1'000};
 /// An order and a request for a report may reach a cold server in one second
 /// beside the requests of a host that begins to send.
 constexpr double min_slack_for_orders = 3;
@@ -132,6 +138,43 @@
     return found;
 }
 
+const routing::prefill_budget*
+entry_state::prefill_budget_of(const service_id& service) const
+{
+    const auto known = prefill_budgets.find(service);
+    return known != prefill_budgets.end() && chooses_by_load(service)
+               ? &known->second
+               : nullptr;
+}
+
+void entry_state::update_server_ranks(time_point now)
+{
+    if (now >= servers_ranked_at + server_ranking_period)
+    {
+        servers_ranked_at = now;
+        servers.update_ranks();
+    }
+}
+
+void entry_state::on_fleet_work(bool is_without_own)
+{
+    servers.set_running_elsewhere(fleet.running_by_server(), is_without_own);
+    const time_point now = monotonic_clock::now();
+    // The holder of the placement lease is called for each digest of each host.
+    if (is_without_own && now < unread_summed_at + unread_sum_period)
+    {
+        return;
+    }
+    unread_summed_at = now;
+    const auto unread = fleet.unread_by_server();
+    // The holder of the placement lease passes reports on that it does not use.
+    if (!paces.empty() || !unread.empty())
+    {
+        servers.set_unread_elsewhere(unread, is_without_own,
+                                     fleet.work_received_at(), now);
+    }
+}
+
 void entry_state::on_server_notice(server_record& server,
                                    const server_notice& it)
 {
@@ -318,13 +361,19 @@
         server.pace.on_statement(*it.pace_percent, now);
         paces[server.entry.service].on_stated(now);
     }
+    else if (settings.is_contended)
+    {
+        // The usual times are learnt without any statement of the pace.
+        paces.try_emplace(server.entry.service);
+    }
 }
 
-bool entry_state::states_pace(const service_id& service) const
+bool entry_state::chooses_by_load(const service_id& service) const
 {
     const auto known = paces.find(service);
     return known != paces.end() &&
-           known->second.is_stated(monotonic_clock::now());
+           (settings.is_contended ||
+            known->second.is_stated(monotonic_clock::now()));
 }
 
 routing::server_expectation
@@ -337,6 +386,24 @@
         known == paces.end() ? unknown : known->second, now);
 }
 
+void entry_state::update_occupancy(time_point now)
+{
+    if (paces.empty() || now < m_next_occupancy_update)
+    {
+        return;
+    }
+    m_next_occupancy_update = now + report_interval;
+    const auto running = fleet.running_elsewhere();
+    // Digests come at any time of their period.
+    const time_point counted_at = now - fleet.digest_period() / 2;
+    for (const auto& [id, record] : servers.records())
+    {
+        const auto it = running.find(id.value());
+        record->occupancy.on_report(it == running.end() ? 0 : it->second,
+                                    counted_at, now);
+    }
+}
+
 void entry_state::on_outcome(server_record& server,
                              const routing::attempt_times& it, time_point now)
 {
@@ -351,7 +418,7 @@
 admission::admission_control*
 entry_state::admission_of(const service_id& service)
 {
-    return states_pace(service) ? &admission[service] : nullptr;
+    return chooses_by_load(service) ? &admission[service] : nullptr;
 }
 
 void entry_state::on_limit_notice(const fleet::wire::LimitedServer& it,
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -2,7 +2,9 @@
 
 #include "decision/admission/admission_control.hpp"
 #include "decision/routing/allowed_regions.hpp"
+#include "decision/routing/cached_prefixes.hpp"
 #include "decision/routing/evacuation_set.hpp"
+#include "decision/routing/prefill_budget.hpp"
 #include "decision/routing/server_choice.hpp"
 #include "decision/sharing/brittle_service.hpp"
 #include "decision/sharing/fleet_rate.hpp"
@@ -55,9 +57,15 @@
     std::map<organisation_id, sharing::fleet_rate> rates;
     std::map<service_id, sharing::retry_budget> retry_budgets;
     std::map<service_id, sharing::brittle_service> brittle_services;
+    /// Of services whose servers state their pace.
+    std::map<service_id, routing::prefill_budget> prefill_budgets;
+    routing::cached_prefixes cached_prefixes;
+    time_point servers_ranked_at{};
+    time_point unread_summed_at{};
     /// Services whose servers have stated their pace.
     std::map<service_id, routing::service_pace> paces;
     std::map<service_id, admission::admission_control> admission;
+    static constexpr milliseconds report_interval{250};
     const time_point started_at = monotonic_clock::now();
     /// Higher after each start of this daemon.
     const std::int64_t incarnation;
@@ -114,12 +122,28 @@
     find_crashing_part(const std::vector<suspicion::part_fingerprint>& parts,
                        time_point now);
 
-    /// True if a response of a server of the service stated its pace within the
-    /// last 30 s. Its servers are chosen by what they state of their load.
-    bool states_pace(const service_id& service) const;
+    /// Null if prompts are not taken into account for the service.
+    const routing::prefill_budget*
+    prefill_budget_of(const service_id& service) const;
+
+    /// Ranks the servers anew, if the last time was some time ago.
+    void update_server_ranks(time_point now);
+
+    /// Takes in what the other hosts reported of running requests; see
+    /// `server_table::set_running_elsewhere`.
+    void on_fleet_work(bool is_without_own);
+
+    /// True if servers of the service are chosen, and its requests admitted, by
+    /// what the servers state of their load: if one stated its pace within the
+    /// last 30 s, or if callers compete for too little room.
+    bool chooses_by_load(const service_id& service) const;
     /// What a request can expect at a server of a service that states its pace.
     routing::server_expectation expectation_of(const server_record& server,
                                                time_point now) const;
+    /// Takes in what the other hosts report of their requests, for services
+    /// that state their pace; at most each `report_interval`, since it takes
+    /// the number of hosts times that of servers.
+    void update_occupancy(time_point now);
     /// Counts an answer that the server has completed.
     void on_outcome(server_record& server, const routing::attempt_times& it,
                     time_point now);
@@ -211,6 +235,8 @@
                                        const server_record& server,
                                        std::uint32_t limit,
                                        time_point now) const;
+
+    time_point m_next_occupancy_update{};
 };
 
 } // namespace cicadahub::entry
--- a/libraries/entry/fleet/fleet_view.hpp
+++ b/libraries/entry/fleet/fleet_view.hpp
@@ -21,6 +21,8 @@
     time_point received_at{};
     /// Time between the last two digests.
     milliseconds gap{0};
+    /// Arrival of the last digest that had `work`.
+    time_point work_received_at{};
 };
 
 /// State of the other daemons, from their digests. Digests that arrive out of
@@ -83,6 +85,14 @@
     const peer* placement_holder() const;
     /// Running requests by server, as reported by the other daemons.
     std::unordered_map<std::string, std::uint32_t> running_by_server() const;
+    /// Unread prompt tokens by server, from the same reports. Servers without
+    /// any are omitted.
+    std::unordered_map<std::string, std::int64_t> unread_by_server() const;
+    /// Arrival of the last of these reports; default if there is none.
+    time_point work_received_at() const;
+    /// The same without the sums that the holder of the placement lease adds,
+    /// which count the requests of all hosts once more and are older.
+    std::unordered_map<std::string, std::uint32_t> running_elsewhere() const;
 
     /// Hosts that may be serving, this one included: those in contact, those
     /// silent for less than their limit, which may only be partitioned, and
--- a/libraries/entry/requests/request_routing.cpp
+++ b/libraries/entry/requests/request_routing.cpp
@@ -106,7 +106,13 @@
     std::vector<server_table::record_pointer> records;
     std::vector<routing::choice_candidate> candidates;
     server_pick result;
-    const bool is_by_pace = m_state.states_pace(m_service->name);
+    const routing::prefill_budget* budget =
+        m_copy ? m_state.prefill_budget_of(m_service->name) : nullptr;
+    if (budget != nullptr)
+    {
+        m_state.update_server_ranks(now);
+    }
+    const bool is_by_pace = m_state.chooses_by_load(m_service->name);
     const bool leaves_last_slots =
         m_waiter->control != nullptr &&
         m_waiter->control->leaves_last_slots(m_waiter->request, now);
@@ -180,12 +186,15 @@
         const std::uint32_t kept =
             leaves_last_slots ? admission::admission_control::last_slots(slots)
                               : 0;
-        candidates.push_back({&record->entry.id,
-                              record->running + record->running_elsewhere,
-                              slots - kept,
-                              entry.data_centre == m_state.settings.data_centre,
-                              record->health.is_trusted(now),
-                              {}});
+        candidates.push_back(
+            {&record->entry.id,
+             record->running + record->running_elsewhere,
+             slots - kept,
+             entry.data_centre == m_state.settings.data_centre,
+             record->health.is_trusted(now),
+             {},
+             prefill_outlook_of(m_state, budget, *record, m_observer.prompt(),
+                                first_event_target(), now)});
         if (is_by_pace)
         {
             expect_by_statements(candidates.back(), *record, now);
@@ -201,6 +210,11 @@
     {
         result.limit_left.reset();
     }
+    result.budget_wait = budget_wait(candidates, now);
+    if (result.budget_wait)
+    {
+        return result;
+    }
     const milliseconds time_to_target =
         m_route->target_latency -
         std::chrono::duration_cast<milliseconds>(now - m_arrived);
@@ -219,6 +233,9 @@
     if (choice)
     {
         result.record = records[*choice];
+        const auto& prefill = candidates[*choice].prefill;
+        result.prefill =
+            prefill ? std::optional(prefill->as_known) : std::nullopt;
     }
     else if (result.limit_left && can_book(*result.limited, *result.limit_left))
     {
@@ -229,6 +246,31 @@
     return result;
 }
 
+milliseconds active_request::first_event_target() const
+{
+    const auto longest = std::chrono::duration_cast<milliseconds>(
+        m_first_byte_deadline - m_arrived);
+    return m_route->target_latency.count() > 0
+               ? std::min(m_route->target_latency, longest)
+               : longest;
+}
+
+std::optional<milliseconds>
+active_request::budget_wait(std::span<const routing::choice_candidate> from,
+                            time_point now) const
+{
+    // A request that was sent before has lost time already, and a stream that
+    // is taken up has begun.
+    if (!m_copy || m_sends > 0 || !m_excluded_servers.empty() || m_origin ||
+        m_request.after_event)
+    {
+        return std::nullopt;
+    }
+    return routing::time_to_wait_for_budget(
+        from, m_affinity, m_state.mean_prompt_tokens, first_event_target(),
+        std::chrono::duration_cast<milliseconds>(now - m_arrived));
+}
+
 void active_request::expect_by_statements(routing::choice_candidate& to,
                                           const server_record& server,
                                           time_point now) const
@@ -462,11 +504,17 @@
     view.starts_per_second =
         m_state.admission[m_service->name].starts().starts_per_second(
             work, m_state.fleet.host_count(now), now);
-    view.not_before = std::max(pick.pause_left.value_or(milliseconds(0)),
-                               pick.limit_left.value_or(milliseconds(0)));
-    if (m_copy && !pick.has_eligible_server)
+    const milliseconds held_back =
+        std::max(pick.pause_left.value_or(milliseconds(0)),
+                 pick.limit_left.value_or(milliseconds(0)));
+    if (!m_copy)
+    {
+        view.not_before = held_back;
+    }
+    else if (!pick.has_eligible_server || held_back.count() > 0)
     {
-        view.not_before = std::max(view.not_before, estimated_wait(now));
+        // A model may be loaded at another server meanwhile.
+        view.not_before = estimated_wait(now);
     }
     return view;
 }
@@ -534,6 +582,13 @@
         if (choice.record)
         {
             m_books_place = choice.books_place;
+            m_observer.set_expected_prefill(choice.prefill);
+            if (choice.prefill)
+            {
+                m_state.metrics.count_prefill_choice(
+                    choice.prefill->is_within_budget ? "within-budget"
+                                                     : "over-budget");
+            }
             if (has_waited)
             {
                 m_state.metrics.observe_wait(time_since(began), estimate);
@@ -569,17 +624,26 @@
             // Every eligible server has been tried or has no free slot.
             refuse(refusal_kind::no_capacity, retry_after_full);
         }
-        refuse_if_unservable(now, choice);
         milliseconds begins_after{0};
-        if (m_waiter->control != nullptr)
+        if (!choice.budget_wait)
+        {
+            refuse_if_unservable(now, choice);
+            if (m_waiter->control != nullptr)
+            {
+                begins_after =
+                    refuse_if_queue_too_long(now, choice, has_waited);
+            }
+        }
+        if (choice.budget_wait && !has_waited)
         {
-            begins_after = refuse_if_queue_too_long(now, choice, has_waited);
+            m_state.metrics.count_prefill_choice("waits");
         }
         if (!has_waited)
         {
             has_waited = true;
             estimate = m_waiter->control == nullptr ? estimated_wait(now)
                                                     : begins_after;
+            estimate = choice.budget_wait.value_or(estimate);
             log_event(
                 severity::info, event_number::request_waits,
                 {{"request", m_request.id.value()},
@@ -588,6 +652,7 @@
                                  ? m_copy->adapter->value()
                                  : std::string()},
                  {"is_any_there", choice.has_eligible_server},
+                 {"is_for_budget", choice.budget_wait.has_value()},
                  {"position", view_queue(now, choice).ahead},
                  {"estimate_ms", estimate.count()},
                  {"left_ms", time_left(now).count()}});
@@ -602,6 +667,10 @@
         {
             recheck = std::min(recheck, *choice.full_for);
         }
+        recheck = std::min(recheck, choice.budget_wait.value_or(recheck));
+        // Another copy of the model is not needed for a prompt that waits for
+        // budget at those that there are.
+        m_waiter->copy = choice.budget_wait ? std::nullopt : m_copy;
         m_excluded_servers.clear();
         co_await m_state.waiting.wait(m_waiter, recheck);
     }
--- a/libraries/entry/servers/server_table.hpp
+++ b/libraries/entry/servers/server_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/replicas/types.hpp"
+#include "decision/routing/prefill_budget.hpp"
 #include "decision/routing/server_occupancy.hpp"
 #include "decision/routing/server_pace.hpp"
 #include "decision/sharing/cold_period.hpp"
@@ -51,6 +52,8 @@
     /// Parts of the limit that other hosts may use, if they have any.
     std::map<daemon_id, double> usable_elsewhere;
     sharing::server_room room;
+    routing::unread_prompts unread;
+    routing::server_rank rank;
     /// Last time at which the server sent this daemon anything.
     time_point last_contact{};
     /// Last time at which its entry was seen in the list, or a peer told of it
@@ -143,6 +146,15 @@
         const std::unordered_map<std::string, std::uint32_t>& running,
         bool is_without_own);
 
+    /// The same for prompt tokens that are still to be read, as reported at
+    /// `reported_at`.
+    void set_unread_elsewhere(
+        const std::unordered_map<std::string, std::int64_t>& tokens,
+        bool is_without_own, time_point reported_at, time_point now);
+
+    /// Ranks the servers of each service, those that leave excepted. The ranks
+    /// stay until the next call.
+    void update_ranks();
     /// Data centres to which nothing is to be sent.
     void set_evacuated(std::set<data_centre_id> data_centres);
     const std::set<data_centre_id>& evacuated() const { return m_evacuated; }
