--- a/libraries/entry/entry_metrics.cpp
+++ b/libraries/entry/entry_metrics.cpp
@@ -117,6 +117,12 @@
     {
         m_prefill_choices.Add({{"result", result}});
     }
+    for (const char* limit :
+         {"memory-refused", "memory-timeout", "memory-closed", "idle-closed",
+          "connection-refused", "address-idle-closed", "address-refused"})
+    {
+        m_client_limits.Add({{"limit", limit}});
+    }
 }
 
 void entry_metrics::set_evacuated(const std::set<data_centre_id>& before,
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -71,6 +71,7 @@
       continuity(io, servers, fleet)
 {
     are_evacuations_known = !settings.follows_evacuations;
+    metrics.set_evacuated({settings.data_centre}, {});
 }
 
 bool entry_state::is_allowed(const routing::allowed_regions& regions,
