--- a/libraries/decision/routing/server_choice.cpp
+++ b/libraries/decision/routing/server_choice.cpp
@@ -185,7 +185,9 @@
 /// 1.5 % with the slots.
 double engine_weight(const choice_candidate& it)
 {
-    return room(it, engine_queue_share) > 0 ? it.slots : 0;
+    // Room for a whole request: a small server that is full by its own word
+    // would reject it.
+    return room(it, engine_queue_share) >= 1 ? it.slots : 0;
 }
 
 double plain_weight(const choice_candidate& it)
--- a/libraries/decision/routing/server_occupancy.cpp
+++ b/libraries/decision/routing/server_occupancy.cpp
@@ -21,6 +21,12 @@
 
 constexpr milliseconds min_backoff{3};
 constexpr milliseconds max_backoff{100};
+/// Pauses grow while one rejection follows another without a free slot between
+/// them, since requests that began together also end together; but not beyond
+/// this many times the time that a request takes, or this time.
+constexpr double longest_backoff_part = 2;
+constexpr milliseconds longest_backoff{1'000};
+constexpr std::uint32_t most_doublings = 8;
 /// The pause after a rejection is drawn around the time in which this many
 /// slots become free, since other hosts wait for them too.
 constexpr double slots_awaited = 2;
@@ -66,6 +72,10 @@
     const std::uint32_t all = it.running + it.waiting;
     m_statement = it;
     m_stated = {static_cast<double>(all - std::min(all, own)), now};
+    if (it.waiting == 0 && it.running < it.slots)
+    {
+        m_rejections = 0;
+    }
     update_mean(m_stated.elsewhere, now);
 }
 
@@ -97,8 +107,17 @@
     const milliseconds_double length =
         slots_awaited * milliseconds_double(request_time) /
         std::max(1.0, static_cast<double>(slots()));
-    const auto limited = std::clamp(length, milliseconds_double(min_backoff),
-                                    milliseconds_double(max_backoff));
+    const auto first = std::clamp(length, milliseconds_double(min_backoff),
+                                  milliseconds_double(max_backoff));
+    const auto longest =
+        std::max(first, std::min(longest_backoff_part *
+                                     milliseconds_double(request_time),
+                                 milliseconds_double(longest_backoff)));
+    const auto limited =
+        std::min(first * static_cast<double>(
+                             1U << std::min(m_rejections, most_doublings)),
+                 longest);
+    ++m_rejections;
     constexpr double least_part = 0.5;
     m_full_until = now + std::chrono::duration_cast<monotonic_clock::duration>(
                              (least_part + draw) * limited);
--- a/libraries/decision/routing/server_occupancy.hpp
+++ b/libraries/decision/routing/server_occupancy.hpp
@@ -80,6 +80,8 @@
     std::optional<observation> m_report;
     double m_mean = 0;
     std::optional<time_point> m_mean_at;
+    /// In a row.
+    std::uint32_t m_rejections = 0;
     time_point m_rejected_at{};
     time_point m_full_until{};
 };
