--- a/libraries/decision/routing/server_occupancy.cpp
+++ b/libraries/decision/routing/server_occupancy.cpp
@@ -22,9 +22,9 @@
 constexpr milliseconds min_backoff{3};
 constexpr milliseconds max_backoff{100};
 /// Pauses grow while one rejection follows another without a free slot between
-/// them, since requests that began together also end together; but not beyond
-/// this many times the time that a request takes, or this time.
-constexpr double longest_backoff_part = 2;
+/// them, since requests that began together also end together; but the longest
+/// that is drawn is no longer than a request takes, and this bounds it too.
+constexpr double longest_backoff_part = 2.0 / 3;
 constexpr milliseconds longest_backoff{1'000};
 constexpr std::uint32_t most_doublings = 8;
 /// The pause after a rejection is drawn around the time in which this many
