Store: Fetch changes of servers from the store again

Changes are fetched from the store again when a digest tells of them, and polls are never stale. Watches of the configuration still wait for 30 s at hosts that are not designated watchers.

--- a/libraries/daemon/collection_follower.cpp
+++ b/libraries/daemon/collection_follower.cpp
@@ -58,7 +58,7 @@
 
 net::awaitable<void> collection_follower::refresh_once()
 {
-    co_await poll(no_wait, platform::freshness::latest);
+    co_await poll(no_wait);
     m_is_refreshing = false;
 }
 
@@ -68,7 +68,7 @@
     while (true)
     {
         const follow_pace pace = m_pace();
-        if (co_await poll(std::max(pace.wait, no_wait), pace.freshness))
+        if (co_await poll(std::max(pace.wait, no_wait)))
         {
             retry_pause = first_retry_pause;
             co_await pause(m_context, pace.pause);
@@ -79,8 +79,7 @@
     }
 }
 
-net::awaitable<bool> collection_follower::poll(milliseconds wait,
-                                               platform::freshness wanted)
+net::awaitable<bool> collection_follower::poll(milliseconds wait)
 {
     try
     {
@@ -88,7 +87,7 @@
         {
             co_await list_all();
         }
-        co_await watch_once(wait, wanted);
+        co_await watch_once(wait);
         co_return true;
     }
     catch (const platform::watch_expired&)
@@ -129,11 +128,10 @@
     m_on_batch(true);
 }
 
-net::awaitable<void> collection_follower::watch_once(milliseconds wait,
-                                                     platform::freshness wanted)
+net::awaitable<void> collection_follower::watch_once(milliseconds wait)
 {
     const platform::listing changes =
-        co_await m_store.watch(m_collection, m_version, wait, wanted);
+        co_await m_store.watch(m_collection, m_version, wait);
     mark_reachable();
     for (const platform::stored_object& it : changes.objects)
     {
--- a/libraries/daemon/collection_follower.hpp
+++ b/libraries/daemon/collection_follower.hpp
@@ -19,7 +19,6 @@
     /// Pause between two watches, so that changes made close together are
     /// fetched in one call.
     milliseconds pause{0};
-    platform::freshness freshness = platform::freshness::latest;
 };
 
 /// Follows one collection of the platform: lists it, then watches it, and lists
@@ -55,10 +54,9 @@
     net::awaitable<void> run();
     net::awaitable<void> refresh_once();
     /// Sends one watch, preceded by a list if one is needed; false on failure.
-    net::awaitable<bool> poll(milliseconds wait, platform::freshness wanted);
+    net::awaitable<bool> poll(milliseconds wait);
     net::awaitable<void> list_all();
-    net::awaitable<void> watch_once(milliseconds wait,
-                                    platform::freshness wanted);
+    net::awaitable<void> watch_once(milliseconds wait);
     void mark_reachable();
     void mark_unreachable(const char* reason);
 
--- a/libraries/entry/store/store_mirror.cpp
+++ b/libraries/entry/store/store_mirror.cpp
@@ -25,10 +25,6 @@
 /// Watch timeout of the other hosts, which need their watch only if the
 /// designated watchers fail; the longest that the store allows.
 constexpr milliseconds long_watch_timeout{30'000};
-/// Hosts that learn of a change from the same watcher fetch it within this
-/// time, each at a moment of its own, so that a watcher with a small share of a
-/// processor is not asked by all of them at once.
-constexpr milliseconds fetch_spread{200};
 /// Pause between two watches of the servers. A leaving server must be known
 /// within 2 s. Completed loads become known without this watch, since the
 /// holder of the placement lease publishes them at once.
@@ -150,8 +146,7 @@
     {
         return {short_watch_timeout, server_watch_pause};
     }
-    // What changes the choice of servers is learnt from the watchers.
-    return {{}, server_poll_pause, platform::freshness::may_be_stale};
+    return {{}, server_poll_pause};
 }
 
 daemon::follow_pace store_mirror::evacuations_pace() const
@@ -216,53 +211,15 @@
 {
     for (const collection where : followed())
     {
-        if (reported_version(it, where) <= known_version(where))
-        {
-            continue;
-        }
-        if (learns_from_peers(where))
-        {
-            net::co_spawn(m_state.context, learn_from_peer(where),
-                          net::detached);
-        }
         // A store that does not answer is not loaded with more requests.
-        else if (follower_of(where).is_platform_reachable())
+        if (follower_of(where).is_platform_reachable() &&
+            reported_version(it, where) > known_version(where))
         {
             follower_of(where).refresh();
         }
     }
 }
 
-bool store_mirror::learns_from_peers(collection where) const
-{
-    return m_state.has_servers && m_state.configuration &&
-           where == collection::servers && !is_designated_watcher();
-}
-
-net::awaitable<void> store_mirror::learn_from_peer(collection where)
-{
-    if (m_is_learning)
-    {
-        co_return;
-    }
-    m_is_learning = true;
-    const double draw = std::uniform_real_distribution<>()(m_state.random);
-    co_await pause(m_state.context, std::chrono::duration_cast<milliseconds>(
-                                        fetch_spread * draw));
-    const object_version wanted = newest_reported(where);
-    const auto source = choose_source(where);
-    if (source)
-    {
-        co_await fetch_from(*source, where);
-    }
-    m_is_learning = false;
-    if (known_version(where) < wanted &&
-        follower_of(where).is_platform_reachable())
-    {
-        follower_of(where).refresh();
-    }
-}
-
 void store_mirror::apply_object(collection where,
                                 const platform::stored_object& it)
 {
--- a/libraries/entry/store/store_mirror.hpp
+++ b/libraries/entry/store/store_mirror.hpp
@@ -71,12 +71,6 @@
     object_version newest_reported(platform::collection where) const;
     /// A host that knows more than this one; empty if there is none.
     std::optional<http::endpoint> choose_source(platform::collection where);
-    /// True if changes that peers tell of are fetched from them, not from the
-    /// store, whose calls would grow with hosts times changes.
-    bool learns_from_peers(platform::collection where) const;
-    /// Fetches what a peer knows and this host lacks; from the store if no peer
-    /// has sent it.
-    net::awaitable<void> learn_from_peer(platform::collection where);
     net::awaitable<void> follow_peers();
     /// Asks the store if no watcher is heard, or if this host has just become
     /// one.
@@ -98,7 +92,6 @@
     store_era m_era;
     /// Until then a full list removes nothing.
     time_point m_removals_from{};
-    bool m_is_learning = false;
     bool m_was_watcher = false;
     time_point m_became_watcher_at{};
     time_point m_next_poll_at{};
--- a/libraries/platform/kubernetes_dialect.cpp
+++ b/libraries/platform/kubernetes_dialect.cpp
@@ -183,9 +183,8 @@
         boost::json::serialize(object_to_json(where, it)));
 }
 
-/// All watches of this API are served from a cache.
 http::request watch_request(collection where, object_version since,
-                            milliseconds wait, freshness)
+                            milliseconds wait)
 {
     const auto limit = std::chrono::duration_cast<seconds>(wait).count();
     return http::make_request(http::verb::get,
--- a/libraries/platform/object_client.cpp
+++ b/libraries/platform/object_client.cpp
@@ -254,19 +254,16 @@
     co_return write_result{write_outcome::unknown, {}};
 }
 
-net::awaitable<listing> object_client::watch(collection where,
-                                             object_version since,
-                                             milliseconds wait,
-                                             freshness wanted)
+net::awaitable<listing>
+object_client::watch(collection where, object_version since, milliseconds wait)
 {
     if (era_of(since) != m_era)
     {
         throw watch_expired();
     }
     const object_version revision(revision_of(since));
-    const auto answer =
-        co_await call(m_dialect.watch(where, revision, wait, wanted),
-                      wait + m_timing.call_timeout);
+    const auto answer = co_await call(m_dialect.watch(where, revision, wait),
+                                      wait + m_timing.call_timeout);
     expect_ok(answer);
     if (era_of(since) != m_era)
     {
--- a/libraries/platform/object_client.hpp
+++ b/libraries/platform/object_client.hpp
@@ -52,8 +52,7 @@
     /// objects; empty if there were none. Throws `watch_expired` if the caller
     /// must list the collection again.
     net::awaitable<listing> watch(collection where, object_version since,
-                                  milliseconds wait,
-                                  freshness wanted = freshness::latest);
+                                  milliseconds wait);
 
     /// Removes an object regardless of its version; no error if it is missing.
     net::awaitable<void> remove(collection where, std::string name);
--- a/libraries/platform/object_dialect.hpp
+++ b/libraries/platform/object_dialect.hpp
@@ -9,13 +9,6 @@
 namespace cicadahub::platform
 {
 
-/// How recent the answer to a call has to be.
-enum class freshness
-{
-    latest,
-    may_be_stale,
-};
-
 /// One page of a listing.
 struct list_page
 {
@@ -35,10 +28,8 @@
     http::request (*read)(collection where, const std::string& name);
     stored_object (*read_object)(const std::string& body);
     http::request (*write)(collection where, const stored_object& it);
-    /// A watch that may be stale may miss the changes of the last seconds; it
-    /// costs the store less.
     http::request (*watch)(collection where, object_version since,
-                           milliseconds wait, freshness wanted);
+                           milliseconds wait);
     /// Throws `watch_expired` if the body reports that the version is too old.
     listing (*read_watch)(collection where, object_version since,
                           const std::string& body);
