Tests: Convert to char explicitly

clang-tidy reports the implicit conversion where char is signed, as on x86-64, so that the linter failed there. The value is the same; clang-tidy passes on the file.

--- a/tests/fleet/datagram_queue_test.cpp
+++ b/tests/fleet/datagram_queue_test.cpp
@@ -65,7 +65,8 @@
     datagram_queue it(1'000);
     for (unsigned n = 0; n < 15; ++n)
     {
-        it.push(datagram_kind::urgent, to(n, std::string(100, 'a' + char(n))));
+        it.push(datagram_kind::urgent,
+                to(n, std::string(100, static_cast<char>('a' + n))));
     }
     EXPECT_EQ(it.take_dropped(), 5U);
     EXPECT_EQ(it.take_dropped(), 0U);
