--- a/libraries/decision/routing/server_choice.cpp
+++ b/libraries/decision/routing/server_choice.cpp
@@ -414,12 +414,6 @@
                before * static_cast<double>(expected.to_end.count()) / slots));
 }
 
-milliseconds expected_end(const choice_candidate& it)
-{
-    return expected_first_event(it) - it.expected->to_first +
-           it.expected->to_end;
-}
-
 milliseconds time_to_room(std::span<const choice_candidate> from)
 {
     constexpr milliseconds shortest{20};
--- a/libraries/decision/routing/server_choice.hpp
+++ b/libraries/decision/routing/server_choice.hpp
@@ -51,8 +51,6 @@
 /// Time until the request is sent and its first event arrives. A request that
 /// finds no free slot waits until one of those before it ends.
 milliseconds expected_first_event(const choice_candidate& it);
-/// The same until its end.
-milliseconds expected_end(const choice_candidate& it);
 
 /// The prefix that a prompt shares with other requests and that a server may
 /// therefore have in its KV cache.
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -241,12 +241,17 @@
     }
 }
 
+const serving::service*
+entry_state::service_of(const server_record& server) const
+{
+    return configuration ? configuration->find_service(server.entry.service)
+                         : nullptr;
+}
+
 bool entry_state::update_cold(server_record& server, std::string_view seen_by,
                               time_point now)
 {
-    const auto* service =
-        configuration ? configuration->find_service(server.entry.service)
-                      : nullptr;
+    const auto* service = service_of(server);
     if (service == nullptr)
     {
         return false;
@@ -325,9 +330,7 @@
 
 void entry_state::on_connection_lost(server_record& server, time_point now)
 {
-    const auto* service =
-        configuration ? configuration->find_service(server.entry.service)
-                      : nullptr;
+    const auto* service = service_of(server);
     if (service == nullptr || service->cold_start == milliseconds(0))
     {
         return;
@@ -338,9 +341,7 @@
 
 void entry_state::on_crashed(server_record& server, time_point now)
 {
-    const auto* service =
-        configuration ? configuration->find_service(server.entry.service)
-                      : nullptr;
+    const auto* service = service_of(server);
     if (service == nullptr || service->cold_start == milliseconds(0))
     {
         return;
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -218,6 +218,8 @@
                            const server_notice& it);
     void on_limit(server_record& server, std::optional<double> limit,
                   time_point heard_at, const std::string& seen_by);
+    /// The service of a server as configured; null if there is none.
+    const serving::service* service_of(const server_record& server) const;
     /// Assumes the incarnation to be cold if it started while there was
     /// traffic.
     void judge_start(server_record& server, milliseconds cold_start,
