Entry: Log how a configuration becomes known and how late a host is itself

The logs could not tell a host that is late itself from one that nobody tells, nor from one that serves before it has asked. 203 names the first host that tells of a newer configuration, 200 where it came from and how long the host was behind, 300 how long a call took until it counted as unanswered. A histogram has the time from the first news to the change.

--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -25,6 +25,7 @@
     CICADAHUB_ROW(configuration_applied),
     CICADAHUB_ROW(configuration_refused),
     CICADAHUB_ROW(key_withdrawn),
+    CICADAHUB_ROW(configuration_announced),
     CICADAHUB_ROW(platform_unreachable),
     CICADAHUB_ROW(platform_reachable),
     CICADAHUB_ROW(watch_restarted),
--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -22,6 +22,7 @@
     configuration_applied = 200,
     configuration_refused = 201,
     key_withdrawn = 202,
+    configuration_announced = 203,
     platform_unreachable = 300,
     platform_reachable = 301,
     watch_restarted = 302,
--- a/libraries/daemon/collection_follower.cpp
+++ b/libraries/daemon/collection_follower.cpp
@@ -81,6 +81,7 @@
 
 net::awaitable<bool> collection_follower::poll(milliseconds wait)
 {
+    const time_point began = monotonic_clock::now();
     try
     {
         if (m_needs_list)
@@ -105,12 +106,12 @@
         // The same watch would get the same answer for as long as the store
         // keeps its history.
         m_needs_list = true;
-        mark_unreachable(reason.what());
+        mark_unreachable(reason.what(), began);
         co_return false;
     }
     catch (const error& reason)
     {
-        mark_unreachable(reason.what());
+        mark_unreachable(reason.what(), began);
         co_return false;
     }
 }
@@ -154,14 +155,16 @@
     }
 }
 
-void collection_follower::mark_unreachable(const char* reason)
+void collection_follower::mark_unreachable(const char* reason, time_point began)
 {
     if (m_is_platform_reachable)
     {
         m_is_platform_reachable = false;
+        const auto took = std::chrono::duration_cast<milliseconds>(
+            monotonic_clock::now() - began);
         CICADAHUB_EVENT(WARNING, platform_unreachable)
             << "collection=" << platform::name_of(m_collection)
-            << " reason=" << reason;
+            << " took_ms=" << took.count() << " reason=" << reason;
     }
 }
 
--- a/libraries/daemon/collection_follower.hpp
+++ b/libraries/daemon/collection_follower.hpp
@@ -58,7 +58,7 @@
     net::awaitable<void> list_all();
     net::awaitable<void> watch_once(milliseconds wait);
     void mark_reachable();
-    void mark_unreachable(const char* reason);
+    void mark_unreachable(const char* reason, time_point began);
 
     net::io_context& m_context;
     platform::store& m_store;
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -131,8 +131,9 @@
       m_relay_server(m_settings.fleet, http::server_limits{},
                      {{m_context, m_relay}}, m_bounds.peers()),
       m_mirror(m_state, m_store, m_peer_pool, m_objects,
-               {[this](const platform::stored_object& it)
-                { on_configuration(it); },
+               {[this](const platform::stored_object& it,
+                       const configuration_origin& origin)
+                { on_configuration(it, origin); },
                 [this] { on_servers_changed(); },
                 [this]
                 {
@@ -235,7 +236,8 @@
     return limits;
 }
 
-void entry_daemon::on_configuration(const platform::stored_object& it)
+void entry_daemon::on_configuration(const platform::stored_object& it,
+                                    const configuration_origin& origin)
 {
     if (it.name != m_dialects.documents.configuration_name || it.is_deleted)
     {
@@ -266,7 +268,10 @@
                    {"era", era_of(next->revision).value()},
                    {"revision", revision_of(next->revision)},
                    {"routes", next->routes.size()},
-                   {"organisations", next->organisations.size()}});
+                   {"organisations", next->organisations.size()},
+                   {"source", origin.source},
+                   {"behind_ms", origin.behind.count()}});
+        m_state.metrics.observe_configuration_delay(origin.behind);
         m_caller_server.set_limits(limits_of(next->limits));
         http::server_limits relay_limits = limits_of(next->limits);
         relay_limits.header_bytes += relay_header_bytes;
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -65,7 +65,8 @@
     void add_member(const platform::stored_object& it);
     net::awaitable<void> follow_members();
     void wait_for_signal();
-    void on_configuration(const platform::stored_object& it);
+    void on_configuration(const platform::stored_object& it,
+                          const configuration_origin& origin);
     void on_servers_changed();
     /// This host was cut off from the servers, or is no longer.
     void on_reach_changed();
--- a/libraries/entry/entry_metrics.cpp
+++ b/libraries/entry/entry_metrics.cpp
@@ -93,6 +93,10 @@
                         "Time from a load's order to its end.")),
       m_loop_delay(times(m_registry, "cicadahub_entry_loop_delay_seconds",
                          "How late the event loop runs a timer.")),
+      m_configuration_delay(
+          times(m_registry, "cicadahub_entry_configuration_delay_seconds",
+                "Time from the first news of a configuration until it is "
+                "applied.")),
       m_dropped_lines(prometheus::BuildGauge()
                           .Name("cicadahub_entry_log_lines_dropped")
                           .Help("Log lines dropped since the start.")
@@ -214,6 +218,11 @@
     m_loop_delay.Observe(in_seconds(late));
 }
 
+void entry_metrics::observe_configuration_delay(milliseconds behind)
+{
+    m_configuration_delay.Observe(in_seconds(behind));
+}
+
 void entry_metrics::count_prefill_choice(std::string_view result)
 {
     m_prefill_choices.Add({{"result", std::string(result)}}).Increment();
--- a/libraries/entry/entry_metrics.hpp
+++ b/libraries/entry/entry_metrics.hpp
@@ -51,6 +51,8 @@
     /// Data centres that were evacuated before, and those that are now.
     void set_evacuated(const std::set<data_centre_id>& before,
                        const std::set<data_centre_id>& now);
+    /// Records how long after hearing of a configuration this host applied it.
+    void observe_configuration_delay(milliseconds behind);
     /// Records how late the event loop ran a timer.
     void observe_loop_delay(milliseconds late);
 
@@ -75,6 +77,7 @@
     prometheus::Histogram& m_first_event;
     prometheus::Histogram& m_load_time;
     prometheus::Histogram& m_loop_delay;
+    prometheus::Histogram& m_configuration_delay;
     prometheus::Gauge& m_dropped_lines;
     prometheus::Family<prometheus::Counter>& m_prefill_choices;
     prometheus::Gauge& m_unread_tokens;
--- a/libraries/entry/store/store_mirror.cpp
+++ b/libraries/entry/store/store_mirror.cpp
@@ -207,8 +207,32 @@
         static_cast<std::int64_t>(m_state.servers.changed_version().value());
 }
 
+void store_mirror::note_announced(const peer& it)
+{
+    const object_version reported =
+        reported_version(it, collection::configurations);
+    const object_version known = known_version(collection::configurations);
+    if (reported <= std::max(known, m_announced_configuration))
+    {
+        return;
+    }
+    if (m_announced_configuration <= known)
+    {
+        m_behind_since = monotonic_clock::now();
+    }
+    m_announced_configuration = reported;
+    log_event(severity::info, event_number::configuration_announced,
+              {{"peer", it.digest.sender},
+               {"era", era_of(reported).value()},
+               {"revision", revision_of(reported)},
+               {"known", revision_of(known)},
+               {"is_store_reached", m_configurations.is_platform_reachable()},
+               {"peers", m_state.fleet.peers().size()}});
+}
+
 void store_mirror::on_digest(const peer& it)
 {
+    note_announced(it);
     for (const collection where : followed())
     {
         // A store that does not answer is not loaded with more requests.
@@ -221,7 +245,8 @@
 }
 
 void store_mirror::apply_object(collection where,
-                                const platform::stored_object& it)
+                                const platform::stored_object& it,
+                                const std::string& source)
 {
     const work_meter::scope metered(m_state.work, duty::objects);
     if (where == collection::evacuations)
@@ -240,7 +265,14 @@
         return;
     }
     const auto before = m_state.configuration;
-    m_handlers.on_configuration(it);
+    configuration_origin origin{source};
+    if (m_announced_configuration > object_version{} &&
+        m_announced_configuration <= it.version)
+    {
+        origin.behind = std::chrono::duration_cast<milliseconds>(
+            monotonic_clock::now() - m_behind_since);
+    }
+    m_handlers.on_configuration(it, origin);
     if (m_state.configuration && m_state.configuration->revision == it.version)
     {
         // Peers get only what this host serves by.
@@ -384,7 +416,7 @@
         }
         for (const platform::stored_object& it : changes.objects)
         {
-            apply_object(where, it);
+            apply_object(where, it, http::to_string(peer));
         }
         const bool is_full_list = got.since.value() == 0;
         end_batch(where, is_full_list, changes.version);
--- a/libraries/entry/store/store_mirror.hpp
+++ b/libraries/entry/store/store_mirror.hpp
@@ -7,10 +7,21 @@
 
 #include <functional>
 #include <map>
+#include <string>
 
 namespace cicadahub::entry
 {
 
+/// Where a host got a configuration.
+struct configuration_origin
+{
+    /// "store", or the address of a peer.
+    std::string source;
+    /// Time since a peer was first heard to have it, or a newer one; 0 if none
+    /// was.
+    milliseconds behind{0};
+};
+
 /// Keeps a copy of the configuration, the servers and, if the settings ask for
 /// it, the evacuations in the platform's store.
 /// A few designated watchers follow the store closely and announce new versions
@@ -21,7 +32,9 @@
 public:
     struct handlers
     {
-        std::function<void(const platform::stored_object&)> on_configuration;
+        std::function<void(const platform::stored_object&,
+                           const configuration_origin&)>
+            on_configuration;
         /// Called after a batch of changes was applied to the server table.
         std::function<void()> on_servers_changed;
         /// Called after the evacuations became known, or changed.
@@ -57,7 +70,10 @@
     bool is_designated_watcher() const;
     bool reaches_store() const;
     void apply_object(platform::collection where,
-                      const platform::stored_object& it);
+                      const platform::stored_object& it,
+                      const std::string& source = "store");
+    /// Notes that a peer has a newer configuration than this host.
+    void note_announced(const peer& it);
     void end_batch(platform::collection where, bool is_full_list,
                    object_version version);
     /// Begins the grace period for removals if the version is of a later era.
@@ -88,6 +104,10 @@
     std::vector<platform::collection> m_followed;
     time_point m_started_at = monotonic_clock::now();
     object_version m_announced_servers_version;
+    /// Newest configuration that a peer was heard to have while this host did
+    /// not, and since when this host has been behind.
+    object_version m_announced_configuration;
+    time_point m_behind_since{};
     /// Era of the store that this host's knowledge is of.
     store_era m_era;
     /// Until then a full list removes nothing.
