--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -138,6 +138,19 @@
     throw std::runtime_error("the process has no peak memory");
 }
 
+std::chrono::nanoseconds process::processor_time() const
+{
+    clockid_t clock{};
+    timespec it{};
+    if (clock_getcpuclockid(m_pid, &clock) != 0 ||
+        clock_gettime(clock, &it) != 0)
+    {
+        return {};
+    }
+    return std::chrono::seconds(it.tv_sec) +
+           std::chrono::nanoseconds(it.tv_nsec);
+}
+
 std::size_t process::open_descriptors() const
 {
     const std::filesystem::directory_iterator all(
--- a/tests/system/process.hpp
+++ b/tests/system/process.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <csignal>
 #include <string>
 #include <vector>
@@ -38,6 +39,9 @@
 
     std::size_t open_descriptors() const;
 
+    /// Processor time used since the start.
+    std::chrono::nanoseconds processor_time() const;
+
 private:
     void end(int raw);
 
