Entry: Run callers' requests behind all other work of the event loop

What callers saw: a host that has too little processor for its requests went on for up to 11.9 s with routes, services and keys that a confirmed configuration had replaced.

Cause: the event loop ran handlers in the order in which they became ready. Each step of a call to the store waited for a step of every request, the call ran into its time limit by that and was made anew, and a host that had not read its peers' digests in time lost them too.

The loop monitor measures that executor, as before.

--- /dev/null
+++ b/libraries/daemon/deferred_work.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "core/units.hpp"
+
+#include <boost/asio/execution.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <memory>
+
+namespace cicadahub::daemon
+{
+
+namespace net = boost::asio;
+
+class deferred_executor;
+
+/// Work that has to wait while the event loop has anything else to do, such as
+/// the requests of callers while news of the fleet arrives. Not thread-safe:
+/// used on the thread of the loop only.
+class deferred_work
+{
+public:
+    explicit deferred_work(net::io_context& context) : m_context(context) {}
+    deferred_work(const deferred_work&) = delete;
+    deferred_work& operator=(const deferred_work&) = delete;
+
+    /// Runs the handlers of the context and the deferred work, until the
+    /// context is stopped.
+    void run();
+
+    deferred_executor executor();
+    net::io_context& context() { return m_context; }
+
+    template<class Function>
+    void push(Function&& it)
+    {
+        m_queue.push_back(std::make_unique<task<std::decay_t<Function>>>(
+            std::forward<Function>(it)));
+    }
+
+private:
+    struct any_task
+    {
+        virtual ~any_task() = default;
+        virtual void run() = 0;
+    };
+
+    template<class Function>
+    struct task final : any_task
+    {
+        explicit task(Function it) : function(std::move(it)) {}
+        void run() override { std::move(function)(); }
+        Function function;
+    };
+
+    /// Runs the oldest work, for as long as is left of its share of the loop.
+    void run_share();
+    /// Runs what else is ready, for the share of that at most.
+    void run_context_share();
+
+    net::io_context& m_context;
+    std::deque<std::unique_ptr<any_task>> m_queue;
+    /// Time that deferred work has taken since all else had its turn.
+    monotonic_clock::duration m_spent{};
+};
+
+/// Executor of deferred work. Nothing that is given to it runs at once.
+class deferred_executor
+{
+public:
+    explicit deferred_executor(deferred_work& work) : m_work(&work) {}
+
+    template<class Function>
+    void execute(Function&& it) const
+    {
+        m_work->push(std::forward<Function>(it));
+    }
+
+    net::execution_context& query(net::execution::context_t) const noexcept
+    {
+        return m_work->context();
+    }
+    static constexpr net::execution::blocking_t
+    query(net::execution::blocking_t) noexcept
+    {
+        return net::execution::blocking.never;
+    }
+    deferred_executor require(net::execution::blocking_t::never_t) const
+    {
+        return *this;
+    }
+
+    bool operator==(const deferred_executor&) const noexcept = default;
+
+private:
+    deferred_work* m_work;
+};
+
+} // namespace cicadahub::daemon
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -91,7 +91,8 @@
                            reload_handler reload)
     : m_settings(std::move(settings)), m_dialects(dialects),
       m_reload(std::move(reload)),
-      m_state(m_context, m_settings, dialects.documents), m_bounds(m_state),
+      m_state(m_context, m_settings, dialects.documents, m_deferred.executor()),
+      m_bounds(m_state),
       m_platform_pool(m_context, connect_timeout, idle_connections,
                       platform_responses(m_settings)),
       m_order_pool(m_context, connect_timeout, idle_order_connections,
@@ -125,11 +126,14 @@
       m_requests(m_state, dialects.callers, dialects.servers),
       m_readiness([this] { return is_ready(); }, m_state.metrics),
       m_caller_server(m_settings.callers, limits_of({}),
-                      {{m_context, m_requests}}, m_bounds.callers()),
+                      {{m_context, m_requests, m_deferred.executor()}},
+                      m_bounds.callers()),
       m_readiness_server(m_settings.readiness, readiness_limits(),
-                         {{m_context, m_readiness}}, m_bounds.readiness()),
+                         {{m_context, m_readiness, m_deferred.executor()}},
+                         m_bounds.readiness()),
       m_relay_server(m_settings.fleet, http::server_limits{},
-                     {{m_context, m_relay}}, m_bounds.peers()),
+                     {{m_context, m_relay, m_deferred.executor()}},
+                     m_bounds.peers()),
       m_mirror(m_state, m_store, m_peer_pool, m_objects,
                {[this](const platform::stored_object& it,
                        const configuration_origin& origin)
@@ -167,7 +171,8 @@
                  {
                      log_first_readiness();
                  }}),
-      m_new_starts(m_state, m_dialects.servers), m_loop_monitor(m_state),
+      m_new_starts(m_state, m_dialects.servers),
+      m_loop_monitor(m_state, m_deferred.executor()),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
       m_started(monotonic_clock::now())
 {
@@ -528,7 +533,7 @@
                {"callers", http::to_string(m_settings.callers)},
                {"fleet", http::to_string(m_settings.fleet)},
                {"store", http::to_string(m_settings.store)}});
-    m_context.run();
+    m_deferred.run();
     log_event(severity::info, event_number::daemon_stopped,
               {{"dropped_log_lines", dropped_log_lines()}});
 }
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/deferred_work.hpp"
 #include "entry/client_bounds.hpp"
 #include "entry/fleet/digest_exchange.hpp"
 #include "entry/loop_monitor.hpp"
@@ -79,6 +80,9 @@
     http::server_limits limits_of(const serving::caller_limits& it) const;
 
     net::io_context m_context{1};
+    /// Callers' requests. A host that is late with them must not be late with
+    /// the news that decides how it serves them.
+    daemon::deferred_work m_deferred{m_context};
     entry_settings m_settings;
     platform_dialects m_dialects;
     reload_handler m_reload;
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -60,13 +60,14 @@
 } // namespace
 
 entry_state::entry_state(net::io_context& io, const entry_settings& given,
-                         const document_dialect& documents)
+                         const document_dialect& documents,
+                         const net::any_io_executor& requests)
     : context(io), settings(given), servers(documents), waiting(io),
       suspects(suspicion::suspicion_limits{max_crashes, suspect_retention,
                                            max_suspects}),
       memory(std::make_shared<admission::memory_account>(
           admission::memory_limits_of(given.memory_bytes))),
-      pool(io, connect_timeout, idle_connections_per_server, {}, memory),
+      pool(requests, connect_timeout, idle_connections_per_server, {}, memory),
       incarnation(new_incarnation()), reach(io, pool, servers, random),
       continuity(io, servers, fleet)
 {
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -35,8 +35,15 @@
 /// State shared by the components of one daemon; not thread-safe.
 struct entry_state
 {
+    /// Callers' requests are served on the executor `requests`.
     entry_state(net::io_context& io, const entry_settings& given,
-                const document_dialect& documents);
+                const document_dialect& documents,
+                const net::any_io_executor& requests);
+    entry_state(net::io_context& io, const entry_settings& given,
+                const document_dialect& documents)
+        : entry_state(io, given, documents, io.get_executor())
+    {
+    }
 
     net::io_context& context;
     const entry_settings& settings;
--- a/libraries/entry/loop_monitor.cpp
+++ b/libraries/entry/loop_monitor.cpp
@@ -20,16 +20,19 @@
 
 } // namespace
 
-loop_monitor::loop_monitor(entry_state& state) : m_state(state) {}
+loop_monitor::loop_monitor(entry_state& state, net::any_io_executor requests)
+    : m_state(state), m_requests(std::move(requests))
+{
+}
 
 void loop_monitor::start()
 {
-    net::co_spawn(m_state.context, run(), net::detached);
+    net::co_spawn(m_requests, run(), net::detached);
 }
 
 net::awaitable<void> loop_monitor::run()
 {
-    net::steady_timer timer(m_state.context);
+    net::steady_timer timer(m_requests);
     while (true)
     {
         const time_point due = monotonic_clock::now() + check_period;
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -43,7 +43,16 @@
 client_pool::client_pool(net::io_context& context, milliseconds connect_timeout,
                          std::size_t idle_limit, response_limits limits,
                          std::shared_ptr<admission::memory_account> account)
-    : m_context(context), m_connect_timeout(connect_timeout),
+    : client_pool(net::any_io_executor(context.get_executor()), connect_timeout,
+                  idle_limit, limits, std::move(account))
+{
+}
+
+client_pool::client_pool(net::any_io_executor executor,
+                         milliseconds connect_timeout, std::size_t idle_limit,
+                         response_limits limits,
+                         std::shared_ptr<admission::memory_account> account)
+    : m_executor(std::move(executor)), m_connect_timeout(connect_timeout),
       m_idle_limit(idle_limit), m_limits(limits),
       m_budget(std::make_shared<memory_budget>(limits.held_bytes,
                                                std::move(account)))
@@ -77,7 +86,7 @@
 client_pool::connect(const endpoint& address, milliseconds timeout)
 {
     auto connection =
-        std::make_unique<client_connection>(m_context, m_limits, m_budget);
+        std::make_unique<client_connection>(m_executor, m_limits, m_budget);
     connection->stream.socket().open(address.protocol());
     connection->stream.socket().set_option(
         net::socket_base::receive_buffer_size(receive_buffer_bytes));
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -5,6 +5,7 @@
 #include "http/response_limits.hpp"
 #include "http/types.hpp"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
@@ -20,9 +21,10 @@
 /// Client connection and the bytes that were received but not parsed yet.
 struct client_connection
 {
-    client_connection(net::io_context& context, const response_limits& given,
+    client_connection(const net::any_io_executor& executor,
+                      const response_limits& given,
                       std::shared_ptr<memory_budget> shared)
-        : stream(context), limits(given), budget(std::move(shared))
+        : stream(executor), limits(given), budget(std::move(shared))
     {
     }
 
@@ -59,10 +61,14 @@
 public:
     /// The responses on all connections of the pool share one memory budget,
     /// which is part of `account`, unless that is null.
-    explicit client_pool(
-        net::io_context& context, milliseconds connect_timeout,
-        std::size_t idle_limit, response_limits limits = {},
-        std::shared_ptr<admission::memory_account> account = {});
+    client_pool(net::io_context& context, milliseconds connect_timeout,
+                std::size_t idle_limit, response_limits limits = {},
+                std::shared_ptr<admission::memory_account> account = {});
+    /// The timers of the connections run on the executor; it should be that of
+    /// the coroutines that use them, or a timer can overtake a response.
+    client_pool(net::any_io_executor executor, milliseconds connect_timeout,
+                std::size_t idle_limit, response_limits limits = {},
+                std::shared_ptr<admission::memory_account> account = {});
 
     using connection_pointer = std::unique_ptr<client_connection>;
 
@@ -85,10 +91,10 @@
     /// them the others are likely dead too.
     void drop_idle(const endpoint& address);
 
-    net::io_context& context() { return m_context; }
+    const net::any_io_executor& executor() const { return m_executor; }
 
 private:
-    net::io_context& m_context;
+    net::any_io_executor m_executor;
     milliseconds m_connect_timeout;
     std::size_t m_idle_limit;
     response_limits m_limits;
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -8,6 +8,7 @@
 #include "http/response_error.hpp"
 #include "http/response_limits.hpp"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -74,13 +75,14 @@
         } -> std::same_as<net::awaitable<void>>;
 };
 
-/// The part of a server that runs on one thread: an io_context and the handler
-/// of the connections assigned to it.
+/// The part of a server that runs on one thread: an io_context, the handler of
+/// the connections assigned to it, and the executor on which these are served.
 template<request_handler Handler>
 struct server_lane
 {
     net::io_context& context;
     Handler& handler;
+    net::any_io_executor executor = context.get_executor();
 };
 
 /// Cancels a read at its deadline without closing the connection, so that an
@@ -250,12 +252,12 @@
     {
         lane& to = m_lanes[next];
         next = (next + 1) % m_lanes.size();
-        net::ip::tcp::socket socket(to.context);
+        net::ip::tcp::socket socket(to.executor);
         auto [ec] = co_await m_acceptor.async_accept(socket, token);
         if (!ec)
         {
             boost::beast::tcp_stream stream(std::move(socket));
-            net::co_spawn(to.context, session(std::move(stream), to.handler),
+            net::co_spawn(to.executor, session(std::move(stream), to.handler),
                           net::detached);
         }
         else if (m_acceptor.is_open())
--- a/libraries/platform/object_client.cpp
+++ b/libraries/platform/object_client.cpp
@@ -248,7 +248,7 @@
                 // The read failed too; retry after the delay.
             }
         }
-        net::steady_timer timer(m_pool.context(), write_retry_delay);
+        net::steady_timer timer(m_pool.executor(), write_retry_delay);
         co_await timer.async_wait(net::use_awaitable);
     } while (monotonic_clock::now() < limit);
     co_return write_result{write_outcome::unknown, {}};
