Store: Conclude nothing from a call that ended late here

What callers saw: hosts that had been late themselves asked the store no more for a newer configuration that their peers told of, until a watch of up to 30 s ended.

Cause: time limits are kept by the process that they are to judge. One that stood still finds them all passed, whatever has arrived meanwhile. The calls counted as unanswered, and a store that did not answer is not asked on hearing of a change.

A time limit that is noticed over 0.1 s late makes the call one that was delayed here: logged (304), made again at once, and the store stays reachable. A store that did not answer is asked again on hearing of a change, once a second at most.

--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -27,6 +27,7 @@
     platform_reachable = 301,
     watch_restarted = 302,
     store_restored = 303,
+    platform_call_delayed = 304,
     lease_won = 400,
     lease_lost = 401,
     lease_released = 402,
--- a/libraries/daemon/collection_follower.cpp
+++ b/libraries/daemon/collection_follower.cpp
@@ -47,19 +47,36 @@
 void collection_follower::refresh()
 {
     const time_point now = monotonic_clock::now();
-    if (m_is_refreshing || now < m_refreshed_at + refresh_pause)
+    const milliseconds shortest_pause =
+        m_is_platform_reachable ? refresh_pause : longest_retry_pause;
+    if (m_is_refreshing || now < m_refreshed_at + shortest_pause)
     {
         return;
     }
     m_is_refreshing = true;
     m_refreshed_at = now;
-    net::co_spawn(m_context, refresh_once(), net::detached);
+    confirm([this] { m_is_refreshing = false; });
 }
 
-net::awaitable<void> collection_follower::refresh_once()
+void collection_follower::confirm(std::function<void()> on_end)
 {
-    co_await poll(no_wait);
-    m_is_refreshing = false;
+    // The coroutine takes what it keeps by value.
+    const auto run = [](collection_follower& self,
+                        std::function<void()> end) -> net::awaitable<void>
+    {
+        co_await self.fetch_changes();
+        end();
+    };
+    net::co_spawn(m_context, run(*this, std::move(on_end)), net::detached);
+}
+
+net::awaitable<void> collection_follower::fetch_changes()
+{
+    outcome it = outcome::delayed;
+    while (it == outcome::delayed)
+    {
+        it = co_await poll(no_wait);
+    }
 }
 
 net::awaitable<void> collection_follower::run()
@@ -68,7 +85,12 @@
     while (true)
     {
         const follow_pace pace = m_pace();
-        if (co_await poll(std::max(pace.wait, no_wait)))
+        const outcome it = co_await poll(std::max(pace.wait, no_wait));
+        if (it == outcome::delayed)
+        {
+            continue;
+        }
+        if (it == outcome::answered)
         {
             retry_pause = first_retry_pause;
             co_await pause(m_context, pace.pause);
@@ -79,7 +101,8 @@
     }
 }
 
-net::awaitable<bool> collection_follower::poll(milliseconds wait)
+net::awaitable<collection_follower::outcome>
+collection_follower::poll(milliseconds wait)
 {
     const time_point began = monotonic_clock::now();
     try
@@ -89,14 +112,23 @@
             co_await list_all();
         }
         co_await watch_once(wait);
-        co_return true;
+        co_return outcome::answered;
     }
     catch (const platform::watch_expired&)
     {
         CICADAHUB_EVENT(INFO, watch_restarted)
             << "collection=" << platform::name_of(m_collection);
         m_needs_list = true;
-        co_return true;
+        co_return outcome::answered;
+    }
+    catch (const platform::call_delayed&)
+    {
+        const auto took = std::chrono::duration_cast<milliseconds>(
+            monotonic_clock::now() - began);
+        CICADAHUB_EVENT(INFO, platform_call_delayed)
+            << "collection=" << platform::name_of(m_collection)
+            << " took_ms=" << took.count();
+        co_return outcome::delayed;
     }
     catch (const malformed_document& reason)
     {
@@ -107,12 +139,12 @@
         // keeps its history.
         m_needs_list = true;
         mark_unreachable(reason.what(), began);
-        co_return false;
+        co_return outcome::failed;
     }
     catch (const error& reason)
     {
         mark_unreachable(reason.what(), began);
-        co_return false;
+        co_return outcome::failed;
     }
 }
 
--- a/libraries/daemon/collection_follower.hpp
+++ b/libraries/daemon/collection_follower.hpp
@@ -40,9 +40,14 @@
     void start();
 
     /// Fetches changes immediately, in parallel with a watch in flight. Does
-    /// nothing while another refresh runs or shortly after one began.
+    /// nothing while another refresh runs or shortly after one began, which is
+    /// longer for a platform that did not answer last.
     void refresh();
 
+    /// Fetches changes whatever else runs; `on_end` is called when all that was
+    /// changed before has been delivered, or the platform did not answer.
+    void confirm(std::function<void()> on_end);
+
     /// Fetches the complete collection with the next call.
     void relist() { m_needs_list = true; }
 
@@ -51,10 +56,19 @@
     bool is_platform_reachable() const { return m_is_platform_reachable; }
 
 private:
+    enum class outcome
+    {
+        answered,
+        /// Nobody but this process is known to be late: worth another call at
+        /// once, which takes as long as its time limit if it ends so too.
+        delayed,
+        failed,
+    };
+
     net::awaitable<void> run();
-    net::awaitable<void> refresh_once();
-    /// Sends one watch, preceded by a list if one is needed; false on failure.
-    net::awaitable<bool> poll(milliseconds wait);
+    net::awaitable<void> fetch_changes();
+    /// Sends one watch, preceded by a list if one is needed.
+    net::awaitable<outcome> poll(milliseconds wait);
     net::awaitable<void> list_all();
     net::awaitable<void> watch_once(milliseconds wait);
     void mark_reachable();
--- a/libraries/entry/store/store_mirror.cpp
+++ b/libraries/entry/store/store_mirror.cpp
@@ -235,9 +235,7 @@
     note_announced(it);
     for (const collection where : followed())
     {
-        // A store that does not answer is not loaded with more requests.
-        if (follower_of(where).is_platform_reachable() &&
-            reported_version(it, where) > known_version(where))
+        if (reported_version(it, where) > known_version(where))
         {
             follower_of(where).refresh();
         }
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -14,10 +14,12 @@
 namespace
 {
 
+/// Timers run some milliseconds late on any host.
+constexpr milliseconds tolerated_lateness{100};
+
 net::awaitable<response> exchange(client_connection& connection,
-                                  request message, milliseconds timeout)
+                                  request message)
 {
-    connection.set_timeout(timeout);
     const std::string head = serialize_head(message);
     co_await net::async_write(connection.stream,
                               wire_buffers(head, message.body()),
@@ -124,20 +126,32 @@
                                request message, milliseconds timeout,
                                std::function<bool()> may_send)
 {
-    auto connection = co_await pool.acquire(address);
-    if (may_send && !may_send())
-    {
-        pool.release(address, std::move(connection));
-        throw boost::system::system_error(net::error::operation_aborted);
-    }
+    time_point limit = monotonic_clock::now() + pool.connect_timeout();
     response answer;
+    client_pool::connection_pointer connection;
     try
     {
-        answer = co_await exchange(*connection, message, timeout);
+        connection = co_await pool.acquire(address);
+        if (may_send && !may_send())
+        {
+            pool.release(address, std::move(connection));
+            throw boost::system::system_error(net::error::operation_aborted);
+        }
+        limit = monotonic_clock::now() + timeout;
+        connection->set_deadline(limit);
+        answer = co_await exchange(*connection, message);
     }
-    catch (const boost::system::system_error&)
+    catch (const boost::system::system_error& reason)
     {
-        pool.drop_idle(address);
+        if (reason.code() == boost::beast::error::timeout &&
+            monotonic_clock::now() > limit + tolerated_lateness)
+        {
+            throw late_timeout(reason.code());
+        }
+        if (connection)
+        {
+            pool.drop_idle(address);
+        }
         throw;
     }
     if (answer.keep_alive())
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -92,6 +92,7 @@
     void drop_idle(const endpoint& address);
 
     const net::any_io_executor& executor() const { return m_executor; }
+    milliseconds connect_timeout() const { return m_connect_timeout; }
 
 private:
     net::any_io_executor m_executor;
@@ -102,11 +103,20 @@
     std::map<endpoint, std::vector<connection_pointer>> m_idle;
 };
 
+/// Thrown by `fetch` instead of a timeout that this process noticed late: it
+/// may have been as late to read the response, so that the other side's silence
+/// is not proven.
+class late_timeout : public boost::system::system_error
+{
+public:
+    using system_error::system_error;
+};
+
 /// Sends one request and reads the complete response within `timeout`, which
 /// does not include the time to connect. A connection that fails is closed and
-/// never reused. `may_send` is called immediately before the first byte is
-/// sent; if it returns false, nothing is sent and `operation_aborted` is
-/// thrown.
+/// never reused. Throws `late_timeout` or another `system_error`. `may_send` is
+/// called immediately before the first byte is sent; if it returns false,
+/// nothing is sent and `operation_aborted` is thrown.
 net::awaitable<response> fetch(client_pool& pool, endpoint address,
                                request message, milliseconds timeout,
                                std::function<bool()> may_send = {});
--- a/libraries/platform/object_client.cpp
+++ b/libraries/platform/object_client.cpp
@@ -101,6 +101,10 @@
         check_era(answer);
         co_return answer;
     }
+    catch (const http::late_timeout& it)
+    {
+        throw call_delayed(it.what());
+    }
     catch (const boost::system::system_error& it)
     {
         throw platform_error(it.what());
--- a/libraries/platform/stored_object.hpp
+++ b/libraries/platform/stored_object.hpp
@@ -76,6 +76,13 @@
     using error::error;
 };
 
+/// A call ran into its time limit while this process was late itself.
+class call_delayed : public platform_error
+{
+public:
+    using platform_error::platform_error;
+};
+
 /// The platform no longer stores the changes since the requested version, so
 /// that the collection must be listed again before the next watch.
 class watch_expired : public platform_error
