Entry: Confirm the configuration after the loop stood still

What callers saw: requests that had waited at a host while its process stood still were served by what it knew before, though the store had confirmed a change more than 3 s earlier.

Cause: on waking, requests and the news are ready at the same moment, and the news takes a round trip.

A loop that ran nothing for a second asks the store first. Requests wait for the answer, 0.3 s at most; if the store does not answer, they are served by what is known.

--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -22,6 +22,7 @@
     CICADAHUB_ROW(listen_failed),
     CICADAHUB_ROW(settings_reloaded),
     CICADAHUB_ROW(loop_delayed),
+    CICADAHUB_ROW(loop_stalled),
     CICADAHUB_ROW(configuration_applied),
     CICADAHUB_ROW(configuration_refused),
     CICADAHUB_ROW(key_withdrawn),
--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -19,6 +19,7 @@
     listen_failed = 105,
     settings_reloaded = 106,
     loop_delayed = 107,
+    loop_stalled = 108,
     configuration_applied = 200,
     configuration_refused = 201,
     key_withdrawn = 202,
--- a/libraries/daemon/deferred_work.cpp
+++ b/libraries/daemon/deferred_work.cpp
@@ -20,12 +20,24 @@
 
 void deferred_work::run()
 {
+    m_last_turn = monotonic_clock::now();
     while (!m_context.stopped())
     {
+        const time_point now = monotonic_clock::now();
         if (m_queue.empty())
         {
             m_context.run_one();
         }
+        else if (is_held(now))
+        {
+            m_context.run_one_for(m_held_until - now);
+        }
+        const time_point turn = monotonic_clock::now();
+        check_stall(turn);
+        if (is_held(turn))
+        {
+            continue;
+        }
         run_share();
         if (m_spent >= deferred_share)
         {
@@ -35,6 +47,16 @@
     }
 }
 
+void deferred_work::check_stall(time_point now)
+{
+    const auto stalled = std::chrono::duration_cast<milliseconds>(
+        now - std::exchange(m_last_turn, now));
+    if (stalled >= stall_limit && m_on_stall)
+    {
+        m_on_stall(stalled);
+    }
+}
+
 void deferred_work::run_share()
 {
     time_point now = monotonic_clock::now();
--- a/libraries/daemon/deferred_work.hpp
+++ b/libraries/daemon/deferred_work.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <deque>
+#include <functional>
 #include <memory>
 
 namespace cicadahub::daemon
@@ -26,9 +27,26 @@
     deferred_work& operator=(const deferred_work&) = delete;
 
     /// Runs the handlers of the context and the deferred work, until the
-    /// context is stopped.
+    /// context is stopped. The context needs a timer that fires several times a
+    /// second, so that a loop without anything to do does not look stalled.
     void run();
 
+    /// The handler is called with the duration after the loop has run nothing
+    /// for `stall_limit` or longer, because its process was stopped or one
+    /// handler took as long, and before any deferred work runs.
+    void on_stall(std::function<void(milliseconds)> handler)
+    {
+        m_on_stall = std::move(handler);
+    }
+
+    /// Deferred work waits until `release`, at most until `end`.
+    void hold_until(time_point end) { m_held_until = end; }
+    void release() { m_held_until = {}; }
+
+    /// A change may have been confirmed, and half of the time for it have
+    /// passed, while a loop stood still for this long.
+    static constexpr milliseconds stall_limit{1'000};
+
     deferred_executor executor();
     net::io_context& context() { return m_context; }
 
@@ -54,6 +72,10 @@
         Function function;
     };
 
+    /// Reports a stall of the loop since its last turn.
+    void check_stall(time_point now);
+    bool is_held(time_point now) const { return now < m_held_until; }
+
     /// Runs the oldest work, for as long as is left of its share of the loop.
     void run_share();
     /// Runs what else is ready, for the share of that at most.
@@ -63,6 +85,9 @@
     std::deque<std::unique_ptr<any_task>> m_queue;
     /// Time that deferred work has taken since all else had its turn.
     monotonic_clock::duration m_spent{};
+    std::function<void(milliseconds)> m_on_stall;
+    time_point m_last_turn{};
+    time_point m_held_until{};
 };
 
 /// Executor of deferred work. Nothing that is given to it runs at once.
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -34,6 +34,10 @@
 /// Probes and scrapes have no body.
 constexpr std::uint64_t readiness_body_bytes = 4 * 1024;
 constexpr std::string_view metrics_path = "/metrics";
+/// Requests that arrive at a host that stood still wait this long at most for
+/// its configuration to be confirmed: many round trips to the store, and little
+/// against the time for which they waited already.
+constexpr milliseconds longest_confirmation{300};
 /// Interval between reads of the list of members. Starting hosts announce
 /// themselves by digest; the list covers announcements that were lost.
 constexpr milliseconds member_list_period{30'000};
@@ -315,6 +319,17 @@
     m_state.waiting.wake_all();
 }
 
+void entry_daemon::on_stall(milliseconds stalled)
+{
+    log_event(severity::warning, event_number::loop_stalled,
+              {{"stalled_ms", stalled.count()},
+               {"configuration",
+                m_state.configuration ? m_state.configuration->version : 0}});
+    m_digests.on_stall(monotonic_clock::now());
+    m_deferred.hold_until(monotonic_clock::now() + longest_confirmation);
+    m_mirror.confirm([this] { m_deferred.release(); });
+}
+
 void entry_daemon::on_reach_changed()
 {
     m_digests.send_update_to_all_soon();
@@ -533,6 +548,7 @@
                {"callers", http::to_string(m_settings.callers)},
                {"fleet", http::to_string(m_settings.fleet)},
                {"store", http::to_string(m_settings.store)}});
+    m_deferred.on_stall([this](milliseconds it) { on_stall(it); });
     m_deferred.run();
     log_event(severity::info, event_number::daemon_stopped,
               {{"dropped_log_lines", dropped_log_lines()}});
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -69,6 +69,8 @@
     void on_configuration(const platform::stored_object& it,
                           const configuration_origin& origin);
     void on_servers_changed();
+    /// This host ran nothing for a while, and may have missed any change.
+    void on_stall(milliseconds stalled);
     /// This host was cut off from the servers, or is no longer.
     void on_reach_changed();
     /// The platform's store was restored from an older copy.
--- a/libraries/entry/fleet/digest_exchange.cpp
+++ b/libraries/entry/fleet/digest_exchange.cpp
@@ -508,9 +508,14 @@
     }
 }
 
+void digest_exchange::on_stall(time_point now)
+{
+    m_silence_counts_from = now + fleet_view::silence_limit;
+}
+
 void digest_exchange::drop_silent_peers(time_point now)
 {
-    if (!m_state.fleet.drop_silent(now))
+    if (now < m_silence_counts_from || !m_state.fleet.drop_silent(now))
     {
         return;
     }
--- a/libraries/entry/fleet/digest_exchange.hpp
+++ b/libraries/entry/fleet/digest_exchange.hpp
@@ -34,6 +34,10 @@
     /// The same for changes that can wait for the next beacon, since they come
     /// in large numbers.
     void send_next_update_to_all();
+
+    /// This host stood still until `now`: what its peers sent meanwhile is
+    /// still to be read, so that their silence means nothing for a while.
+    void on_stall(time_point now);
     void add_address(const http::endpoint& address);
     /// Sends lists of streams to one daemon. They are no state of this one:
     /// they neither replace a digest nor are replaced by one.
@@ -98,6 +102,7 @@
     bool m_is_update_for_all = false;
     /// Updates contain the crashes and clearings since then.
     time_point m_told_all_at{};
+    time_point m_silence_counts_from{};
 };
 
 } // namespace cicadahub::entry
--- a/libraries/entry/store/store_mirror.cpp
+++ b/libraries/entry/store/store_mirror.cpp
@@ -242,6 +242,12 @@
     }
 }
 
+void store_mirror::confirm(std::function<void()> on_end)
+{
+    m_configurations.confirm(std::move(on_end));
+    m_servers.refresh();
+}
+
 void store_mirror::apply_object(collection where,
                                 const platform::stored_object& it,
                                 const std::string& source)
--- a/libraries/entry/store/store_mirror.hpp
+++ b/libraries/entry/store/store_mirror.hpp
@@ -51,6 +51,9 @@
 
     void start();
     void on_digest(const peer& it);
+    /// Asks the store for what was changed until now; `on_end` is called when
+    /// the configuration is current, or the store did not answer.
+    void confirm(std::function<void()> on_end);
     /// Adds the versions known to this host to a digest.
     void fill(fleet::wire::Digest& it) const;
 
