--- a/libraries/daemon/collection_follower.cpp
+++ b/libraries/daemon/collection_follower.cpp
@@ -60,7 +60,7 @@
 
 void collection_follower::confirm(std::function<void()> on_end)
 {
-    // The coroutine takes what it keeps by value.
+    // Parameters live as long as the coroutine, captures would not.
     const auto run = [](collection_follower& self,
                         std::function<void()> end) -> net::awaitable<void>
     {
--- a/libraries/daemon/deferred_work.cpp
+++ b/libraries/daemon/deferred_work.cpp
@@ -1,4 +1,4 @@
-#include "daemon/deferred_work.hpp"
+#include "daemon/deferred_executor.hpp"
 
 namespace cicadahub::daemon
 {
--- a/libraries/daemon/deferred_work.hpp
+++ b/libraries/daemon/deferred_work.hpp
@@ -2,7 +2,6 @@
 
 #include "core/units.hpp"
 
-#include <boost/asio/execution.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <deque>
@@ -43,8 +42,8 @@
     void hold_until(time_point end) { m_held_until = end; }
     void release() { m_held_until = {}; }
 
-    /// A change may have been confirmed, and half of the time for it have
-    /// passed, while a loop stood still for this long.
+    /// Half of the shortest time in which a confirmed change has to be in
+    /// force, 2 s: a change may be due soon after a loop stood still as long.
     static constexpr milliseconds stall_limit{1'000};
 
     deferred_executor executor();
@@ -83,43 +82,11 @@
 
     net::io_context& m_context;
     std::deque<std::unique_ptr<any_task>> m_queue;
-    /// Time that deferred work has taken since all else had its turn.
+    /// Time that deferred work has taken since all else had its last turn.
     monotonic_clock::duration m_spent{};
     std::function<void(milliseconds)> m_on_stall;
     time_point m_last_turn{};
     time_point m_held_until{};
 };
 
-/// Executor of deferred work. Nothing that is given to it runs at once.
-class deferred_executor
-{
-public:
-    explicit deferred_executor(deferred_work& work) : m_work(&work) {}
-
-    template<class Function>
-    void execute(Function&& it) const
-    {
-        m_work->push(std::forward<Function>(it));
-    }
-
-    net::execution_context& query(net::execution::context_t) const noexcept
-    {
-        return m_work->context();
-    }
-    static constexpr net::execution::blocking_t
-    query(net::execution::blocking_t) noexcept
-    {
-        return net::execution::blocking.never;
-    }
-    deferred_executor require(net::execution::blocking_t::never_t) const
-    {
-        return *this;
-    }
-
-    bool operator==(const deferred_executor&) const noexcept = default;
-
-private:
-    deferred_work* m_work;
-};
-
 } // namespace cicadahub::daemon
--- a/libraries/entry/entry_daemon.hpp
+++ b/libraries/entry/entry_daemon.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemon/deferred_work.hpp"
+#include "daemon/deferred_executor.hpp"
 #include "entry/client_bounds.hpp"
 #include "entry/fleet/digest_exchange.hpp"
 #include "entry/loop_monitor.hpp"
