--- a/tests/system/frozen_host_test.cpp
+++ b/tests/system/frozen_host_test.cpp
@@ -43,6 +43,7 @@
     std::atomic<int> by_an_older_one = 0;
     std::atomic<int> by_this_one = 0;
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int n = 0; n < callers; ++n)
     {
         threads.emplace_back(
