Review: Show streams of two versions after a server restarted under its id

A server of a plain service ends, starts again under its id with the next software version and ends once more, while the store is slow. Streams that began at the new version go on at the old one, within one answer (ORDER).

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/stage ] && [ -x target/services/cicada-entry ] || exit 2
-exec target/review-2/stage replaced_servers . review/9/record.txt
+exec target/review-2/stage added_route . review/9/record.txt
--- a/review/common-2/cases.hh
+++ b/review/common-2/cases.hh
@@ -766,6 +766,143 @@
     return sound > 0 ? held : cannot_run;
 }
 
+/// ORDER: a server of a plain service ends and starts again under its id with
+/// the next software version, twice.
+inline int run_restarted_version(const case_inputs& in)
+{
+    constexpr std::size_t hosts = 4;
+    constexpr int answer_ms = 4;
+    constexpr int slow_answer_ms = 240;
+    fleet it(in.self, in.root, in.folder, hosts);
+    it.platform->set_delay(answer_ms);
+    it.write_configuration(1, {{"long", "/long/", "stream", "app"}}, {"m1"});
+    worker_options given;
+    given.service = "app";
+    given.events = 10;
+    for (const char* id : {"w1", "w2", "w3", "w4"})
+    {
+        given.id = id;
+        it.add_worker(given);
+    }
+    for (std::size_t n = 0; n < hosts; ++n)
+    {
+        it.start_host(n);
+    }
+    for (std::size_t n = 0; n < hosts; ++n)
+    {
+        if (!it.await_ready(n))
+        {
+            return cannot_run;
+        }
+    }
+    sleep_ms(3'000);
+    constexpr int clients = 48;
+    std::atomic<bool> is_over{false};
+    std::atomic<int> of_one_version{0};
+    std::atomic<int> of_two{0};
+    std::atomic<int> not_whole{0};
+    std::vector<std::thread> threads;
+    for (int n = 0; n < clients; ++n)
+    {
+        threads.emplace_back(
+            [&, n]
+            {
+                sleep_ms(n * 30);
+                for (int k = 0; !is_over; ++k)
+                {
+                    const std::string first_id =
+                        "stream-" + std::to_string(n) + "-" + std::to_string(k);
+                    const std::int64_t until = now_ms() + 10'000;
+                    std::set<std::string> versions;
+                    std::string tries_text;
+                    int last = 0;
+                    bool is_whole = false;
+                    for (int tries = 0; tries < 4 && !is_whole; ++tries)
+                    {
+                        const std::int64_t left = until - now_ms();
+                        const std::string id =
+                            tries == 0 ? first_id
+                                       : first_id + "-" + std::to_string(tries);
+                        auto fields = client_fields(id, left);
+                        if (last > 0)
+                        {
+                            fields =
+                                with(fields,
+                                     {{"Last-Event-Id", std::to_string(last)},
+                                      {"Resumes", first_id}});
+                        }
+                        const auto seen = call(
+                            it.all[static_cast<std::size_t>(n + k + tries) %
+                                   hosts]
+                                .front,
+                            "POST", "/long/x", fields, "prompt", left);
+                        for (const auto& [event, text] : events_in(seen.body))
+                        {
+                            last = event;
+                            // "SERVER VERSION piece N"
+                            const auto from = text.find(' ') + 1;
+                            versions.insert(
+                                text.substr(from, text.find(' ', from) - from));
+                        }
+                        is_whole = seen.status == 200 && seen.is_whole;
+                        tries_text += (tries_text.empty() ? "" : ",") +
+                                      std::to_string(seen.status) + ":" +
+                                      std::to_string(last);
+                        if (!is_whole)
+                        {
+                            sleep_ms(100);
+                        }
+                    }
+                    std::string text;
+                    for (const std::string& version : versions)
+                    {
+                        text += (text.empty() ? "" : "+") + version;
+                    }
+                    note("stream", {{"request", first_id},
+                                    {"tries", tries_text},
+                                    {"whole", is_whole ? "yes" : "no"},
+                                    {"versions", text}});
+                    ++(versions.size() > 1
+                           ? of_two
+                           : (is_whole ? of_one_version : not_whole));
+                }
+            });
+    }
+    sleep_ms(4'000);
+    // CRASH_ONLY leaves the store as it is.
+    const bool is_store_slow =
+        in.has_trouble && std::getenv("CRASH_ONLY") == nullptr;
+    const std::int64_t slow_until = now_ms() + 4'500;
+    if (is_store_slow)
+    {
+        note("store", {{"answer_ms", std::to_string(slow_answer_ms)}});
+        it.platform->set_delay(slow_answer_ms);
+    }
+    sleep_ms(1'000);
+    // The server ends and starts again with the next build, and this one ends
+    // soon after its start.
+    for (int n = 0; n < 2 && in.has_trouble; ++n)
+    {
+        it.kill_worker(0);
+        it.workers[0].given.version = "v2";
+        it.start_worker(0);
+        sleep_ms(800);
+    }
+    sleep_ms(std::max<std::int64_t>(0, slow_until - now_ms()));
+    it.platform->set_delay(answer_ms);
+    note("store", {{"answer_ms", std::to_string(answer_ms)}});
+    sleep_ms(4'000);
+    is_over = true;
+    for (auto& thread : threads)
+    {
+        thread.join();
+    }
+    note("sum", {{"of_one_version", std::to_string(of_one_version)},
+                 {"of_two_versions", std::to_string(of_two)},
+                 {"not_whole", std::to_string(not_whole)}});
+    return of_two > 2 ? broken : (of_one_version > 0 ? held : cannot_run);
+}
+
 inline int run_named_case(const std::string& name, const case_inputs& in)
 {
     if (name == "unframed")
@@ -792,6 +929,10 @@
     {
         return run_safe_events(in);
     }
+    if (name == "restarted_version")
+    {
+        return run_restarted_version(in);
+    }
     throw std::runtime_error("no such case: " + name);
 }
 
--- a/review/common-2/store.hh
+++ b/review/common-2/store.hh
@@ -19,8 +19,12 @@
 public:
     explicit store(const address& at)
     {
-        serve(at, [this](const message& it, channel& to)
-              { return to.write(respond(it)); });
+        serve(at,
+              [this](const message& it, channel& to)
+              {
+                  sleep_ms(m_delay_ms);
+                  return to.write(respond(it));
+              });
     }
 
     /// The operator's write; returns when the store has acknowledged it.
@@ -42,6 +46,9 @@
         return it == objects.end() ? std::nullopt : std::optional(it->second);
     }
 
+    /// Each answer takes this long from now on.
+    void set_delay(int ms) { m_delay_ms = ms; }
+
     /// Removes an entry, as the platform does after a server's silence.
     void drop(const std::string& kind, const std::string& name)
     {
@@ -222,6 +229,7 @@
                             {{"events", events}, {"currentRev", m_revision}});
     }
 
+    std::atomic<int> m_delay_ms{0};
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::int64_t m_revision = 100;
