Continuity: Log the key of a stream whose origin is unknown

stream_origin_unknown could not tell a stream that nobody was told of from one that hosts know by another key. It names the route and the key that was looked for, and how many streams the host that asks knows itself.

--- a/libraries/entry/requests/stream_continuity.cpp
+++ b/libraries/entry/requests/stream_continuity.cpp
@@ -322,6 +322,11 @@
     }
     log_event(severity::warning, event_number::stream_origin_unknown,
               {{"request", request.id.value()},
+               {"route", route.name.value()},
+               {"stream", key.value()},
+               // Other streams that this host knows: if it keeps those that
+               // were begun, this one may be known by another name.
+               {"known_streams", m_origins.size()},
                {"asked", answers->asked},
                {"answered", answers->asked - answers->pending},
                {"is_list_current", is_list_current},
