Continuity: Keep the past of paths instead of that of route names

Callers that took up streams got 503 from every host once a route with a longer prefix had been added over their path, or the route had been renamed, and their host was lost, although the path led to the same service all the while.

Cause: origin_history knew the past of a route by its name. It believed no origin of a route that was new by name. Change: the past is kept by host and path prefix. A path has the past of each route that covered it, from the longest prefix down to one that has been there for as long as streams can be taken up. The record in the store has the paths, beside the names for hosts of the former build.

The test of origin_history expected a route of a new name to be unknown though its path was not: the cases now ask for paths, which is as strict: a path whose past may lie at another service still has no origin.

--- a/libraries/decision/continuity/origin_history.hpp
+++ b/libraries/decision/continuity/origin_history.hpp
@@ -3,15 +3,28 @@
 #include "decision/continuity/recent_sets.hpp"
 #include "decision/continuity/stream_origin.hpp"
 
+#include <vector>
+
 namespace cicadahub::continuity
 {
 
 using service_versions = recent_sets<service_id, software_version>;
+/// A path is that of a route, without the rest that requests add to it.
+using path_services = recent_sets<request_path, service_id>;
 using route_services = recent_sets<route_id, service_id>;
 
-/// What may have begun the streams of each route that callers can take up: the
-/// services to which the route leads, or led a moment ago, and the software
-/// versions of their servers.
+/// A route whose streams callers can take up.
+struct resumable_route
+{
+    route_id name;
+    request_path covers;
+    std::set<service_id> services;
+};
+
+/// What may have begun the streams that callers can take up on a path: the
+/// services to which it leads, or led a moment ago, and the software versions
+/// of their servers. Routes are known by the paths that they cover, since their
+/// names change while streams run.
 class origin_history
 {
 public:
@@ -20,7 +33,11 @@
     {
         service_versions::sets versions;
         /// Empty if no stream has begun, or a former build wrote the record.
-        route_services::sets services;
+        path_services::sets services;
+        /// Those that have been routed for as long as streams last.
+        std::set<request_path> settled;
+        /// By the names of the routes, for hosts of a former build.
+        route_services::sets services_by_name;
 
         friend bool operator==(const record&, const record&) = default;
     };
@@ -31,21 +48,21 @@
 
     /// The versions of all servers that are listed now.
     void on_servers(service_versions::sets listed, time_point now);
-    /// The services of all routes whose streams can be taken up.
-    void on_routes(route_services::sets routes, time_point now);
+    /// All routes whose streams can be taken up.
+    void on_routes(const std::vector<resumable_route>& routes, time_point now);
     void on_recorded(const record& it, time_point now);
 
     bool is_past_known(time_point now) const;
 
-    std::set<stream_origin> origins(const route_id& route,
+    std::set<stream_origin> origins(const request_path& path,
                                     time_point now) const;
 
-    /// The origin of all streams of the route that can be taken up; empty if
+    /// The origin of all streams of the path that can be taken up; empty if
     /// there may be several, or if none is known.
-    std::optional<stream_origin> sole_origin(const route_id& route,
+    std::optional<stream_origin> sole_origin(const request_path& path,
                                              time_point now) const;
 
-    /// False if every stream of a route that leads to the service can have been
+    /// False if every stream of a path that leads to the service can have been
     /// begun by one origin only.
     bool is_ambiguous(const service_id& service, time_point now) const;
 
@@ -55,14 +72,44 @@
     void forget(time_point now);
 
 private:
-    /// Former names of such a route are not known.
-    bool is_new(const route_id& route, time_point now) const;
+    struct listed_route
+    {
+        route_id name;
+        time_point since{};
+        /// The record says that it was there before this host started.
+        bool is_recorded_as_settled = false;
+    };
+
+    struct sole_services
+    {
+        time_point found_at{};
+        std::set<service_id> services;
+    };
+
+    /// The routes that cover a path and may have led its streams to a service.
+    std::vector<request_path> covering(const request_path& path,
+                                       time_point now) const;
+    std::set<stream_origin> origins_of(const std::vector<request_path>& routes,
+                                       time_point now) const;
+    /// No stream that can be taken up began before the route covered its path.
+    bool is_settled(const request_path& route, time_point now) const;
+    /// Other routes may have covered its paths before this host knew of it.
+    bool is_past_unproved(const request_path& route, time_point now) const;
+    void compare_with_record(time_point now);
+    void adopt_names(const route_services::sets& recorded, time_point now);
+    sole_services find_sole_services(time_point now) const;
 
     service_versions m_versions;
-    route_services m_services;
-    route_services::sets m_listed;
-    /// When routes were added to those that were known.
-    std::map<route_id, time_point> m_added;
+    path_services m_services;
+    route_services m_services_by_name;
+    std::map<request_path, listed_route> m_listed;
+    /// When this host learnt its first configuration.
+    std::optional<time_point> m_first_listed_at;
+    /// What was recorded before the first configuration.
+    std::optional<record> m_uncompared;
+    std::map<request_path, time_point> m_unproved;
+    /// Each stream that begins asks for it.
+    mutable std::optional<sole_services> m_sole_services;
 };
 
 } // namespace cicadahub::continuity
--- a/libraries/decision/continuity/recent_sets.hpp
+++ b/libraries/decision/continuity/recent_sets.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace cicadahub::continuity
 {
@@ -91,6 +92,21 @@
         return found;
     }
 
+    /// The keys with such values that `is_wanted`.
+    template<class Predicate>
+    std::vector<Key> keys(const Predicate& is_wanted, time_point now) const
+    {
+        std::vector<Key> found;
+        for (const auto& [key, last_listed] : m_last_listed)
+        {
+            if (is_wanted(key) && !values(key, now).empty())
+            {
+                found.push_back(key);
+            }
+        }
+        return found;
+    }
+
     /// Forgets values whose streams can't be taken up any more.
     void forget(time_point now)
     {
--- a/libraries/decision/continuity/stream_origin.hpp
+++ b/libraries/decision/continuity/stream_origin.hpp
@@ -3,6 +3,7 @@
 #include "core/ids.hpp"
 
 #include <cstddef>
+#include <string>
 
 namespace cicadahub::continuity
 {
@@ -20,6 +21,18 @@
                            const stream_origin&) = default;
 };
 
+/// What callers ask for, or the part of it that a route covers. Unlike the name
+/// of the route it is the same before and after a change of the configuration.
+struct request_path
+{
+    std::string host;
+    /// Without the query. Of a route: its path prefix.
+    std::string path;
+
+    friend auto operator<=>(const request_path&, const request_path&) = default;
+    friend bool operator==(const request_path&, const request_path&) = default;
+};
+
 /// Identifies a stream by a hash of the request that brought its first event,
 /// that request's organisation and its route, so that nobody finds another's.
 using stream_key = strong_type<struct stream_key_tag, std::string>;
--- a/libraries/entry/requests/request_admission.cpp
+++ b/libraries/entry/requests/request_admission.cpp
@@ -124,9 +124,10 @@
     }
     // A stream whose route can't be resumed any more still goes on only at what
     // began it.
-    m_is_taken_up = m_request.after_event &&
-                    (m_route->is_resumable ||
-                     m_state.continuity.has_had_streams(m_route->name));
+    m_is_taken_up =
+        m_request.after_event &&
+        (m_route->is_resumable ||
+         m_state.continuity.has_had_streams({m_request.host, m_request.path}));
     m_state.metrics.count_stream_asked(m_is_taken_up);
     if (!m_is_taken_up)
     {
--- a/libraries/entry/requests/stream_continuity.cpp
+++ b/libraries/entry/requests/stream_continuity.cpp
@@ -76,7 +76,7 @@
 
 void stream_continuity::on_configuration(const serving::configuration& it)
 {
-    continuity::route_services::sets routes;
+    std::vector<continuity::resumable_route> routes;
     for (const serving::route& route : it.routes)
     {
         if (route.kind != serving::request_kind::stream || !route.is_resumable)
@@ -84,15 +84,18 @@
             continue;
         }
         m_longest_stream = std::max(m_longest_stream, route.timeout);
+        continuity::resumable_route& listed = routes.emplace_back();
+        listed.name = route.name;
+        listed.covers = {route.host, route.path_prefix};
         for (const serving::service_share& share : route.services)
         {
-            routes[route.name].insert(share.service);
+            listed.services.insert(share.service);
         }
     }
     const time_point now = monotonic_clock::now();
     m_history.set_retention(m_longest_stream + list_lag);
     const auto before = m_history.current(now);
-    m_history.on_routes(std::move(routes), now);
+    m_history.on_routes(routes, now);
     on_origins_changed(before, now);
 }
 
@@ -130,10 +133,11 @@
     }
     if (before.services != after.services)
     {
-        for (const auto& [route, services] : after.services)
+        for (const auto& [path, services] : after.services)
         {
             log_event(severity::info, event_number::route_services_changed,
-                      {{"route", route.value()},
+                      {{"host", path.host},
+                       {"path", path.path},
                        {"services", join(services)},
                        {"is_past_known", m_history.is_past_known(now)}});
         }
@@ -212,9 +216,10 @@
     tell({it}, now);
 }
 
-bool stream_continuity::has_had_streams(const route_id& route) const
+bool stream_continuity::has_had_streams(
+    const continuity::request_path& path) const
 {
-    return !m_history.origins(route, monotonic_clock::now()).empty();
+    return !m_history.origins(path, monotonic_clock::now()).empty();
 }
 
 std::vector<daemon_id> stream_continuity::keepers(const stream_key& stream,
@@ -288,6 +293,7 @@
                                const organisation_id& organisation,
                                const serving::route& route)
 {
+    const continuity::request_path path{request.host, request.path};
     const stream_key key =
         continuity::key_of(request.resumes ? *request.resumes : request.id,
                            organisation, route.name);
@@ -303,7 +309,7 @@
     bool is_record_read = false;
     known = m_origins.find(key, monotonic_clock::now());
     if (!known && !(is_list_current &&
-                    m_history.sole_origin(route.name, monotonic_clock::now())))
+                    m_history.sole_origin(path, monotonic_clock::now())))
     {
         // The hosts that knew it may all have started again, or be lost.
         is_record_read = co_await m_handlers.read_recorded();
@@ -315,7 +321,7 @@
         co_return known->origin;
     }
     const time_point now = monotonic_clock::now();
-    const auto sole = m_history.sole_origin(route.name, now);
+    const auto sole = m_history.sole_origin(path, now);
     if (sole && is_list_current)
     {
         co_return sole;
@@ -331,7 +337,7 @@
                {"answered", answers->asked - answers->pending},
                {"is_list_current", is_list_current},
                {"is_record_read", is_record_read},
-               {"origins", join(m_history.origins(route.name, now))}});
+               {"origins", join(m_history.origins(path, now))}});
     co_return std::nullopt;
 }
 
--- a/libraries/entry/requests/stream_continuity.hpp
+++ b/libraries/entry/requests/stream_continuity.hpp
@@ -69,8 +69,8 @@
     /// The caller has got the first event of a stream.
     void on_begun(const continuity::begun_stream& it);
 
-    /// The route has, or had a moment ago, streams that callers can take up.
-    bool has_had_streams(const route_id& route) const;
+    /// The path has, or had a moment ago, streams that callers can take up.
+    bool has_had_streams(const continuity::request_path& path) const;
 
     /// What began the stream that a request takes up; empty if nobody in
     /// contact knows. Asks other hosts and the store unless this host knows.
--- a/libraries/entry/servers/version_record.cpp
+++ b/libraries/entry/servers/version_record.cpp
@@ -20,7 +20,10 @@
 constexpr const char* record_name = "streams";
 /// The software versions of each service.
 constexpr const char* versions_member = "services";
-/// The services of each route; former builds write none.
+/// The services of each path that a route covers; former builds write none.
+constexpr const char* paths_member = "paths";
+/// The services of each route by its name, which former builds read.
+/// FIXME: Leave it out once no host of such a build serves any more.
 constexpr const char* routes_member = "routes";
 constexpr milliseconds retry_pause{300};
 /// The first holder writes the record a second or two after the start.
@@ -44,10 +47,29 @@
     return all;
 }
 
+boost::json::array paths_to_json(const origins& it)
+{
+    boost::json::array all;
+    for (const auto& [path, services] : it.services)
+    {
+        boost::json::array list;
+        for (const service_id& service : services)
+        {
+            list.emplace_back(service.value());
+        }
+        all.push_back({{"host", path.host},
+                       {"path", path.path},
+                       {"is_settled", it.settled.contains(path)},
+                       {"services", std::move(list)}});
+    }
+    return all;
+}
+
 boost::json::object to_json(const origins& it)
 {
     return {{versions_member, to_json(it.versions)},
-            {routes_member, to_json(it.services)}};
+            {paths_member, paths_to_json(it)},
+            {routes_member, to_json(it.services_by_name)}};
 }
 
 template<class Key, class Value>
@@ -76,6 +98,34 @@
     return sets;
 }
 
+void read_paths(const boost::json::array& all, origins& to)
+{
+    for (const boost::json::value& part : all)
+    {
+        const auto* object = part.if_object();
+        if (object == nullptr)
+        {
+            throw malformed_document("a recorded path must be an object");
+        }
+        const json_reader reader(*object);
+        const continuity::request_path path{reader.text("host"),
+                                            reader.text("path")};
+        for (const boost::json::value& it : reader.array("services"))
+        {
+            const auto* name = it.if_string();
+            if (name == nullptr)
+            {
+                throw malformed_document("a service must be a string");
+            }
+            to.services[path].insert(service_id(std::string(*name)));
+        }
+        if (reader.boolean_or("is_settled", false))
+        {
+            to.settled.insert(path);
+        }
+    }
+}
+
 origins origins_from(const boost::json::object& spec)
 {
     const json_reader reader(spec);
@@ -84,9 +134,13 @@
         sets_from<service_id, software_version>(reader.object(versions_member));
     if (spec.contains(routes_member))
     {
-        it.services =
+        it.services_by_name =
             sets_from<route_id, service_id>(reader.object(routes_member));
     }
+    if (spec.contains(paths_member))
+    {
+        read_paths(reader.array(paths_member), it);
+    }
     return it;
 }
 
@@ -107,6 +161,7 @@
 
 net::awaitable<bool> version_record::read()
 {
+    m_written.reset();
     m_stored =
         co_await m_store.read(platform::collection::versions, record_name);
     if (m_stored)
@@ -161,8 +216,12 @@
                 }
             }
             const origins known = m_streams.origins_to_record();
-            const bool is_written =
-                m_stored && m_stored->spec == to_json(known);
+            if (m_stored && m_written != known &&
+                m_stored->spec == to_json(known))
+            {
+                m_written = known;
+            }
+            const bool is_written = m_stored && m_written == known;
             if (!is_written && m_streams.is_past_known())
             {
                 co_await write(known);
@@ -202,6 +261,7 @@
     former.spec = spec;
     former.version = written.version;
     m_stored = std::move(former);
+    m_written = known;
 }
 
 } // namespace cicadahub::entry
--- a/libraries/entry/servers/version_record.hpp
+++ b/libraries/entry/servers/version_record.hpp
@@ -8,9 +8,9 @@
 namespace cicadahub::entry
 {
 
-/// Keeps the services of the routes and their software versions in the
-/// platform's store, so that a host that starts knows of services that their
-/// route has left, and of versions whose servers have, even if all hosts start
+/// Keeps the services to which paths lead and their software versions in the
+/// platform's store, so that a host that starts knows of services that a path
+/// has left, and of versions whose servers have, even if all hosts start
 /// at the same moment. The holder of the placement lease writes it, when they
 /// change.
 class version_record
@@ -42,6 +42,8 @@
     stream_continuity& m_streams;
     handlers m_handlers;
     std::optional<platform::stored_object> m_stored;
+    /// What `m_stored` is known to hold.
+    std::optional<continuity::origin_history::record> m_written;
 };
 
 } // namespace cicadahub::entry
--- a/tests/decision/continuity_test.cpp
+++ b/tests/decision/continuity_test.cpp
@@ -17,16 +17,33 @@
 const software_version v1("v1");
 const software_version v2("v2");
 
-const route_id route("route");
+const request_path path{"trust.example", "/stream/"};
+/// Covers the path too, unless there is a longer one.
+const request_path shorter{"trust.example", "/"};
+using routes = std::vector<resumable_route>;
 
 service_versions::sets versions(std::set<software_version> of_service)
 {
     return {{service, std::move(of_service)}};
 }
 
-route_services::sets leads_to(std::set<service_id> services)
+routes leads_to(std::set<service_id> services)
 {
-    return {{route, std::move(services)}};
+    return {{route_id("route"), path, std::move(services)}};
+}
+
+/// What a host records that has seen these routes only.
+origin_history::record record_of(service_versions::sets versions,
+                                 const routes& all,
+                                 std::set<request_path> settled = {})
+{
+    origin_history::record it{std::move(versions), {}, std::move(settled), {}};
+    for (const resumable_route& route : all)
+    {
+        it.services[route.covers] = route.services;
+        it.services_by_name[route.name] = route.services;
+    }
+    return it;
 }
 
 /// The history of one route that leads to one service.
@@ -41,7 +58,7 @@
 std::optional<software_version> sole_version(const origin_history& it,
                                              time_point now)
 {
-    const auto origin = it.sole_origin(route, now);
+    const auto origin = it.sole_origin(path, now);
     return origin ? std::optional(origin->version) : std::nullopt;
 }
 
@@ -78,10 +95,11 @@
     origin_history subject = history_of_route(start);
     if (it.recorded != past::unread)
     {
-        subject.on_recorded({it.recorded == past::same    ? versions({v1})
-                             : it.recorded == past::other ? versions({v2})
-                                                          : versions({}),
-                             leads_to({service})},
+        subject.on_recorded(record_of(it.recorded == past::same ? versions({v1})
+                                      : it.recorded == past::other
+                                          ? versions({v2})
+                                          : versions({}),
+                                      leads_to({service})),
                             start);
     }
     subject.on_servers(versions(it.listed), start);
@@ -124,7 +142,7 @@
 {
     origin_history subject = history_of_route(start);
     subject.set_retention(seconds(1));
-    subject.on_recorded({versions({v1, v2}), {}}, start);
+    subject.on_recorded(record_of(versions({v1, v2}), {}), start);
     EXPECT_FALSE(sole_version(subject, start + seconds(5)));
 }
 
@@ -133,12 +151,9 @@
 struct reroute_case
 {
     const char* name;
-    /// As recorded by the time that the host starts.
-    route_services::sets recorded;
-    /// Where the routes lead at the start of the host.
-    route_services::sets before;
-    /// Where they lead later.
-    route_services::sets after;
+    /// At the start of the host, and as recorded then.
+    routes before;
+    routes after;
     /// From then on.
     milliseconds elapsed;
     std::optional<service_id> sole;
@@ -154,8 +169,9 @@
 {
 };
 
-// Guards against streams that are laid to the service to which their route
-// leads now, although it led elsewhere when they began.
+// Guards against streams that are laid to the service to which their path leads
+// now, although it led elsewhere when they began, and against streams that are
+// given up although their path led to one service all the while (review/9).
 TEST_P(rerouted_origins, are_known_only_if_no_other_service_may_have_begun)
 {
     const reroute_case& it = GetParam();
@@ -163,48 +179,100 @@
     subject.set_retention(retention);
     subject.on_servers({{service, {v1}}, {other_service, {v1}}}, start);
     subject.on_routes(it.before, start);
-    subject.on_recorded({versions({v1}), it.recorded}, start);
+    subject.on_recorded(record_of(versions({v1}), it.before), start);
     const time_point changed = start + seconds(60);
     subject.on_routes(it.after, changed);
     const time_point now = changed + it.elapsed;
-    const auto origin = subject.sole_origin(route, now);
+    const auto origin = subject.sole_origin(path, now);
     EXPECT_EQ(origin ? std::optional(origin->service) : std::nullopt, it.sole);
     EXPECT_EQ(subject.is_ambiguous(service, now), it.is_ambiguous);
 }
 
-const route_services::sets to_one = leads_to({service});
-const route_services::sets to_other = leads_to({other_service});
-const route_services::sets to_both = leads_to({service, other_service});
-const route_services::sets renamed{{route_id("former"), {service}}};
+const resumable_route short_route{route_id("short"), shorter, {service}};
+const resumable_route short_to_other{
+    route_id("short"), shorter, {other_service}};
+const resumable_route long_route{route_id("route"), path, {service}};
+const resumable_route long_to_other{route_id("route"), path, {other_service}};
+const routes to_one = leads_to({service});
+const routes to_other = leads_to({other_service});
+const routes to_both = leads_to({service, other_service});
+const routes by_former_name{{route_id("former"), path, {service}}};
+const routes name_taken{
+    {route_id("former"), {"trust.example", "/more/"}, {other_service}},
+    long_route};
+const routes of_other_host{
+    {route_id("former"), {"other.example", "/stream/"}, {other_service}}};
 constexpr milliseconds over = retention + milliseconds(1);
 
 INSTANTIATE_TEST_SUITE_P(
     origin_history, rerouted_origins,
-    testing::Values(reroute_case{"kept", to_one, to_one, to_one, seconds(0),
-                                 service, false},
-                    reroute_case{"split", to_one, to_one, to_both, seconds(0),
-                                 std::nullopt, true},
-                    reroute_case{"split_for_long", to_one, to_one, to_both,
-                                 over, std::nullopt, true},
-                    reroute_case{"moved", to_one, to_one, to_other, seconds(0),
-                                 std::nullopt, true},
-                    reroute_case{"moved_long_ago", to_one, to_one, to_other,
-                                 over, other_service, true},
-                    reroute_case{"joined", to_both, to_both, to_one, seconds(9),
-                                 std::nullopt, true},
-                    reroute_case{"joined_long_ago", to_both, to_both, to_one,
-                                 over, service, false},
-                    reroute_case{"added", renamed, renamed, to_one, seconds(9),
-                                 std::nullopt, true},
-                    reroute_case{"added_long_ago", renamed, renamed, to_one,
-                                 over, service, false}),
+    testing::Values(
+        reroute_case{"kept", to_one, to_one, seconds(0), service, false},
+        reroute_case{"split", to_one, to_both, seconds(0), std::nullopt, true},
+        reroute_case{"split_for_long", to_one, to_both, over, std::nullopt,
+                     true},
+        reroute_case{"moved", to_one, to_other, seconds(0), std::nullopt, true},
+        reroute_case{"moved_long_ago", to_one, to_other, over, other_service,
+                     true},
+        reroute_case{"joined", to_both, to_one, seconds(9), std::nullopt, true},
+        reroute_case{"joined_long_ago", to_both, to_one, over, service, false},
+        reroute_case{"renamed", by_former_name, to_one, seconds(0), service,
+                     false},
+        reroute_case{"renamed_and_moved", by_former_name, to_other, seconds(9),
+                     std::nullopt, true},
+        reroute_case{"name_taken", by_former_name, name_taken, seconds(0),
+                     service, false},
+        reroute_case{"begun", of_other_host, to_one, seconds(0), service,
+                     false},
+        reroute_case{"added",
+                     {short_route},
+                     {short_route, long_route},
+                     seconds(0),
+                     service,
+                     false},
+        reroute_case{"added_elsewhere",
+                     {short_route},
+                     {short_route, long_to_other},
+                     seconds(9),
+                     std::nullopt,
+                     true},
+        reroute_case{"added_elsewhere_long_ago",
+                     {short_route},
+                     {short_route, long_to_other},
+                     over,
+                     other_service,
+                     false},
+        reroute_case{"removed",
+                     {short_to_other, long_route},
+                     {short_to_other},
+                     seconds(9),
+                     std::nullopt,
+                     true},
+        reroute_case{"removed_long_ago",
+                     {short_to_other, long_route},
+                     {short_to_other},
+                     over,
+                     other_service,
+                     true},
+        reroute_case{"shorter_moved",
+                     {short_route, long_route},
+                     {short_to_other, long_route},
+                     seconds(0),
+                     service,
+                     true},
+        reroute_case{"shorter_moved_behind_an_added_one",
+                     {short_to_other},
+                     {short_route, long_route},
+                     seconds(9),
+                     std::nullopt,
+                     true}),
     [](const auto& it) { return std::string(it.param.name); });
 
 struct restart_case
 {
     const char* name;
-    route_services::sets recorded;
-    route_services::sets listed;
+    origin_history::record recorded;
+    routes listed;
     milliseconds after;
     std::optional<service_id> sole;
 };
@@ -218,7 +286,7 @@
 {
 };
 
-// Guards against a host that lays streams to the service to which their route
+// Guards against a host that lays streams to the service to which their path
 // leads since a moment before the host started.
 TEST_P(recorded_routes, tell_a_host_that_starts_what_they_led_to)
 {
@@ -227,36 +295,93 @@
     {
         origin_history subject(start);
         subject.set_retention(retention);
-        const origin_history::record recorded{versions({v1}), it.recorded};
         if (is_record_first)
         {
-            subject.on_recorded(recorded, start);
+            subject.on_recorded(it.recorded, start);
         }
         subject.on_servers({{service, {v1}}, {other_service, {v1}}}, start);
         subject.on_routes(it.listed, start);
         if (!is_record_first)
         {
-            EXPECT_FALSE(subject.sole_origin(route, start));
-            subject.on_recorded(recorded, start);
+            EXPECT_FALSE(subject.sole_origin(path, start));
+            subject.on_recorded(it.recorded, start);
         }
-        const auto origin = subject.sole_origin(route, start + it.after);
+        const auto origin = subject.sole_origin(path, start + it.after);
         EXPECT_EQ(origin ? std::optional(origin->service) : std::nullopt,
                   it.sole)
             << is_record_first;
     }
 }
 
+origin_history::record recorded(const routes& all,
+                                std::set<request_path> settled = {})
+{
+    return record_of(versions({v1}), all, std::move(settled));
+}
+
+/// As a build records it that knows routes by their names only.
+origin_history::record recorded_by_name(const routes& all)
+{
+    origin_history::record it = recorded(all);
+    it.services.clear();
+    return it;
+}
+
 INSTANTIATE_TEST_SUITE_P(
     origin_history, recorded_routes,
     testing::Values(
-        restart_case{"same", to_one, to_one, seconds(0), service},
-        restart_case{"moved", to_one, to_other, seconds(9), std::nullopt},
-        restart_case{"moved_long_ago", to_one, to_other, over, other_service},
-        restart_case{"split", to_one, to_both, over, std::nullopt},
-        restart_case{"joined", to_both, to_one, seconds(9), std::nullopt},
-        restart_case{"added", renamed, to_one, seconds(9), std::nullopt},
-        // A former build, or the first host.
-        restart_case{"without_routes", {}, to_one, seconds(0), service}),
+        restart_case{"same", recorded(to_one), to_one, seconds(0), service},
+        restart_case{"moved", recorded(to_one), to_other, seconds(9),
+                     std::nullopt},
+        restart_case{"moved_long_ago", recorded(to_one), to_other, over,
+                     other_service},
+        restart_case{"split", recorded(to_one), to_both, over, std::nullopt},
+        restart_case{"joined", recorded(to_both), to_one, seconds(9),
+                     std::nullopt},
+        restart_case{"renamed", recorded(by_former_name), to_one, seconds(0),
+                     service},
+        // Versions between may have led the path elsewhere.
+        restart_case{"added",
+                     recorded({short_route}),
+                     {short_route, long_route},
+                     seconds(9),
+                     std::nullopt},
+        restart_case{"added_long_ago",
+                     recorded({short_route}),
+                     {short_route, long_route},
+                     over,
+                     service},
+        restart_case{"settled",
+                     recorded({short_to_other, long_route}, {path}),
+                     {short_to_other, long_route},
+                     seconds(0),
+                     service},
+        restart_case{"not_settled",
+                     recorded({short_to_other, long_route}),
+                     {short_to_other, long_route},
+                     seconds(9),
+                     std::nullopt},
+        restart_case{"not_settled_long_ago",
+                     recorded({short_to_other, long_route}),
+                     {short_to_other, long_route},
+                     over,
+                     service},
+        restart_case{"same_by_name", recorded_by_name(to_one), to_one,
+                     seconds(0), service},
+        restart_case{"moved_by_name", recorded_by_name(to_one), to_other,
+                     seconds(9), std::nullopt},
+        restart_case{"renamed_by_name", recorded_by_name(by_former_name),
+                     to_one, seconds(9), std::nullopt},
+        restart_case{"renamed_by_name_long_ago",
+                     recorded_by_name(by_former_name), to_one, over, service},
+        restart_case{"added_by_name",
+                     recorded_by_name({short_route}),
+                     {short_route, long_route},
+                     seconds(9),
+                     std::nullopt},
+        // The first host, or a build that recorded no routes.
+        restart_case{"without_routes", recorded({}), to_one, seconds(0),
+                     service}),
     [](const auto& it) { return std::string(it.param.name); });
 
 stream_key key(const std::string& request)
@@ -510,8 +635,8 @@
     time_point m_now = start;
     std::set<software_version> m_listed{software_version("v10")};
     std::int64_t m_newest = 10;
-    origin_history::record m_record{versions({software_version("v10")}),
-                                    leads_to({service})};
+    origin_history::record m_record =
+        record_of(versions({software_version("v10")}), leads_to({service}));
     std::vector<host> m_hosts;
     std::vector<begun_stream> m_begun;
 };
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <fstream>
+#include <set>
 #include <thread>
 
 namespace cicadahub::system_tests
@@ -33,6 +34,24 @@
             {"resumable", kind == "stream"}};
 }
 
+boost::json::object to_json(const platform_fleet::stream_route& it)
+{
+    boost::json::object json =
+        route(it.name, it.prefix, "stream", it.services.begin()->first);
+    json["resumable"] = it.is_resumable;
+    json["public"] = it.is_public;
+    if (it.services.size() > 1)
+    {
+        json.erase("service");
+        boost::json::array& split = json["split"].emplace_array();
+        for (const auto& [name, weight] : it.services)
+        {
+            split.push_back({{"service", name}, {"weight", weight}});
+        }
+    }
+    return json;
+}
+
 boost::json::object engine_service(const std::string& name)
 {
     boost::json::array models;
@@ -204,27 +223,25 @@
 
 void platform_fleet::write_configuration(
     int version, const std::vector<std::string>& keys,
-    const std::vector<std::string>& prefixes, const shares& streams,
-    bool are_resumable)
+    const std::vector<std::string>& prefixes,
+    const std::vector<stream_route>& streams)
 {
-    boost::json::object stream =
-        route("stream", "/stream/", "stream", streams.begin()->first);
-    stream["resumable"] = are_resumable;
-    if (streams.size() > 1)
+    boost::json::array routes;
+    std::set<std::string> engine_services{"engines"};
+    for (const stream_route& it : streams)
     {
-        stream.erase("service");
-        boost::json::array& split = stream["split"].emplace_array();
-        for (const auto& [name, weight] : streams)
+        routes.push_back(to_json(it));
+        for (const auto& [name, weight] : it.services)
         {
-            split.push_back({{"service", name}, {"weight", weight}});
+            engine_services.insert(name);
         }
     }
     boost::json::object once = route("once", "/once/", "stream", "engines");
     once["resumable"] = false;
     once["maxAttempts"] = 1;
-    boost::json::array routes{std::move(stream), std::move(once),
-                              route("post", "/post/", "unsafe", "ledger"),
-                              route("read", "/read/", "safe", "ledger")};
+    routes.push_back(std::move(once));
+    routes.push_back(route("post", "/post/", "unsafe", "ledger"));
+    routes.push_back(route("read", "/read/", "safe", "ledger"));
     for (const std::string& it : prefixes)
     {
         routes.push_back(route("more-" + it, it, "safe", "ledger"));
@@ -246,13 +263,9 @@
     boost::json::object ledger{{"name", "ledger"}, {"maxConns", 100}};
     ledger.insert(m_added.service.begin(), m_added.service.end());
     all.push_back(std::move(ledger));
-    all.push_back(engine_service("engines"));
-    for (const auto& [name, weight] : streams)
+    for (const std::string& it : engine_services)
     {
-        if (name != "engines")
-        {
-            all.push_back(engine_service(name));
-        }
+        all.push_back(engine_service(it));
     }
     const boost::json::object spec{{"version", version},
                                    {"routes", std::move(routes)},
--- a/tests/system/platform_fleet.hpp
+++ b/tests/system/platform_fleet.hpp
@@ -58,15 +58,23 @@
     void restart_worker(std::size_t engine,
                         const std::vector<std::string>& more);
 
-    /// Services to which the route of streams leads, with their weights.
+    /// Services to which a route leads, with their weights.
     using shares = std::map<std::string, int>;
 
+    struct stream_route
+    {
+        shares services{{"engines", 1}};
+        std::string name = "stream";
+        std::string prefix = "/stream/";
+        bool is_resumable = true;
+        bool is_public = false;
+    };
+
     /// Writes a configuration with this version. `keys` are the API keys of the
     /// organisation; each prefix adds a route to the plain service.
     void write_configuration(int version, const std::vector<std::string>& keys,
                              const std::vector<std::string>& prefixes = {},
-                             const shares& streams = {{"engines", 1}},
-                             bool are_resumable = true);
+                             const std::vector<stream_route>& streams = {{}});
 
     answer stream(std::size_t n, const std::string& id,
                   const std::string& model,
--- a/tests/system/rerouted_stream_test.cpp
+++ b/tests/system/rerouted_stream_test.cpp
@@ -38,7 +38,8 @@
 struct reroute_case
 {
     const char* name;
-    platform_fleet::shares after;
+    /// Routes of streams by the new configuration.
+    std::vector<platform_fleet::stream_route> after;
     /// From the new configuration to the loss of hosts.
     milliseconds delay;
     /// The first hosts are lost; the first one serves the streams.
@@ -46,8 +47,6 @@
     bool are_restarted;
     /// Least share of the streams taken up that go on.
     double least_share;
-    /// By the new configuration.
-    bool are_resumable = true;
 };
 
 void PrintTo(const reroute_case& it, std::ostream* out)
@@ -102,8 +101,7 @@
 {
     const reroute_case& it = GetParam();
     begin_streams();
-    fleet.write_configuration(2, {"key-of-trust"}, {}, it.after,
-                              it.are_resumable);
+    fleet.write_configuration(2, {"key-of-trust"}, {}, it.after);
     std::this_thread::sleep_for(it.delay);
     lose_hosts(it);
     set_pace(fleet.engines, short_gap);
@@ -138,8 +136,20 @@
               it.least_share * static_cast<double>(taken_up));
 }
 
-const platform_fleet::shares split{{"engines", 90}, {"more-engines", 10}};
-const platform_fleet::shares moved{{"more-engines", 1}};
+using stream_routes = std::vector<platform_fleet::stream_route>;
+const platform_fleet::shares one{{"engines", 1}};
+const platform_fleet::shares both{{"engines", 90}, {"more-engines", 10}};
+const platform_fleet::shares other{{"more-engines", 1}};
+const stream_routes split{{both}};
+const stream_routes moved{{other}};
+const stream_routes split_and_not_resumable{
+    {both, "stream", "/stream/", false}};
+const stream_routes moved_and_not_resumable{
+    {other, "stream", "/stream/", false}};
+/// Behind these the path of the streams has a route of another name.
+const stream_routes added{{}, {one, "long", "/stream/x"}};
+const stream_routes added_and_moved{{}, {other, "long", "/stream/x"}};
+const stream_routes renamed{{one, "renamed"}};
 
 INSTANTIATE_TEST_SUITE_P(
     rerouted_streams, rerouted_streams,
@@ -153,18 +163,35 @@
                      milliseconds(0), hosts, true, 0.5},
         reroute_case{"split_and_host_lost_at_once", split, milliseconds(0), 1,
                      false, 0.9},
-        reroute_case{"split_and_no_longer_resumable", split, long_enough, 1,
-                     false, 0.9, false},
+        reroute_case{"split_and_no_longer_resumable", split_and_not_resumable,
+                     long_enough, 1, false, 0.9},
         // A request runs only at services to which the configuration leads.
         reroute_case{"moved", moved, long_enough, 1, false, 0},
-        reroute_case{"moved_and_no_longer_resumable", moved, long_enough, 1,
-                     false, 0, false},
+        reroute_case{"moved_and_no_longer_resumable", moved_and_not_resumable,
+                     long_enough, 1, false, 0},
         reroute_case{"moved_and_host_lost_at_once", moved, milliseconds(0), 1,
                      false, 0},
         reroute_case{"moved_and_all_hosts_restarted", moved, long_enough, hosts,
                      true, 0}),
     [](const auto& it) { return std::string(it.param.name); });
 
+// Guards against streams that are refused since their path belongs to a route
+// of another name than the one under which they began (review/9).
+INSTANTIATE_TEST_SUITE_P(
+    renamed_routes, rerouted_streams,
+    testing::Values(reroute_case{"added", added, long_enough, 1, false, 0.9},
+                    reroute_case{"added_and_most_hosts_lost", added,
+                                 long_enough, hosts - 1, false, 0.9},
+                    reroute_case{"added_and_all_hosts_restarted", added,
+                                 long_enough, hosts, true, 0.5},
+                    reroute_case{"added_and_moved", added_and_moved,
+                                 long_enough, 1, false, 0},
+                    reroute_case{"renamed", renamed, long_enough, 1, false,
+                                 0.9},
+                    reroute_case{"renamed_and_most_hosts_lost", renamed,
+                                 long_enough, hosts - 1, false, 0.9}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 // Guards against streams that go on at the service to which their route led
 // before, taken up at a host that stood still while it was moved.
 TEST(rerouted_stream, are_not_joined_by_a_host_that_missed_the_configuration)
