Continuity: Identify streams by the path of their request

Callers that took up streams got 503 from every host once the path belonged to a route of another name and more than one service or version could have begun them: the route renamed, split and renamed, its name taken by another route, a route with a longer prefix added, the route made public.

Cause: the key by which hosts and the store know a stream had the name of its route. Change: the key has the host and the path, which callers send and operators do not change, and the organisation of the caller's key. Hosts of the former build look for the name of the route: as long as one is heard, streams are told and asked by both keys. Digests say so; the form of messages and of the record stays, and so do the bytes of a stream among hosts of one build.

--- a/libraries/decision/continuity/stream_origin.hpp
+++ b/libraries/decision/continuity/stream_origin.hpp
@@ -34,14 +34,21 @@
 };
 
 /// Identifies a stream by a hash of the request that brought its first event,
-/// that request's organisation and its route, so that nobody finds another's.
+/// that request's organisation and its path, so that nobody finds another's.
 using stream_key = strong_type<struct stream_key_tag, std::string>;
 
 /// Hexadecimal digits of a key.
 inline constexpr std::size_t stream_key_digits = 16;
 
-/// `organisation` is empty if the route is public.
+/// `organisation` is empty if the caller has none.
 stream_key key_of(const request_id& request,
-                  const organisation_id& organisation, const route_id& route);
+                  const organisation_id& organisation,
+                  const request_path& path);
+
+/// The key at hosts of a build that identifies streams by the name of their
+/// route. `organisation` is empty if the route is public.
+stream_key key_by_route(const request_id& request,
+                        const organisation_id& organisation,
+                        const route_id& route);
 
 } // namespace cicadahub::continuity
--- a/libraries/decision/continuity/stream_origins.cpp
+++ b/libraries/decision/continuity/stream_origins.cpp
@@ -5,14 +5,31 @@
 namespace cicadahub::continuity
 {
 
-stream_key key_of(const request_id& request,
-                  const organisation_id& organisation, const route_id& route)
+namespace
+{
+
+stream_key hashed(const std::string& text)
 {
-    const std::string text =
-        request.value() + '\n' + organisation.value() + '\n' + route.value();
     return stream_key(sha256_hex(text).substr(0, stream_key_digits));
 }
 
+} // namespace
+
+stream_key key_of(const request_id& request,
+                  const organisation_id& organisation, const request_path& path)
+{
+    return hashed(request.value() + '\n' + organisation.value() + '\n' +
+                  path.host + '\n' + path.path);
+}
+
+stream_key key_by_route(const request_id& request,
+                        const organisation_id& organisation,
+                        const route_id& route)
+{
+    return hashed(request.value() + '\n' + organisation.value() + '\n' +
+                  route.value());
+}
+
 void stream_origins::erase_first()
 {
     m_streams.erase(m_by_end.begin()->second);
--- a/libraries/entry/fleet/digest_exchange.cpp
+++ b/libraries/entry/fleet/digest_exchange.cpp
@@ -124,6 +124,7 @@
             .count());
     if (!is_update)
     {
+        it.names_streams_by_path = true;
         it.hosts = static_cast<std::int32_t>(m_state.fleet.part_count(now));
     }
     it.__set_traffic_ms(m_state.traffic_since
--- a/libraries/entry/requests/active_request.cpp
+++ b/libraries/entry/requests/active_request.cpp
@@ -231,10 +231,8 @@
     }
     if (is_stream() && m_route->is_resumable)
     {
-        m_state.continuity.on_begun(
-            {continuity::key_of(m_request.id, organisation_name(),
-                                m_route->name),
-             *m_origin, m_arrived + m_route->timeout});
+        m_state.continuity.on_begun(stream_of(m_request.id), *m_origin,
+                                    m_arrived + m_route->timeout);
     }
 }
 
--- a/libraries/entry/requests/active_request.hpp
+++ b/libraries/entry/requests/active_request.hpp
@@ -75,6 +75,8 @@
     void refuse_crashing_part();
     /// Empty if the route is public.
     organisation_id organisation_name() const;
+    /// The stream that began with the request.
+    stream_identity stream_of(const request_id& request) const;
     void choose_service();
     /// For a request that takes up a stream: finds out what began it, and
     /// refuses it if that is not known.
--- a/libraries/entry/requests/request_admission.cpp
+++ b/libraries/entry/requests/request_admission.cpp
@@ -116,6 +116,21 @@
     return m_organisation == nullptr ? organisation_id() : m_organisation->name;
 }
 
+stream_identity active_request::stream_of(const request_id& request) const
+{
+    // A route can become public, or cease to be, while its streams run, so that
+    // they belong to the organisation whose key came with the request.
+    const serving::organisation* caller =
+        m_organisation == nullptr && m_request.key
+            ? m_configuration->find_organisation(*m_request.key)
+            : m_organisation;
+    return {request,
+            caller == nullptr ? organisation_id() : caller->name,
+            {m_request.host, m_request.path},
+            m_route->name,
+            m_route->is_public};
+}
+
 net::awaitable<void> active_request::find_stream_origin()
 {
     if (!is_stream())
@@ -136,7 +151,7 @@
     const std::string first =
         m_request.resumes ? m_request.resumes->value() : std::string();
     m_origin = co_await m_state.continuity.find_origin(
-        m_request, organisation_name(), *m_route);
+        m_request.id, stream_of(m_request.resumes.value_or(m_request.id)));
     if (!m_origin)
     {
         refuse_to_resume("its software version is not known");
--- a/libraries/entry/requests/stream_continuity.cpp
+++ b/libraries/entry/requests/stream_continuity.cpp
@@ -206,14 +206,52 @@
     m_origins.on_begun(it, now);
 }
 
-void stream_continuity::on_begun(const begun_stream& it)
+std::vector<stream_key>
+stream_continuity::keys_of(const stream_identity& stream) const
+{
+    std::vector<stream_key> keys{
+        continuity::key_of(stream.request, stream.organisation, stream.path)};
+    const bool has_former_hosts = std::any_of(
+        m_fleet.peers().begin(), m_fleet.peers().end(),
+        [](const auto& it) { return !it.second.digest.names_streams_by_path; });
+    if (has_former_hosts)
+    {
+        keys.push_back(continuity::key_by_route(
+            stream.request,
+            stream.is_route_public ? organisation_id() : stream.organisation,
+            stream.route));
+    }
+    return keys;
+}
+
+std::optional<begun_stream>
+stream_continuity::find(const std::vector<stream_key>& keys) const
 {
     const time_point now = monotonic_clock::now();
-    remember(it, now);
-    m_begun_here.on_begun(it, now);
+    for (const stream_key& key : keys)
+    {
+        if (auto known = m_origins.find(key, now))
+        {
+            return known;
+        }
+    }
+    return std::nullopt;
+}
+
+void stream_continuity::on_begun(const stream_identity& stream,
+                                 const stream_origin& origin, time_point until)
+{
+    const time_point now = monotonic_clock::now();
+    std::vector<begun_stream> begun;
+    for (const stream_key& key : keys_of(stream))
+    {
+        begun.push_back({key, origin, until});
+        remember(begun.back(), now);
+        m_begun_here.on_begun(begun.back(), now);
+    }
     // This host may be lost in the moment in which another origin becomes
     // possible, or before it has learnt of that.
-    tell({it}, now);
+    tell(begun, now);
 }
 
 bool stream_continuity::has_had_streams(
@@ -289,47 +327,42 @@
 }
 
 net::awaitable<std::optional<stream_origin>>
-stream_continuity::find_origin(const serving::request& request,
-                               const organisation_id& organisation,
-                               const serving::route& route)
+stream_continuity::find_origin(request_id taken_up_by, stream_identity stream)
 {
-    const continuity::request_path path{request.host, request.path};
-    const stream_key key =
-        continuity::key_of(request.resumes ? *request.resumes : request.id,
-                           organisation, route.name);
-    auto known = m_origins.find(key, monotonic_clock::now());
+    const std::vector<stream_key> keys = keys_of(stream);
+    auto known = find(keys);
     if (known)
     {
         co_return known->origin;
     }
     // A host that was cut off or stood still may have missed a version that has
     // begun streams meanwhile, so that its own list alone proves nothing.
-    const question_pointer answers = co_await ask(key);
+    const question_pointer answers = co_await ask(keys);
     bool is_list_current = answers->is_list_current();
     bool is_record_read = false;
-    known = m_origins.find(key, monotonic_clock::now());
+    known = find(keys);
     if (!known && !(is_list_current &&
-                    m_history.sole_origin(path, monotonic_clock::now())))
+                    m_history.sole_origin(stream.path, monotonic_clock::now())))
     {
         // The hosts that knew it may all have started again, or be lost.
         is_record_read = co_await m_handlers.read_recorded();
         is_list_current = is_list_current || is_record_read;
-        known = m_origins.find(key, monotonic_clock::now());
+        known = find(keys);
     }
     if (known)
     {
         co_return known->origin;
     }
     const time_point now = monotonic_clock::now();
-    const auto sole = m_history.sole_origin(path, now);
+    const auto sole = m_history.sole_origin(stream.path, now);
     if (sole && is_list_current)
     {
         co_return sole;
     }
     log_event(severity::warning, event_number::stream_origin_unknown,
-              {{"request", request.id.value()},
-               {"route", route.name.value()},
-               {"stream", key.value()},
+              {{"request", taken_up_by.value()},
+               {"route", stream.route.value()},
+               {"stream", keys.front().value()},
                // Other streams that this host knows: if it keeps those that
                // were begun, this one may be known by another name.
                {"known_streams", m_origins.size()},
@@ -337,15 +370,15 @@
                {"answered", answers->asked - answers->pending},
                {"is_list_current", is_list_current},
                {"is_record_read", is_record_read},
-               {"origins", join(m_history.origins(path, now))}});
+               {"origins", join(m_history.origins(stream.path, now))}});
     co_return std::nullopt;
 }
 
 net::awaitable<stream_continuity::question_pointer>
-stream_continuity::ask(const stream_key& stream)
+stream_continuity::ask(const std::vector<stream_key>& keys)
 {
     question_pointer it;
-    const auto known = m_questions.find(stream);
+    const auto known = m_questions.find(keys.front());
     if (known != m_questions.end())
     {
         it = known->second;
@@ -354,15 +387,21 @@
     {
         it = std::make_shared<question>(m_context);
         it->answered.expires_after(answer_limit);
-        m_questions.emplace(stream, it);
-        fleet::wire::Digest message;
-        message.asked_streams.push_back(stream.value());
-        std::vector<daemon_id> to = keepers(stream, continuity::asked_count);
-        add_recorder(to);
-        for (const daemon_id& name : to)
+        std::map<daemon_id, fleet::wire::Digest> questions;
+        for (const stream_key& key : keys)
+        {
+            m_questions.insert_or_assign(key, it);
+            std::vector<daemon_id> to = keepers(key, continuity::asked_count);
+            add_recorder(to);
+            for (const daemon_id& name : to)
+            {
+                ++it->asked;
+                ++it->pending;
+                questions[name].asked_streams.push_back(key.value());
+            }
+        }
+        for (const auto& [name, message] : questions)
         {
-            ++it->asked;
-            ++it->pending;
             m_handlers.send(message, m_fleet.peers().at(name.value()).address);
         }
     }
@@ -370,10 +409,13 @@
     {
         co_await it->answered.async_wait(net::as_tuple(net::use_awaitable));
     }
-    const auto mine = m_questions.find(stream);
-    if (mine != m_questions.end() && mine->second == it)
+    for (const stream_key& key : keys)
     {
-        m_questions.erase(mine);
+        const auto mine = m_questions.find(key);
+        if (mine != m_questions.end() && mine->second == it)
+        {
+            m_questions.erase(mine);
+        }
     }
     co_return it;
 }
--- a/libraries/entry/requests/stream_continuity.hpp
+++ b/libraries/entry/requests/stream_continuity.hpp
@@ -20,6 +20,18 @@
 
 namespace net = boost::asio;
 
+/// A stream as callers and the configuration name it.
+struct stream_identity
+{
+    /// The request that brought its first event.
+    request_id request;
+    /// That of the caller; empty if it has none.
+    organisation_id organisation;
+    continuity::request_path path;
+    route_id route;
+    bool is_route_public = false;
+};
+
 /// Knows what began the streams that callers may take up. The host that serves
 /// a stream tells its origin to a few others, which any host that does not know
 /// it asks. While the streams of a route can have been begun by more than one
@@ -67,7 +79,8 @@
     std::vector<continuity::begun_stream> take_unrecorded();
 
     /// The caller has got the first event of a stream.
-    void on_begun(const continuity::begun_stream& it);
+    void on_begun(const stream_identity& stream,
+                  const continuity::stream_origin& origin, time_point until);
 
     /// The path has, or had a moment ago, streams that callers can take up.
     bool has_had_streams(const continuity::request_path& path) const;
@@ -75,9 +88,7 @@
     /// What began the stream that a request takes up; empty if nobody in
     /// contact knows. Asks other hosts and the store unless this host knows.
     net::awaitable<std::optional<continuity::stream_origin>>
-    find_origin(const serving::request& request,
-                const organisation_id& organisation,
-                const serving::route& route);
+    find_origin(request_id taken_up_by, stream_identity stream);
 
     /// Another host told of streams, or asks for some.
     void on_message(const fleet::wire::Digest& it, const http::endpoint& from);
@@ -88,6 +99,7 @@
         explicit question(net::io_context& context) : answered(context) {}
 
         net::steady_timer answered;
+        /// Hosts, each as often as it was asked for another key.
         std::size_t asked = 0;
         std::size_t pending = 0;
         /// Some host answered, and none knows a newer list of servers.
@@ -121,8 +133,16 @@
     void send(const std::string& to,
               const std::vector<continuity::begun_stream>& streams,
               time_point now);
-    /// Asks other hosts.
-    net::awaitable<question_pointer> ask(const continuity::stream_key& stream);
+    /// The keys by which hosts in contact know the stream: its own, and another
+    /// one as long as there are hosts of a build that names streams by route.
+    std::vector<continuity::stream_key>
+    keys_of(const stream_identity& stream) const;
+    /// What is known of a stream by one of its keys.
+    std::optional<continuity::begun_stream>
+    find(const std::vector<continuity::stream_key>& keys) const;
+    /// Asks other hosts for a stream by all of its keys.
+    net::awaitable<question_pointer>
+    ask(const std::vector<continuity::stream_key>& keys);
     void on_answer(const continuity::stream_key& stream, bool is_known,
                    object_version servers_changed);
 
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -132,7 +132,7 @@
 /// servers of the same service and software version.
 struct BegunStream {
   /// Hash of the request that brought the first event, its organisation and its
-  /// route.
+  /// path; at hosts that do not set `names_streams_by_path`, its route.
   1: string key
   /// Empty if the sender does not know what began the stream.
   2: string service_name
@@ -209,4 +209,7 @@
   /// Time since the sender's first list of servers, if there has been traffic;
   /// 0 if there has been none. Absent if it does not limit cold servers.
   33: optional i64 traffic_ms
+  /// True if the sender looks for streams by the paths of their requests; false
+  /// if it does so by the names of their routes. Omitted in updates.
+  34: bool names_streams_by_path
 }
--- a/tests/decision/continuity_test.cpp
+++ b/tests/decision/continuity_test.cpp
@@ -387,7 +387,7 @@
 stream_key key(const std::string& request)
 {
     return key_of(request_id(request), organisation_id("trust"),
-                  route_id("route"));
+                  {"trust.example", "/stream/x"});
 }
 
 begun_stream stream(const std::string& request, time_point until,
@@ -401,7 +401,7 @@
     const char* name;
     const char* request;
     const char* organisation;
-    const char* route;
+    request_path path;
     milliseconds after;
     bool is_found;
 };
@@ -420,24 +420,47 @@
     const lookup_case& it = GetParam();
     stream_origins subject(10);
     subject.on_begun(stream("r", start + seconds(1)), start);
-    const auto found = subject.find(key_of(request_id(it.request),
-                                           organisation_id(it.organisation),
-                                           route_id(it.route)),
-                                    start + it.after);
+    const auto found =
+        subject.find(key_of(request_id(it.request),
+                            organisation_id(it.organisation), it.path),
+                     start + it.after);
     EXPECT_EQ(found.has_value(), it.is_found);
 }
 
+const request_path of_stream{"trust.example", "/stream/x"};
+
 INSTANTIATE_TEST_SUITE_P(
     stream_origins, stream_lookups,
     testing::Values(
-        lookup_case{"known", "r", "trust", "route", seconds(1), true},
-        lookup_case{"unknown", "s", "trust", "route", seconds(0), false},
-        lookup_case{"other_organisation", "r", "other", "route", seconds(0),
+        lookup_case{"known", "r", "trust", of_stream, seconds(1), true},
+        lookup_case{"unknown", "s", "trust", of_stream, seconds(0), false},
+        lookup_case{"other_organisation", "r", "other", of_stream, seconds(0),
+                    false},
+        lookup_case{"other_path",
+                    "r",
+                    "trust",
+                    {"trust.example", "/stream/y"},
+                    seconds(0),
+                    false},
+        lookup_case{"other_host",
+                    "r",
+                    "trust",
+                    {"other.example", "/stream/x"},
+                    seconds(0),
                     false},
-        lookup_case{"other_route", "r", "trust", "other", seconds(0), false},
-        lookup_case{"over", "r", "trust", "route", seconds(2), false}),
+        lookup_case{"over", "r", "trust", of_stream, seconds(2), false}),
     [](const auto& it) { return std::string(it.param.name); });
 
+// Guards against hosts that don't find streams at hosts of a build that names
+// them by their route.
+TEST(stream_keys, by_route_are_those_of_former_builds)
+{
+    EXPECT_EQ(key_by_route(request_id("r"), organisation_id("trust"),
+                           route_id("route"))
+                  .value(),
+              "8a0911030927f3b4");
+}
+
 TEST(stream_origins, relies_on_none_that_is_contradicted)
 {
     stream_origins subject(10);
--- a/tests/measure/stream_origins.cpp
+++ b/tests/measure/stream_origins.cpp
@@ -150,7 +150,7 @@
     {
         const stream_key key =
             key_of(request_id("r" + std::to_string(n)),
-                   organisation_id("organisation"), route_id("route"));
+                   organisation_id("organisation"), {"host", "/path"});
         const daemon_id server = pick();
         const daemon_id asker = pick();
         if (m_way == way::tell_keepers_and_record &&
--- a/tests/system/rerouted_stream_test.cpp
+++ b/tests/system/rerouted_stream_test.cpp
@@ -148,8 +148,12 @@
     {other, "stream", "/stream/", false}};
 /// Behind these the path of the streams has a route of another name.
 const stream_routes added{{}, {one, "long", "/stream/x"}};
+const stream_routes added_to_split{{both}, {one, "long", "/stream/x"}};
 const stream_routes added_and_moved{{}, {other, "long", "/stream/x"}};
 const stream_routes renamed{{one, "renamed"}};
+const stream_routes split_and_renamed{{both, "renamed"}};
+const stream_routes name_taken{{both, "renamed"}, {other, "stream", "/other/"}};
+const stream_routes split_and_public{{both, "stream", "/stream/", true, true}};
 
 INSTANTIATE_TEST_SUITE_P(
     rerouted_streams, rerouted_streams,
@@ -179,17 +183,26 @@
 // of another name than the one under which they began (review/9).
 INSTANTIATE_TEST_SUITE_P(
     renamed_routes, rerouted_streams,
-    testing::Values(reroute_case{"added", added, long_enough, 1, false, 0.9},
-                    reroute_case{"added_and_most_hosts_lost", added,
-                                 long_enough, hosts - 1, false, 0.9},
-                    reroute_case{"added_and_all_hosts_restarted", added,
-                                 long_enough, hosts, true, 0.5},
-                    reroute_case{"added_and_moved", added_and_moved,
-                                 long_enough, 1, false, 0},
-                    reroute_case{"renamed", renamed, long_enough, 1, false,
-                                 0.9},
-                    reroute_case{"renamed_and_most_hosts_lost", renamed,
-                                 long_enough, hosts - 1, false, 0.9}),
+    testing::Values(
+        reroute_case{"added", added, long_enough, 1, false, 0.9},
+        reroute_case{"added_and_most_hosts_lost", added, long_enough, hosts - 1,
+                     false, 0.9},
+        reroute_case{"added_and_all_hosts_restarted", added, long_enough, hosts,
+                     true, 0.5},
+        reroute_case{"added_and_moved", added_and_moved, long_enough, 1, false,
+                     0},
+        reroute_case{"added_to_split", added_to_split, long_enough, 1, false,
+                     0.9},
+        reroute_case{"added_to_split_and_host_lost_at_once", added_to_split,
+                     milliseconds(0), 1, false, 0.9},
+        reroute_case{"renamed", renamed, long_enough, 1, false, 0.9},
+        reroute_case{"renamed_and_most_hosts_lost", renamed, long_enough,
+                     hosts - 1, false, 0.9},
+        reroute_case{"split_and_renamed", split_and_renamed, long_enough, 1,
+                     false, 0.9},
+        reroute_case{"name_taken", name_taken, long_enough, 1, false, 0.9},
+        reroute_case{"split_and_public", split_and_public, long_enough, 1,
+                     false, 0.9}),
     [](const auto& it) { return std::string(it.param.name); });
 
 // Guards against streams that go on at the service to which their route led
