HTTP: End a response whose status is not valid at once

A server in trouble that answered with a status of 000, 001, 099 or an unasked 101 left its caller waiting until the deadline (504), on safe routes too; 600 and 999 were passed on as answers.

Cause: each status below 200 counted as that of an interim response, and none was too high. Change: read_response_head throws invalid_status outside of 100 to 599 and for 101. All that read responses use it. The server counts as alive; the request is repeated elsewhere only if it may run twice.

--- a/libraries/http/response_error.cpp
+++ b/libraries/http/response_error.cpp
@@ -31,6 +31,8 @@
             return "chunk sizes, extensions or trailers are too long";
         case response_error::over_budget:
             return "the memory for responses is used up";
+        case response_error::invalid_status:
+            return "the status of the response is not valid";
         }
         return "unknown error";
     }
--- a/libraries/http/response_error.hpp
+++ b/libraries/http/response_error.hpp
@@ -5,7 +5,8 @@
 namespace cicadahub::http
 {
 
-/// Limits that a response exceeded, see `response_limits`.
+/// Faults of a response: limits that it exceeded, see `response_limits`, or a
+/// status that is none.
 enum class response_error
 {
     head_too_long = 1,
@@ -16,12 +17,15 @@
     framing_too_long,
     /// The memory for all responses of the host is used up.
     over_budget,
+    /// Outside of 100 to 599 (RFC 9110, section 15), or a change of the
+    /// protocol, for which no request asks.
+    invalid_status,
 };
 
 boost::system::error_code make_error_code(response_error it);
 
-/// True for a fault of the bytes that a server sent: a response that exceeds a
-/// limit or is no HTTP. The server is alive then.
+/// True for a fault of the bytes that a server sent: a `response_error`, or a
+/// response that is no HTTP. The server is alive then.
 bool is_bad_response(const boost::system::error_code& it);
 
 } // namespace cicadahub::http
--- a/libraries/http/response_reading.cpp
+++ b/libraries/http/response_reading.cpp
@@ -112,6 +112,20 @@
     }
 }
 
+/// Throws for a status that no response to our requests can have.
+bool is_interim(unsigned code)
+{
+    constexpr unsigned first_status = 100;
+    constexpr unsigned first_final_status = 200;
+    constexpr unsigned end_of_statuses = 600;
+    if (code < first_status || code >= end_of_statuses ||
+        code == static_cast<unsigned>(status::switching_protocols))
+    {
+        throw boost::system::system_error(response_error::invalid_status);
+    }
+    return code < first_final_status;
+}
+
 /// Appends to a body whose memory is shared with other responses.
 void append(std::string& body, std::string_view bytes,
             const response_limits& limits, memory_share& memory)
@@ -143,8 +157,7 @@
         parser->body_limit(server.limits.stream_bytes);
         parser->skip(method == verb::head);
         co_await read_one_head(server, *parser);
-        constexpr unsigned first_final_status = 200;
-        if (parser->get().result_int() >= first_final_status)
+        if (!is_interim(parser->get().result_int()))
         {
             co_return;
         }
--- a/libraries/http/response_reading.hpp
+++ b/libraries/http/response_reading.hpp
@@ -16,7 +16,7 @@
 /// Reads the head of the response to a request with `method` and creates the
 /// parser of that response. Interim responses (1xx) are skipped. Throws
 /// `boost::system::system_error`, with a `response_error` if the head exceeds
-/// its limits.
+/// its limits or its status is not valid.
 net::awaitable<void>
 read_response_head(client_connection& server,
                    std::optional<response_head_parser>& parser, verb method);
--- a/tests/backend/answer_relay_test.cpp
+++ b/tests/backend/answer_relay_test.cpp
@@ -108,6 +108,29 @@
                          [](const auto& it)
                          { return std::string(it.param.name); });
 
+class invalid_relayed_statuses : public testing::TestWithParam<std::string>
+{
+};
+
+// Guards against a response without a valid status that keeps its caller
+// waiting for another one, or reaches it as an answer.
+TEST_P(invalid_relayed_statuses, end_the_attempt_at_once)
+{
+    fakes::relay_run run(fakes::response_of_status(GetParam(), {}),
+                         connection_end::stays_open);
+    relay_limits limits;
+    limits.answer = seconds(3);
+    const time_point began = monotonic_clock::now();
+    const outcome seen = run_relay(run, backend_kind::plain_service, limits);
+    EXPECT_EQ(seen.result.end, relay_end::failed_before_answer);
+    EXPECT_FALSE(seen.result.is_connection_lost);
+    EXPECT_LT(monotonic_clock::now() - began, limits.answer);
+}
+
+INSTANTIATE_TEST_SUITE_P(answer_relay, invalid_relayed_statuses,
+                         testing::ValuesIn(fakes::invalid_statuses()),
+                         [](const auto& it) { return it.param; });
+
 class endless_relayed_answers
     : public testing::TestWithParam<fakes::endless_response>
 {
--- a/tests/entry/requests/exchange_test.cpp
+++ b/tests/entry/requests/exchange_test.cpp
@@ -297,6 +297,26 @@
     EXPECT_EQ(seen.result.answer->body(), "abc");
 }
 
+class invalid_statuses : public testing::TestWithParam<std::string>
+{
+};
+
+// Guards against a response without a valid status that keeps its caller
+// waiting for another one, or reaches it as an answer.
+TEST_P(invalid_statuses, end_the_attempt_at_once)
+{
+    fakes::relay_run run(fakes::response_of_status(GetParam(), {}),
+                         connection_end::stays_open);
+    const outcome seen = run_exchange(run, true, seconds(3));
+    EXPECT_EQ(seen.result.end, exchange_end::failed);
+    EXPECT_FALSE(seen.result.answer);
+    EXPECT_FALSE(seen.result.is_connection_lost);
+}
+
+INSTANTIATE_TEST_SUITE_P(exchange, invalid_statuses,
+                         testing::ValuesIn(fakes::invalid_statuses()),
+                         [](const auto& it) { return it.param; });
+
 class answers_to_head : public testing::TestWithParam<const char*>
 {
 };
--- a/tests/fakes/response_endings.hpp
+++ b/tests/fakes/response_endings.hpp
@@ -113,6 +113,19 @@
     };
 }
 
+/// Statuses that a response can't have, or to none of our requests.
+inline std::vector<std::string> invalid_statuses()
+{
+    return {"000", "001", "099", "101", "600", "999"};
+}
+
+inline std::string response_of_status(const std::string& status,
+                                      const std::string& fields)
+{
+    return "HTTP/1.1 " + status + " Odd\r\n" + fields + length_of(3) +
+           "\r\nabc";
+}
+
 inline std::string bytes_of(const response_ending& it,
                             const std::string& fields)
 {
