HTTP: Expect the request to have arrived before the answer ends

A caller could get a part of an answer as a complete 200: a server answers an upload early, without length or chunks, and ends its direction of the connection in order while most of the upload has not arrived yet. Resets did not do that.

Cause: the write had succeeded, since the rest lay in the buffers of this host, and the end of the connection was the only mark of the end. Change: that mark counts only if the other system has acknowledged the whole request and no reset came behind. JSON, chunks and lengths show their end themselves.

--- a/libraries/http/event_stream_reader.cpp
+++ b/libraries/http/event_stream_reader.cpp
@@ -1,5 +1,6 @@
 #include "http/event_stream_reader.hpp"
 
+#include "http/request_delivery.hpp"
 #include "http/response_error.hpp"
 #include "http/stream_error.hpp"
 
@@ -20,8 +21,11 @@
     const bool is_until_close =
         framing_of(m_parser) == body_framing::until_close;
     // The close of a connection marks the end of a complete body and of one
-    // that broke off. Only a complete event in front of it tells them apart.
-    if (is_until_close && (partial_event_bytes() > 0 || !m_events.has_events()))
+    // that broke off. Only a complete event in front of it tells them apart,
+    // and whether the server had received the request by then.
+    if (is_until_close &&
+        (partial_event_bytes() > 0 || !m_events.has_events() ||
+         !has_delivered_all(m_server)))
     {
         throw boost::system::system_error(beast_http::error::partial_message);
     }
--- a/libraries/http/response_reading.cpp
+++ b/libraries/http/response_reading.cpp
@@ -1,6 +1,7 @@
 #include "http/response_reading.hpp"
 
 #include "http/body_framing.hpp"
+#include "http/request_delivery.hpp"
 #include "http/response_error.hpp"
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -220,10 +221,12 @@
     {
         append(body, co_await reader.read_some(), server.limits, *it.memory);
     }
-    // A close ends a whole body and one that broke off. Other content types
-    // have no end that could be checked.
+    // A close ends a whole body and one that broke off. Only JSON has an end of
+    // its own that could be checked.
     if (framing_of(parser) == body_framing::until_close &&
-        is_json(parser.get()[field::content_type]) && !is_whole_json(body))
+        !(is_json(parser.get()[field::content_type])
+              ? is_whole_json(body)
+              : has_delivered_all(server)))
     {
         throw boost::system::system_error(beast_http::error::partial_message);
     }
--- a/libraries/http/response_reading.hpp
+++ b/libraries/http/response_reading.hpp
@@ -51,9 +51,10 @@
 };
 
 /// Reads the body of a response that is not a stream. Throws
-/// `boost::system::system_error`: `partial_message` also for a JSON body that
-/// only the close of the connection ended and that is not whole, and a
-/// `response_error` if the body exceeds its limits.
+/// `boost::system::system_error`: `partial_message` also for a body that only
+/// the close of the connection ended, if it is JSON that is not whole, or if
+/// the server closed before it had received the request; and a `response_error`
+/// if the body exceeds its limits.
 net::awaitable<full_response> read_full_response(client_connection& server,
                                                  response_head_parser& parser);
 
--- a/tests/backend/answer_relay_test.cpp
+++ b/tests/backend/answer_relay_test.cpp
@@ -1,5 +1,6 @@
 #include "backend/answer_relay.hpp"
 
+#include "early_answers.hpp"
 #include "endless_responses.hpp"
 #include "relay_run.hpp"
 #include "response_endings.hpp"
@@ -20,10 +21,12 @@
 };
 
 outcome run_relay(fakes::relay_run& run, backend_kind kind,
-                  relay_limits limits = {})
+                  relay_limits limits = {}, std::size_t upload_bytes = 0)
 {
     answer_relay subject(run.pool(), limits, kind);
-    const http::request message{http::verb::post, "/", 11};
+    http::request message{http::verb::post, "/", 11};
+    message.body().assign(upload_bytes, 'x');
+    message.prepare_payload();
     outcome seen;
     seen.result = run.run(
         [&](http::endpoint server,
@@ -108,6 +111,29 @@
                          [](const auto& it)
                          { return std::string(it.param.name); });
 
+class early_relayed_answers : public testing::TestWithParam<fakes::early_answer>
+{
+};
+
+// Guards against an answer that a server breaks off before it has received the
+// request, and that reaches its caller as if it were complete.
+TEST_P(early_relayed_answers, look_complete_only_if_they_are)
+{
+    const fakes::early_answer& it = GetParam();
+    fakes::relay_run run(
+        fakes::bytes_of(it.ending, "Content-Type: " + it.content_type + "\r\n"),
+        it.ending.end);
+    const outcome seen =
+        run_relay(run, backend_kind::plain_service, {}, it.upload_bytes);
+    EXPECT_EQ(seen.result.end == relay_end::complete, it.ending.is_complete);
+    EXPECT_EQ(seen.received.is_complete, it.ending.is_complete);
+}
+
+INSTANTIATE_TEST_SUITE_P(answer_relay, early_relayed_answers,
+                         testing::ValuesIn(fakes::early_answers()),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
 class invalid_relayed_statuses : public testing::TestWithParam<std::string>
 {
 };
--- a/tests/entry/requests/exchange_test.cpp
+++ b/tests/entry/requests/exchange_test.cpp
@@ -1,5 +1,6 @@
 #include "entry/requests/exchange.hpp"
 
+#include "early_answers.hpp"
 #include "endless_responses.hpp"
 #include "relay_run.hpp"
 #include "response_endings.hpp"
@@ -50,7 +51,8 @@
 };
 
 outcome run_exchange(fakes::relay_run& run, bool may_send, milliseconds timeout,
-                     http::verb method = http::verb::post)
+                     http::verb method = http::verb::post,
+                     std::size_t upload_bytes = 0)
 {
     outcome seen;
     exchange subject(run.pool(), dialect,
@@ -60,7 +62,8 @@
                       [] {},
                       [] {
                       }});
-    const http::request message{method, "/", 11};
+    http::request message{method, "/", 11};
+    message.body().assign(upload_bytes, 'x');
     const forwarding added;
     const request_id id("r");
     seen.result = run.run(
@@ -297,6 +300,31 @@
     EXPECT_EQ(seen.result.answer->body(), "abc");
 }
 
+class early_answers : public testing::TestWithParam<fakes::early_answer>
+{
+};
+
+// Guards against an answer that a server breaks off before it has received the
+// request, and that reaches its caller as if it were complete.
+TEST_P(early_answers, look_complete_only_if_they_are)
+{
+    const fakes::early_answer& it = GetParam();
+    fakes::relay_run run(
+        fakes::bytes_of(it.ending, "Content-Type: " + it.content_type + "\r\n"),
+        it.ending.end);
+    const outcome seen =
+        run_exchange(run, true, seconds(3), http::verb::post, it.upload_bytes);
+    const bool is_answered = seen.result.end == exchange_end::answered ||
+                             seen.result.end == exchange_end::streamed;
+    EXPECT_EQ(is_answered, it.ending.is_complete);
+    EXPECT_EQ(seen.result.end == exchange_end::failed, !it.ending.is_complete);
+}
+
+INSTANTIATE_TEST_SUITE_P(exchange, early_answers,
+                         testing::ValuesIn(fakes::early_answers()),
+                         [](const auto& it)
+                         { return std::string(it.param.name); });
+
 class invalid_statuses : public testing::TestWithParam<std::string>
 {
 };
--- a/tests/fakes/scripted_server.hpp
+++ b/tests/fakes/scripted_server.hpp
@@ -25,6 +25,8 @@
     stays_open,
     closed,
     reset,
+    /// The server sends no more, and reads no more either.
+    sending_ended,
 };
 
 /// Responses to the requests of each connection, in their order.
@@ -54,6 +56,12 @@
           m_scripts(std::move(scripts)), m_end(end),
           m_endless(std::move(endless))
     {
+        if (m_end == connection_end::sending_ended)
+        {
+            // What the server does not read soon fills the buffer.
+            m_acceptor.set_option(net::socket_base::receive_buffer_size(
+                small_receive_buffer_bytes));
+        }
         net::co_spawn(context, accept_loop(), net::detached);
     }
 
@@ -63,6 +71,7 @@
     std::size_t sent_bytes() const { return m_sent_bytes; }
 
 private:
+    static constexpr int small_receive_buffer_bytes = 4096;
     static constexpr auto no_throw = net::as_tuple(net::use_awaitable);
 
     net::awaitable<void> accept_loop()
@@ -110,6 +119,12 @@
                 // A close with a linger time of zero sends a reset.
                 socket.set_option(net::socket_base::linger(true, 0));
             }
+            if (m_end == connection_end::sending_ended)
+            {
+                socket.shutdown(net::ip::tcp::socket::shutdown_send);
+                m_unread.push_back(std::move(socket));
+                co_return;
+            }
             if (m_end != connection_end::stays_open)
             {
                 // The destructor would ignore the linger time.
@@ -123,6 +138,7 @@
     connection_scripts m_scripts;
     connection_end m_end;
     std::string m_endless;
+    std::vector<net::ip::tcp::socket> m_unread;
     std::size_t m_sent_bytes = 0;
 };
 
