--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -34,7 +34,7 @@
             {"resumable", kind == "stream"}};
 }
 
-boost::json::object to_json(const platform_fleet::stream_route& it)
+boost::json::object to_json(const stream_route& it)
 {
     boost::json::object json =
         route(it.name, it.prefix, "stream", it.services.begin()->first);
--- a/tests/system/platform_fleet.hpp
+++ b/tests/system/platform_fleet.hpp
@@ -8,6 +8,18 @@
 namespace cicadahub::system_tests
 {
 
+/// Services to which a route leads, with their weights.
+using shares = std::map<std::string, int>;
+
+struct stream_route
+{
+    shares services{{"engines", 1}};
+    std::string name = "stream";
+    std::string prefix = "/stream/";
+    bool is_resumable = true;
+    bool is_public = false;
+};
+
 /// Runs entry daemons against a simulated platform of the users: a metadata
 /// store, engines with 250 MB of memory for models of 100 MB each, a plain
 /// service, and a configuration with one organisation.
@@ -58,18 +70,6 @@
     void restart_worker(std::size_t engine,
                         const std::vector<std::string>& more);
 
-    /// Services to which a route leads, with their weights.
-    using shares = std::map<std::string, int>;
-
-    struct stream_route
-    {
-        shares services{{"engines", 1}};
-        std::string name = "stream";
-        std::string prefix = "/stream/";
-        bool is_resumable = true;
-        bool is_public = false;
-    };
-
     /// Writes a configuration with this version. `keys` are the API keys of the
     /// organisation; each prefix adds a route to the plain service.
     void write_configuration(int version, const std::vector<std::string>& keys,
--- a/tests/system/rerouted_stream_test.cpp
+++ b/tests/system/rerouted_stream_test.cpp
@@ -39,7 +39,7 @@
 {
     const char* name;
     /// Routes of streams by the new configuration.
-    std::vector<platform_fleet::stream_route> after;
+    std::vector<stream_route> after;
     /// From the new configuration to the loss of hosts.
     milliseconds delay;
     /// The first hosts are lost; the first one serves the streams.
@@ -136,10 +136,10 @@
               it.least_share * static_cast<double>(taken_up));
 }
 
-using stream_routes = std::vector<platform_fleet::stream_route>;
-const platform_fleet::shares one{{"engines", 1}};
-const platform_fleet::shares both{{"engines", 90}, {"more-engines", 10}};
-const platform_fleet::shares other{{"more-engines", 1}};
+using stream_routes = std::vector<stream_route>;
+const shares one{{"engines", 1}};
+const shares both{{"engines", 90}, {"more-engines", 10}};
+const shares other{{"more-engines", 1}};
 const stream_routes split{{both}};
 const stream_routes moved{{other}};
 const stream_routes split_and_not_resumable{
