Routes: Ask for a key if the list of organisations is empty

Cause: authenticate let everybody pass if the configuration had no organisation, and an empty list was not told from an absent one. Change: requires_key is true unless the list is absent.

--- a/libraries/entry/requests/request_admission.cpp
+++ b/libraries/entry/requests/request_admission.cpp
@@ -29,7 +29,7 @@
 
 void active_request::authenticate()
 {
-    if (m_configuration->organisations.empty() || m_route->is_public)
+    if (!m_configuration->requires_key || m_route->is_public)
     {
         return;
     }
--- a/libraries/serving/configuration.hpp
+++ b/libraries/serving/configuration.hpp
@@ -122,6 +122,9 @@
     std::map<service_id, service> services;
     std::map<organisation_id, organisation> organisations;
     std::unordered_map<key_hash, organisation_id> keys;
+    /// False only if the configuration says nothing of organisations. One that
+    /// names none lets nobody in, except on public routes.
+    bool requires_key = true;
     caller_limits limits;
 
     /// Returns the route of `host` with the longest path prefix that matches;
