Routes: Refuse the requests of a route that leads nowhere

A configuration with a route whose split is empty ended each host at its first request for that route; one whose weights are all 0 sent it to the first service.

Cause: where no service can be drawn, choose_service took the first one. Change: such a request is refused at once as not run; other routes hold.

splits_to_nowhere: 2 of 2 failed on (the host had ended), 2 of 2 pass.

--- a/libraries/entry/requests/request_admission.cpp
+++ b/libraries/entry/requests/request_admission.cpp
@@ -197,7 +197,11 @@
     {
         refuse_to_resume("its route no longer leads to its service");
     }
-    const auto& share = shares[drawn.value_or(0)];
+    if (!drawn)
+    {
+        refuse(refusal_kind::no_capacity, {});
+    }
+    const auto& share = shares[*drawn];
     m_service = m_configuration->find_service(share.service);
     if (m_service == nullptr)
     {
--- a/libraries/serving/configuration.hpp
+++ b/libraries/serving/configuration.hpp
@@ -47,6 +47,7 @@
     milliseconds first_byte_timeout{0};
     /// 0 is the most urgent.
     std::int64_t priority = 0;
+    /// Empty, or without weight, for a route that leads nowhere.
     std::vector<service_share> services;
     std::uint32_t max_attempts = 1;
     bool is_public = false;
--- a/tests/system/empty_member_test.cpp
+++ b/tests/system/empty_member_test.cpp
@@ -48,5 +48,53 @@
                 !fleet.count_runs().contains("r-never-held"));
 }
 
+struct split_case
+{
+    const char* name;
+    boost::json::array split;
+};
+
+void PrintTo(const split_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class splits_to_nowhere : public testing::TestWithParam<split_case>
+{
+};
+
+// Guards against a host that ends, or sends a request somewhere, because its
+// route leads to no service.
+TEST_P(splits_to_nowhere, refuse_their_requests_only)
+{
+    platform_fleet fleet(1);
+    change_configuration(fleet,
+                         [](boost::json::object& spec)
+                         {
+                             for (auto& it : spec.at("routes").as_array())
+                             {
+                                 boost::json::object& route = it.as_object();
+                                 if (route.at("name") == "read")
+                                 {
+                                     route.erase("service");
+                                     route["split"] = GetParam().split;
+                                 }
+                             }
+                         });
+    EXPECT_TRUE(eventually(
+        [&] {
+            return fleet.plain(0, "r", http::verb::get, "/read/1").status ==
+                   503;
+        }));
+    EXPECT_EQ(fleet.plain(0, "p", http::verb::post, "/post/1").status, 200U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    empty_members, splits_to_nowhere,
+    testing::Values(split_case{"empty", {}},
+                    split_case{"without_weight",
+                               {{{"service", "ledger"}, {"weight", 0}}}}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 } // namespace
 } // namespace cicadahub::system_tests
