Requests: Let no other answer follow the bytes of one

Cause: a request of a repeatable route was repeated also after bytes of an answer had been forwarded; what can go on was asked for streams only. Change: behind the head of an answer only a stream goes on whose route can be resumed, behind the id of its last event. Other answers end broken off.

--- a/libraries/entry/requests/active_request.cpp
+++ b/libraries/entry/requests/active_request.cpp
@@ -238,11 +238,15 @@
 
 bool active_request::is_repeatable() const
 {
-    // Behind events without an id a stream could only begin anew.
-    const bool can_go_on =
-        !m_progress.first_event_at || m_progress.last_event.has_value();
-    return m_route->kind == serving::request_kind::repeatable ||
-           (is_stream() && m_route->is_resumable && can_go_on);
+    if (is_stream() && m_route->is_resumable)
+    {
+        // Behind events without an id a stream could only begin anew.
+        return !m_progress.first_event_at || m_progress.last_event.has_value();
+    }
+    // Behind the bytes of one answer another one would begin anew, also on a
+    // route whose requests may run more than once.
+    return m_route->kind == serving::request_kind::repeatable &&
+           !m_progress.has_head;
 }
 
 bool active_request::is_retryable(const exchange_result& result) const
--- a/tests/system/empty_member_test.cpp
+++ b/tests/system/empty_member_test.cpp
@@ -7,32 +7,13 @@
 namespace
 {
 
-const std::string configuration_path = "/v1/objects/config/main";
-
-/// Writes the next version of the configuration with changes to its members.
-template<class Change>
-void change_configuration(const platform_fleet& fleet, Change change)
-{
-    const answer now = call(fleet.store, http::verb::get, configuration_path);
-    boost::json::value next = boost::json::parse(now.body);
-    boost::json::object& spec = next.as_object().at("spec").as_object();
-    spec["version"] = spec.at("version").as_int64() + 1;
-    change(spec);
-    const boost::json::object body{{"metadata", {{"name", "main"}}},
-                                   {"spec", std::move(spec)}};
-    EXPECT_EQ(call(fleet.store, http::verb::put, configuration_path,
-                   boost::json::serialize(body))
-                  .status,
-              200U);
-}
-
 // Guards against requests that run without a valid key once the last
 // organisation has been taken away (review/8).
 TEST(empty_members, no_organisation_lets_nobody_in)
 {
     platform_fleet fleet(2);
-    change_configuration(fleet, [](boost::json::object& spec)
-                         { spec["tenants"] = boost::json::array(); });
+    fleet.change_configuration([](boost::json::object& spec)
+                               { spec["tenants"] = boost::json::array(); });
     for (const std::size_t n : {0U, 1U})
     {
         const auto status = [&](const std::string& key)
@@ -68,19 +49,19 @@
 TEST_P(splits_to_nowhere, refuse_their_requests_only)
 {
     platform_fleet fleet(1);
-    change_configuration(fleet,
-                         [](boost::json::object& spec)
-                         {
-                             for (auto& it : spec.at("routes").as_array())
-                             {
-                                 boost::json::object& route = it.as_object();
-                                 if (route.at("name") == "read")
-                                 {
-                                     route.erase("service");
-                                     route["split"] = GetParam().split;
-                                 }
-                             }
-                         });
+    fleet.change_configuration(
+        [](boost::json::object& spec)
+        {
+            for (auto& it : spec.at("routes").as_array())
+            {
+                boost::json::object& route = it.as_object();
+                if (route.at("name") == "read")
+                {
+                    route.erase("service");
+                    route["split"] = GetParam().split;
+                }
+            }
+        });
     EXPECT_TRUE(eventually(
         [&] {
             return fleet.plain(0, "r", http::verb::get, "/read/1").status ==
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -291,6 +291,22 @@
     }
 }
 
+void platform_fleet::change_configuration(
+    const std::function<void(boost::json::object& spec)>& change) const
+{
+    const std::string path = "/v1/objects/config/main";
+    boost::json::value next =
+        boost::json::parse(call(store, http::verb::get, path).body);
+    boost::json::object& spec = next.as_object().at("spec").as_object();
+    spec["version"] = spec.at("version").as_int64() + 1;
+    change(spec);
+    const boost::json::object body{{"metadata", {{"name", "main"}}},
+                                   {"spec", std::move(spec)}};
+    EXPECT_EQ(
+        call(store, http::verb::put, path, boost::json::serialize(body)).status,
+        200U);
+}
+
 answer platform_fleet::stream(std::size_t n, const std::string& id,
                               const std::string& model, const std::string& key,
                               const std::string& path) const
--- a/tests/system/platform_fleet.hpp
+++ b/tests/system/platform_fleet.hpp
@@ -3,6 +3,9 @@
 #include "fleet.hpp"
 #include "host_links.hpp"
 
+#include <boost/json.hpp>
+
+#include <functional>
 #include <map>
 
 namespace cicadahub::system_tests
@@ -76,6 +79,11 @@
                              const std::vector<std::string>& prefixes = {},
                              const std::vector<stream_route>& streams = {{}});
 
+    /// Writes the next version of the configuration with changes to its
+    /// members.
+    void change_configuration(
+        const std::function<void(boost::json::object& spec)>& change) const;
+
     answer stream(std::size_t n, const std::string& id,
                   const std::string& model,
                   const std::string& key = "key-of-trust",
