HTTP: Close idle connections that the other side has closed

Cause: the pool looked at an idle connection only when it was to be used again, and a server that has left is not asked again. Change: once a second, when a connection is returned, the pool closes all idle ones that the other side has closed or may close by its Keep-Alive.

--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -14,6 +14,9 @@
 namespace
 {
 
+/// Idle connections are looked at this often while others are returned.
+constexpr milliseconds idle_check_period{1'000};
+
 /// Timers run some milliseconds late on any host.
 constexpr milliseconds tolerated_lateness{100};
 
@@ -108,6 +111,7 @@
 
 void client_pool::keep(const endpoint& address, connection_pointer it)
 {
+    close_ended(monotonic_clock::now());
     it->stream.expires_never();
     it->deadline = time_point::max();
     auto& idle = m_idle[address];
@@ -117,6 +121,32 @@
     }
 }
 
+std::size_t client_pool::idle_count() const
+{
+    std::size_t n = 0;
+    for (const auto& [address, idle] : m_idle)
+    {
+        n += idle.size();
+    }
+    return n;
+}
+
+void client_pool::close_ended(time_point now)
+{
+    if (now < m_checked_at + idle_check_period)
+    {
+        return;
+    }
+    m_checked_at = now;
+    for (auto& [address, idle] : m_idle)
+    {
+        std::erase_if(
+            idle, [&](const connection_pointer& it)
+            { return now >= it->reusable_until || !is_open_and_idle(*it); });
+    }
+    std::erase_if(m_idle, [](const auto& it) { return it.second.empty(); });
+}
+
 void client_pool::drop_idle(const endpoint& address)
 {
     m_idle.erase(address);
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -91,16 +91,23 @@
     /// them the others are likely dead too.
     void drop_idle(const endpoint& address);
 
+    std::size_t idle_count() const;
+
     const net::any_io_executor& executor() const { return m_executor; }
     milliseconds connect_timeout() const { return m_connect_timeout; }
 
 private:
+    /// Closes idle connections that the other side has closed or may close, as
+    /// servers do that have left and are not asked again.
+    void close_ended(time_point now);
+
     net::any_io_executor m_executor;
     milliseconds m_connect_timeout;
     std::size_t m_idle_limit;
     response_limits m_limits;
     std::shared_ptr<memory_budget> m_budget;
     std::map<endpoint, std::vector<connection_pointer>> m_idle;
+    time_point m_checked_at{};
 };
 
 /// Thrown by `fetch` instead of a timeout that this process noticed late: it
--- a/tests/http/client_pool_test.cpp
+++ b/tests/http/client_pool_test.cpp
@@ -122,5 +122,53 @@
                     idle_case{"after_a_failure", nothing, drop, false}),
     [](const auto& it) { return std::string(it.param.name); });
 
+// Guards against a host that runs out of descriptors since it keeps its
+// connections to servers that have left (review/10).
+TEST(client_pool, closes_connections_to_servers_that_are_not_asked_again)
+{
+    constexpr std::size_t left = 3;
+    constexpr milliseconds longer_than_the_check{1'100};
+    net::io_context context;
+    std::size_t while_open = 0;
+    std::size_t after_close = 0;
+    const auto run = [&]() -> net::awaitable<void>
+    {
+        client_pool pool(context, milliseconds(500), 4);
+        std::vector<net::ip::tcp::acceptor> acceptors;
+        std::vector<socket> servers;
+        std::vector<client_pool::connection_pointer> used;
+        for (std::size_t n = 0; n <= left; ++n)
+        {
+            acceptors.emplace_back(
+                context, endpoint{net::ip::address_v4::loopback(), 0});
+            used.push_back(
+                co_await pool.acquire(acceptors.back().local_endpoint()));
+            servers.push_back(
+                co_await acceptors.back().async_accept(net::use_awaitable));
+        }
+        for (std::size_t n = 0; n < left; ++n)
+        {
+            pool.release(acceptors[n].local_endpoint(), std::move(used[n]));
+        }
+        net::steady_timer timer(context, longer_than_the_check);
+        co_await timer.async_wait(net::use_awaitable);
+        const endpoint last = acceptors[left].local_endpoint();
+        pool.release(last, std::move(used[left]));
+        while_open = pool.idle_count();
+        for (std::size_t n = 0; n < left; ++n)
+        {
+            servers[n].close();
+        }
+        timer.expires_after(longer_than_the_check);
+        co_await timer.async_wait(net::use_awaitable);
+        pool.release(last, co_await pool.acquire(last));
+        after_close = pool.idle_count();
+    };
+    net::co_spawn(context, run(), net::detached);
+    context.run_for(seconds(10));
+    EXPECT_EQ(while_open, left + 1);
+    EXPECT_EQ(after_close, 1U);
+}
+
 } // namespace
 } // namespace cicadahub::http
