Store: Percent-encode names in the targets of requests

Seen by callers: after a start of all hosts almost no request is served for as long as one entry of another writer stands among the servers, if its name ends a page of the list.

Cause: names went into the cursor of the next page, and into the paths of objects, as they are. `&`, `+`, `#`, `%`, a blank, a quote, control characters and letters beyond ASCII make the store refuse the request, end the name early, so that the same page comes again, or lead to another place, so that entries are passed over. Both dialects did so in each call with a name.

The store's stand-in handed the cursor back undecoded and hid the fault; both stand-ins decode targets now and refuse malformed ones.

Fix: `percent_encode` (Boost.URL) for each name in a target.

--- a/libraries/platform/kubernetes_dialect.cpp
+++ b/libraries/platform/kubernetes_dialect.cpp
@@ -4,6 +4,7 @@
 #include "core/json_parts.hpp"
 #include "core/json_reader.hpp"
 #include "http/client.hpp"
+#include "http/request_target.hpp"
 #include "platform/object_reading.hpp"
 
 #include <algorithm>
@@ -24,7 +25,7 @@
     std::string path = std::string(api_prefix) + std::string(name_of(where));
     if (!name.empty())
     {
-        path += "/" + std::string(name);
+        path += "/" + http::percent_encode(name);
     }
     return path;
 }
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -1,5 +1,7 @@
 #include "platform_fleet.hpp"
 
+#include "http/request_target.hpp"
+
 #include <gtest/gtest.h>
 
 #include <fstream>
@@ -214,7 +216,8 @@
     EXPECT_TRUE(eventually(
         [&]
         {
-            return call(store, http::verb::get, "/v1/objects/servers/" + id)
+            return call(store, http::verb::get,
+                        "/v1/objects/servers/" + http::percent_encode(id))
                        .status == 200;
         }));
     group.push_back(std::move(it));
--- a/utilities/cicada-standin/object_store_standin.cpp
+++ b/utilities/cicada-standin/object_store_standin.cpp
@@ -1,5 +1,6 @@
 #include "object_store_standin.hpp"
 
+#include "core/errors.hpp"
 #include "core/json_reader.hpp"
 
 #include <boost/algorithm/string/replace.hpp>
@@ -13,17 +14,24 @@
 {
 
 constexpr std::string_view objects_prefix = "/v1/objects/";
+/// Segments of a path before the kind of objects, and before their name.
+constexpr std::size_t kind_segment = 2;
+constexpr std::size_t name_segment = 3;
 constexpr milliseconds outage_poll{20};
-/// Smaller than the page of the real store, so that tests cover lists of
-/// several pages.
-constexpr std::size_t page_items = 20;
 /// Internal marker: the connection is closed without a response.
 constexpr auto dropped_status = static_cast<http::status>(599);
 
-std::uint64_t parse_number(std::string_view text)
+/// 0 if the parameter is absent or no number.
+std::uint64_t number_in(const http::request_target& target,
+                        std::string_view name)
 {
     std::uint64_t n = 0;
-    std::from_chars(text.data(), text.data() + text.size(), n);
+    const auto it = target.parameters.find(name);
+    if (it != target.parameters.end())
+    {
+        const std::string& text = it->second;
+        std::from_chars(text.data(), text.data() + text.size(), n);
+    }
     return n;
 }
 
@@ -74,8 +82,7 @@
             net::steady_timer timer(m_context, outage_poll);
             co_await timer.async_wait(net::use_awaitable);
         }
-        answer = co_await answer_objects(message,
-                                         path.substr(objects_prefix.size()));
+        answer = co_await answer_objects(message);
     }
     insert_raw_specs(answer.body());
     answer.prepare_payload();
@@ -94,6 +101,8 @@
     const json_reader reader(json);
     m_has_outage = reader.boolean_or("outage", m_has_outage);
     m_lost_answers = reader.integer_or("lose_answers", m_lost_answers);
+    m_page_items = static_cast<std::size_t>(reader.integer_or(
+        "page_items", static_cast<std::int64_t>(m_page_items)));
     if (json.contains("refused"))
     {
         m_refused_clients.clear();
@@ -182,8 +191,7 @@
 }
 
 net::awaitable<http::response>
-object_store_standin::answer_objects(const http::request& message,
-                                     std::string_view path)
+object_store_standin::answer_objects(const http::request& message)
 {
     // Clients are identified by `User-Agent`, since in tests all of them have
     // the same address.
@@ -191,21 +199,32 @@
     {
         co_return json_answer(http::status::service_unavailable, {});
     }
-    const std::size_t slash = std::min(path.find('/'), path.size());
-    kind& it = m_kinds[std::string(path.substr(0, slash))];
+    http::request_target target;
+    try
+    {
+        target = http::parse_target(message.target());
+    }
+    catch (const malformed_document& reason)
+    {
+        co_return json_answer(http::status::bad_request,
+                              {{"reason", reason.what()}});
+    }
+    const auto& segments = target.segments;
+    kind& it = m_kinds[segments.at(kind_segment)];
     ++it.calls;
     if (!it.changed)
     {
         it.changed = std::make_shared<net::steady_timer>(m_context);
     }
-    const std::string name(path.substr(std::min(slash + 1, path.size())));
-    if (message.method() == http::verb::get && name.empty())
+    const bool has_name = segments.size() > name_segment;
+    const std::string name = has_name ? segments[name_segment] : "";
+    if (message.method() == http::verb::get && !has_name)
     {
-        if (!http::query_value(message.target(), "watch").empty())
+        if (target.parameters.contains("watch"))
         {
-            co_return co_await watch(it, message.target());
+            co_return co_await watch(it, target);
         }
-        co_return list(it, message.target());
+        co_return list(it, target);
     }
     if (message.method() == http::verb::get)
     {
@@ -238,13 +257,16 @@
     co_return answer;
 }
 
-http::response object_store_standin::list(const kind& from,
-                                          std::string_view target) const
+http::response
+object_store_standin::list(const kind& from,
+                           const http::request_target& target) const
 {
-    const std::string after(http::query_value(target, "after"));
+    const auto after = target.parameters.find("after");
     boost::json::array items;
-    auto it = from.objects.upper_bound(after);
-    for (; it != from.objects.end() && items.size() < page_items; ++it)
+    auto it = after == target.parameters.end()
+                  ? from.objects.begin()
+                  : from.objects.upper_bound(after->second);
+    for (; it != from.objects.end() && items.size() < m_page_items; ++it)
     {
         items.push_back(it->second);
     }
@@ -254,12 +276,11 @@
 }
 
 net::awaitable<http::response>
-object_store_standin::watch(kind& from, std::string_view target)
+object_store_standin::watch(kind& from, const http::request_target& target)
 {
-    const std::uint64_t since =
-        parse_number(http::query_value(target, "watch"));
-    const milliseconds wait(static_cast<std::int64_t>(
-        parse_number(http::query_value(target, "waitMs"))));
+    const std::uint64_t since = number_in(target, "watch");
+    const milliseconds wait(
+        static_cast<std::int64_t>(number_in(target, "waitMs")));
     const time_point end = monotonic_clock::now() + wait;
     const std::uint64_t losses = m_lost_watches;
     const auto has_changes = [&]
--- a/utilities/cicada-standin/object_store_standin.hpp
+++ b/utilities/cicada-standin/object_store_standin.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/units.hpp"
+#include "http/request_target.hpp"
 #include "http/server.hpp"
 
 #include <boost/json/object.hpp>
@@ -15,15 +16,17 @@
 
 namespace net = boost::asio;
 
-/// Simulates the metadata store of the users' platform. `PUT /faults` sets
-/// `outage` (calls hang until it is reset), `lose_answers` (number of writes
-/// that take effect without a response), `refused` (`User-Agent` values whose
-/// calls get 503), `forget` (drops the change history, so that older watches
-/// get 410), `lose_watches` (pending watches are never answered), `keep_copy`
-/// (keeps a copy of all objects), `restore` (goes back to that copy in a new
-/// era, in which revisions are given out again) and `raw_servers` (entries of
-/// servers by name, whose specs are sent as this text, whatever it is).
-/// `GET /stats` returns the numbers of calls and of writes.
+/// Simulates the metadata store of the users' platform. It decodes the targets
+/// of requests and answers malformed ones with 400. `PUT /faults` sets `outage`
+/// (calls hang until it is reset), `lose_answers` (number of writes that take
+/// effect without a response), `page_items` (objects on a page of a list),
+/// `refused` (`User-Agent` values whose calls get 503), `forget` (drops the
+/// change history, so that older watches get 410), `lose_watches` (pending
+/// watches are never answered), `keep_copy` (keeps a copy of all objects),
+/// `restore` (goes back to that copy in a new era, in which revisions are given
+/// out again) and `raw_servers` (entries of servers by name, whose specs are
+/// sent as this text, whatever it is). `GET /stats` returns the numbers of
+/// calls and of writes.
 class object_store_standin
 {
 public:
@@ -61,10 +64,11 @@
     void restore();
     http::response answer_faults(const http::request& message);
     http::response answer_stats() const;
-    net::awaitable<http::response> answer_objects(const http::request& message,
-                                                  std::string_view path);
-    http::response list(const kind& from, std::string_view target) const;
-    net::awaitable<http::response> watch(kind& from, std::string_view target);
+    net::awaitable<http::response> answer_objects(const http::request& message);
+    http::response list(const kind& from,
+                        const http::request_target& target) const;
+    net::awaitable<http::response> watch(kind& from,
+                                         const http::request_target& target);
     http::response create(kind& to, const http::request& message);
     http::response replace(kind& to, const std::string& name,
                            const http::request& message);
@@ -81,6 +85,9 @@
     std::uint64_t m_lost_watches = 0;
     bool m_has_outage = false;
     std::int64_t m_lost_answers = 0;
+    /// Smaller than the page of the real store, so that tests cover lists of
+    /// several pages.
+    std::size_t m_page_items = 20;
     std::set<std::string> m_refused_clients;
     std::map<std::string, std::string> m_raw_specs;
     std::int64_t m_calls = 0;
--- a/utilities/cicada-standin/platform_standin.cpp
+++ b/utilities/cicada-standin/platform_standin.cpp
@@ -1,6 +1,8 @@
 #include "platform_standin.hpp"
 
+#include "core/errors.hpp"
 #include "core/json_reader.hpp"
+#include "http/request_target.hpp"
 
 #include <charconv>
 
@@ -119,8 +121,17 @@
 {
     const std::size_t slash = rest.find('/');
     const std::string collection_name(rest.substr(0, slash));
-    const std::string name(
-        slash == std::string_view::npos ? "" : rest.substr(slash + 1));
+    std::string name;
+    try
+    {
+        // The path of an object has a segment for each part of it.
+        const auto target = http::parse_target(message.target());
+        name = slash == std::string_view::npos ? "" : target.segments.back();
+    }
+    catch (const malformed_document&)
+    {
+        co_return status_response(http::status::bad_request, "BadRequest");
+    }
     collection& it = m_collections[collection_name];
     if (message.method() == http::verb::get && name.empty())
     {
--- a/utilities/cicada-standin/worker_standin.cpp
+++ b/utilities/cicada-standin/worker_standin.cpp
@@ -2,6 +2,7 @@
 
 #include "core/json_reader.hpp"
 #include "core/refusal.hpp"
+#include "http/request_target.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -136,8 +137,9 @@
         const std::string body = boost::json::serialize(object);
         try
         {
-            auto put = http::make_request(http::verb::put,
-                                          kind + "/" + m_settings.id, body);
+            auto put = http::make_request(
+                http::verb::put,
+                kind + "/" + http::percent_encode(m_settings.id), body);
             const http::response answer = co_await http::fetch(
                 m_pool, m_settings.store, std::move(put), store_timeout);
             if (answer.result() == http::status::not_found)
