Store: Log why a collection was never reached

A host whose lists fail from its start on was not ready and said nothing: 300 was logged only for a collection that had been reachable before, and as text beside the structured log. `collection_follower.logs_once_why_a_store_never_answered` failed on.

300 is logged at the first failure and whenever the reason changes. The events of followers go to the structured log; in cicadad, which has none, structured events now go to its text log instead of nowhere.

--- a/libraries/core/structured_log.cpp
+++ b/libraries/core/structured_log.cpp
@@ -44,6 +44,31 @@
     return spdlog::level::err;
 }
 
+google::LogSeverity text_level_of(severity it)
+{
+    switch (it)
+    {
+    case severity::info:
+        return google::GLOG_INFO;
+    case severity::warning:
+        return google::GLOG_WARNING;
+    case severity::error:
+        break;
+    }
+    return google::GLOG_ERROR;
+}
+
+void log_as_text(severity level, event_number event,
+                 const boost::json::object& fields)
+{
+    if (google::IsGoogleLoggingInitialized())
+    {
+        LOG_AT_LEVEL(text_level_of(level))
+            << "E" << static_cast<int>(event) << " " << name_of(event) << " "
+            << boost::json::serialize(fields);
+    }
+}
+
 } // namespace
 
 void open_structured_log(const std::string& daemon)
@@ -75,6 +100,7 @@
     log_state& it = current();
     if (!it.logger)
     {
+        log_as_text(level, event, fields);
         return;
     }
     boost::json::object line;
--- a/libraries/core/structured_log.hpp
+++ b/libraries/core/structured_log.hpp
@@ -24,7 +24,8 @@
 /// Closes the log after the queued lines are written.
 void close_structured_log();
 
-/// Logs one event; does nothing if the log is not open.
+/// Logs one event. While the log is not open it goes to the text log, if the
+/// program has initialised that.
 void log_event(severity level, event_number event, boost::json::object fields);
 
 /// Number of lines dropped because the queue was full; 0 if the log is closed.
--- a/libraries/daemon/collection_follower.cpp
+++ b/libraries/daemon/collection_follower.cpp
@@ -1,6 +1,6 @@
 #include "daemon/collection_follower.hpp"
 
-#include "core/event_log.hpp"
+#include "core/structured_log.hpp"
 #include "daemon/pause.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -116,8 +116,8 @@
     }
     catch (const platform::watch_expired&)
     {
-        CICADAHUB_EVENT(INFO, watch_restarted)
-            << "collection=" << platform::name_of(m_collection);
+        log_event(severity::info, event_number::watch_restarted,
+                  {{"collection", platform::name_of(m_collection)}});
         m_needs_list = true;
         co_return outcome::answered;
     }
@@ -125,16 +125,16 @@
     {
         const auto took = std::chrono::duration_cast<milliseconds>(
             monotonic_clock::now() - began);
-        CICADAHUB_EVENT(INFO, platform_call_delayed)
-            << "collection=" << platform::name_of(m_collection)
-            << " took_ms=" << took.count();
+        log_event(severity::info, event_number::platform_call_delayed,
+                  {{"collection", platform::name_of(m_collection)},
+                   {"took_ms", took.count()}});
         co_return outcome::delayed;
     }
     catch (const malformed_document& reason)
     {
-        CICADAHUB_EVENT(WARNING, malformed_object)
-            << "collection=" << platform::name_of(m_collection)
-            << " reason=" << reason.what();
+        log_event(severity::warning, event_number::malformed_object,
+                  {{"collection", platform::name_of(m_collection)},
+                   {"reason", reason.what()}});
         // The same watch would get the same answer for as long as the store
         // keeps its history.
         m_needs_list = true;
@@ -179,25 +179,29 @@
 
 void collection_follower::mark_reachable()
 {
+    m_logged_reason.clear();
     if (!m_is_platform_reachable)
     {
         m_is_platform_reachable = true;
-        CICADAHUB_EVENT(INFO, platform_reachable)
-            << "collection=" << platform::name_of(m_collection);
+        log_event(severity::info, event_number::platform_reachable,
+                  {{"collection", platform::name_of(m_collection)}});
     }
 }
 
 void collection_follower::mark_unreachable(const char* reason, time_point began)
 {
-    if (m_is_platform_reachable)
+    m_is_platform_reachable = false;
+    if (m_logged_reason == reason)
     {
-        m_is_platform_reachable = false;
-        const auto took = std::chrono::duration_cast<milliseconds>(
-            monotonic_clock::now() - began);
-        CICADAHUB_EVENT(WARNING, platform_unreachable)
-            << "collection=" << platform::name_of(m_collection)
-            << " took_ms=" << took.count() << " reason=" << reason;
+        return;
     }
+    m_logged_reason = reason;
+    const auto took = std::chrono::duration_cast<milliseconds>(
+        monotonic_clock::now() - began);
+    log_event(severity::warning, event_number::platform_unreachable,
+              {{"collection", platform::name_of(m_collection)},
+               {"took_ms", took.count()},
+               {"reason", reason}});
 }
 
 } // namespace cicadahub::daemon
--- a/libraries/daemon/collection_follower.hpp
+++ b/libraries/daemon/collection_follower.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <string>
 
 namespace cicadahub::daemon
 {
@@ -83,6 +84,8 @@
     object_version m_version;
     bool m_needs_list = true;
     bool m_is_platform_reachable = false;
+    /// Reason that was logged last for a failure, until the next success.
+    std::string m_logged_reason;
     bool m_is_refreshing = false;
     time_point m_refreshed_at{};
 };
--- a/tests/platform/incomplete_list_test.cpp
+++ b/tests/platform/incomplete_list_test.cpp
@@ -1,3 +1,5 @@
+#include "core/json_reader.hpp"
+#include "core/structured_log.hpp"
 #include "daemon/collection_follower.hpp"
 #include "http/request_target.hpp"
 #include "http/server.hpp"
@@ -183,5 +185,22 @@
                                  static_cast<unsigned>(it.param));
                          });
 
+// Guards against a host that never becomes ready and does not say why.
+TEST(collection_follower, logs_once_why_a_store_never_answered)
+{
+    testing::internal::CaptureStdout();
+    open_structured_log("host");
+    const followed got({"", http::status::bad_request, ok, "{}", "{}"});
+    close_structured_log();
+    const std::string text = testing::internal::GetCapturedStdout();
+    EXPECT_FALSE(got.is_reachable);
+    EXPECT_GT(got.store.first_pages, 1);
+    const boost::json::object json = parse_json_object(text);
+    const json_reader line(json);
+    EXPECT_EQ(line.text("name"), "platform_unreachable");
+    EXPECT_EQ(line.text("collection"), "servers");
+    EXPECT_NE(line.text("reason").find("400"), std::string::npos);
+}
+
 } // namespace
 } // namespace cicadahub::platform
