Store: Use the pages of a list that cannot be finished

A list that the store did not lead beyond some page gave nothing: a host that started was not ready although peers and the pages read before held. A page that came again was asked for 256 times a list and host.

A cursor that comes again ends the list at once, and so do a later page that is malformed and one that the store refuses for good. `incomplete_list` carries what was read. Followers deliver it, follow changes from there and list again after 0.2 to 10 s; nothing that is missing counts as deleted, peers get no such copy as complete, and the host takes a complete one from them. Members and records of streams that were read are used too; records are not written then.

--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -32,6 +32,7 @@
     CICADAHUB_ROW(watch_restarted),
     CICADAHUB_ROW(store_restored),
     CICADAHUB_ROW(platform_call_delayed),
+    CICADAHUB_ROW(list_incomplete),
     CICADAHUB_ROW(lease_won),
     CICADAHUB_ROW(lease_lost),
     CICADAHUB_ROW(lease_released),
--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -29,6 +29,7 @@
     watch_restarted = 302,
     store_restored = 303,
     platform_call_delayed = 304,
+    list_incomplete = 305,
     lease_won = 400,
     lease_lost = 401,
     lease_released = 402,
--- a/libraries/daemon/collection_follower.cpp
+++ b/libraries/daemon/collection_follower.cpp
@@ -18,6 +18,11 @@
 /// maximum bounds how long a recovered platform goes unnoticed.
 constexpr milliseconds first_retry_pause{200};
 constexpr milliseconds longest_retry_pause{1'000};
+/// Exponential backoff between lists of which the platform withholds later
+/// pages. Each costs a call for every page before, and what is missing comes
+/// from peers or by the watch once it changes.
+constexpr milliseconds first_relist_pause{200};
+constexpr milliseconds longest_relist_pause{10'000};
 /// Minimum time between two refreshes, so that changes made close together are
 /// fetched in one call. A quarter of the 2 s within which a daemon must learn
 /// of a change.
@@ -107,7 +112,7 @@
     const time_point began = monotonic_clock::now();
     try
     {
-        if (m_needs_list)
+        if (m_needs_list || began >= m_relist_at)
         {
             co_await list_all();
         }
@@ -150,15 +155,48 @@
 
 net::awaitable<void> collection_follower::list_all()
 {
-    const platform::listing all = co_await m_store.list(m_collection);
+    try
+    {
+        const platform::listing all = co_await m_store.list(m_collection);
+        m_relist_at = time_point::max();
+        m_relist_pause = milliseconds(0);
+        on_list(all, true);
+    }
+    catch (const platform::incomplete_list& reason)
+    {
+        note_incomplete(reason);
+        on_list(reason.read(), false);
+    }
+}
+
+void collection_follower::note_incomplete(const platform::incomplete_list& it)
+{
+    m_relist_pause = std::clamp(2 * m_relist_pause, first_relist_pause,
+                                longest_relist_pause);
+    m_relist_at = monotonic_clock::now() + m_relist_pause;
+    log_event(severity::warning, event_number::list_incomplete,
+              {{"collection", platform::name_of(m_collection)},
+               {"objects", it.read().objects.size()},
+               {"next_list_ms", m_relist_pause.count()},
+               {"reason", it.what()}});
+}
+
+void collection_follower::on_list(const platform::listing& read,
+                                  bool is_complete)
+{
     mark_reachable();
-    for (const platform::stored_object& it : all.objects)
+    for (const platform::stored_object& it : read.objects)
     {
         m_on_object(it);
     }
-    m_version = std::max(m_version, all.version);
+    m_version = std::max(m_version, read.version);
+    m_is_complete = is_complete;
     m_needs_list = false;
-    m_on_batch(true);
+    if (is_complete)
+    {
+        m_complete_version = m_version;
+    }
+    m_on_batch(is_complete);
 }
 
 net::awaitable<void> collection_follower::watch_once(milliseconds wait)
@@ -171,6 +209,10 @@
         m_on_object(it);
     }
     m_version = std::max(m_version, changes.version);
+    if (m_is_complete)
+    {
+        m_complete_version = m_version;
+    }
     if (!changes.objects.empty())
     {
         m_on_batch(false);
--- a/libraries/daemon/collection_follower.hpp
+++ b/libraries/daemon/collection_follower.hpp
@@ -30,7 +30,8 @@
 public:
     using object_handler = std::function<void(const platform::stored_object&)>;
     /// Called after each list or batch of changes. `is_full_list` means that
-    /// the objects delivered since the last call are the complete collection.
+    /// the objects delivered since the last call are the complete collection;
+    /// it is false for a list whose later pages cannot be had.
     using batch_handler = std::function<void(bool is_full_list)>;
     using pace_handler = std::function<follow_pace()>;
 
@@ -52,8 +53,9 @@
     /// Fetches the complete collection with the next call.
     void relist() { m_needs_list = true; }
 
-    /// Version up to which all changes have been delivered.
-    object_version version() const { return m_version; }
+    /// Version up to which all changes have been delivered; 0 before the first
+    /// complete list.
+    object_version version() const { return m_complete_version; }
     bool is_platform_reachable() const { return m_is_platform_reachable; }
 
 private:
@@ -71,6 +73,10 @@
     /// Sends one watch, preceded by a list if one is needed.
     net::awaitable<outcome> poll(milliseconds wait);
     net::awaitable<void> list_all();
+    /// Delivers the objects of a list.
+    void on_list(const platform::listing& read, bool is_complete);
+    /// Decides when an incomplete list is tried again.
+    void note_incomplete(const platform::incomplete_list& it);
     net::awaitable<void> watch_once(milliseconds wait);
     void mark_reachable();
     void mark_unreachable(const char* reason, time_point began);
@@ -81,8 +87,14 @@
     object_handler m_on_object;
     batch_handler m_on_batch;
     pace_handler m_pace;
+    /// Version from which the next watch follows.
     object_version m_version;
+    object_version m_complete_version;
     bool m_needs_list = true;
+    /// The last list was complete.
+    bool m_is_complete = false;
+    time_point m_relist_at = time_point::max();
+    milliseconds m_relist_pause{0};
     bool m_is_platform_reachable = false;
     /// Reason that was logged last for a failure, until the next success.
     std::string m_logged_reason;
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -42,6 +42,9 @@
 /// themselves by digest; the list covers announcements that were lost.
 constexpr milliseconds member_list_period{30'000};
 constexpr milliseconds retry_pause{300};
+/// Pause after a list of which the store withholds later pages: each costs a
+/// call for every page before.
+constexpr milliseconds incomplete_list_pause{10'000};
 /// The balancer probes every second and removes a daemon after two failures.
 constexpr milliseconds balancer_detection_delay{2'600};
 constexpr milliseconds drain_poll_period{20};
@@ -476,24 +479,38 @@
     co_await register_member();
     while (!m_state.is_draining)
     {
-        bool is_known = false;
+        milliseconds next = member_list_period;
         try
         {
             const auto all =
                 co_await m_store.list(platform::collection::members);
-            is_known = true;
             for (const platform::stored_object& it : all.objects)
             {
                 add_member(it);
             }
             m_state.fleet.on_members_listed();
         }
+        catch (const platform::incomplete_list& reason)
+        {
+            // The others may be known by their digests, or to a later list.
+            for (const platform::stored_object& it : reason.read().objects)
+            {
+                add_member(it);
+            }
+            next = incomplete_list_pause;
+            log_event(severity::warning, event_number::list_incomplete,
+                      {{"collection", "members"},
+                       {"objects", reason.read().objects.size()},
+                       {"next_list_ms", next.count()},
+                       {"reason", reason.what()}});
+        }
         catch (const error& reason)
         {
+            next = retry_pause;
             log_event(severity::warning, event_number::platform_unreachable,
                       {{"collection", "members"}, {"reason", reason.what()}});
         }
-        co_await pause(m_context, is_known ? member_list_period : retry_pause);
+        co_await pause(m_context, next);
     }
 }
 
--- a/libraries/entry/requests/stream_record.cpp
+++ b/libraries/entry/requests/stream_record.cpp
@@ -69,8 +69,21 @@
 
 net::awaitable<void> stream_record::list()
 {
-    const platform::listing all =
-        co_await m_store.list(platform::collection::streams);
+    platform::listing all;
+    try
+    {
+        all = co_await m_store.list(platform::collection::streams);
+    }
+    catch (const platform::incomplete_list& reason)
+    {
+        // Enough to take up the streams of the pages before, not to write: the
+        // next record would take the place of one that was not seen.
+        for (const platform::stored_object& it : reason.read().objects)
+        {
+            read_record(it);
+        }
+        throw;
+    }
     m_ring.assign(ring_size, {});
     m_next = 0;
     object_version newest;
@@ -88,21 +101,26 @@
             newest = it.version;
             m_next = (place + 1) % ring_size;
         }
-        try
-        {
-            read_origins(it.spec);
-        }
-        catch (const std::exception& reason)
-        {
-            log_event(severity::warning, event_number::malformed_object,
-                      {{"collection", "streams"},
-                       {"object", it.name},
-                       {"reason", reason.what()}});
-        }
+        read_record(it);
     }
     m_read_at = monotonic_clock::now();
 }
 
+void stream_record::read_record(const platform::stored_object& it)
+{
+    try
+    {
+        read_origins(it.spec);
+    }
+    catch (const std::exception& reason)
+    {
+        log_event(severity::warning, event_number::malformed_object,
+                  {{"collection", "streams"},
+                   {"object", it.name},
+                   {"reason", reason.what()}});
+    }
+}
+
 void stream_record::read_origins(const boost::json::object& spec)
 {
     const json_reader reader(spec);
--- a/libraries/entry/requests/stream_record.hpp
+++ b/libraries/entry/requests/stream_record.hpp
@@ -28,7 +28,9 @@
 private:
     net::awaitable<void> run();
     net::awaitable<void> list();
-    /// Takes in one object of the record; throws if it can't be read.
+    /// Takes in one object of the record, if it can be read.
+    void read_record(const platform::stored_object& it);
+    /// Throws if the object can't be read.
     void read_origins(const boost::json::object& spec);
     net::awaitable<void>
     write(const std::vector<continuity::begun_stream>& streams);
--- a/libraries/platform/object_client.cpp
+++ b/libraries/platform/object_client.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace cicadahub::platform
 {
@@ -43,6 +44,18 @@
     }
 }
 
+/// True if the same request would get the same answer again. A cursor that is
+/// gone needs a new list.
+bool is_final_refusal(const http::response& answer)
+{
+    const http::status code = answer.result();
+    return http::beast_http::to_status_class(code) ==
+               http::beast_http::status_class::client_error &&
+           code != http::status::request_timeout &&
+           code != http::status::too_many_requests &&
+           code != http::status::gone;
+}
+
 } // namespace
 
 std::string_view name_of(collection it)
@@ -111,18 +124,50 @@
     }
 }
 
+list_page object_client::read_page(collection where,
+                                   const http::response& answer,
+                                   std::size_t number,
+                                   const listing& read) const
+{
+    const bool is_first = number == 1;
+    if (!is_first && is_final_refusal(answer))
+    {
+        throw incomplete_list(read, "a later page was refused with status " +
+                                        std::to_string(answer.result_int()));
+    }
+    expect_ok(answer);
+    try
+    {
+        return m_dialect.read_list(where, answer.body());
+    }
+    catch (const malformed_document& reason)
+    {
+        if (is_first)
+        {
+            throw;
+        }
+        throw incomplete_list(read, "a later page cannot be read: " +
+                                        std::string(reason.what()));
+    }
+}
+
 net::awaitable<listing> object_client::list(collection where)
 {
     listing result;
     std::optional<store_era> era;
     std::optional<std::string> after = std::string();
+    std::set<std::string> cursors;
     std::size_t pages = 0;
     std::size_t bytes = 0;
     while (after)
     {
+        if (!cursors.insert(*after).second)
+        {
+            throw incomplete_list(std::move(result),
+                                  "a page leads back to an earlier one");
+        }
         const auto answer =
             co_await call(m_dialect.list(where, *after), m_timing.call_timeout);
-        expect_ok(answer);
         ++pages;
         bytes += answer.body().size();
         if (pages > list_limit_pages || bytes > list_limit_bytes)
@@ -135,11 +180,11 @@
             throw platform_error("the store was restored while it was listed");
         }
         era = m_era;
-        list_page page = m_dialect.read_list(where, answer.body());
+        list_page page = read_page(where, answer, pages, result);
         add_era(page.content);
         // The version of the first page is kept, so that a watch from it also
         // returns the changes made between two pages.
-        if (after->empty())
+        if (pages == 1)
         {
             result.version = page.content.version;
         }
--- a/libraries/platform/object_client.hpp
+++ b/libraries/platform/object_client.hpp
@@ -34,7 +34,8 @@
     store_era era() const { return m_era; }
 
     /// Lists a collection, page by page; throws `platform_error` if the
-    /// platform does not answer.
+    /// platform does not answer, and `incomplete_list` if it does not lead
+    /// beyond some page.
     net::awaitable<listing> list(collection where);
 
     net::awaitable<std::optional<stored_object>> read(collection where,
@@ -71,6 +72,10 @@
     void add_era(listing& it) const;
     net::awaitable<http::response> call(http::request message,
                                         milliseconds timeout);
+    /// Reads the page with this number, from 1. Throws `incomplete_list` with
+    /// what was read if a page behind the first is refused or malformed.
+    list_page read_page(collection where, const http::response& answer,
+                        std::size_t number, const listing& read) const;
     net::awaitable<attempt> try_write(const http::request& message,
                                       object_version& version);
 
--- a/libraries/platform/stored_object.hpp
+++ b/libraries/platform/stored_object.hpp
@@ -83,6 +83,23 @@
     using platform_error::platform_error;
 };
 
+/// A list has later pages that cannot be had. What was read holds; an object
+/// that is missing may exist.
+class incomplete_list : public platform_error
+{
+public:
+    incomplete_list(listing read, const std::string& reason)
+        : platform_error(reason), m_read(std::move(read))
+    {
+    }
+
+    /// Objects of the pages before, as of the version of the first one.
+    const listing& read() const { return m_read; }
+
+private:
+    listing m_read;
+};
+
 /// The platform no longer stores the changes since the requested version, so
 /// that the collection must be listed again before the next watch.
 class watch_expired : public platform_error
--- a/tests/platform/incomplete_list_test.cpp
+++ b/tests/platform/incomplete_list_test.cpp
@@ -131,6 +131,35 @@
 const std::string nameless = R"({"metadata":{"revision":1},"spec":{}})";
 constexpr http::status ok = http::status::ok;
 
+class incomplete_lists : public testing::TestWithParam<store_script>
+{
+};
+
+// Guards against a list that cannot be finished and keeps back all that was
+// read of it, and against one that is asked for again and again.
+TEST_P(incomplete_lists, deliver_what_was_read)
+{
+    const followed got(GetParam());
+    EXPECT_EQ(got.names, (std::set<std::string>{"a", "b", "changed"}));
+    // What is missing does not count as deleted, and peers are asked for it.
+    EXPECT_FALSE(got.has_full_list);
+    EXPECT_EQ(got.version, object_version{});
+    EXPECT_TRUE(got.is_reachable);
+    EXPECT_LE(got.store.first_pages, 3);
+    EXPECT_LE(got.store.later_pages, 3);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    collection_follower, incomplete_lists,
+    testing::Values(store_script{"refused", ok, http::status::bad_request,
+                                 first_page, "{}"},
+                    store_script{"leading_back", ok, ok, first_page,
+                                 first_page},
+                    store_script{"malformed", ok, ok, first_page, "}"},
+                    store_script{"without_a_name", ok, ok, first_page,
+                                 page(nameless, true)}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 class complete_lists : public testing::TestWithParam<store_script>
 {
 };
