--- a/libraries/http/types.cpp
+++ b/libraries/http/types.cpp
@@ -2,6 +2,7 @@
 
 #include "core/errors.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace cicadahub::http
@@ -66,6 +67,21 @@
     return {};
 }
 
+bool is_field_value(std::string_view text)
+{
+    constexpr std::string_view whitespace = " \t";
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char delete_character = 0x7f;
+    const auto is_allowed = [](unsigned char c)
+    {
+        return c == '\t' || (c >= first_printable && c != delete_character);
+    };
+    return !text.empty() &&
+           whitespace.find(text.front()) == std::string_view::npos &&
+           whitespace.find(text.back()) == std::string_view::npos &&
+           std::all_of(text.begin(), text.end(), is_allowed);
+}
+
 response json_response(status code, std::string body)
 {
     response it{code, 11};
--- a/libraries/http/types.hpp
+++ b/libraries/http/types.hpp
@@ -33,6 +33,10 @@
 /// Value of one query parameter, still percent-encoded; empty if it is missing.
 std::string_view query_value(std::string_view target, std::string_view name);
 
+/// True if a text can be the value of a field (RFC 9110, section 5.5): it is
+/// not empty, has no whitespace at an end, and no control character but tabs.
+bool is_field_value(std::string_view text);
+
 /// A JSON response with the given status.
 response json_response(status code, std::string body);
 
--- a/tests/entry/store/object_relay_test.cpp
+++ b/tests/entry/store/object_relay_test.cpp
@@ -3,6 +3,7 @@
 #include "core/store_version.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
+#include "odd_names.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -152,5 +153,25 @@
     EXPECT_EQ(got.since, at(4));
 }
 
+// Names of other writers reach hosts that the store turns away.
+TEST(object_relay, keeps_odd_names)
+{
+    object_relay relay;
+    for (const fakes::odd_name& it : fakes::odd_names())
+    {
+        relay.on_object(collection::servers, object(it.text, at(5)));
+    }
+    relay.end_of_batch(collection::servers, true, at(10));
+    std::set<std::string> got;
+    for (const auto& it : ask(relay, {}).changes.objects)
+    {
+        got.insert(it.name);
+    }
+    for (const fakes::odd_name& it : fakes::odd_names())
+    {
+        EXPECT_TRUE(got.contains(it.text)) << it.label;
+    }
+}
+
 } // namespace
 } // namespace cicadahub::entry
--- a/tests/system/odd_name_test.cpp
+++ b/tests/system/odd_name_test.cpp
@@ -178,5 +178,64 @@
                          [](const auto& it)
                          { return it.index == 0 ? "forgotten" : "restored"; });
 
+// Sound servers may have such names too, as far as a field can carry them.
+class oddly_named_servers : public testing::TestWithParam<fakes::odd_name>
+{
+};
+
+TEST_P(oddly_named_servers, serve_after_a_restart_of_all_hosts)
+{
+    platform_fleet fleet(hosts);
+    const std::size_t odd = fleet.add_worker("ledger", GetParam().text, {});
+    for (const std::size_t usual : {0, 1})
+    {
+        fleet.services[usual].program->kill();
+        EXPECT_EQ(call(fleet.store, http::verb::delete_,
+                       "/v1/objects/servers/" + fleet.services[usual].id)
+                      .status,
+                  200U);
+    }
+    end_pages_at_each_name(fleet);
+    restart_all_hosts(fleet);
+    expect_all_serve(fleet, "restarted");
+    EXPECT_EQ(read_stat(fleet.services[odd].address, "arrivals"),
+              static_cast<std::int64_t>(hosts));
+}
+
+std::vector<fakes::odd_name> odd_names_for_fields()
+{
+    std::vector<fakes::odd_name> names = fakes::odd_names();
+    std::erase_if(names, [](const auto& it)
+                  { return !http::is_field_value(it.text); });
+    return names;
+}
+
+INSTANTIATE_TEST_SUITE_P(platform_path, oddly_named_servers,
+                         testing::ValuesIn(odd_names_for_fields()),
+                         [](const auto& it)
+                         { return std::string(it.param.label); });
+
+// Guards against requests refused for the sake of an entry that is sound but
+// for its name: written to a field, it made each request to the server
+// malformed.
+TEST(platform_path, a_server_whose_name_fits_no_field_gets_nothing)
+{
+    platform_fleet fleet(1);
+    const std::size_t odd =
+        fleet.add_worker("ledger", "f\r\nX-Injected: 1", {});
+    fleet.daemons[0].program->kill();
+    fleet.start_daemon(0);
+    expect_all_serve(fleet, "restarted");
+    for (int n = 0; n < 30; ++n)
+    {
+        EXPECT_EQ(
+            fleet
+                .plain(0, "id-" + std::to_string(n), http::verb::get, "/read/1")
+                .status,
+            200U);
+    }
+    EXPECT_EQ(read_stat(fleet.services[odd].address, "arrivals"), 0);
+}
+
 } // namespace
 } // namespace cicadahub::system_tests
