cicadactl: Refuse names that no object can have

The name of an object went into the target of the request as it is, so that a blank or a line's end made it malformed or another one, and the answer did not say why. The check that daemons make of a name comes before the request now, and the error names the allowed characters.

--- a/libraries/configuration/snapshot.cpp
+++ b/libraries/configuration/snapshot.cpp
@@ -26,21 +26,6 @@
     return at == map.end() ? nullptr : &at->second;
 }
 
-void check_name(std::string_view name)
-{
-    const auto is_name_character = [](unsigned char c)
-    {
-        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' ||
-               c == ':';
-    };
-    if (name.empty() || name.size() > max_name_length ||
-        !std::all_of(name.begin(), name.end(), is_name_character))
-    {
-        throw malformed_document(
-            "a name may only have letters, digits and \"-_.:\"");
-    }
-}
-
 void require(bool condition, const char* message)
 {
     if (!condition)
@@ -159,6 +144,21 @@
     return entry;
 }
 
+void check_name(std::string_view name)
+{
+    const auto is_name_character = [](unsigned char c)
+    {
+        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' ||
+               c == ':';
+    };
+    if (name.empty() || name.size() > max_name_length ||
+        !std::all_of(name.begin(), name.end(), is_name_character))
+    {
+        throw malformed_document(
+            "a name may only have letters, digits and \"-_.:\"");
+    }
+}
+
 void check_spec(object_kind kind, std::string_view name,
                 const boost::json::object& spec)
 {
--- a/libraries/configuration/snapshot.hpp
+++ b/libraries/configuration/snapshot.hpp
@@ -48,6 +48,9 @@
 stored_entry make_entry(std::string_view object_name, object_version version,
                         const boost::json::object& spec);
 
+/// Throws `malformed_document` if no object can have the name.
+void check_name(std::string_view name);
+
 /// Throws `malformed_document` if the name or the spec is not valid for the
 /// kind.
 void check_spec(object_kind kind, std::string_view name,
--- a/tests/system/odd_name_test.cpp
+++ b/tests/system/odd_name_test.cpp
@@ -237,5 +237,36 @@
     EXPECT_EQ(read_stat(fleet.services[odd].address, "arrivals"), 0);
 }
 
+TEST(cicadactl, sends_no_request_with_a_name_that_no_object_can_have)
+{
+    system_tests::fleet fleet(1, 1);
+    const std::vector<std::vector<std::string>> commands{
+        {"get", "key"}, {"delete", "key"}, {"create-key"}};
+    for (const fakes::odd_name& it : fakes::odd_names())
+    {
+        // The one is a valid name, the other no argument of a program.
+        if (it.text == ".." || it.text.find('\0') != std::string::npos)
+        {
+            continue;
+        }
+        for (const std::vector<std::string>& command : commands)
+        {
+            SCOPED_TRACE(command.front() + " " + it.label);
+            std::vector<std::string> words{"-d", fleet.daemons[0].operators};
+            words.insert(words.end(), command.begin(), command.end());
+            words.push_back(it.text);
+            if (command.front() == "create-key")
+            {
+                words.push_back("a");
+            }
+            process program("utilities/cicadactl", words);
+            EXPECT_NE(program.wait(), 0);
+            EXPECT_NE(program.output().find("a name may only have"),
+                      std::string::npos)
+                << program.output();
+        }
+    }
+}
+
 } // namespace
 } // namespace cicadahub::system_tests
--- a/utilities/cicadactl/commands.cpp
+++ b/utilities/cicadactl/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/snapshot.hpp"
 #include "core/digest.hpp"
+#include "core/errors.hpp"
 #include "core/json_reader.hpp"
 #include "table.hpp"
 
@@ -49,13 +50,27 @@
     }
 }
 
-std::string configuration_path(const std::string& kind, const std::string& name)
+std::string kind_path(const std::string& kind)
 {
     if (!configuration::kind_of(kind))
     {
         throw usage_error("unknown kind of object \"" + kind + "\"");
     }
-    return "/configuration/" + kind + (name.empty() ? "" : "/" + name);
+    return "/configuration/" + kind;
+}
+
+/// Names that no object can have could also change the target of the request.
+std::string object_path(const std::string& kind, const std::string& name)
+{
+    try
+    {
+        configuration::check_name(name);
+    }
+    catch (const malformed_document& reason)
+    {
+        throw usage_error(reason.what());
+    }
+    return kind_path(kind) + "/" + name;
 }
 
 /// Replaces a plain-text API key by its SHA-256 hash, so that the key itself
@@ -133,7 +148,7 @@
                  const std::string& name, boost::json::object spec)
 {
     replace_key_by_hash(spec);
-    const std::string target = configuration_path(kind, name);
+    const std::string target = object_path(kind, name);
     const auto answer =
         client.call(http::verb::put, target, boost::json::serialize(spec));
     change it{target, json_reader(answer).integer("version")};
@@ -222,7 +237,7 @@
 {
     check_count(words, 2);
     std::cout << boost::json::serialize(client.call(
-                     http::verb::get, configuration_path(words[0], words[1])))
+                     http::verb::get, object_path(words[0], words[1])))
               << "\n";
 }
 
@@ -230,15 +245,15 @@
               const word_list& words)
 {
     check_count(words, 1);
-    print(client.call(http::verb::get, configuration_path(words[0], "")),
-          options, {"name", "version", "spec"});
+    print(client.call(http::verb::get, kind_path(words[0])), options,
+          {"name", "version", "spec"});
 }
 
 void run_delete(operator_client& client, const command_options& options,
                 const word_list& words)
 {
     check_count(words, 2);
-    const std::string target = configuration_path(words[0], words[1]);
+    const std::string target = object_path(words[0], words[1]);
     const auto answer = client.call(http::verb::delete_, target);
     wait_if_requested(client, options,
                       {{target, json_reader(answer).integer("version")}});
