cicadactl: Print each event on one line

`explain` printed values as they are, so that a name with a line's end looked like another event. Values with control characters are printed as JSON. The test failed before.

--- a/tests/system/odd_name_test.cpp
+++ b/tests/system/odd_name_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <fstream>
+
 namespace cicadahub::system_tests
 {
 namespace
@@ -268,5 +270,21 @@
     }
 }
 
+TEST(explain, prints_an_odd_name_on_one_line)
+{
+    const std::string file = make_folder() + "/log";
+    const boost::json::object line{{"time", "2026-01-01T00:00:00.000000"},
+                                   {"event", 711},
+                                   {"name", "request_attempted"},
+                                   {"daemon", "host"},
+                                   {"request", "r"},
+                                   {"server", "f\nb"}};
+    std::ofstream(file) << boost::json::serialize(line) << "\n";
+    process program("utilities/cicadactl", {"explain", "r", file});
+    EXPECT_EQ(program.wait(), 0);
+    EXPECT_NE(program.output().find("server=\"f\\nb\""), std::string::npos)
+        << program.output();
+}
+
 } // namespace
 } // namespace cicadahub::system_tests
--- a/utilities/cicadactl/explain.cpp
+++ b/utilities/cicadactl/explain.cpp
@@ -31,6 +31,16 @@
                           : boost::json::serialize(it);
 }
 
+/// The same on one line: what other writers named may hold control characters.
+std::string line_of(const boost::json::value& it)
+{
+    const std::string text = text_of(it);
+    const bool has_control_character =
+        std::any_of(text.begin(), text.end(),
+                    [](unsigned char c) { return std::iscntrl(c) != 0; });
+    return has_control_character ? boost::json::serialize(it) : text;
+}
+
 std::string field(const log_line& line, std::string_view name)
 {
     const auto* it = line.fields.if_contains(name);
@@ -77,7 +87,7 @@
             prefix_fields.end();
         if (!is_in_prefix && !text_of(it.value()).empty())
         {
-            out << " " << it.key() << "=" << text_of(it.value());
+            out << " " << it.key() << "=" << line_of(it.value());
         }
     }
     out << "\n";
