Tests: Start hosts beside a list that cannot be finished

Real processes; the store continues no list of the servers behind the third of four. A host that starts beside two that run takes a complete copy from a peer; three that all start serve from what they read.

--- a/tests/system/odd_name_test.cpp
+++ b/tests/system/odd_name_test.cpp
@@ -180,6 +180,47 @@
                          [](const auto& it)
                          { return it.index == 0 ? "forgotten" : "restored"; });
 
+// The store continues no list of the servers behind e1, e2 and l1.
+class unfinished_lists : public testing::TestWithParam<std::size_t>
+{
+};
+
+TEST_P(unfinished_lists, keep_no_host_from_serving)
+{
+    platform_fleet fleet(hosts);
+    end_pages_at_each_name(fleet);
+    fleet.set_fault(fleet.store, R"({"refused_cursor":"l1"})");
+    const std::size_t restarted = GetParam();
+    for (std::size_t n = 0; n < restarted; ++n)
+    {
+        fleet.daemons[n].program->kill();
+    }
+    for (std::size_t n = 0; n < restarted; ++n)
+    {
+        fleet.start_daemon(n);
+    }
+    expect_all_serve(fleet, "restarted");
+    const auto has_logged = [&](const std::string& text)
+    {
+        return fleet.daemons[0].program->output().find(text) !=
+               std::string::npos;
+    };
+    EXPECT_TRUE(eventually([&] { return has_logged("list_incomplete"); }));
+    // The others run and know all servers, or there is nobody to ask.
+    if (restarted < hosts)
+    {
+        EXPECT_TRUE(eventually(
+            [&] { return has_logged(R"("is_full_list":true)"); }, start_limit))
+            << fleet.daemons[0].program->output();
+        EXPECT_TRUE(has_logged(R"("server":"l2")"));
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(platform_path, unfinished_lists,
+                         testing::Values(1, hosts),
+                         [](const auto& it)
+                         { return it.index == 0 ? "one_host" : "all_hosts"; });
+
 // Sound servers may have such names too, as far as a field can carry them.
 class oddly_named_servers : public testing::TestWithParam<fakes::odd_name>
 {
--- a/utilities/cicada-standin/object_store_standin.cpp
+++ b/utilities/cicada-standin/object_store_standin.cpp
@@ -111,6 +111,7 @@
             m_refused_clients.insert(std::string(it.as_string()));
         }
     }
+    m_refused_cursor = reader.text_or("refused_cursor", m_refused_cursor);
     if (json.contains("raw_servers"))
     {
         for (const auto& it : reader.object("raw_servers"))
@@ -262,6 +263,10 @@
                            const http::request_target& target) const
 {
     const auto after = target.parameters.find("after");
+    if (after != target.parameters.end() && after->second == m_refused_cursor)
+    {
+        return json_answer(http::status::bad_request, {});
+    }
     boost::json::array items;
     auto it = after == target.parameters.end()
                   ? from.objects.begin()
--- a/utilities/cicada-standin/object_store_standin.hpp
+++ b/utilities/cicada-standin/object_store_standin.hpp
@@ -20,13 +20,14 @@
 /// of requests and answers malformed ones with 400. `PUT /faults` sets `outage`
 /// (calls hang until it is reset), `lose_answers` (number of writes that take
 /// effect without a response), `page_items` (objects on a page of a list),
-/// `refused` (`User-Agent` values whose calls get 503), `forget` (drops the
-/// change history, so that older watches get 410), `lose_watches` (pending
-/// watches are never answered), `keep_copy` (keeps a copy of all objects),
-/// `restore` (goes back to that copy in a new era, in which revisions are given
-/// out again) and `raw_servers` (entries of servers by name, whose specs are
-/// sent as this text, whatever it is). `GET /stats` returns the numbers of
-/// calls and of writes.
+/// `refused_cursor` (a name behind which no list is continued), `refused`
+/// (`User-Agent` values whose calls get 503), `forget` (drops the change
+/// history, so that older watches get 410), `lose_watches` (pending watches are
+/// never answered), `keep_copy` (keeps a copy of all objects), `restore` (goes
+/// back to that copy in a new era, in which revisions are given out again) and
+/// `raw_servers` (entries of servers by name, whose specs are sent as this
+/// text, whatever it is). `GET /stats` returns the numbers of calls and of
+/// writes.
 class object_store_standin
 {
 public:
@@ -88,6 +89,7 @@
     /// Smaller than the page of the real store, so that tests cover lists of
     /// several pages.
     std::size_t m_page_items = 20;
+    std::string m_refused_cursor;
     std::set<std::string> m_refused_clients;
     std::map<std::string, std::string> m_raw_specs;
     std::int64_t m_calls = 0;
