Tests: Name the server of an entry

`documents.have_the_time_for_which_a_server_remains_cold` read an entry without a name and failed in a whole run: a request to such a server can't say for whom it is, so that the entry names no server to use. Entries of the store have names; with one the test checks what it did before.

--- a/tests/platform/cold_fields_test.cpp
+++ b/tests/platform/cold_fields_test.cpp
@@ -39,6 +39,7 @@
 TEST(documents, have_the_time_for_which_a_server_remains_cold)
 {
     platform::stored_object it;
+    it.name = "server";
     it.spec = parse_json_object(
         R"({"service":"s","address":"127.0.0.1:1","zone":"z","slots":1,
         "state":"ready","coldLeftMs":1500})");
