--- a/review/12/neighbours.cc
+++ b/review/13/neighbours.cc
@@ -93,6 +93,7 @@
     if (!hosts.are_all_ready(15'000))
     {
         std::cerr << "the hosts are not ready\n";
+        hosts.print_logs();
         return could_not_run;
     }
     sleep_ms(2'000);
--- a/review/common-3/harness.hpp
+++ b/review/common-3/harness.hpp
@@ -515,6 +515,17 @@
         }
     }
 
+    /// Tells why hosts are not ready.
+    void print_logs() const
+    {
+        for (const host& it : hosts)
+        {
+            const std::string command = "tail -n 2 '" + m_folder + "/" +
+                                        it.name + ".log' | cut -c1-300 >&2";
+            [[maybe_unused]] const int n = std::system(command.c_str());
+        }
+    }
+
     bool are_all_ready(int timeout_ms) const
     {
         return eventually(timeout_ms,
--- a/review/common-3/worker.cc
+++ b/review/common-3/worker.cc
@@ -16,6 +16,7 @@
 
 constexpr int heartbeat_ms = 1200;
 constexpr int usual_work_ms = 30;
+constexpr int event_gap_ms = 250;
 constexpr int idle_ms = 20'000;
 
 struct worker
@@ -39,6 +40,12 @@
     {
     }
 
+    bool holds(const std::string& model)
+    {
+        const std::lock_guard lock(mutex);
+        return models.contains(model);
+    }
+
     std::string models_json()
     {
         std::string text;
@@ -63,7 +70,7 @@
         const std::string spec =
             R"({"service":")" + self.service + R"(","address":")" +
             self.listen.text() + R"(","zone":"zone-a","version":"v1",)" +
-            R"("slots":32,"state":"ready","coldLeftMs":0,"born":)" +
+            R"("slots":128,"state":"ready","coldLeftMs":0,"born":)" +
             std::to_string(self.born) + R"(,"seq":)" + std::to_string(seq) +
             (models == "[]"
                  ? std::string()
@@ -134,7 +141,43 @@
     return answer(status, {}, "{}");
 }
 
-std::string on_request(worker& self, const message& it)
+void crash_if_asked(worker& self, const std::string& id,
+                    const std::string& body)
+{
+    if (body.starts_with("crash"))
+    {
+        self.record.line("crash worker=" + self.id + " request=" + id);
+        ::_exit(1);
+    }
+}
+
+/// Sends events until the work is done.
+void stream(worker& self, int fd, const std::string& id,
+            const std::string& sealed, const std::string& body, int work_ms)
+{
+    bool is_open = send_all(fd, "HTTP/1.1 200 x\r\n" + sealed +
+                                    "Content-Type: text/event-stream\r\n"
+                                    "Transfer-Encoding: chunked\r\n\r\n");
+    for (int n = 1; is_open && n <= std::max(1, work_ms / event_gap_ms); ++n)
+    {
+        sleep_ms(event_gap_ms);
+        if (n > 1)
+        {
+            crash_if_asked(self, id, body);
+        }
+        const std::string event =
+            "id: " + std::to_string(n) + "\ndata: piece\n\n";
+        std::ostringstream size;
+        size << std::hex << event.size();
+        is_open = send_all(fd, size.str() + "\r\n" + event + "\r\n");
+    }
+    if (is_open)
+    {
+        send_all(fd, "0\r\n\r\n");
+    }
+}
+
+std::string on_request(worker& self, int fd, const message& it)
 {
     const std::string id = it["request-id"];
     const std::string path = it.first_line.substr(it.first_line.find(' ') + 1);
@@ -160,20 +203,31 @@
         return answer(
             421, named + "Not-Run: 1\r\nInstance-Id: " + self.id + "\r\n", {});
     }
+    const std::string model = it["model"];
+    if (!model.empty() && !self.holds(model))
+    {
+        return answer(
+            421, named + "Not-Run: 1\r\nInstance-Id: " + self.id + "\r\n", {});
+    }
     self.record.line("run worker=" + self.id + " request=" + id +
                      " body=" + it.body.substr(0, 40));
     const auto work = path.find("work-");
+    const int work_ms = work == std::string::npos
+                            ? usual_work_ms
+                            : std::atoi(path.c_str() + work + 5);
     ++self.running;
-    sleep_ms(work == std::string::npos ? usual_work_ms
-                                       : std::atoi(path.c_str() + work + 5));
-    if (it.body.starts_with("crash"))
+    const std::string sealed =
+        named + "Response-Seal: seal-" + self.id + "\r\n";
+    if (!model.empty())
     {
-        self.record.line("crash worker=" + self.id + " request=" + id);
-        ::_exit(1);
+        stream(self, fd, id, sealed, it.body, work_ms);
+        --self.running;
+        return {};
     }
+    sleep_ms(work_ms);
+    crash_if_asked(self, id, it.body);
     --self.running;
-    return answer(200, named + "Response-Seal: seal-" + self.id + "\r\n",
-                  "done by " + self.id);
+    return answer(200, sealed, "done by " + self.id);
 }
 
 void serve(worker& self, int fd)
@@ -181,7 +235,7 @@
     reader from(fd);
     while (const auto it = from.read(now_ms() + idle_ms))
     {
-        if (!it->is_complete || !send_all(fd, on_request(self, *it)))
+        if (!it->is_complete || !send_all(fd, on_request(self, fd, *it)))
         {
             break;
         }
