--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,8 +3,8 @@
 # case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/services/cicada-entry ] || exit 2
-[ -x target/review-3/worker ] && [ -x target/review-3/neighbours ] || exit 2
-target/review-3/neighbours review/13/record.txt
+[ -x target/review-3/worker ] && [ -x target/review-3/long_streams ] || exit 2
+target/review-3/long_streams review/13/record.txt
 status=$?
 [ "$status" -le 1 ] && exit "$status"
 exit 2
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,8 +3,8 @@
 # case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/services/cicada-entry ] || exit 2
-[ -x target/review-3/worker ] && [ -x target/review-3/rolled_hosts ] || exit 2
-target/review-3/rolled_hosts review/14/record.txt
+[ -x target/review-3/worker ] && [ -x target/review-3/neighbours ] || exit 2
+target/review-3/neighbours review/14/record.txt
 status=$?
 [ "$status" -le 1 ] && exit "$status"
 exit 2
