--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# See claim.txt. Writes record.txt; 1: the rule was broken, 0: it held, 2: the
+# case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/services/cicada-entry ] || exit 2
+[ -x target/review-3/worker ] && [ -x target/review-3/take_up ] || exit 2
+target/review-3/take_up review/12/record.txt
+status=$?
+[ "$status" -le 1 ] && exit "$status"
+exit 2
--- a/review/common-3/worker.cc
+++ b/review/common-3/worker.cc
@@ -153,12 +153,14 @@
 
 /// Sends events until the work is done.
 void stream(worker& self, int fd, const std::string& id,
-            const std::string& sealed, const std::string& body, int work_ms)
+            const std::string& sealed, const std::string& body, int first,
+            int work_ms)
 {
     bool is_open = send_all(fd, "HTTP/1.1 200 x\r\n" + sealed +
                                     "Content-Type: text/event-stream\r\n"
                                     "Transfer-Encoding: chunked\r\n\r\n");
-    for (int n = 1; is_open && n <= std::max(1, work_ms / event_gap_ms); ++n)
+    for (int n = first; is_open && n <= std::max(1, work_ms / event_gap_ms);
+         ++n)
     {
         sleep_ms(event_gap_ms);
         if (n > 1)
@@ -220,7 +222,8 @@
         named + "Response-Seal: seal-" + self.id + "\r\n";
     if (!model.empty())
     {
-        stream(self, fd, id, sealed, it.body, work_ms);
+        stream(self, fd, id, sealed, it.body,
+               std::atoi(it["last-event-id"].c_str()) + 1, work_ms);
         --self.running;
         return {};
     }
