--- a/review/common-3/harness.hpp
+++ b/review/common-3/harness.hpp
@@ -117,6 +117,33 @@
     return at;
 }
 
+/// Addresses that differ from each other, and are free once the object has
+/// gone.
+class reserved_addresses
+{
+public:
+    reserved_addresses() = default;
+    ~reserved_addresses()
+    {
+        for (const int fd : m_fds)
+        {
+            ::close(fd);
+        }
+    }
+    reserved_addresses(const reserved_addresses&) = delete;
+    reserved_addresses& operator=(const reserved_addresses&) = delete;
+
+    address next(const std::string& host)
+    {
+        address at{host, 0};
+        m_fds.push_back(listen_on(at));
+        return at;
+    }
+
+private:
+    std::vector<int> m_fds;
+};
+
 inline int connect_to(const address& to, int timeout_ms)
 {
     const int fd =
@@ -468,13 +495,14 @@
     fleet(std::string folder, std::size_t count, const address& store)
         : m_folder(std::move(folder)), m_port(free_address().port)
     {
+        reserved_addresses reserved;
         for (std::size_t n = 0; n < count; ++n)
         {
             host it;
             it.name = "front-a-" + std::to_string(n + 1);
             const std::string ip = ip_of(n);
-            it.front = free_address(ip);
-            it.ready = free_address(ip);
+            it.front = reserved.next(ip);
+            it.ready = reserved.next(ip);
             it.settings = m_folder + "/" + it.name + ".toml";
             write_settings(it, ip, store);
             hosts.push_back(std::move(it));
@@ -483,7 +511,10 @@
 
     static std::string ip_of(std::size_t n)
     {
-        return "127.0.3." + std::to_string(n + 2);
+        // Scripts that run beside each other keep apart.
+        constexpr int networks = 200;
+        return "127.3." + std::to_string(::getpid() % networks) + "." +
+               std::to_string(n + 2);
     }
 
     /// The host reaches the store at this address from its next start on.
