Reachability: Ask other hosts before refusals are a cut

Cause: a probe that two servers refused was a verdict that this host is cut off, and a crash that is seen then does not count. The hosts' logs have 7 or 8 host_cut_off in 22 s, each right after a crash.

A refused connection shows that the machine is reached, unless other hosts reach servers meanwhile. A host that is refused everywhere now asks them, and is cut off only if one gets bytes from a server between two of its own probes. Silence is a cut as before.

--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -60,6 +60,7 @@
     CICADAHUB_ROW(server_entry_outdated),
     CICADAHUB_ROW(server_cold),
     CICADAHUB_ROW(evacuation_changed),
+    CICADAHUB_ROW(servers_refuse),
     CICADAHUB_ROW(peer_connected),
     CICADAHUB_ROW(peer_lost),
     CICADAHUB_ROW(peer_frame_malformed),
--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -57,6 +57,7 @@
     server_entry_outdated = 532,
     server_cold = 533,
     evacuation_changed = 534,
+    servers_refuse = 535,
     peer_connected = 600,
     peer_lost = 601,
     peer_frame_malformed = 602,
--- a/libraries/decision/reachability/server_reach.cpp
+++ b/libraries/decision/reachability/server_reach.cpp
@@ -72,7 +72,7 @@
     {
         return true;
     }
-    if (m_is_cut_off)
+    if (m_is_cut_off || m_refused_since)
     {
         return now >= m_last_probe + return_probe_period;
     }
@@ -84,19 +84,46 @@
     m_is_probing = true;
     m_has_doubt = false;
     m_last_probe = now;
+    m_contact_at_probe = m_last_contact_elsewhere;
 }
 
-bool server_reach::on_probe_ended(bool has_reached, std::size_t targets,
+void server_reach::on_contact_elsewhere(time_point at)
+{
+    m_last_contact_elsewhere = std::max(m_last_contact_elsewhere, at);
+}
+
+bool server_reach::has_contact_elsewhere() const
+{
+    return m_refused_since &&
+           m_contact_at_probe > m_last_refused + contact_margin;
+}
+
+bool server_reach::on_probe_ended(probe_result result, std::size_t targets,
                                   time_point now)
 {
+    const bool was_cut_off = m_is_cut_off;
+    const bool did_ask = asks_others();
     m_is_probing = false;
-    if (has_reached)
+    if (result == probe_result::reached)
     {
         m_last_reached = now;
     }
-    const bool is_cut_off =
-        !has_reached && (m_is_cut_off || targets >= min_targets_for_verdict);
-    return std::exchange(m_is_cut_off, is_cut_off) != is_cut_off;
+    // A machine that refuses a connection is reached, unless others reach the
+    // servers while all refuse this host.
+    const bool is_shown = result == probe_result::silent || m_is_cut_off ||
+                          has_contact_elsewhere();
+    if (result == probe_result::refused && targets > 0)
+    {
+        m_refused_since = m_refused_since.value_or(now);
+        m_last_refused = now;
+    }
+    else
+    {
+        m_refused_since.reset();
+    }
+    m_is_cut_off = result != probe_result::reached && is_shown &&
+                   (was_cut_off || targets >= min_targets_for_verdict);
+    return m_is_cut_off != was_cut_off || asks_others() != did_ask;
 }
 
 } // namespace cicadahub::reachability
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -343,10 +343,28 @@
     m_state.waiting.wake_all();
 }
 
+net::awaitable<void> entry_daemon::tell_contact(http::endpoint asked_by)
+{
+    const bool has_contact = co_await m_state.reach.confirm_contact();
+    if (has_contact)
+    {
+        m_digests.send_digest_to(asked_by);
+    }
+}
+
 void entry_daemon::on_digest(const peer& it)
 {
     m_mirror.on_digest(it);
     apply_crash_notices(it, m_state.suspects, m_state.crashing_parts);
+    if (it.digest.__isset.server_contact_age_ms)
+    {
+        m_state.reach.on_contact_elsewhere(
+            it.received_at - milliseconds(it.digest.server_contact_age_ms));
+    }
+    if (it.digest.asks_for_contact)
+    {
+        net::co_spawn(m_context, tell_contact(it.address), net::detached);
+    }
     if (it.digest.traffic_ms > 0)
     {
         m_state.on_traffic(it.received_at -
--- a/libraries/entry/fleet/digest_exchange.cpp
+++ b/libraries/entry/fleet/digest_exchange.cpp
@@ -117,6 +117,10 @@
     it.data_centre = m_state.settings.data_centre.value();
     it.is_leaving = m_state.is_draining;
     it.is_cut_off = m_state.reach.is_cut_off();
+    it.asks_for_contact = m_state.reach.asks_others();
+    it.__set_server_contact_age_ms(std::chrono::duration_cast<milliseconds>(
+                                       now - m_state.reach.last_contact())
+                                       .count());
     it.processor_share = m_state.settings.processor_share;
     it.is_update = is_update;
     it.__set_sent_at_ms(
@@ -469,13 +473,13 @@
     send(fleet::datagram_kind::urgent, message, {datagram_endpoint(to)});
 }
 
-void digest_exchange::send_digest_to(const net::ip::udp::endpoint& peer)
+void digest_exchange::send_digest_to(const http::endpoint& to)
 {
     const time_point now = monotonic_clock::now();
     fleet::wire::Digest it = make_digest(now, false);
     add_demand(it, now);
     add_work(it, false, now);
-    send(fleet::datagram_kind::urgent, it, {peer});
+    send(fleet::datagram_kind::urgent, it, {datagram_endpoint(to)});
 }
 
 void digest_exchange::send_update(bool is_beacon)
@@ -646,7 +650,7 @@
                                          m_state.suspects.has_refused();
         if (has_started && is_anything_refused)
         {
-            send_digest_to(from);
+            send_digest_to(address);
         }
     }
 }
--- a/libraries/entry/fleet/digest_exchange.hpp
+++ b/libraries/entry/fleet/digest_exchange.hpp
@@ -45,6 +45,8 @@
                       const http::endpoint& to);
     /// Sends a full digest to all daemons immediately.
     void send_digest();
+    /// The same to one daemon, which has just started or has asked.
+    void send_digest_to(const http::endpoint& to);
 
 private:
     net::awaitable<void> send_loop();
@@ -72,8 +74,6 @@
     /// `is_beacon` is set at times, also if nothing has changed, so that others
     /// know that this host lives.
     void send_update(bool is_beacon);
-    /// Sends a host that has just started what the others know.
-    void send_digest_to(const net::ip::udp::endpoint& peer);
     void send(fleet::datagram_kind kind, const fleet::wire::Digest& digest,
               const std::set<net::ip::udp::endpoint>& to);
     /// Sends what the share of the link allows, now and later.
--- a/libraries/entry/fleet/fleet_view.cpp
+++ b/libraries/entry/fleet/fleet_view.cpp
@@ -98,6 +98,9 @@
     known.number = update.number;
     known.is_leaving = update.is_leaving;
     known.is_cut_off = update.is_cut_off;
+    known.asks_for_contact = update.asks_for_contact;
+    known.__isset.server_contact_age_ms = update.__isset.server_contact_age_ms;
+    known.server_contact_age_ms = update.server_contact_age_ms;
     known.configuration_version = update.configuration_version;
     known.servers_changed_version = update.servers_changed_version;
     known.reaches_store = update.reaches_store;
--- a/libraries/entry/servers/reach_monitor.cpp
+++ b/libraries/entry/servers/reach_monitor.cpp
@@ -41,6 +41,11 @@
 constexpr std::size_t max_checks = 256;
 /// Servers close connections on which no request arrives.
 constexpr milliseconds probe_connection_lifetime{1'000};
+/// Bytes from a server count as an answer to another host if they arrive this
+/// long after it asked: they must not be older than the refusals that it saw.
+constexpr milliseconds answer_delay{reachability::server_reach::contact_margin +
+                                    milliseconds(20)};
+constexpr milliseconds inquiry_poll{20};
 
 } // namespace
 
@@ -85,15 +90,42 @@
                                             reach_proof needed)
 {
     m_reach.on_failure();
+    co_await wait_for_probe();
+    const bool is_known = is_cut_off() || asks_others();
+    if (!is_known && !has_proof_since(failed_at, needed))
+    {
+        co_await probe(needed);
+    }
+    co_await wait_for_others();
+    co_return is_cut_off();
+}
+
+net::awaitable<void> reach_monitor::wait_for_probe()
+{
     while (m_reach.is_probing())
     {
         co_await m_probe_ended.async_wait(no_throw);
     }
-    if (!is_cut_off() && !has_proof_since(failed_at, needed))
+}
+
+net::awaitable<void> reach_monitor::wait_for_others()
+{
+    while (m_reach.awaits_answers(monotonic_clock::now()))
     {
-        co_await probe(needed);
+        co_await daemon::pause(m_context, inquiry_poll);
     }
-    co_return is_cut_off();
+}
+
+net::awaitable<bool> reach_monitor::confirm_contact()
+{
+    const time_point counted_from = monotonic_clock::now() + answer_delay;
+    co_await daemon::pause(m_context, answer_delay);
+    if (last_contact() < counted_from)
+    {
+        co_await wait_for_probe();
+        co_await probe(reach_proof::answer);
+    }
+    co_return last_contact() >= counted_from;
 }
 
 net::awaitable<loss_cause> reach_monitor::find_cause(http::endpoint server,
@@ -171,15 +203,13 @@
         ask(it, all.subspan(1), needed);
     }
     co_await wait(it);
+    const bool was_cut_off = is_cut_off();
     const bool has_changed = m_reach.on_probe_ended(
-        it->has_reached, targets.size(), monotonic_clock::now());
+        result_of(*it), targets.size(), monotonic_clock::now());
     m_probe_ended.cancel();
     if (has_changed)
     {
-        log_event(is_cut_off() ? severity::warning : severity::info,
-                  is_cut_off() ? event_number::host_cut_off
-                               : event_number::host_reconnected,
-                  {{"probed_servers", targets.size()}});
+        log_verdict(was_cut_off, targets.size());
         m_on_change();
         if (is_cut_off())
         {
@@ -188,6 +218,32 @@
     }
 }
 
+void reach_monitor::log_verdict(bool was_cut_off, std::size_t targets) const
+{
+    if (asks_others())
+    {
+        log_event(severity::warning, event_number::servers_refuse,
+                  {{"probed_servers", targets}});
+    }
+    if (is_cut_off() != was_cut_off)
+    {
+        log_event(is_cut_off() ? severity::warning : severity::info,
+                  is_cut_off() ? event_number::host_cut_off
+                               : event_number::host_reconnected,
+                  {{"probed_servers", targets}});
+    }
+}
+
+reachability::probe_result reach_monitor::result_of(const attempt& it)
+{
+    using reachability::probe_result;
+    if (it.has_reached)
+    {
+        return probe_result::reached;
+    }
+    return it.has_refused ? probe_result::refused : probe_result::silent;
+}
+
 void reach_monitor::give_up_repeatable()
 {
     // Only closes connections, so that the list does not change meanwhile.
@@ -268,6 +324,13 @@
     }
 }
 
+void reach_monitor::note_refusal(attempt& it,
+                                 const boost::system::system_error& reason)
+{
+    it.has_refused =
+        it.has_refused || reason.code() == net::error::connection_refused;
+}
+
 void reach_monitor::end(const attempt_pointer& it, bool has_reached)
 {
     it->has_reached = it->has_reached || has_reached;
@@ -292,9 +355,10 @@
             m_pool.keep(server, std::move(connection));
         }
     }
-    catch (const boost::system::system_error&)
+    catch (const boost::system::system_error& reason)
     {
         // Who waits for the attempt sees that it has not connected.
+        note_refusal(*it, reason);
     }
     end(it, has_connected);
 }
@@ -329,9 +393,10 @@
         has_answered = true;
         m_last_answer = monotonic_clock::now();
     }
-    catch (const boost::system::system_error&)
+    catch (const boost::system::system_error& reason)
     {
         // Who waits for the attempt sees that there was no answer.
+        note_refusal(*it, reason);
     }
     end(it, has_answered);
 }
--- a/libraries/entry/servers/reach_monitor.hpp
+++ b/libraries/entry/servers/reach_monitor.hpp
@@ -67,14 +67,33 @@
     reach_monitor(net::io_context& context, http::client_pool& pool,
                   const server_table& servers, std::mt19937_64& random);
 
-    /// `on_change` is called when the host was cut off or is no longer.
+    /// `on_change` is called when the host was cut off or is no longer, and
+    /// when it begins or ends to ask others whether they reach servers.
     void start(question_maker make_question, std::function<void()> on_change);
 
     bool is_cut_off() const { return m_reach.is_cut_off(); }
+    bool asks_others() const { return m_reach.asks_others(); }
 
     /// Bytes arrived from a server.
     void on_contact(time_point now) { m_reach.on_contact(now); }
 
+    /// Bytes from a server reached another host at that time.
+    void on_contact_elsewhere(time_point at)
+    {
+        m_reach.on_contact_elsewhere(at);
+    }
+
+    /// Last bytes from a server, by which another host can tell whether all
+    /// servers have ended.
+    time_point last_contact() const
+    {
+        return std::max(m_reach.last_contact(), m_last_answer);
+    }
+
+    /// Another host asks whether this one reaches servers. Returns whether
+    /// bytes from a server arrive; probes the servers unless they arrive soon.
+    net::awaitable<bool> confirm_contact();
+
     /// Called after a connection failed; returns whether the host is cut off,
     /// after a probe unless there was such a proof since `failed_at`.
     net::awaitable<bool> examine(time_point failed_at, reach_proof needed);
@@ -107,6 +126,8 @@
         std::size_t pending = 0;
         /// One of the servers gave the proof.
         bool has_reached = false;
+        /// One of them refused the connection.
+        bool has_refused = false;
         time_point began{};
         time_point decided_at{};
         /// A connection counts if it is still open then.
@@ -116,6 +137,9 @@
 
     net::awaitable<void> run();
     net::awaitable<void> probe(reach_proof needed);
+    net::awaitable<void> wait_for_probe();
+    /// Waits while other hosts may still tell whether they reach servers.
+    net::awaitable<void> wait_for_others();
     bool has_proof_since(time_point moment, reach_proof needed) const;
     /// This host is cut off: ends the exchanges that wait on silent connections
     /// and may be repeated.
@@ -134,6 +158,10 @@
     net::awaitable<void> wait_for_answer(attempt_pointer it,
                                          server_table::record_pointer server);
     static void end(const attempt_pointer& it, bool has_reached);
+    static void note_refusal(attempt& it,
+                             const boost::system::system_error& reason);
+    static reachability::probe_result result_of(const attempt& it);
+    void log_verdict(bool was_cut_off, std::size_t targets) const;
     static net::awaitable<void> wait(attempt_pointer it);
 
     net::io_context& m_context;
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -212,4 +212,10 @@
   /// True if the sender looks for streams by the paths of their requests; false
   /// if it does so by the names of their routes. Omitted in updates.
   34: bool names_streams_by_path
+  /// True if servers refuse all connections of the sender, which then asks the
+  /// others whether they reach any.
+  35: bool asks_for_contact
+  /// Time since bytes from a server reached the sender; absent if it does not
+  /// tell.
+  36: optional i64 server_contact_age_ms
 }
