Continuity: Record what may begin streams before it is used

Cause: the record of what may begin streams was written after the fact. Hosts that start find one service there and two in the configuration, and can't tell whether the second was used before they were lost. stream_origin_unknown has both as origins, with the record read and no stream known.

A service that is new to a route, or a version that is new to a service, now begins streams only once the record has it, as long as another one that the record has is listed. A stream that nobody knows, taken up at a host that has just started, then began at what was recorded before. It is believed only if that is one origin, all hosts of the fleet are heard and wait for the record, none has started since, and the record of streams was read again.

--- a/libraries/decision/continuity/origin_history.cpp
+++ b/libraries/decision/continuity/origin_history.cpp
@@ -34,6 +34,7 @@
 
 void origin_history::on_servers(service_versions::sets listed, time_point now)
 {
+    m_withheld_versions.on_listed(listed, now);
     m_versions.on_listed(std::move(listed), now);
     m_sole_services.reset();
 }
@@ -56,6 +57,7 @@
         listed.insert_or_assign(it.covers, std::move(route));
     }
     m_listed = std::move(listed);
+    m_withheld_services.on_listed(by_path, now);
     m_services.on_listed(std::move(by_path), now);
     m_services_by_name.on_listed(std::move(by_name), now);
     m_sole_services.reset();
@@ -77,13 +79,40 @@
     if (is_first)
     {
         m_uncompared = it;
+        m_former = it;
+        m_former_read_at = now;
     }
+    on_written(it);
     if (m_first_listed_at)
     {
         compare_with_record(now);
     }
 }
 
+void origin_history::on_written(const record& it)
+{
+    m_is_record_known = true;
+    m_withheld_versions.on_recorded(it.versions);
+    m_withheld_services.on_recorded(it.services);
+}
+
+bool origin_history::may_begin(const request_path& route,
+                               const service_id& service, time_point now) const
+{
+    return !m_withheld_services.is_withheld(route, service, now);
+}
+
+bool origin_history::may_begin(const stream_origin& it, time_point now) const
+{
+    return !m_withheld_versions.is_withheld(it.service, it.version, now);
+}
+
+bool origin_history::is_any_withheld(time_point now) const
+{
+    return m_withheld_versions.is_any_withheld(now) ||
+           m_withheld_services.is_any_withheld(now);
+}
+
 void origin_history::compare_with_record(time_point now)
 {
     if (!m_uncompared)
@@ -204,22 +233,82 @@
     return origins_of(covering(path, now), now);
 }
 
+bool origin_history::is_past_proved(const std::vector<request_path>& routes,
+                                    time_point now) const
+{
+    return is_past_known(now) &&
+           std::none_of(routes.begin(), routes.end(),
+                        [&](const request_path& it)
+                        { return is_past_unproved(it, now); });
+}
+
 std::optional<stream_origin>
 origin_history::sole_origin(const request_path& path, time_point now) const
 {
     const std::vector<request_path> routes = covering(path, now);
-    const bool is_proved = is_past_known(now) &&
-                           std::none_of(routes.begin(), routes.end(),
-                                        [&](const request_path& it)
-                                        { return is_past_unproved(it, now); });
     const std::set<stream_origin> found = origins_of(routes, now);
-    if (!is_proved || found.size() != 1)
+    if (!is_past_proved(routes, now) || found.size() != 1)
     {
         return std::nullopt;
     }
     return *found.begin();
 }
 
+std::optional<std::set<stream_origin>>
+origin_history::former_origins_of(const std::vector<request_path>& routes) const
+{
+    std::set<stream_origin> found;
+    for (const request_path& route : routes)
+    {
+        const auto services = m_former->services.find(route);
+        if (services == m_former->services.end())
+        {
+            return std::nullopt;
+        }
+        for (const service_id& service : services->second)
+        {
+            const auto versions = m_former->versions.find(service);
+            if (versions == m_former->versions.end())
+            {
+                return std::nullopt;
+            }
+            for (const software_version& it : versions->second)
+            {
+                found.insert({service, it});
+            }
+        }
+    }
+    return found;
+}
+
+std::optional<stream_origin>
+origin_history::sole_former_origin(const request_path& path,
+                                   time_point now) const
+{
+    const bool may_be_alive = m_former && m_former->is_ahead &&
+                              now <= m_former_read_at + m_services.retention();
+    const std::vector<request_path> routes = covering(path, now);
+    if (!may_be_alive || !is_past_proved(routes, now))
+    {
+        return std::nullopt;
+    }
+    const auto found = former_origins_of(routes);
+    if (!found || found->size() != 1)
+    {
+        return std::nullopt;
+    }
+    // Where nothing that is recorded is listed, streams begin at once.
+    const stream_origin sole = *found->begin();
+    const bool may_be_replaced =
+        !m_versions.is_listed(sole.service, sole.version) ||
+        std::any_of(routes.begin(), routes.end(),
+                    [&](const request_path& it) {
+                        return m_listed.contains(it) &&
+                               !m_services.is_listed(it, sole.service);
+                    });
+    return may_be_replaced ? std::nullopt : std::optional(sole);
+}
+
 origin_history::sole_services
 origin_history::find_sole_services(time_point now) const
 {
@@ -257,7 +346,8 @@
     record it{m_versions.all(now),
               m_services.all(now),
               {},
-              m_services_by_name.all(now)};
+              m_services_by_name.all(now),
+              false};
     for (const auto& [path, route] : m_listed)
     {
         if (is_settled(path, now))
@@ -273,6 +363,8 @@
     m_versions.forget(now);
     m_services.forget(now);
     m_services_by_name.forget(now);
+    m_withheld_versions.forget(m_versions.all(now));
+    m_withheld_services.forget(m_services.all(now));
     m_sole_services.reset();
     std::erase_if(m_unproved, [&](const auto& it)
                   { return !is_past_unproved(it.first, now); });
--- a/libraries/decision/continuity/origin_history.hpp
+++ b/libraries/decision/continuity/origin_history.hpp
@@ -2,6 +2,7 @@
 
 #include "decision/continuity/recent_sets.hpp"
 #include "decision/continuity/stream_origin.hpp"
+#include "decision/continuity/withheld_values.hpp"
 
 #include <vector>
 
@@ -38,6 +39,9 @@
         std::set<request_path> settled;
         /// By the names of the routes, for hosts of a former build.
         route_services::sets services_by_name;
+        /// No host begins streams at a service or version that is missing here
+        /// while another one is listed for the same.
+        bool is_ahead = false;
 
         friend bool operator==(const record&, const record&) = default;
     };
@@ -52,6 +56,26 @@
     void on_routes(const std::vector<resumable_route>& routes, time_point now);
     void on_recorded(const record& it, time_point now);
 
+    /// Hosts that start within this time of each other may have been lost
+    /// together.
+    static constexpr milliseconds common_start_time{5'000};
+
+    /// Another host has started, which no longer knows the streams that it
+    /// began or kept.
+    void on_host_started(time_point now) { m_last_host_start = now; }
+
+    /// What the record holds now, as this host wrote it or read it again.
+    void on_written(const record& it);
+    bool is_record_known() const { return m_is_record_known; }
+
+    /// False while the record does not tell yet that streams of the route may
+    /// begin at the service, or at that version of it, and another one may be
+    /// used.
+    bool may_begin(const request_path& route, const service_id& service,
+                   time_point now) const;
+    bool may_begin(const stream_origin& it, time_point now) const;
+    bool is_any_withheld(time_point now) const;
+
     bool is_past_known(time_point now) const;
 
     std::set<stream_origin> origins(const request_path& path,
@@ -62,6 +86,14 @@
     std::optional<stream_origin> sole_origin(const request_path& path,
                                              time_point now) const;
 
+    /// The only origin at which a stream of the path can have begun before this
+    /// host started; for streams that no host and no record knows, since those
+    /// that began later are told and recorded. Empty if other origins were
+    /// recorded by then, or could be used without, or if hosts that were told
+    /// of streams since have started again.
+    std::optional<stream_origin> sole_former_origin(const request_path& path,
+                                                    time_point now) const;
+
     /// False if every stream of a path that leads to the service can have been
     /// begun by one origin only.
     bool is_ambiguous(const service_id& service, time_point now) const;
@@ -98,6 +130,13 @@
     void compare_with_record(time_point now);
     void adopt_names(const route_services::sets& recorded, time_point now);
     sole_services find_sole_services(time_point now) const;
+    /// No other routes may have covered the paths of these.
+    bool is_past_proved(const std::vector<request_path>& routes,
+                        time_point now) const;
+    /// What was recorded when this host started; empty if the record lacks a
+    /// route or a service.
+    std::optional<std::set<stream_origin>>
+    former_origins_of(const std::vector<request_path>& routes) const;
 
     service_versions m_versions;
     path_services m_services;
@@ -108,6 +147,13 @@
     /// What was recorded before the first configuration.
     std::optional<record> m_uncompared;
     std::map<request_path, time_point> m_unproved;
+    /// The record as this host found it when it started.
+    std::optional<record> m_former;
+    time_point m_former_read_at{};
+    time_point m_last_host_start{};
+    bool m_is_record_known = false;
+    withheld_values<service_id, software_version> m_withheld_versions;
+    withheld_values<request_path, service_id> m_withheld_services;
     /// Each stream that begins asks for it.
     mutable std::optional<sole_services> m_sole_services;
 };
--- a/libraries/decision/continuity/recent_sets.hpp
+++ b/libraries/decision/continuity/recent_sets.hpp
@@ -43,6 +43,12 @@
         m_listed = std::move(listed);
     }
 
+    bool is_listed(const Key& key, const Value& value) const
+    {
+        const auto listed = m_listed.find(key);
+        return listed != m_listed.end() && listed->second.contains(value);
+    }
+
     /// The values that were known before this host started, as recorded by
     /// itself or another host.
     void on_recorded(const sets& recorded, time_point now)
@@ -136,10 +142,7 @@
     bool is_current(const Key& key, const Value& value, time_point last_listed,
                     time_point now) const
     {
-        const auto listed = m_listed.find(key);
-        const bool is_listed =
-            listed != m_listed.end() && listed->second.contains(value);
-        return is_listed || now <= last_listed + m_retention;
+        return is_listed(key, value) || now <= last_listed + m_retention;
     }
 
     time_point m_started;
--- a/libraries/entry/fleet/digest_exchange.cpp
+++ b/libraries/entry/fleet/digest_exchange.cpp
@@ -117,6 +117,7 @@
     it.data_centre = m_state.settings.data_centre.value();
     it.is_leaving = m_state.is_draining;
     it.is_cut_off = m_state.reach.is_cut_off();
+    it.waits_for_record = m_state.continuity.waits_for_record();
     it.asks_for_contact = m_state.reach.asks_others();
     it.__set_server_contact_age_ms(std::chrono::duration_cast<milliseconds>(
                                        now - m_state.reach.last_contact())
@@ -645,6 +646,10 @@
         known->second.digest.incarnation != digest.incarnation;
     if (m_state.fleet.on_digest(digest, address, monotonic_clock::now()))
     {
+        if (has_started)
+        {
+            m_state.continuity.on_host_started();
+        }
         m_on_digest(m_state.fleet.peers().at(sender));
         const bool is_anything_refused = !m_state.crashing_parts.is_empty() ||
                                          m_state.suspects.has_refused();
--- a/libraries/entry/fleet/fleet_view.cpp
+++ b/libraries/entry/fleet/fleet_view.cpp
@@ -98,6 +98,7 @@
     known.number = update.number;
     known.is_leaving = update.is_leaving;
     known.is_cut_off = update.is_cut_off;
+    known.waits_for_record = update.waits_for_record;
     known.asks_for_contact = update.asks_for_contact;
     known.__isset.server_contact_age_ms = update.__isset.server_contact_age_ms;
     known.server_contact_age_ms = update.server_contact_age_ms;
--- a/libraries/entry/requests/active_request.hpp
+++ b/libraries/entry/requests/active_request.hpp
@@ -78,6 +78,10 @@
     /// The stream that began with the request.
     stream_identity stream_of(const request_id& request) const;
     void choose_service();
+    bool begins_resumable_stream() const;
+    /// Streams of the route must not begin at the service yet, and may do so at
+    /// another one.
+    bool is_withheld(const service_id& service) const;
     /// For a request that takes up a stream: finds out what began it, and
     /// refuses it if that is not known.
     net::awaitable<void> find_stream_origin();
--- a/libraries/entry/requests/request_admission.cpp
+++ b/libraries/entry/requests/request_admission.cpp
@@ -181,14 +181,34 @@
     refuse(refusal_kind::no_capacity, {});
 }
 
+bool active_request::begins_resumable_stream() const
+{
+    return !m_origin && is_stream() && m_route->is_resumable;
+}
+
+bool active_request::is_withheld(const service_id& service) const
+{
+    const continuity::request_path covers{m_route->host, m_route->path_prefix};
+    const auto is_usable = [&](const serving::service_share& it)
+    {
+        return m_state.continuity.may_begin(covers, it.service) &&
+               m_state.servers.has_server_of(it.service);
+    };
+    return begins_resumable_stream() &&
+           !m_state.continuity.may_begin(covers, service) &&
+           std::any_of(m_route->services.begin(), m_route->services.end(),
+                       is_usable);
+}
+
 void active_request::choose_service()
 {
     const auto& shares = m_route->services;
     const auto weight_of = [&](std::size_t n) -> std::uint32_t
     {
         // A stream that is taken up goes on at the service that began it.
-        const bool is_excluded =
-            m_origin && shares[n].service != m_origin->service;
+        const bool is_excluded = m_origin
+                                     ? shares[n].service != m_origin->service
+                                     : is_withheld(shares[n].service);
         return is_excluded ? 0 : shares[n].weight;
     };
     const auto drawn =
--- a/libraries/entry/requests/request_routing.cpp
+++ b/libraries/entry/requests/request_routing.cpp
@@ -63,8 +63,13 @@
 
 bool active_request::has_origin(const serving::server_entry& server) const
 {
-    return !m_origin || (server.service == m_origin->service &&
-                         server.version == m_origin->version);
+    if (m_origin)
+    {
+        return server.service == m_origin->service &&
+               server.version == m_origin->version;
+    }
+    return !begins_resumable_stream() ||
+           m_state.continuity.may_begin({server.service, server.version});
 }
 
 bool active_request::is_eligible(const server_record& server) const
--- a/libraries/entry/requests/stream_continuity.cpp
+++ b/libraries/entry/requests/stream_continuity.cpp
@@ -24,9 +24,15 @@
 /// A server may begin streams this long after its version is no longer listed:
 /// all hosts learn of it in this time.
 constexpr milliseconds list_lag{5'000};
+/// A host that starts reads the record within this time, unless the store turns
+/// it away.
+constexpr milliseconds first_read_time{3'000};
 /// Hosts in contact answer within a few milliseconds. The caller, which waits
 /// for its next event, is told early that nobody knows.
 constexpr milliseconds answer_limit{250};
+/// A stream that began while others could have begun it too is in the record
+/// after this time: two periods in which streams are written.
+constexpr milliseconds longest_unrecorded{600};
 /// A datagram of this many streams is well below the largest.
 constexpr std::size_t max_streams_per_message = 200;
 
@@ -69,8 +75,8 @@
                                      const server_table& servers,
                                      const fleet_view& fleet)
     : m_context(context), m_servers(servers), m_fleet(fleet),
-      m_history(monotonic_clock::now()), m_origins(max_streams),
-      m_begun_here(max_streams)
+      m_started(monotonic_clock::now()), m_history(m_started),
+      m_origins(max_streams), m_begun_here(max_streams)
 {
 }
 
@@ -116,6 +122,7 @@
     const continuity::origin_history::record& before, time_point now)
 {
     m_history.forget(now);
+    m_is_any_withheld = m_history.is_any_withheld(now);
     const auto after = m_history.current(now);
     if (before == after)
     {
@@ -161,12 +168,54 @@
 void stream_continuity::on_recorded(
     const continuity::origin_history::record& it)
 {
-    m_history.on_recorded(it, monotonic_clock::now());
+    const time_point now = monotonic_clock::now();
+    m_history.on_recorded(it, now);
+    m_is_any_withheld = m_history.is_any_withheld(now);
 }
 
 continuity::origin_history::record stream_continuity::origins_to_record() const
 {
-    return m_history.current(monotonic_clock::now());
+    auto it = m_history.current(monotonic_clock::now());
+    it.is_ahead = waits_for_record() && do_others_wait_for_record();
+    return it;
+}
+
+void stream_continuity::on_written(const continuity::origin_history::record& it)
+{
+    m_history.on_written(it);
+    m_is_any_withheld = m_history.is_any_withheld(monotonic_clock::now());
+}
+
+bool stream_continuity::waits_for_record() const
+{
+    return m_history.is_record_known() ||
+           monotonic_clock::now() < m_started + first_read_time;
+}
+
+bool stream_continuity::do_others_wait_for_record() const
+{
+    return std::all_of(m_fleet.peers().begin(), m_fleet.peers().end(),
+                       [](const auto& it)
+                       { return it.second.digest.waits_for_record; });
+}
+
+bool stream_continuity::is_any_withheld() const
+{
+    return m_is_any_withheld &&
+           m_history.is_any_withheld(monotonic_clock::now());
+}
+
+bool stream_continuity::may_begin(const continuity::request_path& route,
+                                  const service_id& service) const
+{
+    return !m_is_any_withheld ||
+           m_history.may_begin(route, service, monotonic_clock::now());
+}
+
+bool stream_continuity::may_begin(const stream_origin& it) const
+{
+    return !m_is_any_withheld ||
+           m_history.may_begin(it, monotonic_clock::now());
 }
 
 bool stream_continuity::is_past_known() const
@@ -326,6 +375,15 @@
     }
 }
 
+net::awaitable<std::optional<begun_stream>>
+stream_continuity::read_record_again(std::vector<stream_key> keys)
+{
+    net::steady_timer written(m_context, longest_unrecorded);
+    co_await written.async_wait(net::as_tuple(net::use_awaitable));
+    co_await m_handlers.read_recorded();
+    co_return find(keys);
+}
+
 net::awaitable<std::optional<stream_origin>>
 stream_continuity::find_origin(request_id taken_up_by, stream_identity stream)
 {
@@ -359,6 +417,18 @@
     {
         co_return sole;
     }
+    // A host that the others do not hear may have begun it since.
+    if (is_record_read && m_fleet.is_complete(now) &&
+        m_history.sole_former_origin(stream.path, now))
+    {
+        known = co_await read_record_again(keys);
+        const auto former =
+            m_history.sole_former_origin(stream.path, monotonic_clock::now());
+        if (known || former)
+        {
+            co_return known ? known->origin : *former;
+        }
+    }
     log_event(severity::warning, event_number::stream_origin_unknown,
               {{"request", taken_up_by.value()},
                {"route", stream.route.value()},
--- a/libraries/entry/requests/stream_continuity.hpp
+++ b/libraries/entry/requests/stream_continuity.hpp
@@ -63,6 +63,11 @@
     void on_configuration(const serving::configuration& it);
     /// The list of servers, or what one of them runs, has changed.
     void on_servers_changed();
+    /// Another host has started.
+    void on_host_started()
+    {
+        m_history.on_host_started(monotonic_clock::now());
+    }
     /// Another host records streams now, or this one does.
     void on_recorder_changed();
 
@@ -72,6 +77,18 @@
     continuity::origin_history::record origins_to_record() const;
     bool is_past_known() const;
 
+    /// The record holds this now, as this host wrote it or read it again.
+    void on_written(const continuity::origin_history::record& it);
+    /// Streams that nobody knows began at a recorded origin if all hosts do so:
+    /// this host knows the record and begins them nowhere else.
+    bool waits_for_record() const;
+    /// A listed service or version waits to be recorded.
+    bool is_any_withheld() const;
+    /// False while streams of the route must not begin at the service yet.
+    bool may_begin(const continuity::request_path& route,
+                   const service_id& service) const;
+    bool may_begin(const continuity::stream_origin& it) const;
+
     /// A stream that was recorded in the store.
     void on_recorded(const continuity::stream_key& key,
                      const continuity::stream_origin& origin);
@@ -140,17 +157,26 @@
     /// What is known of a stream by one of its keys.
     std::optional<continuity::begun_stream>
     find(const std::vector<continuity::stream_key>& keys) const;
+    /// Reads the record once it has all streams that have begun until now.
+    net::awaitable<std::optional<continuity::begun_stream>>
+    read_record_again(std::vector<continuity::stream_key> keys);
     /// Asks other hosts for a stream by all of its keys.
     net::awaitable<question_pointer>
     ask(const std::vector<continuity::stream_key>& keys);
     void on_answer(const continuity::stream_key& stream, bool is_known,
                    object_version servers_changed);
 
+    /// True if the other hosts begin streams at recorded origins only.
+    bool do_others_wait_for_record() const;
+
     net::io_context& m_context;
     const server_table& m_servers;
     const fleet_view& m_fleet;
     handlers m_handlers;
+    time_point m_started;
     continuity::origin_history m_history;
+    /// Requests ask often, and it is rarely true.
+    bool m_is_any_withheld = false;
     continuity::stream_origins m_origins;
     /// Those of them that this host serves.
     continuity::stream_origins m_begun_here;
--- a/libraries/entry/servers/server_table.cpp
+++ b/libraries/entry/servers/server_table.cpp
@@ -416,6 +416,13 @@
     }
 }
 
+bool server_table::has_server_of(const service_id& service) const
+{
+    return std::any_of(m_records.begin(), m_records.end(),
+                       [&](const auto& it)
+                       { return it.second->entry.service == service; });
+}
+
 server_table::record_pointer server_table::find(const server_id& id) const
 {
     const auto it = m_records.find(id);
--- a/libraries/entry/servers/server_table.hpp
+++ b/libraries/entry/servers/server_table.hpp
@@ -165,6 +165,7 @@
         return m_records;
     }
     record_pointer find(const server_id& id) const;
+    bool has_server_of(const service_id& service) const;
     /// The record of an incarnation, listed or not; makes one that is not
     /// listed if there is none. Null if a later incarnation is known.
     record_pointer find_incarnation(const server_id& id,
--- a/libraries/entry/servers/version_record.cpp
+++ b/libraries/entry/servers/version_record.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace cicadahub::entry
 {
 
@@ -25,11 +27,16 @@
 /// The services of each route by its name, which former builds read.
 /// FIXME: Leave it out once no host of such a build serves any more.
 constexpr const char* routes_member = "routes";
+/// Hosts begin streams at recorded origins only; former builds write none.
+constexpr const char* ahead_member = "is_ahead";
 constexpr milliseconds retry_pause{300};
 /// The first holder writes the record a second or two after the start.
 constexpr milliseconds absent_pause{3'000};
 /// The holder looks this often whether the versions have changed.
 constexpr milliseconds check_period{100};
+/// The holder has mostly written by then what another host has just learnt.
+constexpr milliseconds first_follow_pause{150};
+constexpr milliseconds longest_follow_pause{1'200};
 
 template<class Key, class Value>
 boost::json::object to_json(const std::map<Key, std::set<Value>>& sets)
@@ -69,7 +76,8 @@
 {
     return {{versions_member, to_json(it.versions)},
             {paths_member, paths_to_json(it)},
-            {routes_member, to_json(it.services_by_name)}};
+            {routes_member, to_json(it.services_by_name)},
+            {ahead_member, it.is_ahead}};
 }
 
 template<class Key, class Value>
@@ -141,6 +149,7 @@
     {
         read_paths(reader.array(paths_member), it);
     }
+    it.is_ahead = reader.boolean_or(ahead_member, false);
     return it;
 }
 
@@ -157,6 +166,7 @@
 {
     net::co_spawn(m_context, read_past(), net::detached);
     net::co_spawn(m_context, write_changes(), net::detached);
+    net::co_spawn(m_context, follow(), net::detached);
 }
 
 net::awaitable<bool> version_record::read()
@@ -193,6 +203,36 @@
     }
 }
 
+net::awaitable<void> version_record::follow()
+{
+    milliseconds wait = first_follow_pause;
+    while (!m_handlers.is_stopping())
+    {
+        co_await pause(m_context, check_period);
+        if (m_handlers.is_holder() || !m_streams.is_any_withheld())
+        {
+            wait = first_follow_pause;
+            continue;
+        }
+        co_await pause(m_context, wait);
+        wait = std::min(2 * wait, longest_follow_pause);
+        try
+        {
+            const auto stored = co_await m_store.read(
+                platform::collection::versions, record_name);
+            if (stored)
+            {
+                m_streams.on_written(origins_from(stored->spec));
+            }
+        }
+        catch (const error& reason)
+        {
+            log_event(severity::warning, event_number::platform_unreachable,
+                      {{"collection", "versions"}, {"reason", reason.what()}});
+        }
+    }
+}
+
 net::awaitable<void> version_record::write_changes()
 {
     while (!m_handlers.is_stopping())
@@ -262,6 +302,7 @@
     former.version = written.version;
     m_stored = std::move(former);
     m_written = known;
+    m_streams.on_written(known);
 }
 
 } // namespace cicadahub::entry
--- a/libraries/entry/servers/version_record.hpp
+++ b/libraries/entry/servers/version_record.hpp
@@ -33,6 +33,9 @@
 private:
     net::awaitable<void> read_past();
     net::awaitable<void> write_changes();
+    /// Reads the record again while this host may not begin streams at a listed
+    /// service or version that it lacks.
+    net::awaitable<void> follow();
     /// True if there was a record.
     net::awaitable<bool> read();
     net::awaitable<void> write(const continuity::origin_history::record& known);
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -218,4 +218,7 @@
   /// Time since bytes from a server reached the sender; absent if it does not
   /// tell.
   36: optional i64 server_contact_age_ms
+  /// True if the sender begins streams only at services and versions that the
+  /// record of origins in the store has, or has just started.
+  37: bool waits_for_record
 }
--- a/tests/decision/continuity_test.cpp
+++ b/tests/decision/continuity_test.cpp
@@ -37,7 +37,8 @@
                                  const routes& all,
                                  std::set<request_path> settled = {})
 {
-    origin_history::record it{std::move(versions), {}, std::move(settled), {}};
+    origin_history::record it{
+        std::move(versions), {}, std::move(settled), {}, false};
     for (const resumable_route& route : all)
     {
         it.services[route.covers] = route.services;
@@ -384,6 +385,167 @@
                      service}),
     [](const auto& it) { return std::string(it.param.name); });
 
+struct former_case
+{
+    const char* name;
+    origin_history::record recorded;
+    /// All hosts begin streams at recorded origins only.
+    bool is_ahead;
+    std::set<software_version> versions;
+    routes listed;
+    milliseconds after;
+    std::optional<software_version> former;
+    /// Streams may begin at once, at the other service and at version 2.
+    bool may_begin_at_service;
+    bool may_begin_at_version;
+};
+
+void PrintTo(const former_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class former_origins : public testing::TestWithParam<former_case>
+{
+};
+
+// Guards against streams that nobody takes up again since all hosts were lost
+// as their route was split (review/12), and against streams that go on at
+// another service because one was used before the record had it.
+TEST_P(former_origins, are_those_that_were_recorded_before_they_were_used)
+{
+    const former_case& it = GetParam();
+    origin_history subject(start);
+    subject.set_retention(retention);
+    origin_history::record read = it.recorded;
+    read.is_ahead = it.is_ahead;
+    subject.on_recorded(read, start);
+    subject.on_servers({{service, it.versions}, {other_service, {v1}}}, start);
+    subject.on_routes(it.listed, start);
+    EXPECT_EQ(subject.may_begin(path, other_service, start),
+              it.may_begin_at_service);
+    EXPECT_EQ(subject.may_begin({service, v2}, start), it.may_begin_at_version);
+    EXPECT_EQ(subject.is_any_withheld(start),
+              !it.may_begin_at_service || !it.may_begin_at_version);
+    const auto former = subject.sole_former_origin(path, start + it.after);
+    EXPECT_EQ(former ? std::optional(former->version) : std::nullopt,
+              it.former);
+    subject.on_written(subject.current(start));
+    EXPECT_FALSE(subject.is_any_withheld(start));
+    EXPECT_TRUE(subject.may_begin(path, other_service, start));
+    // What was recorded later says nothing of streams that began before.
+    EXPECT_EQ(subject.sole_former_origin(path, start + it.after), former);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    origin_history, former_origins,
+    testing::Values(
+        former_case{"split",
+                    recorded(to_one),
+                    true,
+                    {v1},
+                    to_both,
+                    seconds(9),
+                    v1,
+                    false,
+                    true},
+        former_case{"split_long_ago",
+                    recorded(to_one),
+                    true,
+                    {v1},
+                    to_both,
+                    over,
+                    std::nullopt,
+                    false,
+                    true},
+        former_case{"split_beside_former_builds",
+                    recorded(to_one),
+                    false,
+                    {v1},
+                    to_both,
+                    seconds(9),
+                    std::nullopt,
+                    false,
+                    true},
+        former_case{"split_and_recorded",
+                    recorded(to_both),
+                    true,
+                    {v1},
+                    to_both,
+                    seconds(9),
+                    std::nullopt,
+                    true,
+                    true},
+        // Nothing that is recorded may be used, so that nobody waits.
+        former_case{"moved",
+                    recorded(to_one),
+                    true,
+                    {v1},
+                    to_other,
+                    seconds(9),
+                    std::nullopt,
+                    true,
+                    true},
+        former_case{"new_version",
+                    recorded(to_one),
+                    true,
+                    {v1, v2},
+                    to_one,
+                    seconds(9),
+                    v1,
+                    true,
+                    false},
+        former_case{"replaced_version",
+                    recorded(to_one),
+                    true,
+                    {v2},
+                    to_one,
+                    seconds(9),
+                    std::nullopt,
+                    true,
+                    true},
+        former_case{"added",
+                    recorded({short_route}),
+                    true,
+                    {v1},
+                    {short_route, long_route},
+                    seconds(9),
+                    std::nullopt,
+                    true,
+                    true},
+        former_case{"split_and_renamed",
+                    recorded(by_former_name),
+                    true,
+                    {v1},
+                    to_both,
+                    seconds(9),
+                    v1,
+                    false,
+                    true}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+TEST(origin_history, withholds_no_origin_for_ever)
+{
+    using held = withheld_values<request_path, service_id>;
+    held subject;
+    subject.on_recorded({{path, {service}}});
+    subject.on_listed({{path, {service, other_service}}}, start);
+    const time_point end = start + held::longest_hold;
+    EXPECT_TRUE(
+        subject.is_withheld(path, other_service, end - milliseconds(1)));
+    EXPECT_FALSE(subject.is_withheld(path, other_service, end));
+}
+
+TEST(origin_history, withholds_again_what_the_record_has_dropped)
+{
+    withheld_values<request_path, service_id> subject;
+    subject.on_recorded({{path, {service, other_service}}});
+    subject.on_listed({{path, {service}}}, start);
+    subject.forget({{path, {service}}});
+    subject.on_listed({{path, {service, other_service}}}, start + seconds(60));
+    EXPECT_TRUE(subject.is_withheld(path, other_service, start + seconds(60)));
+}
+
 stream_key key(const std::string& request)
 {
     return key_of(request_id(request), organisation_id("trust"),
@@ -490,13 +652,15 @@
 
 /// Hosts that begin streams while a service is replaced, are lost and start
 /// again, and take up each other's streams. What a host tells or asks may be
-/// lost; the record of versions may be a moment late.
+/// lost; the record of versions may be a moment late. If `is_ahead`, versions
+/// are recorded before they are used, and streams while there are several.
 class continuity_run
 {
 public:
-    continuity_run(std::uint64_t seed, std::size_t hosts)
-        : m_simulation(seed), m_hosts(hosts)
+    continuity_run(std::uint64_t seed, std::size_t hosts, bool is_ahead)
+        : m_simulation(seed), m_is_ahead(is_ahead), m_hosts(hosts)
     {
+        m_record.is_ahead = is_ahead;
         for (std::size_t n = 0; n < hosts; ++n)
         {
             restart(n);
@@ -505,20 +669,19 @@
 
     void run()
     {
-        for (int step = 0; step < 4'000; ++step)
+        const int steps = m_is_ahead ? 12'000 : 4'000;
+        for (int step = 0; step < steps; ++step)
         {
             m_now += milliseconds(5);
             replace_servers();
+            write_records();
             if (m_simulation.happens(0.004))
             {
                 restart(pick());
             }
             if (m_simulation.happens(0.001))
             {
-                for (std::size_t n = 0; n < m_hosts.size(); ++n)
-                {
-                    restart(n);
-                }
+                restart_all();
             }
             begin_stream(pick());
             take_up(pick());
@@ -527,6 +690,7 @@
 
     std::size_t taken_up = 0;
     std::size_t gone_on = 0;
+    std::size_t gone_on_by_former_origin = 0;
 
 private:
     struct host
@@ -548,11 +712,24 @@
         m_hosts[n].history.on_routes(leads_to({service}), m_now);
         m_hosts[n].history.on_recorded(m_record, m_now);
         m_hosts[n].history.on_servers(versions(m_listed), m_now);
+        for (host& it : m_hosts)
+        {
+            it.history.on_host_started(m_now);
+        }
+    }
+
+    void restart_all()
+    {
+        for (std::size_t n = 0; n < m_hosts.size(); ++n)
+        {
+            restart(n);
+        }
     }
 
     void replace_servers()
     {
-        if (!m_simulation.happens(0.002))
+        // The record has one version only where none has left for long.
+        if (!m_simulation.happens(m_is_ahead ? 0.0004 : 0.002))
         {
             return;
         }
@@ -577,9 +754,45 @@
                 tell(it);
             }
         }
+        if (m_is_ahead)
+        {
+            m_write_at = m_now + m_simulation.pick_ms(0, 400);
+            if (m_simulation.happens(0.3))
+            {
+                restart_all();
+            }
+            return;
+        }
         m_record = m_hosts[pick()].history.current(m_now);
     }
 
+    void write_records()
+    {
+        if (m_write_at && m_now >= *m_write_at)
+        {
+            m_write_at.reset();
+            m_record = m_hosts[pick()].history.current(m_now);
+            m_record.is_ahead = true;
+        }
+        for (host& it : m_hosts)
+        {
+            if (m_is_ahead && it.history.is_any_withheld(m_now) &&
+                m_simulation.happens(0.05))
+            {
+                it.history.on_written(m_record);
+            }
+        }
+        if (m_now >= m_streams_written_at + milliseconds(300))
+        {
+            m_streams_written_at = m_now;
+            for (const begun_stream& it : m_unrecorded)
+            {
+                m_recorded.on_begun(it, m_now);
+            }
+            m_unrecorded.clear();
+        }
+    }
+
     std::vector<daemon_id> names() const
     {
         std::vector<daemon_id> names;
@@ -604,14 +817,22 @@
 
     void begin_stream(std::size_t at)
     {
-        const auto n = static_cast<std::size_t>(m_simulation.pick(
-            0, static_cast<std::int64_t>(m_listed.size()) - 1));
-        begun_stream it = stream(
-            "r" + std::to_string(m_begun.size()), m_now + retention / 2,
-            *std::next(m_listed.begin(), static_cast<std::ptrdiff_t>(n)));
+        std::vector<software_version> usable;
+        for (const software_version& it : m_listed)
+        {
+            if (m_hosts[at].history.may_begin({service, it}, m_now))
+            {
+                usable.push_back(it);
+            }
+        }
+        const auto n = static_cast<std::size_t>(
+            m_simulation.pick(0, static_cast<std::int64_t>(usable.size()) - 1));
+        begun_stream it = stream("r" + std::to_string(m_begun.size()),
+                                 m_now + retention / 2, usable[n]);
         if (!sole_version(m_hosts[at].history, m_now))
         {
             tell(it);
+            m_unrecorded.push_back(it);
         }
         m_hosts[at].origins.on_begun(it, m_now);
         m_begun.push_back(std::move(it));
@@ -619,10 +840,12 @@
 
     void take_up(std::size_t at)
     {
+        // Two seconds, so that some have begun before their hosts were lost.
+        const std::int64_t newest = m_is_ahead ? 400 : 100;
         const begun_stream& it =
             m_begun[static_cast<std::size_t>(m_simulation.pick(
                 std::max<std::int64_t>(
-                    0, static_cast<std::int64_t>(m_begun.size()) - 100),
+                    0, static_cast<std::int64_t>(m_begun.size()) - newest),
                 static_cast<std::int64_t>(m_begun.size()) - 1))];
         host& self = m_hosts[at];
         ++taken_up;
@@ -641,11 +864,23 @@
                     self.origins.on_begun(*known, m_now);
                 }
             }
-            const auto known = self.origins.find(it.key, m_now);
+            auto known = self.origins.find(it.key, m_now);
+            if (!known && m_is_ahead)
+            {
+                known = m_recorded.find(it.key, m_now);
+            }
+            const auto former = self.history.sole_former_origin(path, m_now);
             if (known)
             {
                 found = known->origin.version;
             }
+            // The host waits until younger streams are recorded.
+            else if (former &&
+                     it.until - retention / 2 < m_now - milliseconds(600))
+            {
+                found = former->version;
+                ++gone_on_by_former_origin;
+            }
         }
         gone_on += found ? 1 : 0;
         if (found)
@@ -655,6 +890,7 @@
     }
 
     fakes::simulation m_simulation;
+    bool m_is_ahead;
     time_point m_now = start;
     std::set<software_version> m_listed{software_version("v10")};
     std::int64_t m_newest = 10;
@@ -662,25 +898,46 @@
         record_of(versions({software_version("v10")}), leads_to({service}));
     std::vector<host> m_hosts;
     std::vector<begun_stream> m_begun;
+    std::optional<time_point> m_write_at;
+    time_point m_streams_written_at = start;
+    std::vector<begun_stream> m_unrecorded;
+    stream_origins m_recorded{10'000};
 };
 
-class continuity_runs : public testing::TestWithParam<std::size_t>
+struct run_case
+{
+    std::size_t hosts;
+    bool is_ahead;
+};
+
+void PrintTo(const run_case& it, std::ostream* out)
+{
+    *out << it.hosts << (it.is_ahead ? "_ahead" : "");
+}
+
+class continuity_runs : public testing::TestWithParam<run_case>
 {
 };
 
 // Guards against a stream that goes on at another version than began it.
 TEST_P(continuity_runs, join_no_versions)
 {
+    std::size_t by_former_origin = 0;
     for (std::uint64_t seed = 0; seed < 10; ++seed)
     {
-        continuity_run run(seed, GetParam());
+        continuity_run run(seed, GetParam().hosts, GetParam().is_ahead);
         run.run();
         EXPECT_GT(run.gone_on, run.taken_up / 4) << seed;
+        by_former_origin += run.gone_on_by_former_origin;
     }
+    EXPECT_EQ(by_former_origin > 0, GetParam().is_ahead);
 }
 
 INSTANTIATE_TEST_SUITE_P(stream_origins, continuity_runs,
-                         testing::Values(1, 3, 9, 74));
+                         testing::Values(run_case{1, false}, run_case{3, false},
+                                         run_case{9, false},
+                                         run_case{74, false}, run_case{1, true},
+                                         run_case{3, true}, run_case{9, true}));
 
 } // namespace
 } // namespace cicadahub::continuity
