Suspicion: Let the cause of a crash explain it

Cause: a crash counted against every request in flight. Lookups that are sent again at once are at the next server that crashes too, have three crashes like the cause, and were refused for 600 s, since nothing that is refused is sent.

A refused request now explains its crashes: they don't count against one that had been at the server for clearly longer. A refused request or part is sent as a trial, 5 s after its last crash and once more later, by any host in an order that all agree on. Numbers of crashes that others tell count only beyond the crashes that are known.

--- a/libraries/core/event_log.cpp
+++ b/libraries/core/event_log.cpp
@@ -71,6 +71,7 @@
     CICADAHUB_ROW(prompt_part_refused),
     CICADAHUB_ROW(prompt_part_cleared),
     CICADAHUB_ROW(request_cleared),
+    CICADAHUB_ROW(trial_began),
     CICADAHUB_ROW(request_waits),
     CICADAHUB_ROW(request_attempted),
     CICADAHUB_ROW(request_answered),
--- a/libraries/core/event_log.hpp
+++ b/libraries/core/event_log.hpp
@@ -68,6 +68,7 @@
     prompt_part_refused = 703,
     prompt_part_cleared = 704,
     request_cleared = 705,
+    trial_began = 706,
     request_waits = 710,
     request_attempted = 711,
     request_answered = 712,
--- a/libraries/decision/suspicion/crash_attribution.cpp
+++ b/libraries/decision/suspicion/crash_attribution.cpp
@@ -205,7 +205,8 @@
     return std::nullopt;
 }
 
-bool crash_attribution::try_admit(const part_fingerprint& part, time_point now)
+bool crash_attribution::try_admit(const part_fingerprint& part,
+                                  milliseconds delay, time_point now)
 {
     const auto known = m_refused.find(part);
     if (known == m_refused.end())
@@ -214,8 +215,8 @@
     }
     refusal_state& it = known->second;
     const bool is_due =
-        (it.trials == 0 && now >= it.last_crash + first_trial_after) ||
-        (it.trials == 1 && now >= it.last_crash + second_trial_after);
+        (it.trials == 0 && now >= it.last_crash + first_trial_after + delay) ||
+        (it.trials == 1 && now >= it.last_crash + second_trial_after + delay);
     it.trials += is_due ? 1 : 0;
     return is_due;
 }
--- a/libraries/decision/suspicion/crash_attribution.hpp
+++ b/libraries/decision/suspicion/crash_attribution.hpp
@@ -65,7 +65,7 @@
     static constexpr std::size_t max_crashes = 64;
     static constexpr std::size_t max_parts = 4'096;
     /// Times after the last crash at which one request with a refused part is
-    /// admitted at one host, to find out whether it is sound again. Together
+    /// admitted, to find out whether it is sound again. Together
     /// with requests on their way they must be few.
     static constexpr milliseconds first_trial_after{5'000};
     static constexpr milliseconds second_trial_after{30'000};
@@ -113,8 +113,10 @@
     bool is_any_accused(const std::vector<part_fingerprint>& parts) const;
 
     /// Returns true, once for each trial, if a request with this refused part
-    /// may be sent now. Only one host may ask.
-    bool try_admit(const part_fingerprint& part, time_point now);
+    /// may be sent now. Hosts try one after the other: this one `delay` after
+    /// the first.
+    bool try_admit(const part_fingerprint& part, milliseconds delay,
+                   time_point now);
 
     /// What other hosts are to learn: crashes that this host has seen since,
     /// parts cleared since, and all refused parts.
--- a/libraries/decision/suspicion/suspect_table.cpp
+++ b/libraries/decision/suspicion/suspect_table.cpp
@@ -1,6 +1,7 @@
 #include "decision/suspicion/suspect_table.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cicadahub::suspicion
 {
@@ -26,7 +27,7 @@
     evict_entries(now);
     suspect& it = m_suspects[request];
     it.last_crash = now;
-    it.last_own_crash = now;
+    it.last_own_news = now;
     it.told = it.total() + 1;
     return it.told;
 }
@@ -43,7 +44,7 @@
     suspect& it = m_suspects[request];
     if (is_own)
     {
-        it.last_own_crash = now;
+        it.last_own_news = now;
     }
     const bool is_full = it.crashes.size() >= max_crashes_per_request &&
                          !it.crashes.contains(crash.key);
@@ -60,17 +61,89 @@
     it.last_crash = std::max(it.last_crash, at);
     if (is_new || is_earlier)
     {
-        it.counted = count(it);
+        recount(request, it);
     }
     return it.total();
 }
 
-std::uint32_t suspect_table::count(const suspect& it)
+void suspect_table::recount(const fingerprint& request, suspect& it)
+{
+    it.counted = count(it, {});
+    m_has_changed = true;
+    if (it.counted >= m_limits.crashes)
+    {
+        m_candidates.insert(request);
+    }
+    else
+    {
+        m_candidates.erase(request);
+    }
+}
+
+milliseconds suspect_table::time_at_server(const request_crash& it)
+{
+    return std::chrono::duration_cast<milliseconds>(it.at - it.sent_at);
+}
+
+milliseconds suspect_table::median_time_at_server(const suspect& it)
+{
+    std::vector<milliseconds> times;
+    for (const auto& [key, crash] : it.crashes)
+    {
+        times.push_back(time_at_server(crash));
+    }
+    const auto middle = times.begin() + (times.size() - 1) / 2;
+    std::nth_element(times.begin(), middle, times.end());
+    return *middle;
+}
+
+void suspect_table::judge() const
+{
+    if (!std::exchange(m_has_changed, false))
+    {
+        return;
+    }
+    m_causes.clear();
+    // The cause of a crash has just been sent when the server ends.
+    std::vector<std::pair<milliseconds, fingerprint>> by_time;
+    for (const fingerprint& it : m_candidates)
+    {
+        by_time.emplace_back(median_time_at_server(m_suspects.at(it)), it);
+    }
+    std::sort(by_time.begin(), by_time.end());
+    explanations explained;
+    for (const auto& [time, request] : by_time)
+    {
+        const suspect& it = m_suspects.at(request);
+        if (count(it, explained) < m_limits.crashes)
+        {
+            continue;
+        }
+        m_causes.insert(request);
+        for (const auto& [key, crash] : it.crashes)
+        {
+            const auto known =
+                explained.try_emplace(key, time_at_server(crash));
+            milliseconds& least = known.first->second;
+            least = std::min(least, time_at_server(crash));
+        }
+    }
+}
+
+std::uint32_t suspect_table::count(const suspect& it, const explanations& by)
 {
     std::vector<request_crash> crashes;
     for (const auto& [key, crash] : it.crashes)
     {
-        crashes.push_back(crash);
+        const auto cause = by.find(key);
+        const bool is_explained =
+            cause != by.end() &&
+            time_at_server(crash) >
+                explaining_factor * cause->second + explaining_margin;
+        if (!is_explained)
+        {
+            crashes.push_back(crash);
+        }
     }
     std::sort(crashes.begin(), crashes.end(),
               [](const request_crash& left, const request_crash& right)
@@ -95,10 +168,10 @@
 {
     if (crashes == 0)
     {
-        m_suspects.erase(request);
+        erase(request);
         return false;
     }
-    return on_notice({request, crashes, now}, now);
+    return on_notice({request, crashes, now, 0}, now);
 }
 
 bool suspect_table::on_notice(const request_notice& notice, time_point now)
@@ -118,12 +191,19 @@
     it.last_crash = std::max(it.last_crash, notice.at);
     const bool is_news = notice.crashes > it.total();
     it.told = std::max(it.told, notice.crashes);
+    it.trials = std::max(it.trials, notice.trials);
     return is_news;
 }
 
 void suspect_table::on_completed(const fingerprint& request)
+{
+    erase(request);
+}
+
+void suspect_table::erase(const fingerprint& request)
 {
     m_suspects.erase(request);
+    m_has_changed = m_candidates.erase(request) > 0 || m_has_changed;
 }
 
 std::uint32_t suspect_table::on_completed(const fingerprint& request,
@@ -139,7 +219,7 @@
     const std::uint32_t before = it.total();
     std::erase_if(it.crashes, [&](const auto& crash)
                   { return crash.second.at <= answer_began; });
-    it.counted = count(it);
+    recount(request, it);
     if (it.last_crash <= answer_began)
     {
         it.told = 0;
@@ -154,7 +234,7 @@
     }
     if (it.total() == 0)
     {
-        m_suspects.erase(known);
+        erase(request);
     }
     return cleared;
 }
@@ -175,15 +255,20 @@
     {
         if (it.is_news && it.known_at >= since)
         {
-            found.push_back({request, 0, it.answer_began});
+            found.push_back({request, 0, it.answer_began, 0});
         }
     }
     const std::size_t clearings = found.size();
     for (const auto& [request, it] : m_suspects)
     {
-        if (it.last_own_crash >= since || (with_refused && is_refused(it, now)))
+        const bool is_told =
+            it.last_own_news >= since ||
+            (with_refused && now < it.last_crash + m_limits.kept_for &&
+             is_refused(request, it));
+        if (is_told)
         {
-            found.push_back({request, it.total(), it.last_crash});
+            found.push_back({request, crashes_to_tell_of(request, it),
+                             it.last_crash, it.trials});
         }
     }
     std::sort(found.begin() + static_cast<std::ptrdiff_t>(clearings),
@@ -193,10 +278,20 @@
     return found;
 }
 
-bool suspect_table::is_refused(const suspect& it, time_point now) const
+bool suspect_table::is_refused(const fingerprint& request,
+                               const suspect& it) const
+{
+    // A number says less than the crashes themselves, if they are all known.
+    const bool is_told = it.told >= m_limits.crashes && it.told > it.counted;
+    judge();
+    return is_told || m_causes.contains(request);
+}
+
+std::uint32_t suspect_table::crashes_to_tell_of(const fingerprint& request,
+                                                const suspect& it) const
 {
-    return it.total() >= m_limits.crashes &&
-           now < it.last_crash + m_limits.kept_for;
+    return is_refused(request, it) ? it.total()
+                                   : std::min(it.total(), m_limits.crashes - 1);
 }
 
 std::vector<request_notice> suspect_table::refused(time_point now) const
@@ -204,9 +299,9 @@
     std::vector<request_notice> found;
     for (const auto& [request, it] : m_suspects)
     {
-        if (is_refused(it, now))
+        if (now < it.last_crash + m_limits.kept_for && is_refused(request, it))
         {
-            found.push_back({request, it.total(), it.last_crash});
+            found.push_back({request, it.total(), it.last_crash, it.trials});
         }
     }
     return found;
@@ -220,14 +315,34 @@
 bool suspect_table::is_refused(const fingerprint& request) const
 {
     const auto at = m_suspects.find(request);
-    return at != m_suspects.end() && at->second.total() >= m_limits.crashes;
+    return at != m_suspects.end() && is_refused(request, at->second);
 }
 
 bool suspect_table::has_refused() const
 {
     return std::any_of(m_suspects.begin(), m_suspects.end(),
                        [&](const auto& it)
-                       { return it.second.total() >= m_limits.crashes; });
+                       { return is_refused(it.first, it.second); });
+}
+
+bool suspect_table::try_admit(const fingerprint& request, milliseconds delay,
+                              time_point now)
+{
+    const auto known = m_suspects.find(request);
+    if (known == m_suspects.end())
+    {
+        return false;
+    }
+    suspect& it = known->second;
+    const bool is_due =
+        (it.trials == 0 && now >= it.last_crash + first_trial_after + delay) ||
+        (it.trials == 1 && now >= it.last_crash + second_trial_after + delay);
+    if (is_due)
+    {
+        ++it.trials;
+        it.last_own_news = now;
+    }
+    return is_due;
 }
 
 bool suspect_table::try_isolate(const server_id& server)
@@ -249,6 +364,9 @@
         std::erase_if(
             m_suspects, [&](const auto& it)
             { return now >= it.second.last_crash + m_limits.kept_for; });
+        std::erase_if(m_candidates, [&](const fingerprint& it)
+                      { return !m_suspects.contains(it); });
+        m_has_changed = true;
         std::erase_if(m_cleared,
                       [&](const auto& it) {
                           return now >= it.second.known_at + m_limits.kept_for;
@@ -260,7 +378,8 @@
             m_suspects.begin(), m_suspects.end(),
             [](const auto& left, const auto& right)
             { return left.second.last_crash < right.second.last_crash; });
-        m_suspects.erase(oldest);
+        const fingerprint request = oldest->first;
+        erase(request);
     }
     while (m_cleared.size() >= m_limits.entries)
     {
--- a/libraries/decision/suspicion/suspect_table.hpp
+++ b/libraries/decision/suspicion/suspect_table.hpp
@@ -45,6 +45,9 @@
     std::uint32_t crashes = 0;
     /// Last crash, or beginning of the answer.
     time_point at{};
+    /// Times that it was sent although it is refused, to find out whether it is
+    /// sound.
+    std::uint32_t trials = 0;
 };
 
 /// Requests that were in flight on servers that crashed. After its first crash,
@@ -54,13 +57,23 @@
 ///
 /// Crashes that are reported with their server are merged, however many hosts
 /// report them. Those at the same time count once, since one cause may end many
-/// servers. A complete answer clears a request of the crashes before it began.
+/// servers. A request that is refused explains its crashes: they do not count
+/// against another one that had been at the server for clearly longer. A
+/// complete answer clears a request of the crashes before it began.
 class suspect_table
 {
 public:
     /// Crashes of servers count as one if they are closer together than this
     /// and the request was sent to both before the first.
     static constexpr milliseconds one_cause_time{1'000};
+    /// A request explains a crash if any other was at the server for longer
+    /// than this many times its own time, and this much more.
+    static constexpr int explaining_factor = 2;
+    static constexpr milliseconds explaining_margin{50};
+    /// Times after the last crash at which a refused request is sent once. After
+    /// one more crash it is much more probably the cause.
+    static constexpr milliseconds first_trial_after{5'000};
+    static constexpr milliseconds second_trial_after{60'000};
 
     explicit suspect_table(suspicion_limits limits) : m_limits(limits) {}
 
@@ -100,6 +113,11 @@
     bool is_refused(const fingerprint& request) const;
     bool has_refused() const;
 
+    /// True if a refused request may be sent now as a trial, which counts as
+    /// begun. Hosts try one after the other: this one `delay` after the first.
+    bool try_admit(const fingerprint& request, milliseconds delay,
+                   time_point now);
+
     /// Reserves a server for one suspect; false if another suspect runs there.
     bool try_isolate(const server_id& server);
     void end_isolation(const server_id& server);
@@ -115,8 +133,10 @@
         /// Counted without their servers, or by another daemon.
         std::uint32_t told = 0;
         time_point last_crash{};
-        /// This daemon learnt then of the last crash that it saw itself.
-        time_point last_own_crash = time_point::min();
+        /// This daemon learnt then of the last crash that it saw itself, or
+        /// began a trial.
+        time_point last_own_news = time_point::min();
+        std::uint32_t trials = 0;
 
         std::uint32_t total() const { return std::max(counted, told); }
     };
@@ -129,14 +149,31 @@
         bool is_news = false;
     };
 
-    static std::uint32_t count(const suspect& it);
-    bool is_refused(const suspect& it, time_point now) const;
+    /// The time for which the requests were at the servers that they explain.
+    using explanations = std::map<crash_key, milliseconds>;
+
+    static std::uint32_t count(const suspect& it, const explanations& by);
+    static milliseconds time_at_server(const request_crash& it);
+    static milliseconds median_time_at_server(const suspect& it);
+    void recount(const fingerprint& request, suspect& it);
+    /// Finds the requests that are refused for crashes with known servers.
+    void judge() const;
+    bool is_refused(const fingerprint& request, const suspect& it) const;
+    /// Number of crashes to tell of a request.
+    std::uint32_t crashes_to_tell_of(const fingerprint& request,
+                                     const suspect& it) const;
     bool is_cleared(const fingerprint& request, time_point crash) const;
+    void erase(const fingerprint& request);
     void evict_entries(time_point now);
 
     suspicion_limits m_limits;
     std::map<fingerprint, suspect> m_suspects;
     std::map<fingerprint, clearing> m_cleared;
+    /// Requests with as many crashes as are needed, explained or not.
+    std::set<fingerprint> m_candidates;
+    /// Those of them that are refused; to be found anew if that has changed.
+    mutable std::set<fingerprint> m_causes;
+    mutable bool m_has_changed = false;
     std::set<server_id> m_isolating;
     time_point m_next_expiry{};
 };
--- a/libraries/entry/entry_daemon.cpp
+++ b/libraries/entry/entry_daemon.cpp
@@ -199,10 +199,6 @@
          {
              return m_placement.is_held();
          }});
-    m_state.is_placement_holder = [this]
-    {
-        return m_placement.is_held();
-    };
     m_state.on_server_leaving = [this]
     {
         m_digests.send_update_to_all_soon();
--- a/libraries/entry/entry_state.cpp
+++ b/libraries/entry/entry_state.cpp
@@ -140,6 +140,44 @@
     return found;
 }
 
+milliseconds entry_state::trial_delay(const std::string& tried) const
+{
+    std::vector<daemon_id> others;
+    others.reserve(fleet.peers().size());
+    for (const auto& [name, it] : fleet.peers())
+    {
+        others.emplace_back(name);
+    }
+    return suspicion::trial_delay(tried, settings.name, others);
+}
+
+bool entry_state::try_admit(const suspicion::fingerprint& request,
+                            time_point now)
+{
+    if (!suspects.try_admit(request, trial_delay(request.value()), now))
+    {
+        return false;
+    }
+    log_event(
+        severity::info, event_number::trial_began,
+        {{"fingerprint", request.value()}, {"seen_by", settings.name.value()}});
+    send_update_to_all_soon();
+    return true;
+}
+
+bool entry_state::try_admit(const suspicion::part_fingerprint& part,
+                            time_point now)
+{
+    if (!crashing_parts.try_admit(part, trial_delay(part.value()), now))
+    {
+        return false;
+    }
+    log_event(severity::info, event_number::trial_began,
+              {{"part", part.value()}, {"seen_by", settings.name.value()}});
+    send_update_to_all_soon();
+    return true;
+}
+
 void entry_state::clear_by_lasting(time_point now)
 {
     if (crashing_parts.is_anything_accused())
--- a/libraries/entry/entry_state.hpp
+++ b/libraries/entry/entry_state.hpp
@@ -12,6 +12,7 @@
 #include "decision/suspicion/crash_attribution.hpp"
 #include "decision/suspicion/dispatched_requests.hpp"
 #include "decision/suspicion/suspect_table.hpp"
+#include "decision/suspicion/trial_order.hpp"
 #include "entry/entry_metrics.hpp"
 #include "entry/fleet/fleet_view.hpp"
 #include "entry/placement/demand_table.hpp"
@@ -111,9 +112,6 @@
     /// The same for changes that can wait for the next beacon.
     std::function<void()> send_next_update_to_all;
 
-    /// True while this daemon holds the placement lease.
-    std::function<bool()> is_placement_holder;
-
     /// Called when a response said that its server leaves.
     std::function<void()> on_server_leaving;
 
@@ -131,6 +129,12 @@
     find_crashing_part(const std::vector<suspicion::part_fingerprint>& parts,
                        time_point now);
 
+    /// True, once for each trial, if a request may be sent although it is
+    /// refused, or although the part of its prompt is, to find out whether that
+    /// is sound again. Tells the other hosts.
+    bool try_admit(const suspicion::fingerprint& request, time_point now);
+    bool try_admit(const suspicion::part_fingerprint& part, time_point now);
+
     /// Clears requests and parts of prompts that are suspected, if requests
     /// that run now show that they are sound.
     void clear_by_lasting(time_point now);
@@ -230,6 +234,8 @@
                      time_point now) const;
 
 private:
+    /// Time for which this host leaves a trial to others.
+    milliseconds trial_delay(const std::string& tried) const;
     void on_load(server_record& server, const server_load& it);
     /// A service had a rate for cold servers when these were last updated.
     bool m_had_cold_rates = false;
--- a/libraries/entry/requests/request_admission.cpp
+++ b/libraries/entry/requests/request_admission.cpp
@@ -88,7 +88,8 @@
     m_fingerprint =
         suspicion::fingerprint(sha256_hex(text).substr(0, fingerprint_digits));
     m_observer.set_fingerprint(m_fingerprint);
-    if (m_state.suspects.is_refused(m_fingerprint))
+    if (m_state.suspects.is_refused(m_fingerprint) &&
+        !m_state.try_admit(m_fingerprint, m_arrived))
     {
         refuse(refusal_kind::suspect_request, {});
     }
@@ -102,9 +103,7 @@
     {
         return;
     }
-    // One host decides on trials, so that they are few.
-    m_is_trial = m_sends == 0 && m_state.is_placement_holder() &&
-                 m_state.crashing_parts.try_admit(*part, now);
+    m_is_trial = m_sends == 0 && m_state.try_admit(*part, now);
     if (!m_is_trial)
     {
         refuse(refusal_kind::suspect_request, {});
--- a/libraries/entry/servers/crash_notices.cpp
+++ b/libraries/entry/servers/crash_notices.cpp
@@ -51,7 +51,8 @@
 {
     return {suspicion::fingerprint(it.fingerprint),
             static_cast<std::uint32_t>(std::max(0, it.crashes)),
-            received_at - milliseconds(it.age_ms)};
+            received_at - milliseconds(it.age_ms),
+            static_cast<std::uint32_t>(std::max(0, it.trials))};
 }
 
 suspicion::server_crash crash_from(const fleet::wire::CrashedServer& it,
@@ -122,6 +123,7 @@
         notice.fingerprint = it.request.value();
         notice.crashes = static_cast<std::int32_t>(it.crashes);
         notice.__set_age_ms(age_of(it.at, now));
+        notice.trials = static_cast<std::int32_t>(it.trials);
     }
 }
 
--- a/libraries/entry/servers/notice_record.cpp
+++ b/libraries/entry/servers/notice_record.cpp
@@ -112,7 +112,8 @@
     for (const suspicion::request_notice& it : state.suspects.refused(now))
     {
         requests.push_back({{"fingerprint", it.request.value()},
-                            {"crashes", std::int64_t{it.crashes}}});
+                            {"crashes", std::int64_t{it.crashes}},
+                            {"trials", std::int64_t{it.trials}}});
     }
     boost::json::array& parts = spec[parts_member].emplace_array();
     for (const suspicion::part_notice& it : state.crashing_parts.refused(now))
@@ -240,8 +241,10 @@
     const std::string fingerprint = it.text("fingerprint");
     const auto crashes = static_cast<std::uint32_t>(
         std::clamp<std::int64_t>(it.integer("crashes"), 1, max_crashes));
+    const auto trials = static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(it.integer_or("trials", 0), 0, max_crashes));
     const bool is_news = m_state.suspects.on_notice(
-        {suspicion::fingerprint(fingerprint), crashes, last_crash},
+        {suspicion::fingerprint(fingerprint), crashes, last_crash, trials},
         monotonic_clock::now());
     if (is_news)
     {
--- a/libraries/fleet/digest.thrift
+++ b/libraries/fleet/digest.thrift
@@ -67,6 +67,9 @@
   /// Time since the last crash, or since the answer began; absent if the sender
   /// tells only of what it has seen in the last seconds.
   3: optional i32 age_ms
+  /// Times that it was sent although it is refused, to find out whether it is
+  /// sound.
+  4: i32 trials
 }
 
 /// A request of the sender that was in flight on a server when it crashed.
--- a/tests/decision/crash_attribution_test.cpp
+++ b/tests/decision/crash_attribution_test.cpp
@@ -219,7 +219,8 @@
     int trials = 0;
     for (int n = 0; n < 600'000; n += 100)
     {
-        trials += subject.try_admit(part("A"), start + milliseconds(n)) ? 1 : 0;
+        trials +=
+            subject.try_admit(part("A"), {}, start + milliseconds(n)) ? 1 : 0;
     }
     EXPECT_EQ(trials, 2);
 }
--- a/tests/decision/suspect_table_test.cpp
+++ b/tests/decision/suspect_table_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <set>
+
 namespace cicadahub::suspicion
 {
 namespace
@@ -161,6 +164,180 @@
     EXPECT_EQ(it.notices(start, false, start).front().request, request);
 }
 
+/// A request that was at each of the servers 0, 1, 2... for some time when they
+/// crashed.
+struct neighbour
+{
+    const char* request;
+    std::vector<milliseconds> times_at_servers;
+};
+
+struct explained_case
+{
+    const char* name;
+    std::vector<neighbour> requests;
+    std::set<std::string> refused;
+};
+
+void PrintTo(const explained_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class explained_crashes : public testing::TestWithParam<explained_case>
+{
+};
+
+// Guards against sound requests that are refused since they ran beside the one
+// that crashed their servers (review/14).
+TEST_P(explained_crashes, count_against_the_request_that_had_just_begun)
+{
+    // Whoever reports first.
+    for (const bool is_reversed : {false, true})
+    {
+        suspect_table it(three_crashes());
+        auto requests = GetParam().requests;
+        if (is_reversed)
+        {
+            std::reverse(requests.begin(), requests.end());
+        }
+        for (const neighbour& from : requests)
+        {
+            for (std::size_t n = 0; n < from.times_at_servers.size(); ++n)
+            {
+                const time_point at = start + seconds(100 + 2 * n);
+                it.on_crash(fingerprint(from.request),
+                            {{server_id(std::to_string(n)), 1},
+                             at,
+                             at - from.times_at_servers[n]},
+                            true, at);
+            }
+        }
+        std::set<std::string> refused;
+        const time_point now = start + seconds(120);
+        for (const request_notice& notice : it.refused(now))
+        {
+            refused.insert(notice.request.value());
+        }
+        EXPECT_EQ(refused, GetParam().refused);
+        // Another host refuses no more by what it is told.
+        suspect_table there(three_crashes());
+        for (const request_notice& notice : it.notices(start, true, now))
+        {
+            there.on_notice(notice, now);
+        }
+        for (const neighbour& from : requests)
+        {
+            EXPECT_EQ(there.is_refused(fingerprint(from.request)),
+                      refused.contains(from.request));
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    suspect_table, explained_crashes,
+    testing::Values(
+        explained_case{
+            "beside_older_ones",
+            {{"bad", {milliseconds(40), milliseconds(30), milliseconds(35)}},
+             {"a", {milliseconds(500), milliseconds(450), milliseconds(480)}},
+             {"b", {milliseconds(900), milliseconds(300), milliseconds(470)}}},
+            {"bad"}},
+        explained_case{
+            "once_as_new_as_the_cause",
+            {{"bad", {milliseconds(40), milliseconds(30), milliseconds(35)}},
+             {"a", {milliseconds(35), milliseconds(450), milliseconds(480)}}},
+            {"bad"}},
+        explained_case{
+            "waiting_at_slow_servers",
+            {{"bad",
+              {milliseconds(800), milliseconds(1'200), milliseconds(700)}},
+             {"a", {milliseconds(90), milliseconds(100)}}},
+            {"bad"}},
+        explained_case{
+            "always_sent_together",
+            {{"bad", {milliseconds(40), milliseconds(30), milliseconds(35)}},
+             {"twin", {milliseconds(45), milliseconds(40), milliseconds(30)}}},
+            {"bad", "twin"}},
+        explained_case{
+            "crashes_beyond_those_explained",
+            {{"bad", {milliseconds(40), milliseconds(30), milliseconds(35)}},
+             {"worse",
+              {milliseconds(500), milliseconds(400), milliseconds(600),
+               milliseconds(600), milliseconds(500), milliseconds(700)}}},
+            {"bad", "worse"}}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+// Guards against a refusal that is taken over although all crashes are known,
+// and explained.
+TEST(suspect_table, believes_the_crashes_rather_than_their_number)
+{
+    suspect_table it(three_crashes());
+    for (int n = 0; n < 3; ++n)
+    {
+        const time_point at = start + seconds(100 + n);
+        const crash_key key{server_id(std::to_string(n)), 1};
+        it.on_crash(fingerprint("bad"), {key, at, at - milliseconds(30)}, false,
+                    at);
+        it.on_crash(request, {key, at, at - milliseconds(900)}, false, at);
+    }
+    it.on_notice({request, 3, start + seconds(102), 0}, start + seconds(102));
+    EXPECT_FALSE(it.is_refused(request));
+    // One more than is known here.
+    it.on_notice({request, 4, start + seconds(102), 0}, start + seconds(102));
+    EXPECT_TRUE(it.is_refused(request));
+}
+
+struct trial_case
+{
+    const char* name;
+    std::uint32_t trials_elsewhere;
+    milliseconds delay;
+    int admitted;
+};
+
+void PrintTo(const trial_case& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+class refused_requests : public testing::TestWithParam<trial_case>
+{
+};
+
+// Guards against a sound request that is refused for ever, and against trials
+// that crash more servers than the rule allows.
+TEST_P(refused_requests, are_tried_a_few_times)
+{
+    suspect_table it(three_crashes());
+    crash_three(it);
+    const time_point last = start + seconds(2);
+    it.on_notice({request, 3, last, GetParam().trials_elsewhere}, last);
+    int admitted = 0;
+    for (time_point now = last; now < last + seconds(500);
+         now += milliseconds(100))
+    {
+        const bool is_tried = it.try_admit(request, GetParam().delay, now);
+        EXPECT_FALSE(is_tried && now < last + suspect_table::first_trial_after +
+                                           GetParam().delay);
+        admitted += is_tried ? 1 : 0;
+    }
+    EXPECT_EQ(admitted, GetParam().admitted);
+    EXPECT_FALSE(it.try_admit(fingerprint("unknown"), {}, last + seconds(9)));
+    for (const request_notice& notice : it.notices(start, true, last))
+    {
+        EXPECT_EQ(notice.trials, 2U);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    suspect_table, refused_requests,
+    testing::Values(trial_case{"by_the_first_host", 0, milliseconds(0), 2},
+                    trial_case{"by_a_later_host", 0, milliseconds(900), 2},
+                    trial_case{"tried_elsewhere", 1, milliseconds(0), 1},
+                    trial_case{"tried_twice_elsewhere", 2, milliseconds(0), 0}),
+    [](const auto& it) { return std::string(it.param.name); });
+
 struct clearing_case
 {
     const char* name;
--- a/tests/entry/fleet/digest_exchange_test.cpp
+++ b/tests/entry/fleet/digest_exchange_test.cpp
@@ -70,10 +70,6 @@
         m_settings.name = daemon_id("self");
         m_settings.fleet = free_endpoint();
         m_state.emplace(m_context, m_settings, documents);
-        m_state->is_placement_holder = []
-        {
-            return false;
-        };
         m_subject.emplace(
             *m_state, [](fleet::wire::Digest&, time_point) {},
             [](const peer&) {}, [] { return false; });
@@ -169,10 +165,6 @@
     settings.fleet = free_endpoint();
     settings.link_bytes_per_second = 1.25e6;
     entry_state state(context, settings, documents);
-    state.is_placement_holder = []
-    {
-        return false;
-    };
     // After a mass crash a digest has some 3 kB.
     for (int n = 0; n < 64; ++n)
     {
