Reachability: Let hosts in doubt ask without an echo

A host that is itself refused by all servers no longer probes them for each digest of another one that asks, and a host with one listed server does not wait for others, since their answers can't make it cut off.

--- a/libraries/decision/reachability/server_reach.cpp
+++ b/libraries/decision/reachability/server_reach.cpp
@@ -112,7 +112,7 @@
     // servers while all refuse this host.
     const bool is_shown = result == probe_result::silent || m_is_cut_off ||
                           has_contact_elsewhere();
-    if (result == probe_result::refused && targets > 0)
+    if (result == probe_result::refused && targets >= min_targets_for_verdict)
     {
         m_refused_since = m_refused_since.value_or(now);
         m_last_refused = now;
--- a/libraries/decision/suspicion/crash_attribution.hpp
+++ b/libraries/decision/suspicion/crash_attribution.hpp
@@ -41,11 +41,10 @@
 /// Finds parts of prompts that crash servers. Each crash accuses the parts of
 /// all requests in flight on the server that may just have begun, as this host
 /// and others report them. A complete answer that began after a crash, or a run
-/// that lasts, clears its parts of that crash.
-/// Crashes at the same time count once, since one cause may end many servers,
-/// and so do the repetitions of one request. A part with enough crashes is
-/// refused, and explains the crashes that it took part in: they no longer
-/// accuse other parts.
+/// that lasts, clears its parts of that crash. Crashes at the same time count
+/// once, since one cause may end many servers, and so do the repetitions of one
+/// request. A part with enough crashes is refused, and explains the crashes
+/// that it took part in: they no longer accuse other parts.
 class crash_attribution
 {
 public:
@@ -65,8 +64,8 @@
     static constexpr std::size_t max_crashes = 64;
     static constexpr std::size_t max_parts = 4'096;
     /// Times after the last crash at which one request with a refused part is
-    /// admitted, to find out whether it is sound again. Together
-    /// with requests on their way they must be few.
+    /// admitted, to find out whether it is sound again. Together with requests
+    /// on their way they must be few.
     static constexpr milliseconds first_trial_after{5'000};
     static constexpr milliseconds second_trial_after{30'000};
 
--- a/libraries/decision/suspicion/suspect_table.cpp
+++ b/libraries/decision/suspicion/suspect_table.cpp
@@ -92,9 +92,11 @@
     {
         times.push_back(time_at_server(crash));
     }
-    const auto middle = times.begin() + (times.size() - 1) / 2;
-    std::nth_element(times.begin(), middle, times.end());
-    return *middle;
+    const std::size_t middle = (times.size() - 1) / 2;
+    std::nth_element(times.begin(),
+                     times.begin() + static_cast<std::ptrdiff_t>(middle),
+                     times.end());
+    return times[middle];
 }
 
 void suspect_table::judge() const
--- a/libraries/entry/servers/reach_monitor.cpp
+++ b/libraries/entry/servers/reach_monitor.cpp
@@ -118,11 +118,19 @@
 
 net::awaitable<bool> reach_monitor::confirm_contact()
 {
+    // Its own probes tell it, and the next digest tells the others.
+    if (is_cut_off() || asks_others())
+    {
+        co_return false;
+    }
     const time_point counted_from = monotonic_clock::now() + answer_delay;
     co_await daemon::pause(m_context, answer_delay);
     if (last_contact() < counted_from)
     {
         co_await wait_for_probe();
+    }
+    if (last_contact() < counted_from && !asks_others())
+    {
         co_await probe(reach_proof::answer);
     }
     co_return last_contact() >= counted_from;
