Suspicion: Ask what else ended at that moment

The requests that waited for it all began within a second, at a server that was among those that ended together at the next crash. Two crashes with five requests accuse a part, and nothing asked why the other servers had ended.

A crash no longer accuses a part if another server ended within 25 ms without it. For that the end of a server is told also if all of its requests had lasted.

--- a/libraries/decision/suspicion/crash_attribution.cpp
+++ b/libraries/decision/suspicion/crash_attribution.cpp
@@ -376,20 +376,62 @@
     return cause;
 }
 
+std::map<crash_key, std::set<part_fingerprint>>
+crash_attribution::parts_by_crash() const
+{
+    std::map<crash_key, std::set<part_fingerprint>> found;
+    for (const auto& [key, crash] : m_crashes)
+    {
+        std::set<part_fingerprint>& parts = found[key];
+        for (const auto& [id, request] : crash.requests)
+        {
+            parts.insert(request.parts.begin(), request.parts.end());
+        }
+    }
+    return found;
+}
+
+std::vector<crash_key>
+crash_attribution::coincident_crashes(const crash_key& key, time_point at) const
+{
+    std::vector<crash_key> found;
+    for (const auto& [other, crash] : m_crashes)
+    {
+        if (other != key && crash.at <= at + one_cause_time &&
+            at <= crash.at + one_cause_time)
+        {
+            found.push_back(other);
+        }
+    }
+    return found;
+}
+
 crash_attribution::accusations
 crash_attribution::collect_accusations(time_point now) const
 {
     accusations all;
+    const auto parts = parts_by_crash();
     for (const auto& [key, crash] : m_crashes)
     {
         if (crash.at + settling_time > now)
         {
             continue;
         }
+        const auto coincident = coincident_crashes(key, crash.at);
+        const auto is_accused = [&](const part_fingerprint& part)
+        {
+            return std::all_of(coincident.begin(), coincident.end(),
+                               [&](const crash_key& it)
+                               { return parts.at(it).contains(part); });
+        };
         for (const auto& [id, request] : crash.requests)
         {
             for (std::size_t n = 0; n < request.parts.size(); ++n)
             {
+                if (!is_accused(request.parts[n]))
+                {
+                    continue;
+                }
                 all[request.parts[n]].push_back(
                     {crash.at, id, request.sent_at, key, n});
             }
--- a/libraries/decision/suspicion/crash_attribution.hpp
+++ b/libraries/decision/suspicion/crash_attribution.hpp
@@ -15,6 +15,7 @@
 /// A request that was in flight on a server when it crashed.
 struct crashed_request
 {
+    /// Empty if it is no suspect.
     fingerprint request;
     time_point sent_at{};
     /// In the order of the prompt, without the part that only it has.
@@ -43,8 +44,9 @@
 /// and others report them. A complete answer that began after a crash, or a run
 /// that lasts, clears its parts of that crash. Crashes at the same time count
 /// once, since one cause may end many servers, and so do the repetitions of one
-/// request. A part with enough crashes is refused, and explains the crashes
-/// that it took part in: they no longer accuse other parts.
+/// request. A crash does not accuse a part if another server ended at that
+/// moment without it. A part with enough crashes is refused, and explains the
+/// crashes that it took part in: they no longer accuse other parts.
 class crash_attribution
 {
 public:
@@ -57,6 +59,8 @@
     /// A crash accuses after this time, in which requests that began after it
     /// can complete or last, and other hosts can tell so.
     static constexpr milliseconds settling_time{2'000};
+    /// Crashes of several servers closer together than this have one cause.
+    static constexpr milliseconds one_cause_time{25};
     /// A part deep in the prompt is preferred to one that took part in somewhat
     /// more crashes: the first parts are shared by many sound requests.
     static constexpr double comparable_share = 0.75;
@@ -188,6 +192,11 @@
     void expire(time_point now);
     void judge(time_point now);
     accusations collect_accusations(time_point now) const;
+    /// The parts that are accused in each crash.
+    std::map<crash_key, std::set<part_fingerprint>> parts_by_crash() const;
+    /// Servers other than this one that ended for the same cause.
+    std::vector<crash_key> coincident_crashes(const crash_key& key,
+                                              time_point at) const;
     static weight_of_evidence weigh(const std::vector<accusation>& it);
     static bool is_enough(const weight_of_evidence& it);
     /// The part that most probably is the cause; empty if the evidence is not
--- a/libraries/entry/requests/attempt_observer.cpp
+++ b/libraries/entry/requests/attempt_observer.cpp
@@ -239,7 +239,7 @@
         m_state.on_crashed(*m_record, failed_at);
         if (dispatched && dispatched->has_lasted(failed_at))
         {
-            evidence().on_lasted(*dispatched->began);
+            evidence().on_lasted(*dispatched->began, failed_at);
         }
         else
         {
--- a/libraries/entry/servers/crash_evidence.cpp
+++ b/libraries/entry/servers/crash_evidence.cpp
@@ -100,9 +100,15 @@
     }
 }
 
-void crash_evidence::on_lasted(time_point began) const
+void crash_evidence::on_lasted(time_point began, time_point crashed_at) const
 {
     clear(began);
+    suspicion::server_crash crash;
+    crash.key = {m_server->entry.id, m_server->entry.incarnation};
+    crash.at = crashed_at;
+    crash.requests.push_back({{}, m_sent_at, {}});
+    m_state.crashing_parts.on_crash(crash, true, monotonic_clock::now());
+    m_state.send_update_to_all_soon();
 }
 
 void crash_evidence::clear(time_point began) const
--- a/libraries/entry/servers/crash_evidence.hpp
+++ b/libraries/entry/servers/crash_evidence.hpp
@@ -23,8 +23,8 @@
     void on_crash(time_point crashed_at) const;
 
     /// The request had run for long when its server ended, so that it is not
-    /// the cause.
-    void on_lasted(time_point began) const;
+    /// the cause. That the server ended tells something of others.
+    void on_lasted(time_point began, time_point crashed_at) const;
 
     /// The answer completed. Only a success clears: a server that fails may
     /// not have begun the request. If nothing but the end of the connection
--- a/libraries/entry/servers/crash_notices.cpp
+++ b/libraries/entry/servers/crash_notices.cpp
@@ -123,6 +123,10 @@
                  const suspicion::crashed_request& it,
                  const std::string& seen_by, time_point now)
 {
+    if (it.request.value().empty())
+    {
+        return;
+    }
     const bool was_refused = to.is_refused(it.request);
     const std::uint32_t crashes =
         to.on_crash(it.request, {crash.key, crash.at, it.sent_at}, false, now);
